--- /dev/null
+++ b/crates/trestle-client/src/engine.rs
@@ -0,0 +1,51 @@
+//! Orders and reports of model engines.
+
+use crate::{Result, http};
+use trestle_core::{
+    fence::Fence,
+    order::{Order, OrderOutcome, Report},
+};
+use trestle_wire::order::{WireOrder, WireOrderAnswer, WireReport};
+use trillium_client::Client;
+
+/// Time after which an order counts as not answered.
+const ORDER_TIMEOUT_MS: u64 = 1_000;
+
+/// Sends orders to engines and reads their reports.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    client: Client,
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        Self { client: http::pooled_client() }
+    }
+}
+
+impl Engine {
+    /// Sends an order to the engine at a URL.
+    pub async fn order(&self, url: &str, order: &Order) -> OrderOutcome {
+        let url = format!("{url}/orders");
+        let body = WireOrder::from(order);
+        match http::post_json(&self.client, &url, &body, ORDER_TIMEOUT_MS).await {
+            Ok(WireOrderAnswer::Accepted { report }) => OrderOutcome::Accepted(report.into()),
+            Ok(WireOrderAnswer::Refused { fence }) => OrderOutcome::Refused(Fence::from(fence)),
+            Ok(WireOrderAnswer::Impossible { report, .. }) => {
+                OrderOutcome::Impossible(report.into())
+            }
+            Err(_) => OrderOutcome::Unknown,
+        }
+    }
+
+    /// Asks the engine at a URL for a report.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine does not answer.
+    pub async fn report(&self, url: &str) -> Result<Report> {
+        let url = format!("{url}/report");
+        let report: WireReport = http::get_json(&self.client, &url, ORDER_TIMEOUT_MS).await?;
+        Ok(report.into())
+    }
+}
--- /dev/null
+++ b/crates/trestle-config/src/config.rs
@@ -0,0 +1,194 @@
+//! A configuration that was checked.
+
+use crate::file::{
+    ClassEntry, ConfigFile, EngineEntry, FencingEntry, ModelEntry, ServiceEntry, TenantEntry,
+};
+use std::collections::BTreeMap;
+use trestle_core::{
+    catalog::{Catalog, EngineSpec, Fencing, ModelSpec},
+    names::{DomainName, EndpointName, ModelName, TenantName},
+};
+
+/// A configuration that was checked.
+#[trestle_macros::plain]
+#[derive(Default)]
+pub struct Config {
+    /// Models and engines.
+    pub catalog: Catalog,
+    /// Where each engine is reached, as `http://ip:port`.
+    pub engine_urls: BTreeMap<EndpointName, String>,
+    /// Classes of requests.
+    pub classes: BTreeMap<String, Class>,
+    /// Tenants.
+    pub tenants: BTreeMap<TenantName, Tenant>,
+    /// The tenant of each token, by its digest.
+    pub tokens: BTreeMap<String, TenantName>,
+    /// Adapters.
+    pub adapters: BTreeMap<String, Adapter>,
+    /// Plain services.
+    pub services: BTreeMap<String, Service>,
+}
+
+/// A class of requests.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub struct Class {
+    /// 0 for the most urgent.
+    pub urgency: u8,
+    /// Time until the whole answer is due, where a request names none.
+    pub deadline_ms: u64,
+}
+
+/// A tenant.
+#[trestle_macros::plain]
+pub struct Tenant {
+    /// Classes its callers may name; the first where they name none.
+    pub classes: Vec<String>,
+    /// Requests of its callers that one daemon handles at once.
+    pub max_concurrent: usize,
+}
+
+/// An adapter of a model.
+#[trestle_macros::plain]
+pub struct Adapter {
+    /// The model it adapts.
+    pub base: ModelName,
+}
+
+/// A plain service.
+#[trestle_macros::plain]
+pub struct Service {
+    /// Its servers.
+    pub endpoints: BTreeMap<EndpointName, ServiceEndpoint>,
+    /// HTTP methods of calls that may be repeated.
+    pub repeatable_methods: Vec<String>,
+    /// The header that carries the idempotency key of a call that may not.
+    pub idempotency_header: String,
+    /// Calls that run at one server at once.
+    pub slots: usize,
+}
+
+/// A server of a plain service.
+#[trestle_macros::plain]
+pub struct ServiceEndpoint {
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where it is reached, as `http://ip:port`.
+    pub url: String,
+}
+
+/// What a caller's `model` names.
+#[trestle_macros::plain]
+pub struct Target {
+    /// The model that has to be loaded.
+    pub model: ModelName,
+    /// The adapter to apply to it.
+    pub adapter: Option<String>,
+}
+
+impl Config {
+    /// What a caller's `model` names, a model or an adapter.
+    pub fn target(&self, name: &str) -> Option<Target> {
+        if let Some(adapter) = self.adapters.get(name) {
+            return Some(Target { model: adapter.base.clone(), adapter: Some(name.to_owned()) });
+        }
+        let (model, _) = self.catalog.models.get_key_value(name)?;
+        Some(Target { model: model.clone(), adapter: None })
+    }
+
+    /// The configuration with its version set.
+    #[must_use]
+    pub fn at_version(mut self, version: u64) -> Self {
+        self.catalog.version = version;
+        self
+    }
+}
+
+impl From<ConfigFile> for Config {
+    fn from(file: ConfigFile) -> Self {
+        let engine_urls =
+            file.engines.iter().map(|(name, engine)| (name.as_str().into(), engine.url.clone()));
+        let tokens = file.tenants.iter().flat_map(|(name, tenant)| {
+            let digests = tenant.token_sha256.iter();
+            digests.map(|digest| (digest.to_lowercase(), TenantName::from(name.as_str())))
+        });
+        Self {
+            engine_urls: engine_urls.collect(),
+            tokens: tokens.collect(),
+            catalog: Catalog {
+                version: 0,
+                models: convert(file.models),
+                engines: convert(file.engines),
+            },
+            classes: convert(file.classes),
+            tenants: convert(file.tenants),
+            adapters: file
+                .adapters
+                .into_iter()
+                .map(|(name, adapter)| (name, Adapter { base: adapter.base.into() }))
+                .collect(),
+            services: convert(file.services),
+        }
+    }
+}
+
+fn convert<K, V, W>(entries: BTreeMap<String, W>) -> BTreeMap<K, V>
+where
+    K: From<String> + Ord,
+    V: From<W>,
+{
+    entries.into_iter().map(|(name, entry)| (name.into(), entry.into())).collect()
+}
+
+impl From<ClassEntry> for Class {
+    fn from(entry: ClassEntry) -> Self {
+        Self { urgency: entry.urgency, deadline_ms: entry.deadline_ms }
+    }
+}
+
+impl From<TenantEntry> for Tenant {
+    fn from(entry: TenantEntry) -> Self {
+        Self { classes: entry.classes, max_concurrent: entry.max_concurrent }
+    }
+}
+
+impl From<EngineEntry> for EngineSpec {
+    fn from(entry: EngineEntry) -> Self {
+        Self {
+            domain: entry.domain.into(),
+            memory_bytes: entry.memory_bytes,
+            slots: entry.slots,
+            fencing: match entry.fencing {
+                FencingEntry::Checked => Fencing::Checked,
+                FencingEntry::Ignored => Fencing::Ignored,
+            },
+        }
+    }
+}
+
+impl From<ModelEntry> for ModelSpec {
+    fn from(entry: ModelEntry) -> Self {
+        Self {
+            memory_bytes: entry.memory_bytes,
+            max_replicas: entry.max_replicas,
+            load_ms: entry.load_ms,
+            service_ms: entry.service_ms,
+            keep_ms: entry.keep_ms,
+        }
+    }
+}
+
+impl From<ServiceEntry> for Service {
+    fn from(entry: ServiceEntry) -> Self {
+        let endpoints = entry.endpoints.into_iter().map(|(name, endpoint)| {
+            let server = ServiceEndpoint { domain: endpoint.domain.into(), url: endpoint.url };
+            (name.into(), server)
+        });
+        Self {
+            endpoints: endpoints.collect(),
+            repeatable_methods: entry.repeatable_methods,
+            idempotency_header: entry.idempotency_header,
+            slots: entry.slots,
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestle-core/src/event.rs
@@ -0,0 +1,131 @@
+//! What happens to a node, and what it asks for in return.
+
+use crate::{
+    catalog::Catalog,
+    fence::Fence,
+    membership_row::MembershipRow,
+    names::{EndpointName, VmName},
+    order::{Order, OrderOutcome, Report},
+    permit::{PermitAnswer, PermitAsk, Ticket},
+    row::{CommitOutcome, RowKey, Rows, Txn},
+};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// Something that happened.
+#[trestle_macros::plain]
+pub enum Event {
+    /// Time went on.
+    Tick,
+    /// A configuration came into force.
+    Catalog(Arc<Catalog>),
+    /// The platform's list of VMs, daemons and endpoints alike.
+    Vms(BTreeMap<String, VmState>),
+    /// A read ended; `None` when it failed.
+    Read(ReadPurpose, Option<Rows>),
+    /// A transaction ended.
+    Committed(CommitPurpose, CommitOutcome),
+    /// A peer was asked whether it owns an endpoint; `None` when it did not answer.
+    Probed {
+        /// The peer.
+        vm: VmName,
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Its answer.
+        owns: Option<bool>,
+    },
+    /// An order was answered, or its answer was lost.
+    Ordered {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// The order's number.
+        fence: Fence,
+        /// What is known of it.
+        outcome: OrderOutcome,
+    },
+    /// An endpoint reported; `None` when it did not answer.
+    Reported {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Its report.
+        report: Option<Report>,
+    },
+    /// An entry daemon asks for a permit.
+    Ask(PermitAsk),
+    /// An entry daemon gives a permit back.
+    Release(EndpointName, Ticket),
+    /// The caller of a waiting request has gone.
+    Cancel(EndpointName, Ticket),
+    /// The daemon is to stop.
+    Stop,
+}
+
+/// What a read is for.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub enum ReadPurpose {
+    /// To follow the membership of the domain.
+    Membership,
+    /// To learn what is placed at the endpoints, as of an epoch.
+    Placements {
+        /// The epoch that was known before the read began.
+        epoch: u64,
+    },
+    /// To place models and to take them away.
+    Review,
+}
+
+/// What a transaction is for.
+#[trestle_macros::plain]
+pub enum CommitPurpose {
+    /// To renew this daemon's lease.
+    Renewal,
+    /// To change the membership of the domain.
+    Membership,
+    /// To change what is placed at an endpoint.
+    Placing(EndpointName),
+}
+
+/// Something to do.
+#[trestle_macros::plain]
+pub enum Action {
+    /// Read rows of the table.
+    Read(ReadPurpose, Vec<RowKey>),
+    /// Commit a transaction.
+    Commit(CommitPurpose, Txn),
+    /// Ask a peer whether it owns an endpoint.
+    Probe {
+        /// The peer.
+        vm: VmName,
+        /// Where it is reached, as `ip:port`.
+        address: String,
+        /// The endpoint.
+        endpoint: EndpointName,
+    },
+    /// Send an order to an endpoint.
+    Order(EndpointName, Order),
+    /// Ask an endpoint for a report.
+    FetchReport(EndpointName),
+    /// Answer an ask for a permit.
+    Answer(Ticket, PermitAnswer),
+    /// Tell the rest of the daemon about the members of the domain.
+    Members(MembershipRow),
+    /// This daemon owns the endpoint from now on, or no longer.
+    Ownership {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Its first fencing number, `None` when it is given up.
+        fence: Option<Fence>,
+    },
+    /// This daemon has left its domain.
+    Left,
+}
+
+/// What the platform says of a VM.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub enum VmState {
+    /// In use.
+    Live,
+    /// About to be taken away.
+    Leaving,
+}
--- /dev/null
+++ b/crates/trestle-core/src/lib.rs
@@ -0,0 +1,40 @@
+//! Decisions of trestlestile.
+//!
+//! Everything here is plain data and plain functions: no input or output, no
+//! clock, no randomness. Time comes in as milliseconds of the caller's monotonic
+//! clock. What the daemon does in the world, it does because [`node::Node`]
+//! returned an [`event::Action`]; what happens in the world reaches the node as
+//! an [`event::Event`].
+//!
+//! Where to start reading:
+//!
+//! - [`membership`]: who belongs to a failure domain.
+//! - [`seat`] and [`owned`]: who owns an endpoint, and what the owner does.
+//! - [`placing`] and [`candidates`]: where a model may be loaded.
+//! - [`queue`] and [`permit`]: who may send a request, and when.
+
+pub mod candidates;
+pub mod catalog;
+pub mod claim;
+pub mod endpoint_row;
+pub mod event;
+pub mod fence;
+pub mod health;
+pub mod lease_row;
+pub mod membership;
+pub mod membership_row;
+pub mod model_row;
+pub mod names;
+pub mod node;
+pub mod order;
+pub mod owned;
+pub mod permit;
+pub mod placing;
+pub mod queue;
+pub mod rendezvous;
+pub mod retry_budget;
+mod review;
+pub mod row;
+pub mod seat;
+pub mod timing;
+pub mod vms;
--- /dev/null
+++ b/crates/trestle-core/src/membership.rs
@@ -0,0 +1,236 @@
+//! One daemon's part in the membership of its failure domain.
+//!
+//! The members stand in one row, which changes only by compare-and-set. Each
+//! member renews a lease row of its own. Others judge that lease by their own
+//! monotonic clock: a lease has expired once its renewals have not moved for
+//! [`Timing::expiry_ms`] of *counted* time. Time counts only between two reads
+//! that succeeded, and only while the observer's own renewals take effect, so
+//! an outage of the platform, for reads or for writes, expires nobody.
+//!
+//! A write whose answer was lost needs no special care: the next read shows
+//! whether it took effect, and the same decision is taken again if not.
+
+use crate::{
+    lease_row::LeaseRow,
+    membership_row::{Member, MembershipRow},
+    names::{DomainName, VmName},
+    row::{CommitOutcome, Row, RowKey, Rows, Txn, Versioned},
+    timing::Timing,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Successors in the ring of members whose leases a member observes.
+const OBSERVED_SUCCESSORS: usize = 3;
+
+/// One daemon's part in the membership of its failure domain.
+#[trestle_macros::plain]
+pub struct Membership {
+    me: VmName,
+    member: Member,
+    domain: DomainName,
+    timing: Timing,
+    row: MembershipRow,
+    version: u64,
+    lease: LeaseRow,
+    observed: BTreeMap<VmName, Observed>,
+    last_read_ms: Option<u64>,
+    renewed_since_read: bool,
+    last_renewed_ms: Option<u64>,
+    renewal_sent_ms: u64,
+    leaving: bool,
+}
+
+/// What a member knows of another's lease.
+#[trestle_macros::plain]
+#[derive(Copy)]
+struct Observed {
+    lease: LeaseRow,
+    still_ms: u64,
+}
+
+impl Membership {
+    /// A daemon that is not yet a member.
+    pub fn new(me: VmName, member: Member, domain: DomainName, timing: Timing) -> Self {
+        Self {
+            me,
+            member,
+            domain,
+            timing,
+            row: MembershipRow::default(),
+            version: 0,
+            lease: LeaseRow::default(),
+            observed: BTreeMap::new(),
+            last_read_ms: None,
+            renewed_since_read: false,
+            last_renewed_ms: None,
+            renewal_sent_ms: 0,
+            leaving: false,
+        }
+    }
+
+    /// The name of this daemon's VM.
+    pub fn me(&self) -> &VmName {
+        &self.me
+    }
+
+    /// The failure domain of this daemon.
+    pub fn domain(&self) -> &DomainName {
+        &self.domain
+    }
+
+    /// The latest row that was read.
+    pub fn row(&self) -> &MembershipRow {
+        &self.row
+    }
+
+    /// The version of the latest row that was read.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether this run of the daemon is a member.
+    pub fn is_member(&self) -> bool {
+        self.row.members.get(&self.me) == Some(&self.member)
+    }
+
+    /// Whether the lease was renewed so recently that no observer can have let it expire.
+    pub fn lease_is_fresh(&self, now_ms: u64) -> bool {
+        let Some(renewed_ms) = self.last_renewed_ms else { return false };
+        self.is_member() && now_ms.saturating_sub(renewed_ms) < self.timing.expiry_ms / 2
+    }
+
+    /// The key of the domain's membership row.
+    pub fn key(&self) -> RowKey {
+        RowKey::Membership(self.domain.clone())
+    }
+
+    /// Leaves the domain at the next opportunity and does not join again.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether this daemon has asked to leave and the row shows that it has.
+    pub fn has_left(&self) -> bool {
+        self.leaving && !self.is_member()
+    }
+
+    /// The rows that a periodic read asks for.
+    pub fn keys_to_read(&self) -> Vec<RowKey> {
+        let mut keys = vec![self.key()];
+        keys.extend(self.observed_members().into_iter().map(|vm| self.lease_key(vm)));
+        keys
+    }
+
+    /// The renewal of this daemon's lease.
+    pub fn renewal(&mut self, now_ms: u64) -> Txn {
+        self.renewal_sent_ms = now_ms;
+        self.lease = LeaseRow { renewals: self.lease.renewals + 1, epoch: self.row.epoch };
+        let mut txn = Txn::default();
+        txn.writes.insert(self.lease_key(&self.me), Some(Row::Lease(self.lease)));
+        txn
+    }
+
+    /// Takes the outcome of a renewal.
+    pub fn on_renewed(&mut self, outcome: CommitOutcome) {
+        if outcome == CommitOutcome::Committed {
+            self.renewed_since_read = true;
+            self.last_renewed_ms = Some(self.renewal_sent_ms);
+        }
+    }
+
+    /// Takes the rows of a periodic read; `None` when it failed.
+    pub fn on_read(&mut self, rows: Option<&Rows>, now_ms: u64) {
+        let Some(rows) = rows else {
+            self.last_read_ms = None;
+            return;
+        };
+        let counted_ms = self.counted_ms(now_ms);
+        self.last_read_ms = Some(now_ms);
+        self.renewed_since_read = false;
+        self.take_row(rows.get(&self.key()));
+        self.observe(rows, counted_ms);
+    }
+
+    /// The change of the row that is due, if any.
+    ///
+    /// `gone` names VMs that the platform's list has dropped for good.
+    pub fn change(&self, gone: BTreeSet<&str>) -> Option<Txn> {
+        self.last_read_ms?;
+        let row = self.changed_row(gone)?;
+        let mut txn = Txn::default();
+        txn.replace(self.key(), self.version, Some(Row::Membership(row)));
+        Some(txn)
+    }
+
+    /// Members whose leases have expired, as far as this daemon has observed.
+    pub fn expired(&self) -> Vec<&VmName> {
+        let expired = |observed: &Observed| observed.still_ms >= self.timing.expiry_ms;
+        self.observed.iter().filter(|(_, o)| expired(o)).map(|(vm, _)| vm).collect()
+    }
+
+    fn changed_row(&self, gone: BTreeSet<&str>) -> Option<MembershipRow> {
+        if self.leaving {
+            return self.is_member().then(|| self.row.without(&self.me));
+        }
+        if !self.is_member() {
+            return Some(self.row.with(&self.me, &self.member));
+        }
+        if let Some(expired) = self.expired().first() {
+            return Some(self.row.expelling(expired));
+        }
+        let is_gone = |vm: &&VmName| gone.contains(vm.as_str());
+        let settled: BTreeSet<VmName> = self.row.unsettled.iter().filter(is_gone).cloned().collect();
+        (!settled.is_empty()).then(|| self.row.settled(&settled))
+    }
+
+    fn counted_ms(&self, now_ms: u64) -> u64 {
+        let Some(last_ms) = self.last_read_ms else { return 0 };
+        if !self.renewed_since_read {
+            return 0;
+        }
+        let longest_ms = 2 * self.timing.lease_ms;
+        now_ms.saturating_sub(last_ms).min(longest_ms)
+    }
+
+    fn take_row(&mut self, read: Option<&Versioned>) {
+        let read = read.unwrap_or(&Versioned::ABSENT);
+        if read.version < self.version {
+            return;
+        }
+        self.version = read.version;
+        if let Some(Row::Membership(row)) = &read.row {
+            self.row = row.clone();
+        }
+    }
+
+    fn observe(&mut self, rows: &Rows, counted_ms: u64) {
+        let members: Vec<VmName> = self.observed_members().into_iter().cloned().collect();
+        self.observed.retain(|vm, _| members.contains(vm));
+        for vm in members {
+            let lease = match rows.get(&self.lease_key(&vm)) {
+                Some(Versioned { row: Some(Row::Lease(lease)), .. }) => *lease,
+                _ => LeaseRow::default(),
+            };
+            self.observe_lease(vm, lease, counted_ms);
+        }
+    }
+
+    fn observe_lease(&mut self, vm: VmName, lease: LeaseRow, counted_ms: u64) {
+        match self.observed.get_mut(&vm) {
+            Some(observed) if observed.lease == lease => observed.still_ms += counted_ms,
+            _ => {
+                self.observed.insert(vm, Observed { lease, still_ms: 0 });
+            }
+        }
+    }
+
+    fn observed_members(&self) -> Vec<&VmName> {
+        let after = self.row.members.keys().skip_while(|vm| **vm <= self.me);
+        let before = self.row.members.keys().take_while(|vm| **vm < self.me);
+        after.chain(before).take(OBSERVED_SUCCESSORS).collect()
+    }
+
+    fn lease_key(&self, vm: &VmName) -> RowKey {
+        RowKey::Lease(self.domain.clone(), vm.clone())
+    }
+}
--- /dev/null
+++ b/crates/trestle-core/src/owned.rs
@@ -0,0 +1,532 @@
+//! An endpoint as its owner sees it.
+//!
+//! The owner sends one order at a time. Each order has a larger fencing number
+//! than the one before, so an order that was delayed and overtaken is refused
+//! by an endpoint that checks. The answer to an order carries the state of the
+//! endpoint right after it, and state is numbered, so a report that lags is
+//! known by its number and left aside.
+//!
+//! Memory is held for a model from the moment an order to load it is sent until
+//! a state newer than that order shows it gone.
+
+use crate::{
+    catalog::{Catalog, EngineSpec, Fencing, ModelSpec},
+    endpoint_row::EndpointRow,
+    fence::Fence,
+    names::{ModelName, VmName},
+    order::{Order, OrderKind, OrderOutcome, Phase, Report},
+    permit::{PermitAnswer, PermitAsk, Refusal, Ticket},
+    queue::Queue,
+    timing::Timing,
+};
+use std::collections::BTreeMap;
+
+/// Requests of one tenant that may wait at one endpoint.
+const MAX_WAITING_PER_TENANT: usize = 256;
+/// Shortest and longest time to come back that a refusal names.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 200..=60_000;
+/// Share of an old average in a new one, in eighths.
+const AVERAGE_EIGHTHS: u64 = 7;
+/// Time beyond its deadline for which a permit stays out.
+const PERMIT_GRACE_MS: u64 = 1_000;
+/// Orders and reports without an answer after which an endpoint counts as silent.
+const SILENT_AFTER: u32 = 3;
+/// Time after which a load that the endpoint could not carry out is tried again.
+const FAILED_LOAD_PAUSE_MS: u64 = 1_000;
+
+/// An endpoint as its owner sees it.
+#[trestle_macros::plain]
+pub struct Owned {
+    spec: EngineSpec,
+    timing: Timing,
+    fence: Fence,
+    confirmed: bool,
+    in_flight: Option<InFlight>,
+    to_resend: Option<OrderKind>,
+    held: BTreeMap<ModelName, Held>,
+    sequence: u64,
+    permits: BTreeMap<Ticket, Permit>,
+    foreign_running: usize,
+    queue: Queue,
+    used_ms: BTreeMap<ModelName, u64>,
+    service_ms: BTreeMap<ModelName, u64>,
+    failed_ms: BTreeMap<ModelName, u64>,
+    leaving: bool,
+    unanswered: u32,
+    resend_at_ms: u64,
+}
+
+/// An order without an answer yet.
+#[trestle_macros::plain]
+struct InFlight {
+    order: Order,
+    sent_ms: u64,
+}
+
+/// A model that takes memory.
+#[trestle_macros::plain]
+#[derive(Copy)]
+struct Held {
+    phase: Phase,
+    since_ms: u64,
+    memory_bytes: u64,
+}
+
+/// A permit that is out.
+#[trestle_macros::plain]
+struct Permit {
+    entry: VmName,
+    model: ModelName,
+    granted_ms: u64,
+    deadline_ms: u64,
+}
+
+impl Owned {
+    /// An endpoint whose owner has yet to claim it.
+    pub fn new(spec: EngineSpec, fence: Fence, timing: Timing) -> Self {
+        Self {
+            spec,
+            timing,
+            fence,
+            confirmed: false,
+            in_flight: None,
+            to_resend: None,
+            held: BTreeMap::new(),
+            sequence: 0,
+            permits: BTreeMap::new(),
+            foreign_running: 0,
+            queue: Queue::default(),
+            used_ms: BTreeMap::new(),
+            service_ms: BTreeMap::new(),
+            failed_ms: BTreeMap::new(),
+            leaving: false,
+            unanswered: 0,
+            resend_at_ms: 0,
+        }
+    }
+
+    /// Claims the endpoint anew under a larger number, keeping its waiting requests.
+    pub fn reclaim(&mut self, fence: Fence) {
+        self.fence = fence;
+        self.confirmed = false;
+        self.in_flight = None;
+        self.to_resend = None;
+    }
+
+    /// The number of the latest order.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// Whether the endpoint has accepted an order of this owner in this epoch.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    /// Marks that the platform's list says the endpoint is leaving, or not.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// Whether the model takes no memory there, in a state newer than every order.
+    pub fn is_absent(&self, model: &ModelName) -> bool {
+        self.confirmed && !self.held.contains_key(model) && !self.concerns_in_flight(model)
+    }
+
+    /// The phase of each model that takes memory.
+    pub fn phases(&self) -> impl Iterator<Item = (&ModelName, Phase)> {
+        self.held.iter().map(|(model, held)| (model, held.phase))
+    }
+
+    /// Whether the endpoint has not answered its owner for a while.
+    pub fn is_silent(&self) -> bool {
+        self.unanswered >= SILENT_AFTER
+    }
+
+    /// Whether the permit is out.
+    pub fn has_permit(&self, ticket: Ticket) -> bool {
+        self.permits.contains_key(&ticket)
+    }
+
+    /// Permits that are out.
+    pub fn permits_out(&self) -> usize {
+        self.permits.len()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// The order to send now, if any.
+    pub fn next_order(
+        &mut self,
+        placed: &EndpointRow,
+        catalog: &Catalog,
+        now_ms: u64,
+        lease_is_fresh: bool,
+    ) -> Option<Order> {
+        if self.in_flight.is_some() || now_ms < self.resend_at_ms {
+            return None;
+        }
+        let kind = self.next_kind(placed, catalog, now_ms, lease_is_fresh)?;
+        self.reserve(&kind, now_ms);
+        self.fence = self.fence.next();
+        let order = Order { fence: self.fence, kind };
+        self.in_flight = Some(InFlight { order: order.clone(), sent_ms: now_ms });
+        Some(order)
+    }
+
+    /// Takes what is known of an order; tells the larger number on a refusal.
+    pub fn on_order(&mut self, fence: Fence, outcome: OrderOutcome, now_ms: u64) -> Option<Fence> {
+        let Some(in_flight) = self.in_flight.take_if(|f| f.order.fence == fence) else {
+            return None;
+        };
+        self.note_answer(outcome != OrderOutcome::Unknown);
+        match outcome {
+            OrderOutcome::Accepted(report) => {
+                self.to_resend = None;
+                self.confirm(&report);
+                self.take_state(&report, now_ms);
+                None
+            }
+            OrderOutcome::Impossible(report) => {
+                self.to_resend = None;
+                self.confirm(&report);
+                self.note_failure(&in_flight.order.kind, now_ms);
+                self.take_state(&report, now_ms);
+                None
+            }
+            OrderOutcome::Unknown => {
+                self.to_resend = Some(in_flight.order.kind);
+                self.resend_at_ms = now_ms + self.timing.order_ms;
+                None
+            }
+            OrderOutcome::Refused(larger) if larger.same_owner(self.fence) => {
+                self.to_resend = Some(in_flight.order.kind);
+                None
+            }
+            OrderOutcome::Refused(larger) => Some(larger),
+        }
+    }
+
+    /// Takes a report, `None` when there was no answer.
+    ///
+    /// A report that lags behind what is known is left aside.
+    pub fn on_report(&mut self, report: Option<&Report>, now_ms: u64) {
+        self.note_answer(report.is_some());
+        let Some(report) = report else { return };
+        if !self.confirmed || report.sequence < self.sequence {
+            return;
+        }
+        self.take_state(report, now_ms);
+    }
+
+    /// Takes an ask; answers at once unless it has to wait.
+    pub fn ask(
+        &mut self,
+        mut ask: PermitAsk,
+        placed: &EndpointRow,
+        catalog: &Catalog,
+        now_ms: u64,
+    ) -> Option<PermitAnswer> {
+        let model = catalog.models.get(&ask.model).filter(|_| placed.is_active(&ask.model));
+        let Some(model) = model else {
+            return Some(PermitAnswer::NotPlaced);
+        };
+        if self.leaving {
+            return Some(refused(Refusal::Leaving, model.load_ms));
+        }
+        if self.is_silent() {
+            return Some(refused(Refusal::EndpointSilent, self.timing.order_ms));
+        }
+        if self.queue.waiting_of(&ask.tenant) >= MAX_WAITING_PER_TENANT {
+            return Some(refused(Refusal::TenantQueueFull, self.queue_ms(ask.urgency, model)));
+        }
+        let wait_ms = self.expected_wait_ms(&ask, model, now_ms);
+        if ask.patience_ms.is_some_and(|patience_ms| wait_ms > patience_ms) {
+            return Some(PermitAnswer::Busy { wait_ms });
+        }
+        let end_ms = now_ms + wait_ms + self.service_of(&ask.model, Some(model));
+        if end_ms > ask.deadline_ms {
+            return Some(refused(Refusal::DeadlineTooClose, end_ms - ask.deadline_ms));
+        }
+        ask.cold = !self.is_ready(&ask.model);
+        self.used_ms.insert(ask.model.clone(), now_ms);
+        self.queue.push(ask);
+        None
+    }
+
+    /// Grants every permit that can be granted now.
+    pub fn grant(&mut self, now_ms: u64) -> Vec<(Ticket, PermitAnswer)> {
+        let mut granted = Vec::new();
+        while self.may_grant() && self.out() < self.spec.slots {
+            let held = &self.held;
+            let Some(ask) = self.queue.pop(|model| is_ready(held, model)) else { break };
+            granted.push((ask.ticket, PermitAnswer::Granted { cold: ask.cold }));
+            self.used_ms.insert(ask.model.clone(), now_ms);
+            self.permits.insert(
+                ask.ticket,
+                Permit {
+                    entry: ask.entry,
+                    model: ask.model,
+                    granted_ms: now_ms,
+                    deadline_ms: ask.deadline_ms,
+                },
+            );
+        }
+        granted
+    }
+
+    /// Refuses every waiting request that cannot be served any more.
+    pub fn refuse_late(&mut self, catalog: &Catalog, now_ms: u64) -> Vec<(Ticket, PermitAnswer)> {
+        let service_ms = |model: &ModelName| self.service_of(model, catalog.models.get(model));
+        let shortest: BTreeMap<ModelName, u64> =
+            self.queue.wanted().into_iter().map(|model| (model.clone(), service_ms(model))).collect();
+        let leaving = self.leaving;
+        let is_late = |ask: &PermitAsk| {
+            leaving || now_ms + shortest.get(&ask.model).copied().unwrap_or(0) > ask.deadline_ms
+        };
+        let late = self.queue.drain_if(is_late);
+        late.into_iter().map(|ask| (ask.ticket, self.late_answer(&ask, catalog))).collect()
+    }
+
+    /// Takes a permit back.
+    pub fn release(&mut self, ticket: Ticket, now_ms: u64) {
+        let Some(permit) = self.permits.remove(&ticket) else {
+            self.foreign_running = self.foreign_running.saturating_sub(1);
+            return;
+        };
+        self.used_ms.insert(permit.model.clone(), now_ms);
+        let took_ms = now_ms.saturating_sub(permit.granted_ms);
+        let average = self.service_ms.entry(permit.model).or_insert(took_ms);
+        *average = (*average * AVERAGE_EIGHTHS + took_ms) / (AVERAGE_EIGHTHS + 1);
+    }
+
+    /// Forgets a waiting request whose caller has gone.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.queue.remove(ticket);
+    }
+
+    /// Takes back the permits of entry daemons that are gone, and overdue ones.
+    pub fn lapse(&mut self, is_gone: impl Fn(&VmName) -> bool, now_ms: u64) {
+        self.permits.retain(|_, permit| {
+            let lapses_ms = permit.deadline_ms.saturating_add(PERMIT_GRACE_MS);
+            !is_gone(&permit.entry) && now_ms < lapses_ms
+        });
+    }
+
+    /// Gives up every waiting request, for another owner to serve.
+    pub fn abandon(&mut self) -> Vec<Ticket> {
+        self.queue.drain_if(|_| true).into_iter().map(|ask| ask.ticket).collect()
+    }
+
+    /// Treats an order without an answer as lost after a while.
+    pub fn give_up_order(&mut self, now_ms: u64) {
+        let limit_ms = self.timing.order_ms;
+        let overdue = |f: &mut InFlight| now_ms >= f.sent_ms.saturating_add(2 * limit_ms);
+        if let Some(lost) = self.in_flight.take_if(overdue) {
+            self.to_resend = Some(lost.order.kind);
+            self.note_answer(false);
+        }
+    }
+
+    fn may_grant(&self) -> bool {
+        self.confirmed && !self.leaving && !self.is_silent()
+    }
+
+    fn note_answer(&mut self, answered: bool) {
+        self.unanswered = if answered { 0 } else { self.unanswered.saturating_add(1) };
+    }
+
+    fn next_kind(
+        &mut self,
+        placed: &EndpointRow,
+        catalog: &Catalog,
+        now_ms: u64,
+        lease_is_fresh: bool,
+    ) -> Option<OrderKind> {
+        if !self.confirmed {
+            return Some(OrderKind::Claim);
+        }
+        if let Some(kind) = self.to_resend.take() {
+            return Some(kind);
+        }
+        let may_unload = self.spec.fencing == Fencing::Checked || lease_is_fresh;
+        if may_unload && let Some(model) = self.unneeded(placed, catalog, now_ms) {
+            return Some(OrderKind::Unload { model });
+        }
+        if self.leaving {
+            return None;
+        }
+        let (model, memory_bytes) = self.next_load(placed, now_ms)?;
+        if self.free_bytes() >= memory_bytes {
+            return Some(OrderKind::Load { model, memory_bytes });
+        }
+        let victim = self.victim().filter(|_| may_unload)?;
+        Some(OrderKind::Unload { model: victim })
+    }
+
+    /// A ready model that is not placed here any more, or that nobody has asked for in a while.
+    fn unneeded(&self, placed: &EndpointRow, catalog: &Catalog, now_ms: u64) -> Option<ModelName> {
+        let is_kept = |model: &ModelName, held: &Held| {
+            let keep_ms = catalog.models.get(model).map_or(0, |spec| spec.keep_ms);
+            let used_ms = self.used_ms.get(model).copied().unwrap_or(held.since_ms);
+            placed.is_active(model) && now_ms < used_ms.saturating_add(keep_ms)
+        };
+        self.idle().find(|(model, held)| !is_kept(model, held)).map(|(model, _)| model.clone())
+    }
+
+    /// The ready model that was used least recently, to make room.
+    fn victim(&self) -> Option<ModelName> {
+        let used_ms = |model: &ModelName| self.used_ms.get(model).copied().unwrap_or(0);
+        self.idle().map(|(model, _)| model).min_by_key(|model| used_ms(model)).cloned()
+    }
+
+    /// Ready models that no request runs on or waits for.
+    fn idle(&self) -> impl Iterator<Item = (&ModelName, &Held)> {
+        let busy = |model: &ModelName| {
+            self.foreign_running > 0
+                || self.queue.wants(model)
+                || self.permits.values().any(|permit| permit.model == *model)
+        };
+        self.held.iter().filter(move |(model, held)| held.phase == Phase::Ready && !busy(model))
+    }
+
+    fn next_load(&self, placed: &EndpointRow, now_ms: u64) -> Option<(ModelName, u64)> {
+        let is_due = |model: &ModelName| match self.held.get(model) {
+            Some(held) => {
+                held.phase == Phase::Loading && now_ms >= held.since_ms + self.timing.load_ms
+            }
+            None => self.failed_ms.get(model).is_none_or(|at| now_ms >= at + FAILED_LOAD_PAUSE_MS),
+        };
+        let wanted = self.queue.wanted();
+        let model = wanted.into_iter().find(|m| placed.is_active(m) && is_due(m))?;
+        let memory_bytes = placed.placed.get(model)?.memory_bytes;
+        Some((model.clone(), memory_bytes))
+    }
+
+    fn reserve(&mut self, kind: &OrderKind, now_ms: u64) {
+        match kind {
+            OrderKind::Claim => {}
+            OrderKind::Load { model, memory_bytes } => {
+                let held = Held {
+                    phase: Phase::Loading,
+                    since_ms: now_ms,
+                    memory_bytes: *memory_bytes,
+                };
+                self.held.entry(model.clone()).or_insert(held).since_ms = now_ms;
+            }
+            OrderKind::Unload { model } => {
+                if let Some(held) = self.held.get_mut(model) {
+                    held.phase = Phase::Unloading;
+                }
+            }
+        }
+    }
+
+    /// Notes that the endpoint has taken this owner's number.
+    fn confirm(&mut self, report: &Report) {
+        if !self.confirmed {
+            self.foreign_running = report.running().saturating_sub(self.permits.len());
+        }
+        self.confirmed = true;
+    }
+
+    fn take_state(&mut self, report: &Report, now_ms: u64) {
+        self.sequence = self.sequence.max(report.sequence);
+        self.foreign_running = self.foreign_running.min(report.running());
+        let mut held = BTreeMap::new();
+        for (model, state) in &report.models {
+            let before = self.held.get(model);
+            let since_ms =
+                before.filter(|h| h.phase == state.phase).map_or(now_ms, |h| h.since_ms);
+            let memory_bytes = state.memory_bytes;
+            held.insert(model.clone(), Held { phase: state.phase, since_ms, memory_bytes });
+        }
+        for model in self.unsettled_models() {
+            if let Some(before) = self.held.get(&model) {
+                held.insert(model, *before);
+            }
+        }
+        self.held = held;
+    }
+
+    /// Models whose latest order has no answer yet.
+    fn unsettled_models(&self) -> Vec<ModelName> {
+        let in_flight = self.in_flight.as_ref().map(|f| &f.order.kind);
+        let kinds = in_flight.into_iter().chain(self.to_resend.as_ref());
+        kinds.filter_map(|kind| kind.model()).cloned().collect()
+    }
+
+    fn concerns_in_flight(&self, model: &ModelName) -> bool {
+        self.unsettled_models().contains(model)
+    }
+
+    fn note_failure(&mut self, kind: &OrderKind, now_ms: u64) {
+        if let OrderKind::Load { model, .. } = kind {
+            self.failed_ms.insert(model.clone(), now_ms);
+        }
+    }
+
+    fn free_bytes(&self) -> u64 {
+        let held: u64 = self.held.values().map(|held| held.memory_bytes).sum();
+        self.spec.memory_bytes.saturating_sub(held)
+    }
+
+    fn out(&self) -> usize {
+        self.permits.len() + self.foreign_running
+    }
+
+    fn service_of(&self, model: &ModelName, spec: Option<&ModelSpec>) -> u64 {
+        let declared = spec.map_or(0, |spec| spec.service_ms);
+        self.service_ms.get(model).copied().unwrap_or(declared)
+    }
+
+    fn queue_ms(&self, urgency: u8, model: &ModelSpec) -> u64 {
+        let before = (self.queue.ahead_of(urgency) + self.out() + 1).saturating_sub(self.spec.slots);
+        before as u64 * model.service_ms / self.spec.slots.max(1) as u64
+    }
+
+    fn load_left_ms(&self, model: &ModelName, spec: &ModelSpec, now_ms: u64) -> u64 {
+        match self.held.get(model) {
+            Some(held) if held.phase == Phase::Ready => 0,
+            Some(held) if held.phase == Phase::Loading => {
+                spec.load_ms.saturating_sub(now_ms.saturating_sub(held.since_ms))
+            }
+            _ => spec.load_ms,
+        }
+    }
+
+    fn expected_wait_ms(&self, ask: &PermitAsk, model: &ModelSpec, now_ms: u64) -> u64 {
+        let load_ms = self.load_left_ms(&ask.model, model, now_ms);
+        self.queue_ms(ask.urgency, model).max(load_ms)
+    }
+
+    fn is_ready(&self, model: &ModelName) -> bool {
+        is_ready(&self.held, model)
+    }
+
+    fn late_answer(&self, ask: &PermitAsk, catalog: &Catalog) -> PermitAnswer {
+        let reason = if self.leaving {
+            Refusal::Leaving
+        } else if self.confirmed {
+            Refusal::DeadlinePassed
+        } else {
+            Refusal::EndpointSilent
+        };
+        let retry_ms = catalog.models.get(&ask.model).map_or(0, |spec| {
+            self.queue_ms(ask.urgency, spec).max(spec.load_ms / 2)
+        });
+        refused(reason, retry_ms)
+    }
+}
+
+fn is_ready(held: &BTreeMap<ModelName, Held>, model: &ModelName) -> bool {
+    held.get(model).is_some_and(|held| held.phase == Phase::Ready)
+}
+
+fn refused(reason: Refusal, retry_after_ms: u64) -> PermitAnswer {
+    let retry_after_ms = retry_after_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end());
+    PermitAnswer::Refused { reason, retry_after_ms }
+}
--- /dev/null
+++ b/crates/trestle-core/src/queue.rs
@@ -0,0 +1,129 @@
+//! Requests that wait for a permit at one endpoint.
+//!
+//! The most urgent class goes first. Within a class the tenant that was served
+//! least goes first, and within a tenant the request whose answer is due first.
+
+use crate::{
+    names::{ModelName, TenantName},
+    permit::{PermitAsk, Ticket},
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Requests that wait for a permit at one endpoint.
+#[trestle_macros::plain]
+#[derive(Default)]
+pub struct Queue {
+    asks: BTreeMap<Ticket, PermitAsk>,
+    lanes: BTreeMap<Lane, BTreeSet<(u64, Ticket)>>,
+    served: BTreeMap<TenantName, u64>,
+}
+
+#[trestle_macros::key]
+struct Lane {
+    model: ModelName,
+    urgency: u8,
+    tenant: TenantName,
+}
+
+impl Lane {
+    fn of(ask: &PermitAsk) -> Self {
+        Self { model: ask.model.clone(), urgency: ask.urgency, tenant: ask.tenant.clone() }
+    }
+}
+
+impl Queue {
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.asks.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.asks.is_empty()
+    }
+
+    /// Requests of a tenant that wait.
+    pub fn waiting_of(&self, tenant: &TenantName) -> usize {
+        self.lanes.iter().filter(|(lane, _)| lane.tenant == *tenant).map(|(_, set)| set.len()).sum()
+    }
+
+    /// Requests that wait and go before a new one of the urgency.
+    pub fn ahead_of(&self, urgency: u8) -> usize {
+        self.lanes.iter().filter(|(lane, _)| lane.urgency <= urgency).map(|(_, set)| set.len()).sum()
+    }
+
+    /// Models that requests wait for, the most urgent first.
+    pub fn wanted(&self) -> Vec<&ModelName> {
+        let mut heads: Vec<_> = self.heads().map(|(lane, head)| (lane.urgency, head, &lane.model)).collect();
+        heads.sort();
+        let mut wanted: Vec<&ModelName> = Vec::new();
+        for (_, _, model) in heads {
+            if !wanted.contains(&model) {
+                wanted.push(model);
+            }
+        }
+        wanted
+    }
+
+    /// Whether a request waits for the model.
+    pub fn wants(&self, model: &ModelName) -> bool {
+        self.lanes.keys().any(|lane| lane.model == *model)
+    }
+
+    /// Adds a request at the end of its lane.
+    pub fn push(&mut self, ask: PermitAsk) {
+        self.catch_up(&ask.tenant);
+        self.lanes.entry(Lane::of(&ask)).or_default().insert((ask.deadline_ms, ask.ticket));
+        self.asks.insert(ask.ticket, ask);
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<PermitAsk> {
+        let ask = self.asks.remove(&ticket)?;
+        let lane = Lane::of(&ask);
+        if let Some(set) = self.lanes.get_mut(&lane) {
+            set.remove(&(ask.deadline_ms, ticket));
+            if set.is_empty() {
+                self.lanes.remove(&lane);
+            }
+        }
+        Some(ask)
+    }
+
+    /// Takes out the request to serve next, among those for ready models.
+    pub fn pop(&mut self, is_ready: impl Fn(&ModelName) -> bool) -> Option<PermitAsk> {
+        let next = self
+            .heads()
+            .filter(|(lane, _)| is_ready(&lane.model))
+            .min_by_key(|(lane, head)| (lane.urgency, self.served_of(&lane.tenant), *head))
+            .map(|(_, (_, ticket))| ticket)?;
+        let ask = self.remove(next)?;
+        *self.served.entry(ask.tenant.clone()).or_default() += 1;
+        Some(ask)
+    }
+
+    /// Takes out every request that meets the condition.
+    pub fn drain_if(&mut self, condition: impl Fn(&PermitAsk) -> bool) -> Vec<PermitAsk> {
+        let tickets: Vec<Ticket> =
+            self.asks.values().filter(|ask| condition(ask)).map(|ask| ask.ticket).collect();
+        tickets.into_iter().filter_map(|ticket| self.remove(ticket)).collect()
+    }
+
+    fn heads(&self) -> impl Iterator<Item = (&Lane, (u64, Ticket))> {
+        self.lanes.iter().filter_map(|(lane, set)| Some((lane, *set.first()?)))
+    }
+
+    fn served_of(&self, tenant: &TenantName) -> u64 {
+        self.served.get(tenant).copied().unwrap_or(0)
+    }
+
+    /// Lets a tenant that comes back start level with the others.
+    fn catch_up(&mut self, tenant: &TenantName) {
+        if self.waiting_of(tenant) > 0 {
+            return;
+        }
+        let waiting = self.lanes.keys().map(|lane| self.served_of(&lane.tenant)).min();
+        let level = waiting.unwrap_or(0).max(self.served_of(tenant));
+        self.served.insert(tenant.clone(), level);
+    }
+}
--- /dev/null
+++ b/crates/trestle-load/src/report.rs
@@ -0,0 +1,125 @@
+//! What a run has led to.
+
+use crate::{check::Verdict, plan::Stream, send::Ended};
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+use std::{collections::BTreeMap, fmt::Write, time::Duration};
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+const QUANTILES: [(&str, f64); 3] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99)];
+
+/// What a run has led to.
+#[derive(Default)]
+pub(crate) struct Report {
+    pub(crate) took: Duration,
+    pub(crate) violations: Vec<String>,
+    groups: BTreeMap<(String, String), Group>,
+}
+
+/// Requests of one tenant and class.
+struct Group {
+    verdicts: BTreeMap<String, u64>,
+    done_us: Histogram<u64>,
+    refused_us: Histogram<u64>,
+    cold_wait_ms: Histogram<u64>,
+}
+
+impl Group {
+    fn new() -> Self {
+        let histogram = || Histogram::new(DIGITS).expect("three digits are allowed");
+        Self {
+            verdicts: BTreeMap::new(),
+            done_us: histogram(),
+            refused_us: histogram(),
+            cold_wait_ms: histogram(),
+        }
+    }
+}
+
+impl Report {
+    /// Adds one request.
+    pub(crate) fn add(&mut self, stream: &Stream, ended: &Ended) {
+        let key = (stream.tenant.clone(), stream.class.clone());
+        let group = self.groups.entry(key).or_insert_with(Group::new);
+        let name = match &ended.verdict {
+            Verdict::Done => "done".to_owned(),
+            Verdict::NotRun(code) => format!("not_run:{code}"),
+            Verdict::Unknown(code) => format!("unknown:{code}"),
+            Verdict::Violation(_) => "violation".to_owned(),
+            Verdict::Broken(_) => "broken".to_owned(),
+        };
+        *group.verdicts.entry(name).or_default() += 1;
+        let took_us = ended.took.as_micros() as u64;
+        match &ended.verdict {
+            Verdict::Done => group.done_us.saturating_record(took_us),
+            Verdict::NotRun(_) => group.refused_us.saturating_record(took_us),
+            Verdict::Violation(text) | Verdict::Broken(text) => {
+                self.violations.push(format!("{} {}: {text}", stream.tenant, stream.class));
+            }
+            Verdict::Unknown(_) => {}
+        }
+        if let Some(wait_ms) = ended.cold_wait_ms {
+            group.cold_wait_ms.saturating_record(wait_ms);
+        }
+    }
+
+    /// The report for programs.
+    pub(crate) fn to_json(&self) -> Value {
+        let groups: Vec<Value> = self
+            .groups
+            .iter()
+            .map(|((tenant, class), group)| {
+                json!({
+                    "tenant": tenant,
+                    "class": class,
+                    "verdicts": group.verdicts,
+                    "done_us": quantiles(&group.done_us),
+                    "refused_us": quantiles(&group.refused_us),
+                    "cold_wait_ms": quantiles(&group.cold_wait_ms),
+                    "cold": group.cold_wait_ms.len(),
+                })
+            })
+            .collect();
+        let took_ms = self.took.as_millis() as u64;
+        json!({"took_ms": took_ms, "groups": groups, "violations": self.violations})
+    }
+
+    /// The report for people.
+    pub(crate) fn to_text(&self) -> String {
+        let mut text = String::new();
+        for ((tenant, class), group) in &self.groups {
+            let verdicts: Vec<String> =
+                group.verdicts.iter().map(|(name, count)| format!("{name} {count}")).collect();
+            let _ = writeln!(text, "{tenant} {class}: {}", verdicts.join(", "));
+            write_quantiles(&mut text, "answers, ms", &group.done_us, 1e3);
+            write_quantiles(&mut text, "refusals, ms", &group.refused_us, 1e3);
+            write_quantiles(&mut text, "cold waits, ms", &group.cold_wait_ms, 1.0);
+        }
+        for violation in self.violations.iter().take(10) {
+            let _ = writeln!(text, "VIOLATION {violation}");
+        }
+        let count = self.violations.len();
+        let _ = writeln!(text, "{count} violations in {:.1} s", self.took.as_secs_f64());
+        text
+    }
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> Value {
+    let values = QUANTILES.iter().map(|(name, quantile)| {
+        ((*name).to_owned(), Value::from(histogram.value_at_quantile(*quantile)))
+    });
+    Value::Object(values.chain([("max".to_owned(), histogram.max().into())]).collect())
+}
+
+fn write_quantiles(text: &mut String, name: &str, histogram: &Histogram<u64>, unit: f64) {
+    if histogram.is_empty() {
+        return;
+    }
+    let values = QUANTILES.iter().map(|(label, quantile)| {
+        format!("{label} {:.1}", histogram.value_at_quantile(*quantile) as f64 / unit)
+    });
+    let values: Vec<String> = values.collect();
+    let max = histogram.max() as f64 / unit;
+    let _ = writeln!(text, "  {name}: {}, max {max:.1} ({})", values.join(", "), histogram.len());
+}
--- /dev/null
+++ b/crates/trestle-session/src/bin/trestle-demo.rs
@@ -0,0 +1,88 @@
+//! Shows the main job on loopback: stand-ins, seven daemons, the fleet's
+//! configuration applied, a first request to a model that is not loaded, and a
+//! burst for all models at every daemon at once.
+
+use serde_json::json;
+use std::{process::ExitCode, time::Instant};
+use trestle_session::{Result, Session, SessionPlan};
+
+const CONFIG: &str = include_str!("../../../../examples/fleet.jsonc");
+const DAEMONS: [(&str, &str); 7] = [
+    ("poa-centro-1", "poa-centro"),
+    ("poa-centro-2", "poa-centro"),
+    ("poa-centro-3", "poa-centro"),
+    ("caxias-1", "caxias"),
+    ("caxias-2", "caxias"),
+    ("pelotas-1", "pelotas"),
+    ("pelotas-2", "pelotas"),
+];
+/// Loads and requests run this much faster than the configuration declares.
+const SPEED: f64 = 5.0;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(2),
+        Err(error) => {
+            eprintln!("demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<bool> {
+    println!("Starting a stand-in and {} daemons; times are {SPEED} times faster.", DAEMONS.len());
+    let plan =
+        SessionPlan { config: CONFIG, daemons: &DAEMONS, speed: SPEED, intervals: json!({}) };
+    let session = Session::start(&plan)?;
+    print!("{}", session.apply()?);
+    let started = Instant::now();
+    session.wait_for("every model placed", |session| all_placed(session))?;
+    println!("Every model has its place after {:.1} s.", started.elapsed().as_secs_f64());
+    let text = "Why does my scooter not unlock?";
+    let answered = session.complete("caxias-1", "riders-token", "unlock-help-1", text, 20_000)?;
+    println!(
+        "First request to a model that is not loaded: status {}, {} ms, answer `{}`.",
+        answered.status,
+        answered.took.as_millis(),
+        answered.body["choices"][0]["message"]["content"].as_str().unwrap_or(""),
+    );
+    let report = burst(&session)?;
+    println!("A burst for 50 models at {} daemons at once:", DAEMONS.len());
+    println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
+    let counts = session.counts()?;
+    println!("Loads of each model: {}", counts["loads"]);
+    let breaches = session.breaches()?;
+    println!("Breaches seen by engines, services and platform: {}", breaches.len());
+    let is_right = report["violations"].as_array().is_some_and(Vec::is_empty);
+    Ok(is_right && breaches.is_empty() && answered.status == 200)
+}
+
+fn all_placed(session: &Session) -> bool {
+    let models: usize = session
+        .daemons
+        .keys()
+        .filter_map(|vm| session.status(vm).ok())
+        .flat_map(|status| status.endpoints.into_values())
+        .filter(|state| state.role == "owner")
+        .map(|state| state.placed.len())
+        .sum();
+    models >= 60
+}
+
+fn burst(session: &Session) -> Result<serde_json::Value> {
+    let names: Vec<String> = trestle_config::from_str(&session.config, "fleet.jsonc")
+        .map(|config| config.catalog.models.keys().map(ToString::to_string).collect())
+        .unwrap_or_default();
+    let stream = |tenant: &str, class: &str, deadline_ms: u64, stream: bool| {
+        json!({
+            "tenant": tenant, "token": format!("{tenant}-token"), "class": class,
+            "requests": 350, "over_ms": 0, "deadline_ms": deadline_ms,
+            "work": {"models": {"names": names, "stream": stream}},
+        })
+    };
+    session.load(&json!([
+        stream("riders", "curb", 60_000, false),
+        stream("planners", "planning", 60_000, true),
+    ]))
+}
--- /dev/null
+++ b/crates/trestle-wire/src/error.rs
@@ -0,0 +1,19 @@
+//! The error of this crate.
+
+use snafu::Snafu;
+
+/// The result of a conversion.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// What came over the wire makes no sense.
+#[derive(Debug, Snafu)]
+pub struct Error(Inner);
+
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum Inner {
+    #[snafu(display("`{key}` is not the key of a row that this version knows"))]
+    Key { key: String },
+    #[snafu(display("the content of row `{key}` is not understood: {source}"))]
+    Content { key: String, source: serde_json::Error },
+}
--- /dev/null
+++ b/crates/trestle-wire/src/lib.rs
@@ -0,0 +1,23 @@
+//! Wire types, and the service between daemons.
+//!
+//! Decisions use the types of `trestle-core`. What leaves the process has a
+//! type of its own here, with `From` into the wire and `TryFrom` out of it, so
+//! that the format on the wire can stay while the inner types change.
+//!
+//! - [`table`] and [`row`]: the platform's table.
+//! - [`order`]: orders to engines, and their reports.
+//! - [`peer`]: what daemons ask each other.
+//! - [`claim`]: calls that may not be repeated.
+//! - [`admin`]: what operators ask a daemon.
+//! - [`headers`]: HTTP headers towards callers and endpoints.
+
+pub mod admin;
+pub mod claim;
+mod error;
+pub mod headers;
+pub mod order;
+pub mod peer;
+pub mod row;
+pub mod table;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/trestlectl/src/args.rs
@@ -0,0 +1,117 @@
+//! What the command line asks for.
+
+use crate::error::{ArgsSnafu, CommandSnafu, Result, UnusedSnafu};
+use pico_args::Arguments;
+use snafu::{OptionExt, ResultExt, ensure};
+use std::path::PathBuf;
+
+const HELP: &str = "\
+trestlectl: the operators' command line of trestlestile
+
+USAGE:
+    trestlectl check FILE
+        Check a configuration file; needs no running system.
+    trestlectl apply FILE --platform URL [--expect-version N] [--author NAME]
+        Put a file in force as a whole, if version N (or the present one) still is.
+    trestlectl show --platform URL [--version N]
+        Print the file in force, or that of a version.
+    trestlectl history --platform URL
+        List the latest versions, their authors and digests.
+    trestlectl status --daemon IP:PORT... [--token TOKEN]
+        Show members, owners and replicas, as the daemons see them.
+    trestlectl explain MODEL --daemon IP:PORT... [--token TOKEN]
+        Show why a model is where it is, and which decisions are unresolved.
+    trestlectl digest TOKEN
+        Print the digest of a token, for the configuration file.
+
+OPTIONS:
+    --version    print the version
+    --help       print this
+";
+
+/// What the command line asks for.
+pub(crate) struct Args {
+    pub(crate) command: Command,
+}
+
+/// One command with what it needs.
+pub(crate) enum Command {
+    Check { path: PathBuf },
+    Apply { path: PathBuf, platform: String, expected_version: Option<u64>, author: String },
+    Show { platform: String, version: Option<u64> },
+    History { platform: String },
+    Status { daemons: Vec<String>, token: Option<String> },
+    Explain { model: String, daemons: Vec<String>, token: Option<String> },
+    Digest { token: String },
+}
+
+impl Args {
+    /// Reads the command line; `None` if it only asked for help.
+    pub(crate) fn from_env() -> Result<Option<Self>> {
+        let mut args = Arguments::from_env();
+        if args.contains("--help") {
+            print!("{HELP}");
+            return Ok(None);
+        }
+        let Some(word) = args.subcommand().context(ArgsSnafu)? else {
+            if args.contains("--version") {
+                println!("trestlectl {}", env!("CARGO_PKG_VERSION"));
+            } else {
+                print!("{HELP}");
+            }
+            return Ok(None);
+        };
+        let command = command(&word, &mut args)?;
+        let left = args.finish();
+        let unused = left.first().map(|word| word.to_string_lossy().into_owned());
+        ensure!(unused.is_none(), UnusedSnafu { word: unused.unwrap_or_default() });
+        Ok(Some(Self { command }))
+    }
+}
+
+fn command(word: &str, args: &mut Arguments) -> Result<Command> {
+    let command = match word {
+        "check" => Some(Command::Check { path: path(args)? }),
+        "apply" => Some(Command::Apply {
+            platform: platform(args)?,
+            expected_version: args.opt_value_from_str("--expect-version").context(ArgsSnafu)?,
+            author: author(args)?,
+            path: path(args)?,
+        }),
+        "show" => Some(Command::Show {
+            platform: platform(args)?,
+            version: args.opt_value_from_str("--version").context(ArgsSnafu)?,
+        }),
+        "history" => Some(Command::History { platform: platform(args)? }),
+        "status" => Some(Command::Status { daemons: daemons(args)?, token: token(args)? }),
+        "explain" => Some(Command::Explain {
+            daemons: daemons(args)?,
+            token: token(args)?,
+            model: args.free_from_str().context(ArgsSnafu)?,
+        }),
+        "digest" => Some(Command::Digest { token: args.free_from_str().context(ArgsSnafu)? }),
+        _ => None,
+    };
+    command.context(CommandSnafu { word })
+}
+
+fn path(args: &mut Arguments) -> Result<PathBuf> {
+    args.free_from_str::<String>().map(PathBuf::from).context(ArgsSnafu)
+}
+
+fn platform(args: &mut Arguments) -> Result<String> {
+    args.value_from_str("--platform").context(ArgsSnafu)
+}
+
+fn author(args: &mut Arguments) -> Result<String> {
+    let named: Option<String> = args.opt_value_from_str("--author").context(ArgsSnafu)?;
+    Ok(named.or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "unknown".to_owned()))
+}
+
+fn daemons(args: &mut Arguments) -> Result<Vec<String>> {
+    args.values_from_str("--daemon").context(ArgsSnafu)
+}
+
+fn token(args: &mut Arguments) -> Result<Option<String>> {
+    args.opt_value_from_str("--token").context(ArgsSnafu)
+}
--- /dev/null
+++ b/crates/trestlectl/src/main.rs
@@ -0,0 +1,45 @@
+//! The operators' command line of trestlestile.
+
+mod apply;
+mod args;
+mod error;
+mod explain;
+mod output;
+mod show;
+mod status;
+
+use crate::{
+    args::{Args, Command},
+    error::Result,
+};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match smol::block_on(run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("trestlectl: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<()> {
+    let Some(args) = Args::from_env()? else { return Ok(()) };
+    match args.command {
+        Command::Check { path } => apply::check(&path).map(drop),
+        Command::Digest { token } => {
+            output::line(&trestle_config::digest(&token));
+            Ok(())
+        }
+        Command::Apply { path, platform, expected_version, author } => {
+            apply::apply(&path, &platform, expected_version, &author).await
+        }
+        Command::Show { platform, version } => show::show(&platform, version).await,
+        Command::History { platform } => show::history(&platform).await,
+        Command::Status { daemons, token } => status::print(&daemons, token.as_deref()).await,
+        Command::Explain { model, daemons, token } => {
+            explain::print(&model, &daemons, token.as_deref()).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestled/src/asking.rs
@@ -0,0 +1,211 @@
+//! Asking the owner of an endpoint for a permit.
+//!
+//! The chain of owners is known from the membership of the endpoint's domain.
+//! The first is asked; if it does not answer, or says that it is not the owner,
+//! the next one is asked, and told how many before it do not serve. While an
+//! ask waits, the owner is asked now and then whether it is still there, so an
+//! owner that has frozen is noticed long before the deadline.
+
+use crate::{control::Message, daemon::Daemon};
+use futures_lite::FutureExt;
+use smol::Timer;
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use trestle_core::{
+    event::Event,
+    names::{EndpointName, ModelName, TenantName},
+    node::CHAIN_LENGTH,
+    permit::Ticket,
+};
+use trestle_wire::peer::{WireAnswer, WireAsk};
+
+/// Time between two questions to an owner whether it is still there.
+const ALIVE_INTERVAL_MS: u64 = 500;
+/// Questions without an answer after which an owner counts as lost.
+const LOST_AFTER: u32 = 2;
+
+/// What asking keeps between requests.
+#[derive(Default)]
+pub(crate) struct Asking {
+    has_left: AtomicBool,
+}
+
+impl Asking {
+    /// Notes that this daemon has left its domain.
+    pub(crate) fn left(&self) {
+        self.has_left.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this daemon has left its domain.
+    pub(crate) fn has_left(&self) -> bool {
+        self.has_left.load(Ordering::Relaxed)
+    }
+}
+
+/// What a request asks for.
+#[derive(Clone, Copy)]
+pub(crate) struct Wish<'a> {
+    pub(crate) model: &'a ModelName,
+    pub(crate) tenant: &'a TenantName,
+    pub(crate) urgency: u8,
+    pub(crate) deadline: Instant,
+    pub(crate) patience_ms: Option<u64>,
+}
+
+/// A permit, given back when it is dropped.
+pub(crate) struct Permit {
+    pub(crate) endpoint: EndpointName,
+    pub(crate) cold: bool,
+    daemon: Arc<Daemon>,
+    owner_address: Option<String>,
+    ticket: Ticket,
+}
+
+/// What became of an ask.
+pub(crate) enum Asked {
+    Granted(Permit),
+    Answered(WireAnswer),
+    /// No owner could be found.
+    NoOwner,
+}
+
+/// Asks the owner of an endpoint, whoever that is.
+pub(crate) async fn ask(daemon: &Arc<Daemon>, endpoint: &EndpointName, wish: Wish<'_>) -> Asked {
+    let owners = daemon.routing().owners(endpoint);
+    let mut rank = 0;
+    while rank < owners.len().min(usize::from(CHAIN_LENGTH)) {
+        let (vm, address) = &owners[rank];
+        let ranks_lost = rank as u8;
+        let is_local = *vm == daemon.me;
+        let answer = if is_local {
+            ask_here(daemon, endpoint, wish, ranks_lost).await
+        } else {
+            ask_peer(daemon, address, endpoint, wish, ranks_lost).await
+        };
+        match answer {
+            Some(WireAnswer::Granted { ticket, cold }) => {
+                return Asked::Granted(Permit {
+                    endpoint: endpoint.clone(),
+                    cold,
+                    daemon: Arc::clone(daemon),
+                    owner_address: (!is_local).then(|| address.clone()),
+                    ticket: Ticket(ticket),
+                });
+            }
+            Some(WireAnswer::NotOwner { owner_rank: Some(owner) }) if usize::from(owner) > rank => {
+                rank = usize::from(owner);
+            }
+            // The owner lives, but this daemon cannot reach it.
+            Some(WireAnswer::NotOwner { owner_rank: Some(_) }) => return Asked::NoOwner,
+            Some(WireAnswer::NotOwner { owner_rank: None }) | None => rank += 1,
+            Some(answer) => return Asked::Answered(answer),
+        }
+    }
+    Asked::NoOwner
+}
+
+fn wire_ask(
+    daemon: &Daemon,
+    endpoint: &EndpointName,
+    wish: Wish<'_>,
+    ranks_lost: u8,
+) -> Option<WireAsk> {
+    let due_in = wish.deadline.checked_duration_since(Instant::now())?;
+    Some(WireAsk {
+        entry: daemon.me.to_string(),
+        endpoint: endpoint.to_string(),
+        model: wish.model.to_string(),
+        tenant: wish.tenant.to_string(),
+        urgency: wish.urgency,
+        due_in_ms: due_in.as_millis() as u64,
+        ranks_lost,
+        patience_ms: wish.patience_ms,
+    })
+}
+
+async fn ask_here(
+    daemon: &Arc<Daemon>,
+    endpoint: &EndpointName,
+    wish: Wish<'_>,
+    ranks_lost: u8,
+) -> Option<WireAnswer> {
+    let ask = wire_ask(daemon, endpoint, wish, ranks_lost)?;
+    Some(take_ask(Arc::clone(daemon), ask).await)
+}
+
+async fn ask_peer(
+    daemon: &Arc<Daemon>,
+    address: &str,
+    endpoint: &EndpointName,
+    wish: Wish<'_>,
+    ranks_lost: u8,
+) -> Option<WireAnswer> {
+    let ask = wire_ask(daemon, endpoint, wish, ranks_lost)?;
+    let asked = async { daemon.peers.ask(address, ask).await.ok() };
+    let lost = async {
+        watch(daemon, address, endpoint).await;
+        None
+    };
+    asked.or(lost).await
+}
+
+/// Ends once the peer has not answered a few questions in a row.
+async fn watch(daemon: &Daemon, address: &str, endpoint: &EndpointName) {
+    let mut unanswered = 0;
+    while unanswered < LOST_AFTER {
+        Timer::after(Duration::from_millis(ALIVE_INTERVAL_MS)).await;
+        let answered = daemon.peers.owns(address, endpoint.as_str()).await.is_ok();
+        unanswered = if answered { 0 } else { unanswered + 1 };
+    }
+}
+
+/// Puts an ask to this daemon's own control thread, and withdraws it when dropped.
+pub(crate) async fn take_ask(daemon: Arc<Daemon>, ask: WireAsk) -> WireAnswer {
+    let ticket = daemon.next_ticket();
+    let endpoint = EndpointName::from(ask.endpoint.as_str());
+    let (reply, answer) = async_channel::bounded(1);
+    let mut withdrawal = Withdrawal { daemon: Arc::clone(&daemon), endpoint, ticket, is_due: true };
+    daemon.send(Message::Ask(ask.received(ticket, daemon.now_ms()), reply));
+    let answer = answer.recv().await;
+    withdrawal.is_due = false;
+    match answer {
+        Ok(answer) => WireAnswer::new(ticket, answer),
+        Err(_) => WireAnswer::NotOwner { owner_rank: None },
+    }
+}
+
+/// Withdraws an ask whose caller has gone before it was answered.
+struct Withdrawal {
+    daemon: Arc<Daemon>,
+    endpoint: EndpointName,
+    ticket: Ticket,
+    is_due: bool,
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        if self.is_due {
+            self.daemon.tell(Event::Cancel(self.endpoint.clone(), self.ticket));
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let Some(address) = self.owner_address.clone() else {
+            self.daemon.tell(Event::Release(self.endpoint.clone(), self.ticket));
+            return;
+        };
+        let (daemon, endpoint, ticket) =
+            (Arc::clone(&self.daemon), self.endpoint.clone(), self.ticket);
+        let give_back = async move {
+            if let Err(error) = daemon.peers.release(&address, endpoint.as_str(), ticket.0).await {
+                tracing::debug!("permit: A permit for {endpoint} was not given back: {error}.");
+            }
+        };
+        smol::spawn(give_back).detach();
+    }
+}
--- /dev/null
+++ b/crates/trestled/src/claims/record.rs
@@ -0,0 +1,82 @@
+//! Reading claims, and writing what became of a call.
+
+use crate::{daemon::Daemon, entry::service_call::ServiceAnswer};
+use smol::Timer;
+use std::time::Duration;
+use trestle_core::row::CommitOutcome;
+use trestle_wire::claim::{WireAnswerBody, WireClaim, WireClaimState, WireKeptAnswer};
+
+/// Time between two tries to write what became of a call.
+const RETRY: Duration = Duration::from_millis(500);
+/// Tries to write what became of a call.
+const MAX_TRIES: u32 = 1_200;
+
+/// Reads the claim in a row, with the version of the row.
+pub(crate) async fn read(
+    daemon: &Daemon,
+    row: &str,
+) -> trestle_client::Result<(u64, Option<WireClaim>)> {
+    let response = daemon.platform.read_raw(vec![row.to_owned()]).await?;
+    daemon.platform_answered();
+    let Some(found) = response.rows.get(row) else { return Ok((0, None)) };
+    let claim = found.value.clone().and_then(|value| serde_json::from_value(value).ok());
+    Ok((found.version, claim))
+}
+
+/// The answer that a claim keeps; `None` if it cannot be read at the moment.
+pub(crate) async fn kept_answer(daemon: &Daemon, kept: WireKeptAnswer) -> Option<ServiceAnswer> {
+    let body = match kept.body {
+        WireAnswerBody::Here { hex } => hex::decode(hex).ok()?,
+        WireAnswerBody::Object { name } => daemon.platform.get_object(&name).await.ok()?,
+    };
+    Some(ServiceAnswer { status: kept.status, content_type: kept.content_type, body })
+}
+
+/// Writes what became of a call: its answer, or that it was not run.
+pub(crate) async fn until_written(
+    daemon: &Daemon,
+    row: &str,
+    mut claim: WireClaim,
+    answer: Option<ServiceAnswer>,
+) {
+    for _ in 0..MAX_TRIES {
+        if let Some(answer) = &answer {
+            match keep(daemon, &claim.attempt, answer).await {
+                Some(answer) => claim.state = WireClaimState::Answered { answer },
+                None => {
+                    Timer::after(RETRY).await;
+                    continue;
+                }
+            }
+        }
+        if write(daemon, row, &claim).await {
+            return;
+        }
+        Timer::after(RETRY).await;
+    }
+    tracing::error!("claim: What became of {row} could not be recorded.");
+}
+
+async fn keep(daemon: &Daemon, attempt: &str, answer: &ServiceAnswer) -> Option<WireKeptAnswer> {
+    let body = if answer.body.len() <= daemon.settings.limits.kept_answer_bytes {
+        WireAnswerBody::Here { hex: hex::encode(&answer.body) }
+    } else {
+        let name = format!("claim-answer-{attempt}");
+        daemon.platform.put_object(&name, &answer.body).await.ok()?;
+        WireAnswerBody::Object { name }
+    };
+    let content_type = answer.content_type.clone();
+    Some(WireKeptAnswer { status: answer.status, content_type, body })
+}
+
+/// Writes over the attempt's own claim, or over a row that holds none yet.
+///
+/// A claim whose write was ambiguous may still take effect later; writing over
+/// the absent row changes its version, so that it cannot.
+async fn write(daemon: &Daemon, row: &str, claim: &WireClaim) -> bool {
+    let Ok((version, found)) = read(daemon, row).await else { return false };
+    if found.is_some_and(|found| found.attempt != claim.attempt || found.state == claim.state) {
+        return true;
+    }
+    daemon.claim_writer.write(row, version, claim).await == CommitOutcome::Committed
+}
--- /dev/null
+++ b/crates/trestled/src/claims/writer.rs
@@ -0,0 +1,88 @@
+//! Claims that are written together.
+//!
+//! Claims that come in while a write is under way go out together with the
+//! next one. Rows that stand against it are taken out and told so, and the
+//! others are written again without them.
+
+use async_channel::{Receiver, Sender};
+use std::collections::BTreeMap;
+use trestle_client::platform::Platform;
+use trestle_core::row::CommitOutcome;
+use trestle_wire::{claim::WireClaim, table::CommitRequest};
+
+/// Claims that go out together at most.
+const MAX_TOGETHER: usize = 128;
+
+/// Writes claims, many in one transaction.
+pub(crate) struct ClaimWriter {
+    claims: Sender<Pending>,
+}
+
+/// A claim that waits to be written.
+struct Pending {
+    row: String,
+    version: u64,
+    value: serde_json::Value,
+    reply: Sender<CommitOutcome>,
+}
+
+impl ClaimWriter {
+    /// Starts the task that writes.
+    pub(crate) fn start(platform: Platform) -> Self {
+        let (claims, received) = async_channel::unbounded();
+        smol::spawn(write_all(platform, received)).detach();
+        Self { claims }
+    }
+
+    /// Writes a claim over a row that must still have the version.
+    pub(crate) async fn write(&self, row: &str, version: u64, claim: &WireClaim) -> CommitOutcome {
+        let Ok(value) = serde_json::to_value(claim) else { return CommitOutcome::Conflict };
+        let (reply, outcome) = async_channel::bounded(1);
+        let pending = Pending { row: row.to_owned(), version, value, reply };
+        if self.claims.send(pending).await.is_err() {
+            return CommitOutcome::Unknown;
+        }
+        outcome.recv().await.unwrap_or(CommitOutcome::Unknown)
+    }
+}
+
+async fn write_all(platform: Platform, received: Receiver<Pending>) {
+    while let Ok(first) = received.recv().await {
+        let mut batch = BTreeMap::new();
+        let mut next = Some(first);
+        while let Some(pending) = next {
+            add(&mut batch, pending);
+            next = if batch.len() < MAX_TOGETHER { received.try_recv().ok() } else { None };
+        }
+        write_batch(&platform, batch).await;
+    }
+}
+
+/// Adds a claim; a second one for the same row has lost to the first.
+fn add(batch: &mut BTreeMap<String, Pending>, pending: Pending) {
+    if batch.contains_key(&pending.row) {
+        let _ = pending.reply.try_send(CommitOutcome::Conflict);
+        return;
+    }
+    batch.insert(pending.row.clone(), pending);
+}
+
+async fn write_batch(platform: &Platform, mut batch: BTreeMap<String, Pending>) {
+    while !batch.is_empty() {
+        let mut request = CommitRequest::default();
+        for (row, pending) in &batch {
+            request.checks.insert(row.clone(), pending.version);
+            request.writes.insert(row.clone(), Some(pending.value.clone()));
+        }
+        let (outcome, conflicts) = platform.commit_raw(&request).await;
+        let settled: Vec<String> = match outcome {
+            CommitOutcome::Conflict if !conflicts.is_empty() => conflicts,
+            _ => batch.keys().cloned().collect(),
+        };
+        for row in settled {
+            if let Some(pending) = batch.remove(&row) {
+                let _ = pending.reply.try_send(outcome);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestled/src/config_watch.rs
@@ -0,0 +1,97 @@
+//! Follows the configuration in force.
+//!
+//! The head row names the version. A version that is lower than the one in
+//! force is never taken, whoever offers it. While the platform does not answer,
+//! peers are asked instead.
+
+use crate::daemon::Daemon;
+use smol::Timer;
+use std::{sync::Arc, time::Duration};
+use trestle_core::event::Event;
+use trestle_wire::{
+    peer::WireConfig,
+    table::{CONFIG_HEAD_KEY, ConfigHead, config_object},
+};
+
+/// Follows the configuration until the process ends.
+pub(crate) async fn run(daemon: Arc<Daemon>) {
+    let interval = Duration::from_millis(daemon.settings.intervals.config_poll_ms);
+    loop {
+        follow(&daemon).await;
+        Timer::after(interval).await;
+    }
+}
+
+async fn follow(daemon: &Daemon) {
+    match read_head(daemon).await {
+        Ok(Some(head)) if head.version > version(daemon) => {
+            if let Some(config) = read_file(daemon, &head).await {
+                take(daemon, &config);
+                return;
+            }
+        }
+        Ok(_) => return,
+        Err(error) => tracing::debug!("config: The head cannot be read: {error}."),
+    }
+    if let Some(config) = ask_peer(daemon).await {
+        take(daemon, &config);
+    }
+}
+
+async fn read_head(daemon: &Daemon) -> trestle_client::Result<Option<ConfigHead>> {
+    daemon.metrics.table_read();
+    let response = daemon.platform.read_raw(vec![CONFIG_HEAD_KEY.to_owned()]).await?;
+    daemon.platform_answered();
+    let row = response.rows.get(CONFIG_HEAD_KEY).and_then(|row| row.value.clone());
+    Ok(row.and_then(|value| serde_json::from_value(value).ok()))
+}
+
+async fn read_file(daemon: &Daemon, head: &ConfigHead) -> Option<WireConfig> {
+    match daemon.platform.get_object(&config_object(&head.apply_id)).await {
+        Ok(content) => {
+            let text = String::from_utf8(content).ok()?;
+            if trestle_config::digest(&text) != head.sha256 {
+                tracing::error!("config: The file of version {} is damaged.", head.version);
+                return None;
+            }
+            Some(WireConfig { version: head.version, text })
+        }
+        Err(error) => {
+            tracing::warn!("config: Version {} cannot be read: {error}.", head.version);
+            None
+        }
+    }
+}
+
+async fn ask_peer(daemon: &Daemon) -> Option<WireConfig> {
+    let routing = daemon.routing();
+    let members = routing.domains.values().flat_map(|row| &row.members);
+    let others: Vec<&str> = members
+        .filter(|(vm, _)| **vm != daemon.me)
+        .map(|(_, member)| member.address.as_str())
+        .collect();
+    let address = others.get(fastrand::usize(..others.len().max(1)))?;
+    daemon.peers.config_after(address, version(daemon)).await.ok()?
+}
+
+fn take(daemon: &Daemon, offered: &WireConfig) {
+    let config = match trestle_config::from_str(&offered.text, "configuration") {
+        Ok(config) => Arc::new(config.at_version(offered.version)),
+        Err(error) => {
+            tracing::error!("config: Version {} is not valid: {error}.", offered.version);
+            return;
+        }
+    };
+    let text = offered.text.as_str().into();
+    let mut is_taken = false;
+    daemon.change_routing(|routing| is_taken = routing.take_config(Arc::clone(&config), text));
+    if is_taken {
+        tracing::info!("config: Version {} is in force.", offered.version);
+        daemon.metrics.config_version(offered.version);
+        daemon.tell(Event::Catalog(Arc::new(config.catalog.clone())));
+    }
+}
+
+fn version(daemon: &Daemon) -> u64 {
+    daemon.routing().config.catalog.version
+}
--- /dev/null
+++ b/crates/trestled/src/daemon.rs
@@ -0,0 +1,177 @@
+//! What every part of the daemon shares.
+
+use crate::{
+    admin, asking::Asking, claims::ClaimWriter, config_watch, control::Message, domains_watch,
+    entry, error::Result, metrics::Metrics, peer_server, routing::Routing, serve, stop, vms_watch,
+};
+use async_channel::{Receiver, Sender};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
+use trestle_client::{engine::Engine, peers::Peers, platform::Platform};
+use trestle_config::settings::Settings;
+use trestle_core::{
+    event::Event,
+    health::Health,
+    names::{EndpointName, TenantName, VmName},
+    permit::Ticket,
+    retry_budget::RetryBudget,
+};
+use trillium_client::Client;
+
+/// Time without an answer after which the platform is held to be down.
+const PLATFORM_SILENT_MS: u64 = 2_500;
+
+/// What every part of the daemon shares.
+pub(crate) struct Daemon {
+    pub(crate) settings: Settings,
+    pub(crate) me: VmName,
+    pub(crate) incarnation: u64,
+    pub(crate) platform: Platform,
+    pub(crate) engine: Engine,
+    pub(crate) peers: Peers,
+    pub(crate) engine_traffic: Client,
+    pub(crate) service_traffic: Client,
+    pub(crate) single_traffic: Client,
+    pub(crate) metrics: Metrics,
+    pub(crate) asking: Asking,
+    pub(crate) claim_writer: ClaimWriter,
+    pub(crate) is_stopping: AtomicBool,
+    pub(crate) in_flight: AtomicUsize,
+    control: Sender<Message>,
+    routing: RwLock<Arc<Routing>>,
+    started: Instant,
+    next_ticket: AtomicU64,
+    platform_answered_ms: AtomicU64,
+    traffic: Mutex<TrafficState>,
+}
+
+/// What traffic threads change together.
+#[derive(Default)]
+pub(crate) struct TrafficState {
+    pub(crate) health: BTreeMap<EndpointName, Health>,
+    pub(crate) retries: RetryBudget,
+    pub(crate) by_tenant: BTreeMap<TenantName, usize>,
+    pub(crate) by_endpoint: BTreeMap<EndpointName, usize>,
+}
+
+impl Daemon {
+    /// A daemon that has not started, and the messages its control thread takes.
+    pub(crate) fn new(settings: Settings) -> Result<(Arc<Self>, Receiver<Message>)> {
+        let (control, messages) = async_channel::unbounded();
+        let platform = Platform::new(&settings.platform_url);
+        let daemon = Arc::new(Self {
+            me: settings.vm.as_str().into(),
+            incarnation: fastrand::u64(..),
+            claim_writer: ClaimWriter::start(platform.clone()),
+            platform,
+            engine: Engine::default(),
+            peers: Peers::default(),
+            engine_traffic: trestle_client::http::pooled_client(),
+            service_traffic: trestle_client::http::pooled_client(),
+            single_traffic: trestle_client::http::single_use_client(),
+            metrics: Metrics::new()?,
+            asking: Asking::default(),
+            is_stopping: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            control,
+            routing: RwLock::default(),
+            started: Instant::now(),
+            next_ticket: AtomicU64::new(fastrand::u64(..) >> 8),
+            platform_answered_ms: AtomicU64::new(0),
+            traffic: Mutex::default(),
+            settings,
+        });
+        Ok((daemon, messages))
+    }
+
+    /// Time on this daemon's monotonic clock.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// A ticket that no other ask at this daemon has.
+    pub(crate) fn next_ticket(&self) -> Ticket {
+        Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Tells the control thread what happened.
+    pub(crate) fn tell(&self, event: Event) {
+        self.send(Message::Event(event));
+    }
+
+    /// Sends the control thread a message.
+    pub(crate) fn send(&self, message: Message) {
+        // The channel closes only when the control thread has ended with the process.
+        let _ = self.control.try_send(message);
+    }
+
+    /// What traffic needs to know, as of now.
+    pub(crate) fn routing(&self) -> Arc<Routing> {
+        Arc::clone(&self.routing.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Changes what traffic needs to know.
+    pub(crate) fn change_routing(&self, change: impl FnOnce(&mut Routing)) {
+        let mut routing = self.routing.write().unwrap_or_else(PoisonError::into_inner);
+        change(Arc::make_mut(&mut routing));
+    }
+
+    /// What traffic threads change together.
+    pub(crate) fn traffic(&self) -> MutexGuard<'_, TrafficState> {
+        self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that the platform has answered.
+    pub(crate) fn platform_answered(&self) {
+        self.platform_answered_ms.store(self.now_ms(), Ordering::Relaxed);
+    }
+
+    /// Time since the platform last answered.
+    pub(crate) fn platform_silent_ms(&self) -> u64 {
+        self.now_ms().saturating_sub(self.platform_answered_ms.load(Ordering::Relaxed))
+    }
+
+    /// Whether the platform has not answered for a while.
+    pub(crate) fn platform_is_down(&self) -> bool {
+        self.platform_silent_ms() > PLATFORM_SILENT_MS
+    }
+
+    /// Whether the balancer should send requests here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let is_configured = self.routing().config.catalog.version > 0;
+        is_configured && !self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// The address at which peers reach this daemon.
+    pub(crate) fn peers_address(&self) -> SocketAddr {
+        self.settings.peers_address
+    }
+}
+
+/// Runs the daemon until it is told to stop.
+pub(crate) async fn run(daemon: Arc<Daemon>) -> Result<()> {
+    let peers = peer_server::listen(&daemon).await?;
+    smol::spawn(peer_server::run(Arc::clone(&daemon), peers)).detach();
+    smol::spawn(config_watch::run(Arc::clone(&daemon))).detach();
+    smol::spawn(domains_watch::run(Arc::clone(&daemon))).detach();
+    smol::spawn(vms_watch::run(Arc::clone(&daemon))).detach();
+    let callers = serve::start(daemon.settings.callers_address, &daemon.settings.limits, {
+        let daemon = Arc::clone(&daemon);
+        move |conn| entry::handle(Arc::clone(&daemon), conn)
+    })
+    .await?;
+    serve::start(daemon.settings.admin_address, &daemon.settings.limits, {
+        let daemon = Arc::clone(&daemon);
+        move |conn| admin::handle(Arc::clone(&daemon), conn)
+    })
+    .await?;
+    tracing::info!("daemon: Serving callers at {}.", daemon.settings.callers_address);
+    stop::wait(&daemon, callers).await
+}
--- /dev/null
+++ b/crates/trestled/src/entry.rs
@@ -0,0 +1,97 @@
+//! Serves callers.
+//!
+//! - `POST /v1/chat/completions` and `POST /v1/completions`: models and adapters.
+//! - `GET /v1/models`: what may be named as `model`.
+//! - `/services/NAME/...`: plain services.
+//!
+//! Every request ends with one outcome: its own whole answer, or a failure that
+//! says whether the request was run, and when to come back.
+
+mod body;
+mod call;
+pub(crate) mod choice;
+mod engine_call;
+mod failure;
+mod model;
+mod models_list;
+mod permits;
+mod service;
+pub(crate) mod service_call;
+mod sse;
+
+use crate::daemon::Daemon;
+use call::Call;
+pub(crate) use failure::Failure;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Instant,
+};
+use trestle_wire::headers;
+use trillium::{Conn, Method};
+
+/// Answers a request of a caller.
+pub(crate) async fn handle(daemon: Arc<Daemon>, conn: Conn) -> Conn {
+    let in_flight = InFlight::new(&daemon);
+    let started = Instant::now();
+    let (call, conn) = match Call::new(&daemon, &conn, started) {
+        Ok(call) => {
+            let conn = route(&daemon, &call, conn).await;
+            (Some(call), conn)
+        }
+        Err(failure) => {
+            daemon.metrics.refused("", failure.code);
+            (None, failure.into_answer(conn, ""))
+        }
+    };
+    if let Some(call) = call {
+        let outcome = outcome_of(&conn);
+        let time_ms = started.elapsed().as_secs_f64() * 1e3;
+        daemon.metrics.request(call.tenant.as_str(), &call.class, outcome, time_ms);
+    }
+    drop(in_flight);
+    if daemon.is_stopping.load(Ordering::Relaxed) {
+        return conn.with_response_header("connection", "close");
+    }
+    conn
+}
+
+async fn route(daemon: &Arc<Daemon>, call: &Call, conn: Conn) -> Conn {
+    let path = conn.path().to_owned();
+    match (conn.method(), path.as_str()) {
+        (Method::Post, "/v1/chat/completions" | "/v1/completions") => {
+            model::complete(daemon, call, conn).await
+        }
+        (Method::Get, "/v1/models") => models_list::answer(daemon, conn),
+        (_, path) => match path.strip_prefix("/services/") {
+            Some(rest) => service::answer(daemon, call, conn, rest).await,
+            None => {
+                let message = format!("there is nothing at {path}; see /v1/models");
+                Failure::not_run(404, "unknown_path", message).into_answer(conn, &call.request_id)
+            }
+        },
+    }
+}
+
+fn outcome_of(conn: &Conn) -> &'static str {
+    match conn.response_headers().get_str(headers::OUTCOME) {
+        Some("not_run") => "not_run",
+        Some("unknown") => "unknown",
+        _ => "done",
+    }
+}
+
+/// Counts a request as in flight until it is dropped.
+pub(crate) struct InFlight(Arc<Daemon>);
+
+impl InFlight {
+    pub(crate) fn new(daemon: &Arc<Daemon>) -> Self {
+        daemon.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(daemon))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/trestled/src/entry/choice.rs
@@ -0,0 +1,71 @@
+//! Choosing a server of a plain service.
+
+use crate::daemon::Daemon;
+use std::sync::Arc;
+use trestle_config::Service;
+use trestle_core::names::EndpointName;
+
+/// A place at a server, given back when it is dropped.
+pub(crate) struct Place {
+    pub(crate) endpoint: EndpointName,
+    pub(crate) url: String,
+    daemon: Arc<Daemon>,
+}
+
+/// Servers that may take a call, best first.
+///
+/// Servers with a good record come first, then those of the daemon's own
+/// domain, then those to which it has sent least.
+pub(crate) fn order(daemon: &Daemon, service: &Service) -> Vec<EndpointName> {
+    let routing = daemon.routing();
+    let now_ms = daemon.now_ms();
+    let traffic = daemon.traffic();
+    let mut servers: Vec<_> = service
+        .endpoints
+        .iter()
+        .filter(|(name, _)| !routing.leaving.contains(name.as_str()))
+        .map(|(name, server)| {
+            let health = traffic.health.get(name);
+            let is_avoided = health.is_some_and(|health| health.is_avoided(now_ms));
+            let is_far = server.domain.as_str() != daemon.settings.domain;
+            let busy = traffic.by_endpoint.get(name).copied().unwrap_or(0);
+            (is_avoided, busy >= service.slots, is_far, busy, name)
+        })
+        .collect();
+    servers.sort();
+    servers.into_iter().map(|(.., name)| name.clone()).collect()
+}
+
+/// Takes a place at a server, if it has one left for this daemon.
+pub(crate) fn take(daemon: &Arc<Daemon>, service: &Service, name: &EndpointName) -> Option<Place> {
+    let url = service.endpoints.get(name)?.url.clone();
+    let mut traffic = daemon.traffic();
+    let busy = traffic.by_endpoint.entry(name.clone()).or_default();
+    if *busy >= service.slots {
+        return None;
+    }
+    *busy += 1;
+    Some(Place { endpoint: name.clone(), url, daemon: Arc::clone(daemon) })
+}
+
+impl Place {
+    /// Notes whether the server gave a whole answer.
+    pub(crate) fn note(&self, succeeded: bool) {
+        let now_ms = self.daemon.now_ms();
+        let mut traffic = self.daemon.traffic();
+        let health = traffic.health.entry(self.endpoint.clone()).or_default();
+        if succeeded {
+            health.succeeded();
+        } else {
+            health.failed(now_ms);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if let Some(busy) = self.daemon.traffic().by_endpoint.get_mut(&self.endpoint) {
+            *busy = busy.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestled/src/entry/engine_call.rs
@@ -0,0 +1,200 @@
+//! Sending a completion request to an engine, and checking what comes back.
+//!
+//! An answer is passed on only if it carries the request's own id and is whole.
+
+use super::{
+    InFlight,
+    call::Call,
+    model::Completion,
+    sse::{Event, Events},
+};
+use crate::{asking::Permit, daemon::Daemon};
+use async_channel::Sender;
+use futures_lite::{FutureExt, StreamExt};
+use futures_util::TryStreamExt;
+use serde_json::Value;
+use smol::Timer;
+use std::{io, sync::Arc};
+use trestle_wire::headers;
+use trillium::Body;
+use trillium_client::Conn;
+
+/// Parts of a stream that may wait for a slow caller.
+const PARTS_AHEAD: usize = 16;
+/// Largest whole answer of an engine.
+const MAX_ANSWER_BYTES: u64 = 16 << 20;
+
+/// What sending has led to.
+pub(crate) enum Sent {
+    /// The whole answer.
+    Whole { content_type: String, body: Vec<u8> },
+    /// An answer that comes in parts, the first of which is there.
+    Stream(Body),
+    /// The engine did not run the request.
+    NotRun(String),
+    /// The engine failed, or its answer cannot be used.
+    Failed(String),
+    /// The engine says that the request is wrong.
+    Rejected { status: u16, message: String },
+    /// The deadline came first.
+    Late,
+}
+
+/// Sends the request; the permit is given back at the end of the answer.
+pub(crate) async fn send(
+    daemon: &Arc<Daemon>,
+    call: &Call,
+    completion: &Completion,
+    permit: Permit,
+    in_flight: InFlight,
+) -> Sent {
+    let Some(url) = call.config.engine_urls.get(&permit.endpoint) else {
+        return Sent::NotRun("the engine is no longer declared".to_owned());
+    };
+    let url = format!("{url}{}", completion.path);
+    let late = async {
+        Timer::after(call.time_left()).await;
+        Sent::Late
+    };
+    let sending = async {
+        let answered = match request(daemon, call, completion, &url).await {
+            Ok(answered) => answered,
+            Err(error) => return unreachable(&error),
+        };
+        match answered.status().map_or(0, |status| status as u16) {
+            200 if completion.is_stream => stream(call, answered, permit, in_flight).await,
+            200 => whole(call, answered).await,
+            409 => Sent::NotRun("the engine does not have the model loaded".to_owned()),
+            status @ 400..=499 => {
+                Sent::Rejected { status, message: format!("the engine answered {status}") }
+            }
+            status => Sent::Failed(format!("the engine answered {status}")),
+        }
+    };
+    sending.or(late).await
+}
+
+async fn request(
+    daemon: &Daemon,
+    call: &Call,
+    completion: &Completion,
+    url: &str,
+) -> trillium_client::Result<Conn> {
+    let mut conn = daemon
+        .engine_traffic
+        .post(url)
+        .with_request_header("content-type", "application/json")
+        .with_request_header(headers::REQUEST_ID, call.request_id.clone())
+        .with_request_header(headers::PRIORITY, call.urgency.to_string())
+        .with_body(completion.body.to_string());
+    if let Some(adapter) = &completion.target.adapter {
+        conn = conn.with_request_header(headers::ADAPTER, adapter.clone());
+    }
+    conn.await
+}
+
+fn unreachable(error: &trillium_client::Error) -> Sent {
+    if is_refused(error) {
+        return Sent::NotRun("the engine does not accept connections".to_owned());
+    }
+    Sent::Failed(format!("the connection to the engine broke: {error}"))
+}
+
+/// Whether the connection was refused, so that nothing can have been sent.
+pub(crate) fn is_refused(error: &trillium_client::Error) -> bool {
+    match error {
+        trillium_client::Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+async fn whole(call: &Call, mut conn: Conn) -> Sent {
+    if conn.response_headers().get_str(headers::REQUEST_ID) != Some(call.request_id.as_str()) {
+        return Sent::Failed("the answer belongs to another request".to_owned());
+    }
+    let content_type = content_type_of(&conn);
+    let body = conn.response_body().with_max_len(MAX_ANSWER_BYTES).read_bytes().await;
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return Sent::Failed(format!("the answer broke off: {error}")),
+    };
+    let Ok(content) = serde_json::from_slice::<Value>(&body) else {
+        return Sent::Failed("the answer is cut or not JSON".to_owned());
+    };
+    if content["id"].as_str() != Some(call.request_id.as_str()) {
+        return Sent::Failed("the answer belongs to another request".to_owned());
+    }
+    conn.recycle().await;
+    Sent::Whole { content_type, body }
+}
+
+fn content_type_of(conn: &Conn) -> String {
+    let header = conn.response_headers().get_str("content-type");
+    header.unwrap_or("application/json").to_owned()
+}
+
+/// Waits for the first part, so that a failure before it can still be retried.
+async fn stream(call: &Call, conn: Conn, permit: Permit, in_flight: InFlight) -> Sent {
+    let (parts, received) = async_channel::bounded(PARTS_AHEAD);
+    let request_id = call.request_id.clone();
+    let deadline = call.deadline;
+    let pumping = async move {
+        let late = async {
+            Timer::at(deadline).await;
+            Pumped::Broken("the deadline came before the end of the answer".to_owned())
+        };
+        let pumped = pump(conn, &request_id, &parts).or(late).await;
+        if let Pumped::Broken(message) = pumped {
+            let _ = parts.send(Err(message)).await;
+        }
+        drop(permit);
+        drop(in_flight);
+    };
+    smol::spawn(pumping).detach();
+    let first = match received.recv().await {
+        Ok(Ok(first)) => first,
+        Ok(Err(message)) => return Sent::Failed(message),
+        Err(_) => return Sent::Failed("the answer ended before it began".to_owned()),
+    };
+    let request_id = call.request_id.clone();
+    let rest = received.map(move |part| Ok(part.unwrap_or_else(|message| cut(&message, &request_id))));
+    let all = futures_lite::stream::once(Ok::<_, io::Error>(first)).chain(rest);
+    Sent::Stream(Body::new_streaming(Box::pin(all).into_async_read(), None))
+}
+
+enum Pumped {
+    Done,
+    Broken(String),
+}
+
+/// Passes events on as long as they belong to the request.
+async fn pump(
+    mut conn: Conn,
+    request_id: &str,
+    parts: &Sender<Result<Vec<u8>, String>>,
+) -> Pumped {
+    let mut events = Events::new(conn.response_body());
+    loop {
+        let event = match events.next().await {
+            Ok(Some(event)) => event,
+            Ok(None) => return Pumped::Broken("the answer broke off".to_owned()),
+            Err(error) => return Pumped::Broken(format!("the answer broke off: {error}")),
+        };
+        let is_last = match event.check(request_id) {
+            Event::Part => false,
+            Event::Last => true,
+            Event::Foreign => {
+                return Pumped::Broken("a part belongs to another request".to_owned());
+            }
+        };
+        if parts.send(Ok(event.into_bytes())).await.is_err() || is_last {
+            return Pumped::Done;
+        }
+    }
+}
+
+/// The event that tells a caller that the answer is not whole.
+fn cut(message: &str, request_id: &str) -> Vec<u8> {
+    let failure = super::Failure::unknown(502, "answer_cut", message);
+    format!("event: error\ndata: {}\n\n", failure.to_json(request_id)).into_bytes()
+}
--- /dev/null
+++ b/crates/trestled/src/entry/service.rs
@@ -0,0 +1,160 @@
+//! Calls to plain services.
+
+use super::{
+    Failure, body,
+    call::Call,
+    choice,
+    service_call::{self, Called, ServiceAnswer, ServiceCall},
+};
+use crate::{
+    claims::{self, ClaimEnd, ClaimedCall},
+    daemon::Daemon,
+};
+use std::sync::Arc;
+use trestle_config::Service;
+use trestle_wire::{claim::claim_key, headers};
+use trillium::{Conn, Status};
+
+/// Times one call that may be repeated is sent at most.
+const MAX_TRIES: usize = 3;
+/// When to come back after servers have failed.
+const FAILED_RETRY_MS: u64 = 1_000;
+/// When to come back while the platform does not answer.
+const PLATFORM_RETRY_MS: u64 = 3_000;
+/// Longest idempotency key.
+const MAX_KEY_CHARS: usize = 128;
+
+/// Answers a call to a plain service.
+pub(crate) async fn answer(daemon: &Arc<Daemon>, call: &Call, mut conn: Conn, rest: &str) -> Conn {
+    let answered = serve(daemon, call, &mut conn, rest).await;
+    match answered {
+        Ok(answer) => {
+            let status = Status::try_from(answer.status).unwrap_or(Status::BadGateway);
+            conn.with_status(status)
+                .with_response_header("content-type", answer.content_type)
+                .with_response_header(headers::REQUEST_ID, call.request_id.clone())
+                .with_response_header(headers::OUTCOME, "done")
+                .with_body(answer.body)
+                .halt()
+        }
+        Err(failure) => {
+            daemon.metrics.refused(call.tenant.as_str(), failure.code);
+            failure.into_answer(conn, &call.request_id)
+        }
+    }
+}
+
+async fn serve(
+    daemon: &Arc<Daemon>,
+    call: &Call,
+    conn: &mut Conn,
+    rest: &str,
+) -> Result<ServiceAnswer, Failure> {
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let Some(service) = call.config.services.get(name) else {
+        let message = format!("service `{name}` is not declared");
+        return Err(Failure::not_run(404, "unknown_service", message));
+    };
+    let method = conn.method();
+    let is_repeatable = service.repeatable_methods.iter().any(|m| m == method.as_str());
+    let query = conn.querystring();
+    let path = if query.is_empty() { format!("/{path}") } else { format!("/{path}?{query}") };
+    let key = if is_repeatable { None } else { Some(key_of(service, conn)?) };
+    let content_type = conn.request_headers().get_str("content-type").map(str::to_owned);
+    let service_call = ServiceCall {
+        method,
+        path,
+        content_type,
+        body: body::read(daemon, conn).await?,
+        request_id: call.request_id.clone(),
+        key,
+    };
+    match &service_call.key {
+        None => repeatable(daemon, call, service, &service_call).await,
+        Some((_, key)) => {
+            let row = claim_key(name, call.tenant.as_str(), key);
+            once(daemon, call, service, service_call.clone(), row).await
+        }
+    }
+}
+
+fn key_of(service: &Service, conn: &Conn) -> Result<(String, String), Failure> {
+    let header = service.idempotency_header.as_str();
+    let key = conn.request_headers().get_str(header).unwrap_or("");
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':');
+    if (1..=MAX_KEY_CHARS).contains(&key.len()) && key.chars().all(is_allowed) {
+        return Ok((header.to_owned(), key.to_owned()));
+    }
+    let message = format!(
+        "this call may not be repeated; send `{header}` with a key of its own, \
+         1 to {MAX_KEY_CHARS} letters, digits, `-`, `_`, `.` or `:`",
+    );
+    Err(Failure::not_run(400, "idempotency_key_missing", message))
+}
+
+async fn repeatable(
+    daemon: &Arc<Daemon>,
+    call: &Call,
+    service: &Service,
+    service_call: &ServiceCall,
+) -> Result<ServiceAnswer, Failure> {
+    daemon.traffic().retries.earn();
+    let mut last = busy();
+    for (index, endpoint) in choice::order(daemon, service).into_iter().take(MAX_TRIES).enumerate() {
+        let Some(place) = choice::take(daemon, service, &endpoint) else { continue };
+        if index > 0 && !daemon.traffic().retries.take() {
+            break;
+        }
+        let limit = call.time_left();
+        last = match service_call::send(&daemon.service_traffic, &place, service_call, limit).await {
+            Called::Answered(answer) => return Ok(answer),
+            Called::NotSent(message) => Failure::not_run(503, "service_unreachable", message),
+            Called::Lost(message) => Failure::unknown(502, "service_failed", message),
+        };
+        if call.time_left().is_zero() {
+            break;
+        }
+    }
+    Err(last.after_ms(FAILED_RETRY_MS))
+}
+
+fn busy() -> Failure {
+    let message = "every server of the service has as many calls as it takes";
+    Failure::not_run(503, "service_busy", message)
+}
+
+async fn once(
+    daemon: &Arc<Daemon>,
+    call: &Call,
+    service: &Service,
+    service_call: ServiceCall,
+    row: String,
+) -> Result<ServiceAnswer, Failure> {
+    let claimed = ClaimedCall {
+        row,
+        service: service.clone(),
+        call: service_call,
+        deadline: call.deadline,
+    };
+    match claims::run(daemon, claimed).await {
+        ClaimEnd::Answered(answer) => Ok(answer),
+        ClaimEnd::NotRun if daemon.platform_is_down() => {
+            let message = "the platform does not answer, so the call cannot be claimed";
+            Err(Failure::not_run(503, "platform_down", message).after_ms(PLATFORM_RETRY_MS))
+        }
+        ClaimEnd::NotRun => {
+            let message = "the call was not sent; send it again with the same key";
+            Err(Failure::not_run(503, "not_sent", message).after_ms(FAILED_RETRY_MS))
+        }
+        ClaimEnd::Unknown => {
+            let message = "the call may have run; ask again with the same key, \
+                           which never runs it a second time";
+            Err(Failure::unknown(504, "outcome_unknown", message).after_ms(FAILED_RETRY_MS))
+        }
+        ClaimEnd::OtherCall => {
+            let message = "the key stands for a call with another method, path or body; \
+                           give each call a key of its own";
+            Err(Failure::not_run(409, "idempotency_key_reused", message))
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestled/src/entry/service_call.rs
@@ -0,0 +1,104 @@
+//! Sending a call to a server of a plain service.
+
+use super::{choice::Place, engine_call::is_refused};
+use std::time::Duration;
+use trestle_wire::headers;
+use trillium::Method;
+use trillium_client::{Client, Conn};
+
+/// Largest answer of a plain service.
+const MAX_ANSWER_BYTES: u64 = 16 << 20;
+
+/// A call to a plain service.
+#[derive(Clone)]
+pub(crate) struct ServiceCall {
+    pub(crate) method: Method,
+    /// Path and query at the server.
+    pub(crate) path: String,
+    pub(crate) body: Vec<u8>,
+    pub(crate) content_type: Option<String>,
+    pub(crate) request_id: String,
+    /// Header and value of the idempotency key.
+    pub(crate) key: Option<(String, String)>,
+}
+
+/// The whole answer of a server.
+#[derive(Debug, Clone)]
+pub(crate) struct ServiceAnswer {
+    pub(crate) status: u16,
+    pub(crate) content_type: String,
+    pub(crate) body: Vec<u8>,
+}
+
+/// What sending has led to.
+pub(crate) enum Called {
+    Answered(ServiceAnswer),
+    /// Nothing was sent.
+    NotSent(String),
+    /// The call may have run, and its answer is lost.
+    Lost(String),
+}
+
+/// Sends a call once.
+pub(crate) async fn send(client: &Client, place: &Place, call: &ServiceCall, limit: Duration) -> Called {
+    use futures_lite::FutureExt;
+    let late = async {
+        smol::Timer::after(limit).await;
+        Called::Lost("no answer came in time".to_owned())
+    };
+    let called = exchange(client, place, call).or(late).await;
+    place.note(matches!(called, Called::Answered(_)));
+    called
+}
+
+async fn exchange(client: &Client, place: &Place, call: &ServiceCall) -> Called {
+    let conn = match request(client, place, call).await {
+        Ok(conn) => conn,
+        Err(error) if is_refused(&error) => {
+            return Called::NotSent(format!("{} does not accept connections", place.endpoint));
+        }
+        Err(error) => return Called::Lost(format!("the connection broke: {error}")),
+    };
+    answer_of(conn, &call.request_id).await
+}
+
+async fn request(
+    client: &Client,
+    place: &Place,
+    call: &ServiceCall,
+) -> trillium_client::Result<Conn> {
+    let url = format!("{}{}", place.url, call.path);
+    let mut conn = client
+        .build_conn(call.method, url)
+        .with_request_header(headers::REQUEST_ID, call.request_id.clone())
+        .with_body(call.body.clone());
+    if let Some(content_type) = &call.content_type {
+        conn = conn.with_request_header("content-type", content_type.clone());
+    }
+    if let Some((header, key)) = &call.key {
+        conn = conn.with_request_header(header.clone(), key.clone());
+    }
+    conn.await
+}
+
+async fn answer_of(mut conn: Conn, request_id: &str) -> Called {
+    let status = conn.status().map_or(0, |status| status as u16);
+    let headers = conn.response_headers();
+    let answered_id = headers.get_str(headers::REQUEST_ID).unwrap_or(request_id).to_owned();
+    let content_type =
+        headers.get_str("content-type").unwrap_or("application/octet-stream").to_owned();
+    let body = conn.response_body().with_max_len(MAX_ANSWER_BYTES);
+    let expected = body.content_length();
+    let body = match body.read_bytes().await {
+        Ok(body) => body,
+        Err(error) => return Called::Lost(format!("the answer broke off: {error}")),
+    };
+    if expected.is_some_and(|length| length != body.len() as u64) {
+        return Called::Lost("the answer broke off".to_owned());
+    }
+    if answered_id != request_id {
+        return Called::Lost("the answer belongs to another request".to_owned());
+    }
+    conn.recycle().await;
+    Called::Answered(ServiceAnswer { status, content_type, body })
+}
--- /dev/null
+++ b/crates/trestled/src/error.rs
@@ -0,0 +1,27 @@
+//! Errors that end the daemon, all of them at its start.
+
+use snafu::Snafu;
+use std::{io, net::SocketAddr};
+
+/// The result of starting the daemon.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+/// The daemon cannot start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum Error {
+    #[snafu(display("{source}; see --help"))]
+    Args { source: pico_args::Error },
+    #[snafu(display("{source}"))]
+    Config { source: trestle_config::Error },
+    #[snafu(display("log filter `{filter}` is not understood: {source}"))]
+    LogFilter { filter: String, source: tracing_subscriber::filter::ParseError },
+    #[snafu(display("address {address} cannot be used: {source}"))]
+    Listen { address: SocketAddr, source: io::Error },
+    #[snafu(display("the control thread cannot start: {source}"))]
+    Thread { source: io::Error },
+    #[snafu(display("metrics cannot be set up: {source}"))]
+    Metrics { source: opentelemetry_sdk::error::OTelSdkError },
+    #[snafu(display("signals cannot be received: {source}"))]
+    Signals { source: io::Error },
+}
--- /dev/null
+++ b/crates/trestled/src/main.rs
@@ -0,0 +1,57 @@
+//! The daemon of trestlestile.
+//!
+//! One daemon runs on each entry VM, and all are alike. A daemon has two sides:
+//!
+//! - *Control*: one thread holds a [`trestle_core::node::Node`] and nothing
+//!   else changes it ([`control`]). What the node asks for is carried out by
+//!   [`shell`], and comes back as events.
+//! - *Traffic*: all other threads carry requests ([`entry`]), serve peers
+//!   ([`peer_server`]) and operators ([`admin`]). They ask the control thread by
+//!   message, and read what they need to know from [`routing`].
+
+mod admin;
+mod args;
+mod asking;
+mod claims;
+mod config_watch;
+mod control;
+mod daemon;
+mod domains_watch;
+mod entry;
+mod error;
+mod logs;
+mod metrics;
+mod peer_server;
+mod routing;
+mod serve;
+mod shell;
+mod status;
+mod stop;
+mod vms_watch;
+
+use crate::{args::Args, daemon::Daemon, error::Result};
+use std::{process::ExitCode, sync::Arc};
+
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("trestled: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let Some(args) = Args::from_env()? else { return Ok(()) };
+    let settings = args.settings()?;
+    if args.check_only {
+        println!("{}: settings are in order", args.settings_path.display());
+        return Ok(());
+    }
+    logs::init(&settings.log)?;
+    let (daemon, control) = Daemon::new(settings)?;
+    control::start(Arc::clone(&daemon), control)?;
+    smol::block_on(daemon::run(daemon))
+}
--- /dev/null
+++ b/crates/trestled/src/peer_server.rs
@@ -0,0 +1,82 @@
+//! Serves other daemons.
+
+use crate::{
+    asking,
+    control::Message,
+    daemon::Daemon,
+    error::{ListenSnafu, Result},
+};
+use async_compat::{Compat, CompatExt};
+use futures_util::StreamExt;
+use smol::net::{TcpListener, TcpStream};
+use snafu::ResultExt;
+use std::sync::Arc;
+use tarpc::{
+    context::Context,
+    serde_transport,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+use tokio_util::codec::LengthDelimitedCodec;
+use trestle_core::{event::Event, permit::Ticket};
+use trestle_wire::peer::{Peer, WireAnswer, WireAsk, WireConfig};
+
+/// Begins to listen for peers.
+pub(crate) async fn listen(daemon: &Daemon) -> Result<TcpListener> {
+    let address = daemon.peers_address();
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+/// Serves peers until the process ends.
+pub(crate) async fn run(daemon: Arc<Daemon>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => smol::spawn(serve(Arc::clone(&daemon), stream)).detach(),
+            Err(error) => tracing::warn!("peer: A connection was not accepted: {error}."),
+        }
+    }
+}
+
+async fn serve(daemon: Arc<Daemon>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!("peer: A connection stays slow: {error}.");
+    }
+    let framed = LengthDelimitedCodec::builder().new_framed(stream.compat());
+    let transport = serde_transport::new(framed, Bincode::default());
+    let requests = BaseChannel::with_defaults(transport).execute(PeerServer(daemon).serve());
+    let each = requests.for_each(|answering| async {
+        smol::spawn(Compat::new(answering)).detach();
+    });
+    Compat::new(each).await;
+}
+
+/// Answers the questions of peers.
+#[derive(Clone)]
+struct PeerServer(Arc<Daemon>);
+
+impl Peer for PeerServer {
+    async fn ask(self, _: Context, ask: WireAsk) -> WireAnswer {
+        asking::take_ask(self.0, ask).await
+    }
+
+    async fn release(self, _: Context, endpoint: String, ticket: u64) {
+        self.0.tell(Event::Release(endpoint.into(), Ticket(ticket)));
+    }
+
+    async fn owns(self, _: Context, endpoint: String) -> bool {
+        let (reply, answer) = async_channel::bounded(1);
+        self.0.send(Message::Owns(endpoint.into(), reply));
+        answer.recv().await.unwrap_or(false)
+    }
+
+    async fn config_after(self, _: Context, version: u64) -> Option<WireConfig> {
+        let routing = self.0.routing();
+        let ours = routing.config.catalog.version;
+        let text = routing.config_text.to_string();
+        (ours > version).then_some(WireConfig { version: ours, text })
+    }
+
+    async fn config_version(self, _: Context) -> u64 {
+        self.0.routing().config.catalog.version
+    }
+}
--- /dev/null
+++ b/crates/trestled/src/shell.rs
@@ -0,0 +1,99 @@
+//! Carries out what the node asks for, and tells it the outcome.
+
+use crate::daemon::Daemon;
+use std::sync::Arc;
+use trestle_core::{
+    event::{Action, CommitPurpose, Event, ReadPurpose},
+    names::{EndpointName, VmName},
+    order::{Order, OrderOutcome},
+    row::{CommitOutcome, RowKey, Txn},
+};
+
+/// Carries out one action, in a task of its own where it takes time.
+pub(crate) fn carry_out(daemon: &Arc<Daemon>, action: Action) {
+    let daemon = Arc::clone(daemon);
+    match action {
+        Action::Read(purpose, keys) => smol::spawn(read(daemon, purpose, keys)).detach(),
+        Action::Commit(purpose, txn) => smol::spawn(commit(daemon, purpose, txn)).detach(),
+        Action::Probe { vm, address, endpoint } => {
+            smol::spawn(probe(daemon, vm, address, endpoint)).detach();
+        }
+        Action::Order(endpoint, order) => smol::spawn(send_order(daemon, endpoint, order)).detach(),
+        Action::FetchReport(endpoint) => smol::spawn(fetch_report(daemon, endpoint)).detach(),
+        Action::Members(row) => {
+            tracing::info!("member: Epoch {} has {} members.", row.epoch, row.members.len());
+            daemon.metrics.epoch(row.epoch);
+            let domain = daemon.settings.domain.as_str().into();
+            daemon.change_routing(|routing| routing.take_members(domain, row));
+        }
+        Action::Ownership { endpoint, fence: Some(fence) } => {
+            let (epoch, rank) = (fence.epoch(), fence.rank());
+            tracing::info!("owner: Claiming {endpoint} at epoch {epoch} with rank {rank}.");
+        }
+        Action::Ownership { endpoint, fence: None } => {
+            tracing::info!("owner: Gave up {endpoint}.");
+        }
+        Action::Left => {
+            tracing::info!("member: Left the failure domain.");
+            daemon.asking.left();
+        }
+        Action::Answer(..) => {}
+    }
+}
+
+async fn read(daemon: Arc<Daemon>, purpose: ReadPurpose, keys: Vec<RowKey>) {
+    daemon.metrics.table_read();
+    let rows = match daemon.platform.read(&keys).await {
+        Ok(rows) => {
+            daemon.platform_answered();
+            Some(rows)
+        }
+        Err(error) => {
+            tracing::warn!("platform: A read failed: {error}.");
+            None
+        }
+    };
+    daemon.tell(Event::Read(purpose, rows));
+}
+
+async fn commit(daemon: Arc<Daemon>, purpose: CommitPurpose, txn: Txn) {
+    daemon.metrics.table_write();
+    let outcome = daemon.platform.commit(&txn).await;
+    if outcome == CommitOutcome::Unknown {
+        tracing::warn!("platform: The outcome of a write is not known; reading it back.");
+    } else {
+        daemon.platform_answered();
+    }
+    daemon.tell(Event::Committed(purpose, outcome));
+}
+
+async fn probe(daemon: Arc<Daemon>, vm: VmName, address: String, endpoint: EndpointName) {
+    let owns = daemon.peers.owns(&address, endpoint.as_str()).await.ok();
+    daemon.tell(Event::Probed { vm, endpoint, owns });
+}
+
+async fn send_order(daemon: Arc<Daemon>, endpoint: EndpointName, order: Order) {
+    tracing::debug!("owner: Ordering {:?} at {endpoint}.", order.kind);
+    let url = daemon.routing().config.engine_urls.get(&endpoint).cloned();
+    let outcome = match url {
+        Some(url) => daemon.engine.order(&url, &order).await,
+        None => OrderOutcome::Unknown,
+    };
+    match &outcome {
+        OrderOutcome::Accepted(_) => {}
+        OrderOutcome::Refused(fence) => {
+            tracing::warn!("owner: {endpoint} refused an order; it has taken {}.", fence.as_u64());
+        }
+        OrderOutcome::Impossible(_) => {
+            tracing::warn!("owner: {endpoint} cannot carry out {:?}.", order.kind);
+        }
+        OrderOutcome::Unknown => tracing::warn!("owner: {endpoint} did not answer an order."),
+    }
+    daemon.tell(Event::Ordered { endpoint, fence: order.fence, outcome });
+}
+
+async fn fetch_report(daemon: Arc<Daemon>, endpoint: EndpointName) {
+    let Some(url) = daemon.routing().config.engine_urls.get(&endpoint).cloned() else { return };
+    let report = daemon.engine.report(&url).await.ok();
+    daemon.tell(Event::Reported { endpoint, report });
+}
--- /dev/null
+++ b/crates/trestled/src/status.rs
@@ -0,0 +1,74 @@
+//! The state of the daemon, for operators.
+
+use crate::daemon::Daemon;
+use std::collections::BTreeMap;
+use trestle_core::{
+    node::Node,
+    order::Phase,
+    seat::{Role, Seat},
+};
+use trestle_wire::admin::{EndpointStatus, Status};
+
+/// The state of the daemon.
+pub(crate) fn of(daemon: &Daemon, node: &Node) -> Status {
+    let row = node.membership().row();
+    let members = row.members.iter().map(|(vm, member)| (vm.to_string(), member.address.clone()));
+    let seats = node.seats().iter().map(|(endpoint, seat)| (endpoint.to_string(), endpoint_of(seat)));
+    Status {
+        vm: daemon.me.to_string(),
+        domain: daemon.settings.domain.clone(),
+        ready: daemon.is_ready(),
+        config_version: daemon.routing().config.catalog.version,
+        platform_silent_ms: Some(daemon.platform_silent_ms()),
+        epoch: row.epoch,
+        members: members.collect(),
+        endpoints: seats.collect(),
+    }
+}
+
+fn endpoint_of(seat: &Seat) -> EndpointStatus {
+    let owned = seat.owned();
+    let (role, fence) = match &seat.role {
+        Role::Owner(owned) => ("owner", owned.fence().as_u64()),
+        Role::Standby => ("standby", 0),
+        Role::SteppedDown(fence) => ("stepped_down", fence.as_u64()),
+    };
+    let held: BTreeMap<String, String> = owned
+        .into_iter()
+        .flat_map(|owned| owned.phases())
+        .map(|(model, phase)| (model.to_string(), phase_text(phase).to_owned()))
+        .collect();
+    EndpointStatus {
+        role: role.to_owned(),
+        rank: seat.rank,
+        fence,
+        confirmed: owned.is_some_and(|owned| owned.is_confirmed()),
+        silent: owned.is_some_and(|owned| owned.is_silent()),
+        placed: placed_of(seat),
+        held,
+        permits_out: owned.map_or(0, |owned| owned.permits_out()),
+        waiting: owned.map_or(0, |owned| owned.waiting()),
+    }
+}
+
+fn placed_of(seat: &Seat) -> BTreeMap<String, String> {
+    let placed = seat.row.placed.iter().map(|(model, placement)| {
+        let state = match &placement.retiring {
+            None => "active".to_owned(),
+            Some(retiring) => {
+                let vms: Vec<&str> = retiring.waiting_for.iter().map(AsRef::as_ref).collect();
+                format!("retiring since epoch {}, seen by {}", retiring.epoch, vms.join(", "))
+            }
+        };
+        (model.to_string(), state)
+    });
+    placed.collect()
+}
+
+fn phase_text(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Loading => "loading",
+        Phase::Ready => "ready",
+        Phase::Unloading => "unloading",
+    }
+}
