Unload at endpoints that ignore numbers only by taking the placement away

Cause: with two daemons cut from each other, both own an endpoint that ignores numbers, and one unloads what the other has just given a permit for. Also found on the way: a renewal acknowledged an epoch the daemon had only read, not yet acted on. Ruled out: unloading only by rank 0 (ranks differ at one epoch only by belief); a longer pause before the unload (a time-out is no proof). Change: there, an idle model is retired (marked, epoch moved on, every VM that could act has acknowledged, orders settled) before it is unloaded, and comes back by an ordinary placement; a request that comes before the unload is still served. Elsewhere an unload follows a look that no report can have delayed.

--- a/crates/trestle-core/src/membership.rs
+++ b/crates/trestle-core/src/membership.rs
@@ -121,10 +121,10 @@
         keys
     }
 
-    /// The renewal of this daemon's lease.
-    pub fn renewal(&mut self, now_ms: u64) -> Txn {
+    /// The renewal of this daemon's lease, with the epoch it acts on.
+    pub fn renewal(&mut self, now_ms: u64, acted_epoch: u64) -> Txn {
         self.renewal_sent_ms = now_ms;
-        self.lease = LeaseRow { renewals: self.lease.renewals + 1, epoch: self.row.epoch };
+        self.lease = LeaseRow { renewals: self.lease.renewals + 1, epoch: acted_epoch };
         let mut txn = Txn::default();
         txn.writes.insert(self.lease_key(&self.me), Some(Row::Lease(self.lease)));
         txn
--- a/crates/trestle-core/src/node.rs
+++ b/crates/trestle-core/src/node.rs
@@ -16,6 +16,7 @@
     membership_row::Member,
     names::{DomainName, EndpointName, VmName},
     order::{OrderOutcome, Report},
+    owned::Owned,
     permit::{PermitAnswer, PermitAsk, Ticket},
     review::Review,
     row::{CommitOutcome, Row, RowKey, Rows, Versioned},
@@ -133,7 +134,7 @@
 
     fn follow_membership(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
         if self.membership.is_member() {
-            let renewal = self.membership.renewal(now_ms);
+            let renewal = self.membership.renewal(now_ms, self.acted_epoch);
             actions.push(Action::Commit(CommitPurpose::Renewal, renewal));
         }
         let keys = self.membership.keys_to_read();
@@ -327,7 +328,7 @@
         match &mut seat.role {
             Role::Owner(owned) => owned.reclaim(fence),
             role => {
-                let mut owned = crate::owned::Owned::new(spec.clone(), fence, self.timing);
+                let mut owned = Owned::new(spec.clone(), fence, &seat.row, self.timing);
                 owned.set_leaving(self.vms.is_leaving(endpoint.as_str()));
                 *role = Role::Owner(Box::new(owned));
             }
@@ -454,7 +455,6 @@
 
     /// Grants, refuses and orders whatever is due at an owned endpoint.
     fn drive(&mut self, endpoint: &EndpointName, now_ms: u64, actions: &mut Vec<Action>) {
-        let fresh = self.membership.lease_is_fresh(now_ms);
         let Some(seat) = self.seats.get_mut(endpoint) else { return };
         let Role::Owner(owned) = &mut seat.role else { return };
         owned.give_up_order(now_ms);
@@ -462,7 +462,7 @@
         let answers =
             owned.grant(now_ms).into_iter().chain(owned.refuse_late(&self.catalog, now_ms));
         actions.extend(answers.map(|(ticket, answer)| Action::Answer(ticket, answer)));
-        let order = owned.next_order(&seat.row, &self.catalog, now_ms, fresh);
+        let order = owned.next_order(&seat.row, &self.catalog, now_ms);
         actions.extend(order.map(|order| Action::Order(endpoint.clone(), order)));
     }
 
@@ -503,7 +503,7 @@
     fn with_owned<R>(
         &mut self,
         endpoint: &EndpointName,
-        change: impl FnOnce(&mut crate::owned::Owned) -> R,
+        change: impl FnOnce(&mut Owned) -> R,
     ) -> Option<R> {
         self.seats.get_mut(endpoint)?.owned_mut().map(change)
     }
--- a/crates/trestle-core/src/owned.rs
+++ b/crates/trestle-core/src/owned.rs
@@ -19,7 +19,7 @@
     queue::Queue,
     timing::Timing,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Requests of one tenant that may wait at one endpoint.
 const MAX_WAITING_PER_TENANT: usize = 256;
@@ -55,6 +55,9 @@
     service_ms: BTreeMap<ModelName, u64>,
     failed_ms: BTreeMap<ModelName, u64>,
     leaving: bool,
+    released: BTreeSet<ModelName>,
+    inherited: BTreeSet<ModelName>,
+    unload_sent_ms: Option<u64>,
     unanswered: u32,
     resend_at_ms: u64,
 }
@@ -87,7 +90,12 @@
 
 impl Owned {
     /// An endpoint whose owner has yet to claim it.
-    pub fn new(spec: EngineSpec, fence: Fence, timing: Timing) -> Self {
+    ///
+    /// Placements that were on their way out before are inherited: an earlier
+    /// owner may have sent an unload for them.
+    pub fn new(spec: EngineSpec, fence: Fence, placed: &EndpointRow, timing: Timing) -> Self {
+        let retiring = placed.placed.keys().filter(|model| !placed.is_active(model));
+        let inherited = retiring.cloned().collect();
         Self {
             spec,
             timing,
@@ -105,6 +113,9 @@
             service_ms: BTreeMap::new(),
             failed_ms: BTreeMap::new(),
             leaving: false,
+            released: BTreeSet::new(),
+            inherited,
+            unload_sent_ms: None,
             unanswered: 0,
             resend_at_ms: 0,
         }
@@ -115,6 +126,7 @@
         self.fence = fence;
         self.confirmed_ms = None;
         self.looked_ms = None;
+        self.released.clear();
         self.in_flight = None;
         self.to_resend = None;
     }
@@ -149,6 +161,24 @@
         self.unanswered >= SILENT_AFTER
     }
 
+    /// Whether every unload that this owner has sent has reached the endpoint, or never will.
+    pub fn unloads_have_settled(&self, now_ms: u64) -> bool {
+        let settle_ms = self.timing.order_settle_ms;
+        self.unload_sent_ms.is_none_or(|sent_ms| now_ms >= sent_ms + settle_ms)
+    }
+
+    /// Whether requests run on the model or wait for it, or did a short while ago.
+    pub fn is_in_use(&self, model: &ModelName, keep_ms: u64, now_ms: u64) -> bool {
+        let used_ms = self.used_ms.get(model);
+        let is_whole = self.is_ready(model) && self.no_unload_can_come(model, now_ms);
+        is_whole && used_ms.is_some_and(|used_ms| now_ms < used_ms.saturating_add(keep_ms))
+    }
+
+    /// Sets the models that no other owner can give permits for any more.
+    pub fn set_released(&mut self, models: BTreeSet<ModelName>) {
+        self.released = models;
+    }
+
     /// Whether the permit is out.
     pub fn has_permit(&self, ticket: Ticket) -> bool {
         self.permits.contains_key(&ticket)
@@ -170,12 +200,11 @@
         placed: &EndpointRow,
         catalog: &Catalog,
         now_ms: u64,
-        lease_is_fresh: bool,
     ) -> Option<Order> {
         if self.in_flight.is_some() || now_ms < self.resend_at_ms {
             return None;
         }
-        let kind = self.next_kind(placed, catalog, now_ms, lease_is_fresh)?;
+        let kind = self.next_kind(placed, catalog, now_ms)?;
         self.reserve(&kind, now_ms);
         self.fence = self.fence.next();
         let order = Order { fence: self.fence, kind };
@@ -234,7 +263,9 @@
         catalog: &Catalog,
         now_ms: u64,
     ) -> Option<PermitAnswer> {
-        let model = catalog.models.get(&ask.model).filter(|_| placed.is_active(&ask.model));
+        let may_serve =
+            placed.is_active(&ask.model) || self.serves_retiring(&ask.model, placed, now_ms);
+        let model = catalog.models.get(&ask.model).filter(|_| may_serve);
         let Some(model) = model else {
             return Some(PermitAnswer::NotPlaced);
         };
@@ -339,6 +370,21 @@
         }
     }
 
+    /// Whether a model that is on its way out can still be served.
+    ///
+    /// Where the endpoint ignores numbers, an idle model is unloaded by taking
+    /// its placement away. Until the unload is sent, only this owner can send
+    /// it, so a request that comes in time is served.
+    fn serves_retiring(&self, model: &ModelName, placed: &EndpointRow, now_ms: u64) -> bool {
+        let is_placed = placed.placed.contains_key(model);
+        let is_whole = self.is_ready(model) && self.no_unload_can_come(model, now_ms);
+        self.spec.fencing == Fencing::Ignored && is_placed && is_whole
+    }
+
+    fn no_unload_can_come(&self, model: &ModelName, now_ms: u64) -> bool {
+        !self.inherited.contains(model) && self.unloads_have_settled(now_ms)
+    }
+
     fn may_grant(&self) -> bool {
         self.is_confirmed() && !self.leaving && !self.is_silent()
     }
@@ -352,7 +398,6 @@
         placed: &EndpointRow,
         catalog: &Catalog,
         now_ms: u64,
-        lease_is_fresh: bool,
     ) -> Option<OrderKind> {
         if !self.is_confirmed() {
             return Some(OrderKind::Claim);
@@ -367,13 +412,20 @@
             let (model, memory_bytes) = (model.clone(), *memory_bytes);
             return Some(OrderKind::Load { model, memory_bytes });
         }
-        if self.spec.fencing == Fencing::Ignored && !lease_is_fresh {
-            return None;
-        }
-        let needs_room = load.is_some();
-        let unneeded = self.unneeded(placed, catalog, now_ms);
-        let model = unneeded.or_else(|| self.victim().filter(|_| needs_room))?;
-        self.unload_or_look(model, now_ms)
+        let model = match self.spec.fencing {
+            Fencing::Checked => {
+                let needs_room = load.is_some();
+                let unneeded = self.unneeded(placed, catalog, now_ms);
+                unneeded.or_else(|| self.victim().filter(|_| needs_room))
+            }
+            Fencing::Ignored => self.idle_released(),
+        };
+        self.unload_or_look(model?, now_ms)
+    }
+
+    /// An idle model that no other owner can give permits for any more.
+    fn idle_released(&self) -> Option<ModelName> {
+        self.idle().map(|(model, _)| model).find(|model| self.released.contains(*model)).cloned()
     }
 
     /// Unloads an idle model, or first looks whether it really is idle.
@@ -398,7 +450,12 @@
     }
 
     /// A ready model that is not placed here any more, or that nobody has asked for in a while.
-    fn unneeded(&self, placed: &EndpointRow, catalog: &Catalog, now_ms: u64) -> Option<ModelName> {
+    pub(crate) fn unneeded(
+        &self,
+        placed: &EndpointRow,
+        catalog: &Catalog,
+        now_ms: u64,
+    ) -> Option<ModelName> {
         let is_kept = |model: &ModelName, held: &Held| {
             let keep_ms = catalog.models.get(model).map_or(0, |spec| spec.keep_ms);
             let used_ms = self.used_ms.get(model).copied().unwrap_or(held.since_ms);
@@ -449,6 +506,7 @@
                 self.held.entry(model.clone()).or_insert(held).since_ms = now_ms;
             }
             OrderKind::Unload { model } => {
+                self.unload_sent_ms = Some(now_ms);
                 if let Some(held) = self.held.get_mut(model) {
                     held.phase = Phase::Unloading;
                 }
--- a/crates/trestle-core/src/placing.rs
+++ b/crates/trestle-core/src/placing.rs
@@ -120,6 +120,39 @@
     Some(txn)
 }
 
+/// A transaction that takes the marks off placements that are wanted after all.
+///
+/// A placement that is given back is safe at once, like one that is added.
+pub fn keep(
+    site: Site<'_>,
+    models: &[&ModelName],
+    rows: &Rows,
+    catalog: &Catalog,
+    membership: &Membership,
+) -> Option<Txn> {
+    let mut row = site.row.clone();
+    let mut is_changed = false;
+    for name in models {
+        let Some(spec) = catalog.models.get(*name) else { continue };
+        let placement = row.placed.get_mut(*name)?;
+        let (_, replicas) = model_row(rows, name);
+        if replicas.replicas.len() > spec.max_replicas
+            || spec.memory_bytes != placement.memory_bytes
+        {
+            continue;
+        }
+        placement.retiring = None;
+        is_changed = true;
+    }
+    if !is_changed {
+        return None;
+    }
+    let mut txn = Txn::default();
+    replace_endpoint(&mut txn, site, row);
+    txn.checks.insert(membership.key(), membership.version());
+    Some(txn)
+}
+
 /// A transaction that removes retired placements and gives their replicas back.
 pub fn remove(site: Site<'_>, models: &[&ModelName], rows: &Rows) -> Option<Txn> {
     let mut row = site.row.clone();
--- a/crates/trestle-core/src/review.rs
+++ b/crates/trestle-core/src/review.rs
@@ -3,6 +3,7 @@
 use crate::{
     candidates::MAX_CANDIDATES,
     catalog::Fencing,
+    endpoint_row::Retiring,
     event::{Action, CommitPurpose, ReadPurpose},
     names::{EndpointName, ModelName, VmName},
     node::Node,
@@ -81,61 +82,117 @@
     }
 
     fn placing_txn(&mut self, endpoint: &EndpointName, rows: &Rows, now_ms: u64) -> Option<Txn> {
-        let removable = self.removable(endpoint, rows, now_ms);
+        let settled = self.settled(endpoint, rows, now_ms);
+        let removable = self.removable(endpoint, &settled, now_ms);
+        if let Some(owned) = self.seats.get_mut(endpoint)?.owned_mut() {
+            owned.set_released(settled);
+        }
         let seat = self.seats.get(endpoint)?;
         let site = self.site(endpoint, seat)?;
         if !removable.is_empty() {
             return placing::remove(site, &removable.iter().collect::<Vec<_>>(), rows);
         }
-        if self.vms.is_leaving(endpoint.as_str()) {
-            let active = seat.row.placed.keys().filter(|model| seat.row.is_active(model));
-            let models: Vec<&ModelName> = active.collect();
-            return (!models.is_empty())
-                .then(|| placing::retire(site, &models, &self.membership))
-                .flatten();
-        }
-        let unwanted = placing::unwanted(site, &self.catalog, rows);
+        let unwanted = if self.vms.is_leaving(endpoint.as_str()) {
+            seat.row.placed.keys().filter(|model| seat.row.is_active(model)).collect()
+        } else {
+            placing::unwanted(site, &self.catalog, rows)
+        };
         if !unwanted.is_empty() {
             return placing::retire(site, &unwanted, &self.membership);
         }
+        if self.vms.is_leaving(endpoint.as_str()) {
+            return None;
+        }
+        if let Some(txn) = self.rest_or_wake(site, seat, rows, now_ms) {
+            return Some(txn);
+        }
         let wanted = placing::wanted(site, &self.catalog, self.review.round.saturating_sub(1));
         placing::place(site, &wanted, rows, &self.catalog, &self.membership)
     }
 
-    /// Retired placements that no owner can load any more.
-    fn removable(&mut self, endpoint: &EndpointName, rows: &Rows, now_ms: u64) -> Vec<ModelName> {
-        let Some(seat) = self.seats.get(endpoint) else { return Vec::new() };
-        if self.vms.is_gone(endpoint.as_str(), &self.timing) {
-            return seat.row.placed.keys().cloned().collect();
+    /// Takes an idle model's placement away from an endpoint that ignores
+    /// numbers, or gives it back if a request has come in time.
+    ///
+    /// Such an endpoint cannot tell an owner's unload from that of a daemon
+    /// that no longer is the owner, so a model is unloaded there only once no
+    /// other daemon can give permits for it.
+    fn rest_or_wake(&self, site: Site<'_>, seat: &Seat, rows: &Rows, now_ms: u64) -> Option<Txn> {
+        let owned = seat.owned().filter(|_| site.spec.fencing == Fencing::Ignored)?;
+        let wakes = |model: &&ModelName| {
+            let spec = self.catalog.models.get(*model);
+            let is_retiring = !seat.row.is_active(model);
+            let keep_ms = spec.map_or(0, |spec| spec.keep_ms);
+            is_retiring && owned.is_in_use(model, keep_ms, now_ms)
+        };
+        let woken: Vec<&ModelName> = seat.row.placed.keys().filter(wakes).collect();
+        if !woken.is_empty() {
+            return placing::keep(site, &woken, rows, &self.catalog, &self.membership);
         }
-        let Some(owned) = seat.owned() else { return Vec::new() };
-        let mut removable = Vec::new();
+        let idle = owned.unneeded(&seat.row, &self.catalog, now_ms)?;
+        let is_active = seat.row.is_active(&idle);
+        is_active.then(|| placing::retire(site, &[&idle], &self.membership)).flatten()
+    }
+
+    /// Retired placements that no owner but this one can act on any more.
+    fn settled(
+        &mut self,
+        endpoint: &EndpointName,
+        rows: &Rows,
+        now_ms: u64,
+    ) -> BTreeSet<ModelName> {
+        let Some(seat) = self.seats.get(endpoint) else { return BTreeSet::new() };
+        let Some(owned) = seat.owned() else { return BTreeSet::new() };
+        let fencing = self.catalog.engines.get(endpoint).map(|spec| spec.fencing);
+        let mut settled = BTreeSet::new();
         for (model, placement) in &seat.row.placed {
-            let Some(retiring) = &placement.retiring else { continue };
-            let is_current = owned.is_confirmed() && owned.fence().epoch() >= retiring.epoch;
-            if !is_current || !owned.is_absent(model) {
-                continue;
-            }
             let key = (endpoint.clone(), model.clone());
-            let is_settled = match self.catalog.engines.get(endpoint).map(|spec| spec.fencing) {
-                Some(Fencing::Checked) => true,
-                _ => {
-                    let acknowledged = self.acknowledged(rows, retiring.epoch);
-                    let gone = self.gone_vms();
-                    if placing::is_acknowledged(retiring, &acknowledged, &gone) {
-                        let since_ms =
-                            *self.review.acknowledged_since_ms.entry(key).or_insert(now_ms);
-                        now_ms >= since_ms + self.timing.settle_ms
-                    } else {
-                        false
-                    }
-                }
+            let Some(retiring) = &placement.retiring else {
+                self.review.acknowledged_since_ms.remove(&key);
+                continue;
             };
-            if is_settled {
-                removable.push(model.clone());
+            let is_current = owned.is_confirmed() && owned.fence().epoch() >= retiring.epoch;
+            if is_current && fencing == Some(Fencing::Checked) {
+                settled.insert(model.clone());
+            } else if is_current && self.is_acknowledged(retiring, rows) {
+                let since_ms = *self.review.acknowledged_since_ms.entry(key).or_insert(now_ms);
+                if now_ms >= since_ms + self.timing.order_settle_ms {
+                    settled.insert(model.clone());
+                }
+            } else {
+                self.review.acknowledged_since_ms.remove(&key);
             }
         }
-        removable
+        settled
+    }
+
+    /// Whether no VM but those that have taken note can act on the placement.
+    fn is_acknowledged(&self, retiring: &Retiring, rows: &Rows) -> bool {
+        let acknowledged = self.acknowledged(rows, retiring.epoch);
+        let gone = self.gone_vms();
+        let unsettled = &self.membership.row().unsettled;
+        let is_settled = |vm: &VmName| gone.contains(vm) || !unsettled.contains(vm);
+        placing::is_acknowledged(retiring, &acknowledged, &gone)
+            && retiring.waiting_for.iter().all(is_settled)
+    }
+
+    /// Retired placements whose model is gone for good.
+    fn removable(
+        &self,
+        endpoint: &EndpointName,
+        settled: &BTreeSet<ModelName>,
+        now_ms: u64,
+    ) -> Vec<ModelName> {
+        let Some(seat) = self.seats.get(endpoint) else { return Vec::new() };
+        if self.vms.is_gone(endpoint.as_str(), &self.timing) {
+            return seat.row.placed.keys().cloned().collect();
+        }
+        let Some(owned) = seat.owned() else { return Vec::new() };
+        let is_checked =
+            self.catalog.engines.get(endpoint).is_some_and(|spec| spec.fencing == Fencing::Checked);
+        if !is_checked && !owned.unloads_have_settled(now_ms) {
+            return Vec::new();
+        }
+        settled.iter().filter(|model| owned.is_absent(model)).cloned().collect()
     }
 
     /// VMs whose lease says that they act on the epoch or a later one.
--- a/crates/trestle-core/src/timing.rs
+++ b/crates/trestle-core/src/timing.rs
@@ -18,6 +18,8 @@
     pub refresh_ms: u64,
     /// Time after which an order without an answer is sent again.
     pub order_ms: u64,
+    /// Time after which an order that was sent has reached the endpoint, or never will.
+    pub order_settle_ms: u64,
     /// Time after which a load that no report shows is ordered again.
     pub load_ms: u64,
     /// Time a VM must be gone from the platform's list to be held gone.
@@ -34,6 +36,7 @@
             review_ms: 5_000,
             refresh_ms: 30_000,
             order_ms: 1_000,
+            order_settle_ms: 5_000,
             load_ms: 60_000,
             settle_ms: 30_000,
         }
--- a/crates/trestle-core/tests/interleavings.rs
+++ b/crates/trestle-core/tests/interleavings.rs
@@ -15,7 +15,7 @@
 const STEPS: u64 = 120;
 
 /// A kind of fault that a run may have.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
     Kill,
     Freeze,
@@ -94,6 +94,9 @@
 }
 
 fn run(seed: u64, kinds: &[Fault]) {
+    if std::env::var("TRESTLE_TRACE").is_ok() {
+        eprintln!("seed {seed}, faults {kinds:?}");
+    }
     let faults = Faults { report_lag_ms: 400, ..Faults::default() };
     let mut world = World::new(seed, catalog(), &DAEMONS, faults);
     world.run_for(5_000);
@@ -118,21 +121,27 @@
 /// With all faults gone, every model can be served again.
 fn settle(world: &mut World) {
     world.faults = Faults::default();
+    for engine in ENGINES {
+        world.list(engine, Some(VmState::Live));
+    }
+    // Daemons that were told to stop need a moment to do so.
+    world.run_for(10_000);
     for (vm, domain) in DAEMONS {
         if !world.is_alive(vm) {
             world.start(vm, domain);
         }
     }
-    for engine in ENGINES {
-        world.list(engine, Some(VmState::Live));
-    }
     world.run_for(60_000);
     for model in MODELS {
         assert!(world.table.replicas(model) > 0, "{model} has no place after all faults are gone");
     }
     for engine in ENGINES {
         let owner = world.owner_of(engine);
-        assert!(owner.is_some(), "{engine} has no owner after all faults are gone");
+        assert!(
+            owner.is_some(),
+            "{engine} has no owner after all faults are gone: {}",
+            world.describe(engine)
+        );
     }
 }
 
--- a/crates/trestle-core/tests/world/engine.rs
+++ b/crates/trestle-core/tests/world/engine.rs
@@ -9,8 +9,8 @@
 };
 
 /// A fake engine.
-pub struct Engine {
-    pub refused_orders: u64,
+pub(crate) struct Engine {
+    pub(crate) refused_orders: u64,
     spec: EngineSpec,
     fence: Fence,
     sequence: u64,
@@ -20,14 +20,14 @@
 }
 
 /// What an order has led to.
-pub struct Taken {
-    pub outcome: OrderOutcome,
-    pub loading: Option<ModelName>,
-    pub unloading: Option<ModelName>,
+pub(crate) struct Taken {
+    pub(crate) outcome: OrderOutcome,
+    pub(crate) loading: Option<ModelName>,
+    pub(crate) unloading: Option<ModelName>,
 }
 
 impl Engine {
-    pub fn new(spec: EngineSpec) -> Self {
+    pub(crate) fn new(spec: EngineSpec) -> Self {
         Self {
             refused_orders: 0,
             spec,
@@ -39,7 +39,7 @@
         }
     }
 
-    pub fn take(
+    pub(crate) fn take(
         &mut self,
         order: Order,
         decided: &BTreeSet<ModelName>,
@@ -87,20 +87,20 @@
         taken
     }
 
-    pub fn loaded(&mut self, model: &ModelName) {
+    pub(crate) fn loaded(&mut self, model: &ModelName) {
         if let Some(state) = self.models.get_mut(model) {
             state.phase = Phase::Ready;
         }
         self.changed();
     }
 
-    pub fn unloaded(&mut self, model: &ModelName) {
+    pub(crate) fn unloaded(&mut self, model: &ModelName) {
         self.models.remove(model);
         self.changed();
     }
 
     /// Begins a request, if the model is ready.
-    pub fn begin(&mut self, model: &ModelName) -> bool {
+    pub(crate) fn begin(&mut self, model: &ModelName) -> bool {
         let Some(state) = self.models.get_mut(model) else { return false };
         if state.phase != Phase::Ready {
             return false;
@@ -110,19 +110,14 @@
         true
     }
 
-    pub fn end(&mut self, model: &ModelName) {
+    pub(crate) fn end(&mut self, model: &ModelName) {
         if let Some(state) = self.models.get_mut(model) {
             state.running -= 1;
         }
         self.changed();
     }
 
-    /// Whether a model takes memory.
-    pub fn holds(&self, model: &str) -> bool {
-        self.models.contains_key(model)
-    }
-
-    pub fn report_at(&self, at_ms: u64) -> Report {
+    pub(crate) fn report_at(&self, at_ms: u64) -> Report {
         let past = self.history.iter().rev().find(|(time_ms, _)| *time_ms <= at_ms);
         past.map_or_else(Report::default, |(_, report)| report.clone())
     }
--- a/crates/trestle-core/tests/world/faults.rs
+++ b/crates/trestle-core/tests/world/faults.rs
@@ -5,28 +5,28 @@
 
 /// What goes wrong in the world.
 #[derive(Default, Debug, Clone)]
-pub struct Faults {
-    pub platform_down: bool,
-    pub writes_down: bool,
-    pub lost_answers_percent: u8,
-    pub slow_orders_percent: u8,
-    pub slow_order_ms: u64,
-    pub report_lag_ms: u64,
-    pub platform_cut: BTreeSet<VmName>,
-    pub engine_cut: BTreeSet<(VmName, EndpointName)>,
-    pub peers_cut: BTreeSet<(VmName, VmName)>,
+pub(crate) struct Faults {
+    pub(crate) platform_down: bool,
+    pub(crate) writes_down: bool,
+    pub(crate) lost_answers_percent: u8,
+    pub(crate) slow_orders_percent: u8,
+    pub(crate) slow_order_ms: u64,
+    pub(crate) report_lag_ms: u64,
+    pub(crate) platform_cut: BTreeSet<VmName>,
+    pub(crate) engine_cut: BTreeSet<(VmName, EndpointName)>,
+    pub(crate) peers_cut: BTreeSet<(VmName, VmName)>,
 }
 
 impl Faults {
-    pub fn is_platform_cut(&self, vm: &VmName) -> bool {
+    pub(crate) fn is_platform_cut(&self, vm: &VmName) -> bool {
         self.platform_down || self.platform_cut.contains(vm)
     }
 
-    pub fn is_engine_cut(&self, vm: &VmName, endpoint: &EndpointName) -> bool {
+    pub(crate) fn is_engine_cut(&self, vm: &VmName, endpoint: &EndpointName) -> bool {
         self.engine_cut.contains(&(vm.clone(), endpoint.clone()))
     }
 
-    pub fn are_peers_cut(&self, a: &VmName, b: &VmName) -> bool {
+    pub(crate) fn are_peers_cut(&self, a: &VmName, b: &VmName) -> bool {
         self.peers_cut.contains(&(a.clone(), b.clone()))
             || self.peers_cut.contains(&(b.clone(), a.clone()))
     }
--- a/crates/trestle-core/tests/world/mod.rs
+++ b/crates/trestle-core/tests/world/mod.rs
@@ -10,8 +10,8 @@
 mod queue;
 mod table;
 
-pub use engine::Engine;
-pub use faults::Faults;
+use engine::Engine;
+pub(crate) use faults::Faults;
 use queue::Queue;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -76,15 +76,15 @@
 }
 
 /// A small world around real nodes.
-pub struct World {
-    pub faults: Faults,
-    pub table: Table,
-    pub engines: BTreeMap<EndpointName, Engine>,
-    pub catalog: Catalog,
-    pub granted: u64,
-    pub refused: u64,
-    pub loads: u64,
-    pub now_ms: u64,
+pub(crate) struct World {
+    pub(crate) faults: Faults,
+    pub(crate) table: Table,
+    pub(crate) engines: BTreeMap<EndpointName, Engine>,
+    pub(crate) catalog: Catalog,
+    pub(crate) granted: u64,
+    pub(crate) refused: u64,
+    pub(crate) loads: u64,
+    pub(crate) now_ms: u64,
     vms: BTreeMap<VmName, Vm>,
     queue: Queue<Happening>,
     rng: fastrand::Rng,
@@ -96,7 +96,12 @@
 
 impl World {
     /// A world with daemons and engines, nothing configured yet.
-    pub fn new(seed: u64, catalog: Catalog, daemons: &[(&str, &str)], faults: Faults) -> Self {
+    pub(crate) fn new(
+        seed: u64,
+        catalog: Catalog,
+        daemons: &[(&str, &str)],
+        faults: Faults,
+    ) -> Self {
         let engines = catalog.engines.iter();
         let engines: BTreeMap<_, _> =
             engines.map(|(name, spec)| (name.clone(), Engine::new(spec.clone()))).collect();
@@ -125,7 +130,7 @@
     }
 
     /// Starts a daemon, or starts it anew.
-    pub fn start(&mut self, vm: &str, domain: &str) {
+    pub(crate) fn start(&mut self, vm: &str, domain: &str) {
         self.next_run += 1;
         let name = VmName::from(vm);
         let domain = DomainName::from(domain);
@@ -143,25 +148,25 @@
     }
 
     /// Ends a daemon without warning.
-    pub fn kill(&mut self, vm: &str) {
+    pub(crate) fn kill(&mut self, vm: &str) {
         self.vm(vm).is_alive = false;
     }
 
     /// Freezes a daemon for a time.
-    pub fn freeze(&mut self, vm: &str, time_ms: u64) {
+    pub(crate) fn freeze(&mut self, vm: &str, time_ms: u64) {
         let until_ms = self.now_ms + time_ms;
         self.vm(vm).frozen_until_ms = until_ms;
     }
 
     /// Tells a daemon to stop as planned.
-    pub fn stop(&mut self, vm: &str) {
+    pub(crate) fn stop(&mut self, vm: &str) {
         let name = VmName::from(vm);
         let run = self.vms[&name].run;
         self.event_soon(&name, run, Event::Stop);
     }
 
     /// Puts a changed configuration in force.
-    pub fn configure(&mut self, change: impl FnOnce(&mut Catalog)) {
+    pub(crate) fn configure(&mut self, change: impl FnOnce(&mut Catalog)) {
         change(&mut self.catalog);
         self.catalog.version += 1;
         let catalog = Arc::new(self.catalog.clone());
@@ -171,7 +176,7 @@
     }
 
     /// Changes what the platform lists.
-    pub fn list(&mut self, name: &str, state: Option<VmState>) {
+    pub(crate) fn list(&mut self, name: &str, state: Option<VmState>) {
         match state {
             Some(state) => self.listed.insert(name.to_owned(), state),
             None => self.listed.remove(name),
@@ -179,19 +184,25 @@
     }
 
     /// The VM whose daemon owns an endpoint at the moment, by its own belief.
-    pub fn owner_of(&self, endpoint: &str) -> Option<VmName> {
+    pub(crate) fn owner_of(&self, endpoint: &str) -> Option<VmName> {
         let endpoint = EndpointName::from(endpoint);
         let owns = |vm: &Vm| vm.is_alive && vm.node.owns(&endpoint);
         self.vms.iter().find(|(_, vm)| owns(vm)).map(|(name, _)| name.clone())
     }
 
-    /// The node of a VM.
-    pub fn node(&self, vm: &str) -> &Node {
-        &self.vms[vm].node
+    /// What each daemon believes of an endpoint, for the message of a failed check.
+    pub(crate) fn describe(&self, endpoint: &str) -> String {
+        let describe = |(name, vm): (&VmName, &Vm)| {
+            let seat = vm.node.seats().get(endpoint);
+            let seat = seat.map(|seat| (seat.epoch, seat.rank, seat.owned().map(|o| o.fence())));
+            let epoch = vm.node.membership().row().epoch;
+            format!("{name}: alive {}, epoch {epoch}, seat {seat:?}", vm.is_alive)
+        };
+        self.vms.iter().map(describe).collect::<Vec<_>>().join("; ")
     }
 
     /// Asks a daemon for a permit, as an entry daemon would.
-    pub fn ask(&mut self, vm: &str, endpoint: &str, model: &str, ranks_lost: u8) -> Ticket {
+    pub(crate) fn ask(&mut self, vm: &str, endpoint: &str, model: &str, ranks_lost: u8) -> Ticket {
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
         let ask = PermitAsk {
@@ -215,7 +226,7 @@
     }
 
     /// Lets time go on.
-    pub fn run_for(&mut self, time_ms: u64) {
+    pub(crate) fn run_for(&mut self, time_ms: u64) {
         let end_ms = self.now_ms + time_ms;
         while let Some((at_ms, happening)) = self.queue.pop_before(end_ms) {
             self.now_ms = self.now_ms.max(at_ms);
@@ -225,22 +236,22 @@
     }
 
     /// A random number below a bound.
-    pub fn random(&mut self, below: u64) -> u64 {
+    pub(crate) fn random(&mut self, below: u64) -> u64 {
         self.rng.u64(..below.max(1))
     }
 
     /// Every VM name.
-    pub fn vm_names(&self) -> Vec<String> {
+    pub(crate) fn vm_names(&self) -> Vec<String> {
         self.vms.keys().map(ToString::to_string).collect()
     }
 
     /// Whether a VM's daemon runs.
-    pub fn is_alive(&self, vm: &str) -> bool {
+    pub(crate) fn is_alive(&self, vm: &str) -> bool {
         self.vms[vm].is_alive
     }
 
     /// The domain of a VM.
-    pub fn domain_of(&self, vm: &str) -> String {
+    pub(crate) fn domain_of(&self, vm: &str) -> String {
         self.vms[vm].domain.to_string()
     }
 
@@ -481,7 +492,7 @@
 }
 
 /// Shorter intervals than by default, so that more happens in a run.
-pub fn timing() -> Timing {
+pub(crate) fn timing() -> Timing {
     Timing {
         lease_ms: 500,
         expiry_ms: 2_000,
@@ -490,13 +501,14 @@
         review_ms: 1_000,
         refresh_ms: 5_000,
         order_ms: 300,
+        order_settle_ms: 8_000,
         load_ms: 5_000,
         settle_ms: 8_000,
     }
 }
 
 /// Three engines of two domains and five models, one engine of them ignoring numbers.
-pub fn catalog() -> Catalog {
+pub(crate) fn catalog() -> Catalog {
     let engine = |domain: &str, fencing: Fencing| EngineSpec {
         domain: domain.into(),
         memory_bytes: 100,
@@ -528,7 +540,10 @@
 }
 
 /// Models that the table holds as placed at an endpoint, in both of its rows.
-pub fn decided_in(rows: &BTreeMap<RowKey, Row>, endpoint: &EndpointName) -> BTreeSet<ModelName> {
+pub(crate) fn decided_in(
+    rows: &BTreeMap<RowKey, Row>,
+    endpoint: &EndpointName,
+) -> BTreeSet<ModelName> {
     let models = rows.iter().filter_map(|(key, row)| match (key, row) {
         (RowKey::Model(model), Row::Model(row)) if row.replicas.contains(endpoint) => Some(model),
         _ => None,
--- a/crates/trestle-core/tests/world/queue.rs
+++ b/crates/trestle-core/tests/world/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 /// What is still to happen; things at one time happen in the order they were added.
-pub struct Queue<T> {
+pub(crate) struct Queue<T> {
     items: BTreeMap<(u64, u64), T>,
     added: u64,
 }
@@ -15,12 +15,12 @@
 }
 
 impl<T> Queue<T> {
-    pub fn push(&mut self, at_ms: u64, item: T) {
+    pub(crate) fn push(&mut self, at_ms: u64, item: T) {
         self.added += 1;
         self.items.insert((at_ms, self.added), item);
     }
 
-    pub fn pop_before(&mut self, end_ms: u64) -> Option<(u64, T)> {
+    pub(crate) fn pop_before(&mut self, end_ms: u64) -> Option<(u64, T)> {
         let first = self.items.first_entry().filter(|entry| entry.key().0 < end_ms)?;
         let ((at_ms, _), item) = first.remove_entry();
         Some((at_ms, item))
--- a/crates/trestle-core/tests/world/table.rs
+++ b/crates/trestle-core/tests/world/table.rs
@@ -9,15 +9,15 @@
 
 /// The platform's table; it checks what its rows say after each write.
 #[derive(Default)]
-pub struct Table {
+pub(crate) struct Table {
     rows: BTreeMap<RowKey, Row>,
     versions: BTreeMap<RowKey, u64>,
-    pub writes: u64,
-    pub reads: u64,
+    pub(crate) writes: u64,
+    pub(crate) reads: u64,
 }
 
 impl Table {
-    pub fn read(&mut self, keys: &[RowKey]) -> Rows {
+    pub(crate) fn read(&mut self, keys: &[RowKey]) -> Rows {
         self.reads += 1;
         let read = keys.iter().filter_map(|key| {
             let version = *self.versions.get(key)?;
@@ -26,7 +26,7 @@
         read.collect()
     }
 
-    pub fn commit(&mut self, txn: Txn, catalog: &Catalog) -> CommitOutcome {
+    pub(crate) fn commit(&mut self, txn: Txn, catalog: &Catalog) -> CommitOutcome {
         let version = |key: &RowKey| self.versions.get(key).copied().unwrap_or(0);
         if txn.checks.iter().any(|(key, expected)| version(key) != *expected) {
             return CommitOutcome::Conflict;
@@ -44,20 +44,12 @@
     }
 
     /// Models decided to be at an endpoint.
-    pub fn decided_models(&self, endpoint: &EndpointName) -> BTreeSet<ModelName> {
+    pub(crate) fn decided_models(&self, endpoint: &EndpointName) -> BTreeSet<ModelName> {
         super::decided_in(&self.rows, endpoint)
     }
 
-    /// The epoch of a domain.
-    pub fn epoch(&self, domain: &str) -> u64 {
-        match self.rows.get(&RowKey::Membership(domain.into())) {
-            Some(Row::Membership(row)) => row.epoch,
-            _ => 0,
-        }
-    }
-
     /// Replicas decided for a model.
-    pub fn replicas(&self, model: &str) -> usize {
+    pub(crate) fn replicas(&self, model: &str) -> usize {
         match self.rows.get(&RowKey::Model(model.into())) {
             Some(Row::Model(row)) => row.replicas.len(),
             _ => 0,
