Give permits only under a recent look at the endpoint

Ruled out: a longer pause after a takeover (a freeze has no longest time). Change: permits follow only for a while after the sending of an order that the endpoint accepted; the answer to an order carries the state, so lagging reports are not used any more. Looks go out when requests come. Successors are told when a row changes; before, they learned it up to 30 s later and refused.

--- a/crates/trestle-client/src/engine.rs
+++ b/crates/trestle-client/src/engine.rs
@@ -1,17 +1,17 @@
-//! Orders and reports of model engines.
+//! Orders to model engines.
 
-use crate::{Result, http};
+use crate::http;
 use trestle_core::{
     fence::Fence,
-    order::{Order, OrderOutcome, Report},
+    order::{Order, OrderOutcome},
 };
-use trestle_wire::order::{WireOrder, WireOrderAnswer, WireReport};
+use trestle_wire::order::{WireOrder, WireOrderAnswer};
 use trillium_client::Client;
 
 /// Time after which an order counts as not answered.
 const ORDER_TIMEOUT_MS: u64 = 1_000;
 
-/// Sends orders to engines and reads their reports.
+/// Sends orders to engines.
 #[derive(Debug, Clone)]
 pub struct Engine {
     client: Client,
@@ -37,15 +37,4 @@
             Err(_) => OrderOutcome::Unknown,
         }
     }
-
-    /// Asks the engine at a URL for a report.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the engine does not answer.
-    pub async fn report(&self, url: &str) -> Result<Report> {
-        let url = format!("{url}/report");
-        let report: WireReport = http::get_json(&self.client, &url, ORDER_TIMEOUT_MS).await?;
-        Ok(report.into())
-    }
 }
--- a/crates/trestle-client/src/lib.rs
+++ b/crates/trestle-client/src/lib.rs
@@ -4,7 +4,7 @@
 //! of the same kind can take its place by settings alone:
 //!
 //! - [`platform::Platform`]: table, object store and list of VMs.
-//! - [`engine::Engine`]: orders and reports of model engines.
+//! - [`engine::Engine`]: orders to model engines.
 //! - [`peers::Peers`]: connections to other daemons.
 
 pub mod engine;
--- a/crates/trestle-client/src/peers.rs
+++ b/crates/trestle-client/src/peers.rs
@@ -63,6 +63,17 @@
         self.settle(address, client.owns(context, endpoint.to_owned()).await)
     }
 
+    /// Tells the peer at an address that the row of an endpoint has changed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached.
+    pub async fn row_changed(&self, address: &str, endpoint: &str) -> Result<()> {
+        let context = context_for(QUESTION_TIMEOUT_MS);
+        let client = self.client(address).await?;
+        self.settle(address, client.row_changed(context, endpoint.to_owned()).await)
+    }
+
     /// Asks the peer at an address for a configuration newer than the version.
     ///
     /// # Errors
--- a/crates/trestle-config/src/settings.rs
+++ b/crates/trestle-config/src/settings.rs
@@ -62,8 +62,10 @@
     pub lease_ms: u64,
     /// Without a renewal until a lease has expired.
     pub expiry_ms: u64,
-    /// Between two reports of an endpoint.
-    pub report_ms: u64,
+    /// For which an answer of an engine lets its owner give permits.
+    pub grant_ms: u64,
+    /// Between two looks at an engine without requests.
+    pub look_ms: u64,
     /// Until a VM that is no longer listed is held gone.
     pub settle_ms: u64,
     /// That a planned stop may take.
@@ -111,7 +113,8 @@
             vm_list_ms: 1_000,
             lease_ms: 2_000,
             expiry_ms: 8_000,
-            report_ms: 500,
+            grant_ms: 2_000,
+            look_ms: 10_000,
             settle_ms: 30_000,
             stop_ms: 60_000,
         }
--- a/crates/trestle-core/src/event.rs
+++ b/crates/trestle-core/src/event.rs
@@ -5,7 +5,7 @@
     fence::Fence,
     membership_row::MembershipRow,
     names::{EndpointName, VmName},
-    order::{Order, OrderOutcome, Report},
+    order::{Order, OrderOutcome},
     permit::{PermitAnswer, PermitAsk, Ticket},
     row::{CommitOutcome, RowKey, Rows, Txn},
 };
@@ -33,6 +33,8 @@
         /// Its answer.
         owns: Option<bool>,
     },
+    /// The owner of an endpoint has changed its row.
+    RowChanged(EndpointName),
     /// An order was answered, or its answer was lost.
     Ordered {
         /// The endpoint.
@@ -42,13 +44,6 @@
         /// What is known of it.
         outcome: OrderOutcome,
     },
-    /// An endpoint reported; `None` when it did not answer.
-    Reported {
-        /// The endpoint.
-        endpoint: EndpointName,
-        /// Its report.
-        report: Option<Report>,
-    },
     /// An entry daemon asks for a permit.
     Ask(PermitAsk),
     /// An entry daemon gives a permit back.
@@ -101,10 +96,17 @@
         /// The endpoint.
         endpoint: EndpointName,
     },
+    /// Tell a successor that the row of an endpoint has changed.
+    Notify {
+        /// The successor.
+        vm: VmName,
+        /// Where it is reached, as `ip:port`.
+        address: String,
+        /// The endpoint.
+        endpoint: EndpointName,
+    },
     /// Send an order to an endpoint.
     Order(EndpointName, Order),
-    /// Ask an endpoint for a report.
-    FetchReport(EndpointName),
     /// Answer an ask for a permit.
     Answer(Ticket, PermitAnswer),
     /// Tell the rest of the daemon about the members of the domain.
--- a/crates/trestle-core/src/node.rs
+++ b/crates/trestle-core/src/node.rs
@@ -15,7 +15,7 @@
     membership::Membership,
     membership_row::Member,
     names::{DomainName, EndpointName, VmName},
-    order::{OrderOutcome, Report},
+    order::OrderOutcome,
     owned::Owned,
     permit::{PermitAnswer, PermitAsk, Ticket},
     review::Review,
@@ -29,6 +29,9 @@
 /// Members of a chain that keep what they need to own the endpoint.
 pub const CHAIN_LENGTH: u8 = 3;
 
+/// Time in which further changes of rows are waited for, to read them all at once.
+const ROW_CHANGE_PAUSE_MS: u64 = 200;
+
 /// All control state of one daemon in one failure domain.
 #[trestle_macros::plain]
 pub struct Node {
@@ -40,7 +43,6 @@
     pub(crate) review: Review,
     acted_epoch: u64,
     next_lease_ms: u64,
-    next_report_ms: u64,
     next_refresh_ms: u64,
     is_reading_placements: bool,
     is_changing_membership: bool,
@@ -59,7 +61,6 @@
             review: Review::default(),
             acted_epoch: 0,
             next_lease_ms: 0,
-            next_report_ms: 0,
             next_refresh_ms: 0,
             is_reading_placements: false,
             is_changing_membership: false,
@@ -96,12 +97,10 @@
             Event::Probed { vm, endpoint, owns } => {
                 self.on_probed(vm, &endpoint, owns, now_ms, &mut actions);
             }
+            Event::RowChanged(endpoint) => self.on_row_changed(&endpoint, now_ms),
             Event::Ordered { endpoint, fence, outcome } => {
                 self.on_ordered(&endpoint, fence, outcome, now_ms, &mut actions);
             }
-            Event::Reported { endpoint, report } => {
-                self.on_reported(&endpoint, report.as_ref(), now_ms, &mut actions);
-            }
             Event::Ask(ask) => self.on_ask(ask, now_ms, &mut actions),
             Event::Release(endpoint, ticket) => {
                 self.with_owned(&endpoint, |owned| owned.release(ticket, now_ms));
@@ -118,13 +117,7 @@
             self.next_lease_ms = now_ms + self.timing.lease_ms;
             self.follow_membership(now_ms, actions);
         }
-        if now_ms >= self.next_report_ms {
-            self.next_report_ms = now_ms + self.timing.report_ms;
-            actions.extend(self.owned_endpoints().map(Action::FetchReport));
-        }
-        if now_ms >= self.next_refresh_ms {
-            self.read_placements(now_ms, actions);
-        }
+        self.read_placements_if_due(now_ms, actions);
         self.start_review(now_ms, actions);
         for endpoint in self.owned_endpoints().collect::<Vec<_>>() {
             self.drive(&endpoint, now_ms, actions);
@@ -233,6 +226,9 @@
                 if let Some(seat) = self.seats.get_mut(&endpoint) {
                     seat.is_writing = false;
                 }
+                if outcome == CommitOutcome::Committed {
+                    self.notify_successors(&endpoint, actions);
+                }
                 self.next_lease_ms = now_ms;
                 self.review.begin_soon(now_ms);
                 self.start_review(now_ms, actions);
@@ -252,6 +248,28 @@
         actions.push(Action::Read(ReadPurpose::Placements { epoch }, keys));
     }
 
+    /// Tells those who may have to take over what they would else learn late.
+    fn notify_successors(&self, endpoint: &EndpointName, actions: &mut Vec<Action>) {
+        let row = self.membership.row();
+        let others = row.chain(endpoint).into_iter().take(usize::from(CHAIN_LENGTH));
+        for vm in others.filter(|vm| *vm != self.membership.me()) {
+            let address = row.members[vm].address.clone();
+            actions.push(Action::Notify { vm: vm.clone(), address, endpoint: endpoint.clone() });
+        }
+    }
+
+    fn on_row_changed(&mut self, endpoint: &EndpointName, now_ms: u64) {
+        if self.seats.contains_key(endpoint) {
+            self.next_refresh_ms = self.next_refresh_ms.min(now_ms + ROW_CHANGE_PAUSE_MS);
+        }
+    }
+
+    fn read_placements_if_due(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        if now_ms >= self.next_refresh_ms {
+            self.read_placements(now_ms, actions);
+        }
+    }
+
     /// Takes what is placed, and with it acts on the epoch that was known before the read.
     fn on_placements(
         &mut self,
@@ -302,6 +320,10 @@
         seat.rank = rank;
         if is_new_epoch {
             self.begin_epoch(endpoint, now_ms, actions);
+        } else if seat.owned().is_some() {
+            for ask in std::mem::take(&mut seat.parked) {
+                self.on_ask(ask, now_ms, actions);
+            }
         }
     }
 
@@ -344,6 +366,10 @@
             return;
         };
         match &mut seat.role {
+            Role::Owner(_) if self.is_reading_placements && !seat.row.is_active(&ask.model) => {
+                ask.park(now_ms);
+                seat.parked.push(ask);
+            }
             Role::Owner(owned) => {
                 let ticket = ask.ticket;
                 let answer = owned.ask(ask, &seat.row, &self.catalog, now_ms);
@@ -404,6 +430,7 @@
         let parked = std::mem::take(&mut seat.parked);
         if seat.role == Role::Standby && !someone_owns {
             self.take_over(endpoint, now_ms, actions);
+            self.read_placements(now_ms, actions);
         }
         for ask in parked {
             if someone_owns {
@@ -435,17 +462,6 @@
         give_up(endpoint, role, actions);
     }
 
-    fn on_reported(
-        &mut self,
-        endpoint: &EndpointName,
-        report: Option<&Report>,
-        now_ms: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        self.with_owned(endpoint, |owned| owned.on_report(report, now_ms));
-        self.drive(endpoint, now_ms, actions);
-    }
-
     fn on_cancel(&mut self, endpoint: &EndpointName, ticket: Ticket) {
         if let Some(seat) = self.seats.get_mut(endpoint) {
             seat.parked.retain(|ask| ask.ticket != ticket);
--- a/crates/trestle-core/src/order.rs
+++ b/crates/trestle-core/src/order.rs
@@ -58,8 +58,6 @@
 #[trestle_macros::plain]
 #[derive(Default)]
 pub struct Report {
-    /// Grows with each state that the engine reports on.
-    pub sequence: u64,
     /// Models that take memory.
     pub models: BTreeMap<ModelName, ModelReport>,
 }
--- a/crates/trestle-core/src/owned.rs
+++ b/crates/trestle-core/src/owned.rs
@@ -3,11 +3,16 @@
 //! The owner sends one order at a time. Each order has a larger fencing number
 //! than the one before, so an order that was delayed and overtaken is refused
 //! by an endpoint that checks. The answer to an order carries the state of the
-//! endpoint right after it, and state is numbered, so a report that lags is
-//! known by its number and left aside.
+//! endpoint right after it. An order that does nothing, a *look*, asks for that
+//! state alone; reports that lag are not used.
 //!
 //! Memory is held for a model from the moment an order to load it is sent until
-//! a state newer than that order shows it gone.
+//! the answer to that order or a later one shows it gone.
+//!
+//! Permits are given only for a while after the sending of an order that the
+//! endpoint has accepted. An owner that was frozen, and has been replaced in the
+//! meantime, has to look first, and then learns that it is the owner no longer.
+//! Looks are sent when requests come, so an endpoint without any costs nothing.
 
 use crate::{
     catalog::{Catalog, EngineSpec, Fencing, ModelSpec},
@@ -27,8 +32,10 @@
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 200..=60_000;
 /// Share of an old average in a new one, in eighths.
 const AVERAGE_EIGHTHS: u64 = 7;
-/// Time after which no request can begin under a permit of an earlier owner.
-const EARLIER_PERMITS_MS: u64 = 2 * PERMIT_USE_MS;
+/// Time for a permit of an earlier owner to reach its entry daemon.
+const PERMIT_MARGIN_MS: u64 = 500;
+/// Time between two looks while something is loaded or unloaded.
+const BUSY_LOOK_MS: u64 = 100;
 /// Time beyond its deadline for which a permit stays out.
 const PERMIT_GRACE_MS: u64 = 1_000;
 /// Orders and reports without an answer after which an endpoint counts as silent.
@@ -47,7 +54,6 @@
     in_flight: Option<InFlight>,
     to_resend: Option<OrderKind>,
     held: BTreeMap<ModelName, Held>,
-    sequence: u64,
     permits: BTreeMap<Ticket, Permit>,
     foreign_running: usize,
     queue: Queue,
@@ -105,7 +111,6 @@
             in_flight: None,
             to_resend: None,
             held: BTreeMap::new(),
-            sequence: 0,
             permits: BTreeMap::new(),
             foreign_running: 0,
             queue: Queue::default(),
@@ -243,18 +248,6 @@
         }
     }
 
-    /// Takes a report, `None` when there was no answer.
-    ///
-    /// A report that lags behind what is known is left aside.
-    pub fn on_report(&mut self, report: Option<&Report>, now_ms: u64) {
-        self.note_answer(report.is_some());
-        let Some(report) = report else { return };
-        if !self.is_confirmed() || report.sequence < self.sequence {
-            return;
-        }
-        self.take_state(report, now_ms);
-    }
-
     /// Takes an ask; answers at once unless it has to wait.
     pub fn ask(
         &mut self,
@@ -295,7 +288,7 @@
     /// Grants every permit that can be granted now.
     pub fn grant(&mut self, now_ms: u64) -> Vec<(Ticket, PermitAnswer)> {
         let mut granted = Vec::new();
-        while self.may_grant() && self.out() < self.spec.slots {
+        while self.may_grant(now_ms) && self.out() < self.spec.slots {
             let held = &self.held;
             let Some(ask) = self.queue.pop(|model| is_ready(held, model)) else { break };
             granted.push((ask.ticket, PermitAnswer::Granted { cold: ask.cold }));
@@ -385,8 +378,22 @@
         !self.inherited.contains(model) && self.unloads_have_settled(now_ms)
     }
 
-    fn may_grant(&self) -> bool {
-        self.is_confirmed() && !self.leaving && !self.is_silent()
+    fn may_grant(&self, now_ms: u64) -> bool {
+        let is_heard = self.looked_ms.is_some_and(|at_ms| now_ms < at_ms + self.timing.grant_ms);
+        self.is_confirmed() && is_heard && !self.leaving
+    }
+
+    /// Whether it is time to look at the endpoint.
+    fn is_look_due(&self, now_ms: u64) -> bool {
+        let Some(looked_ms) = self.looked_ms else { return true };
+        let is_changing = self.held.values().any(|held| held.phase != Phase::Ready);
+        let is_used = !self.queue.is_empty() || !self.permits.is_empty();
+        let interval_ms = match (is_changing, is_used) {
+            (true, _) => BUSY_LOOK_MS,
+            (false, true) => self.timing.grant_ms / 2,
+            (false, false) => self.timing.look_ms,
+        };
+        now_ms >= looked_ms + interval_ms
     }
 
     fn note_answer(&mut self, answered: bool) {
@@ -412,7 +419,7 @@
             let (model, memory_bytes) = (model.clone(), *memory_bytes);
             return Some(OrderKind::Load { model, memory_bytes });
         }
-        let model = match self.spec.fencing {
+        let idle = match self.spec.fencing {
             Fencing::Checked => {
                 let needs_room = load.is_some();
                 let unneeded = self.unneeded(placed, catalog, now_ms);
@@ -420,7 +427,8 @@
             }
             Fencing::Ignored => self.idle_released(),
         };
-        self.unload_or_look(model?, now_ms)
+        let unload = idle.and_then(|model| self.unload_or_look(model, now_ms));
+        unload.or_else(|| self.is_look_due(now_ms).then_some(OrderKind::Claim))
     }
 
     /// An idle model that no other owner can give permits for any more.
@@ -436,7 +444,8 @@
     /// but the answer to an order shows the state after it, so an order that
     /// does nothing is sent first.
     fn unload_or_look(&self, model: ModelName, now_ms: u64) -> Option<OrderKind> {
-        let settled_ms = self.confirmed_ms? + EARLIER_PERMITS_MS;
+        let earlier_permits_ms = self.timing.grant_ms + PERMIT_USE_MS + PERMIT_MARGIN_MS;
+        let settled_ms = self.confirmed_ms? + earlier_permits_ms;
         if now_ms < settled_ms {
             return None;
         }
@@ -444,7 +453,7 @@
         let looked_ms = self.looked_ms.filter(|looked_ms| *looked_ms >= settled_ms);
         match looked_ms {
             Some(_) if is_idle => Some(OrderKind::Unload { model }),
-            Some(looked_ms) if now_ms < looked_ms + self.timing.report_ms => None,
+            Some(looked_ms) if now_ms < looked_ms + BUSY_LOOK_MS => None,
             _ => Some(OrderKind::Claim),
         }
     }
@@ -524,7 +533,6 @@
     }
 
     fn take_state(&mut self, report: &Report, now_ms: u64) {
-        self.sequence = self.sequence.max(report.sequence);
         self.foreign_running = self.foreign_running.min(report.running());
         let mut held = BTreeMap::new();
         for (model, state) in &report.models {
--- a/crates/trestle-core/src/timing.rs
+++ b/crates/trestle-core/src/timing.rs
@@ -8,8 +8,10 @@
     pub lease_ms: u64,
     /// Counted time without a renewal after which a lease has expired.
     pub expiry_ms: u64,
-    /// Time between two reports of an owned endpoint.
-    pub report_ms: u64,
+    /// Time for which an answer of an endpoint lets its owner give permits.
+    pub grant_ms: u64,
+    /// Time between two looks at an endpoint without requests.
+    pub look_ms: u64,
     /// Time between two rounds of placing models, while there is something to place.
     pub placing_ms: u64,
     /// Time between two rounds of placing models at rest.
@@ -31,7 +33,8 @@
         Self {
             lease_ms: 2_000,
             expiry_ms: 8_000,
-            report_ms: 500,
+            grant_ms: 2_000,
+            look_ms: 10_000,
             placing_ms: 500,
             review_ms: 5_000,
             refresh_ms: 30_000,
--- a/crates/trestle-session/src/daemon_process.rs
+++ b/crates/trestle-session/src/daemon_process.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Ends the daemon without warning, without waiting for its end.
+    pub fn kill_by_signal(&self) {
+        self.signal("-KILL");
+    }
+
     /// Stops the daemon as planned; it goes on until its requests have ended.
     pub fn terminate(&self) {
         self.signal("-TERM");
--- /dev/null
+++ b/crates/trestle-session/tests/common/mod.rs
@@ -0,0 +1,78 @@
+//! What the session tests share.
+
+use serde_json::{Value, json};
+use trestle_session::{Session, SessionPlan};
+
+pub(crate) const FLEET: &str = include_str!("../../../../examples/fleet.jsonc");
+
+/// Daemons of the fleet: three in one failure domain, two in each of the others.
+pub(crate) const DAEMONS: [(&str, &str); 7] = [
+    ("poa-centro-1", "poa-centro"),
+    ("poa-centro-2", "poa-centro"),
+    ("poa-centro-3", "poa-centro"),
+    ("caxias-1", "caxias"),
+    ("caxias-2", "caxias"),
+    ("pelotas-1", "pelotas"),
+    ("pelotas-2", "pelotas"),
+];
+
+/// Placements that the fleet's configuration asks for.
+const FLEET_PLACEMENTS: usize = 60;
+
+/// Starts the fleet with short intervals, its configuration applied and every model placed.
+pub(crate) fn fleet(speed: f64) -> Session {
+    let plan =
+        SessionPlan { config: FLEET, daemons: &DAEMONS, speed, intervals: short_intervals() };
+    let session = Session::start(&plan).expect("the session starts");
+    session.apply().expect("the configuration is accepted");
+    session.wait_for("every model placed", all_placed).expect("every model is placed");
+    session
+}
+
+/// Intervals that let a test see in seconds what takes longer in operation.
+pub(crate) fn short_intervals() -> Value {
+    json!({
+        "config_poll_ms": 200, "vm_list_ms": 200, "lease_ms": 500, "expiry_ms": 2500,
+        "look_ms": 1000, "settle_ms": 3000, "stop_ms": 20000,
+    })
+}
+
+fn all_placed(session: &Session) -> bool {
+    placements(session) >= FLEET_PLACEMENTS
+}
+
+/// Placements of all owned endpoints.
+pub(crate) fn placements(session: &Session) -> usize {
+    let statuses = session.daemons.keys().filter_map(|vm| session.status(vm).ok());
+    let endpoints = statuses.flat_map(|status| status.endpoints.into_values());
+    endpoints.filter(|state| state.role == "owner").map(|state| state.placed.len()).sum()
+}
+
+/// A stream of completions for the load tool.
+pub(crate) fn completions(names: &[String], requests: usize, over_ms: u64) -> Value {
+    json!({
+        "tenant": "riders", "token": "riders-token", "class": "curb", "requests": requests,
+        "over_ms": over_ms, "deadline_ms": 30_000,
+        "work": {"models": {"names": names, "stream": false}},
+    })
+}
+
+/// Fails if an engine, a service or the platform has seen a breach.
+pub(crate) fn assert_no_breach(session: &Session) {
+    let breaches = session.breaches().expect("the stand-in answers");
+    assert!(breaches.is_empty(), "breaches: {breaches:#?}");
+}
+
+/// Fails if the load tool has seen a violation.
+pub(crate) fn assert_no_violation(report: &Value) {
+    let violations = report["violations"].as_array().expect("a report has violations");
+    assert!(violations.is_empty(), "violations: {violations:#?}");
+}
+
+/// How many requests of a report ended with a verdict.
+pub(crate) fn verdicts(report: &Value, name: &str) -> u64 {
+    let groups = report["groups"].as_array().expect("a report has groups");
+    let counts = groups.iter().flat_map(|group| group["verdicts"].as_object());
+    let matching = counts.flatten().filter(|(verdict, _)| verdict.starts_with(name));
+    matching.filter_map(|(_, count)| count.as_u64()).sum()
+}
--- /dev/null
+++ b/crates/trestle-session/tests/ownership.rs
@@ -0,0 +1,214 @@
+//! Owners of endpoints under kills, freezes and outages, as real processes.
+
+mod common;
+
+use common::{assert_no_breach, assert_no_violation, completions, fleet, verdicts};
+use serde_json::json;
+use std::{thread, time::Duration};
+use trestle_session::{Answered, Session};
+
+/// Time after which a load that was asked for is under way.
+const MID_LOAD: Duration = Duration::from_millis(700);
+
+/// What happens to the owner while a load is under way.
+#[derive(Clone, Copy)]
+enum Blow {
+    Kill,
+    Freeze,
+}
+
+macro_rules! cold_requests {
+    ($($name:ident: $engine:literal, $blow:expr, platform_down: $down:literal;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                cold_request_survives($engine, $blow, $down);
+            }
+        )+
+    };
+}
+
+cold_requests! {
+    owner_killed_in_mid_load: "e1", Blow::Kill, platform_down: false;
+    owner_frozen_in_mid_load: "e1", Blow::Freeze, platform_down: false;
+    owner_killed_in_mid_load_where_numbers_are_ignored: "e3", Blow::Kill, platform_down: false;
+    owner_frozen_in_mid_load_where_numbers_are_ignored: "e3", Blow::Freeze, platform_down: false;
+    owner_killed_while_platform_is_down: "e1", Blow::Kill, platform_down: true;
+    owner_frozen_while_platform_is_down: "e1", Blow::Freeze, platform_down: true;
+}
+
+/// A request to a model that is not loaded is answered, though its owner is lost during the load.
+fn cold_request_survives(engine: &str, blow: Blow, platform_down: bool) {
+    let mut session = fleet(2.0);
+    let (model, owner) = model_at(&session, engine);
+    let entry = elsewhere(&owner);
+    if platform_down {
+        session.faults(&json!({"platform": {"down": true}})).expect("faults are switched");
+        thread::sleep(Duration::from_secs(3));
+    }
+    let writes_before = session.counts().expect("counts")["table_writes"].clone();
+    let answered = thread::scope(|scope| {
+        let (asking, model) = (&session, model.as_str());
+        let asked = scope.spawn(move || ask(asking, entry, model));
+        thread::sleep(MID_LOAD);
+        match blow {
+            Blow::Kill => session.daemons[&owner].kill_by_signal(),
+            Blow::Freeze => session.daemons[&owner].freeze(),
+        }
+        asked.join().expect("the request is answered")
+    });
+    assert_eq!(answered.status, 200, "{}", answered.body);
+    if platform_down {
+        let writes = session.counts().expect("counts")["table_writes"].clone();
+        assert_eq!(writes, writes_before, "a cold start took a write to the table");
+        session.faults(&json!({})).expect("faults are switched");
+    }
+    session.daemon(&owner).resume();
+    thread::sleep(Duration::from_secs(4));
+    let again = ask(&session, entry, &model);
+    assert_eq!(again.status, 200, "{}", again.body);
+    assert_no_breach(&session);
+}
+
+#[test]
+fn burst_at_every_daemon_loads_each_model_once() {
+    let session = fleet(20.0);
+    let names = model_names(&session);
+    let streams = json!([completions(&names, 350, 0)]);
+    let report = session.load(&streams).expect("the load tool runs");
+    assert_no_violation(&report);
+    assert_eq!(verdicts(&report, "done"), 350, "{report:#}");
+    let counts = session.counts().expect("counts");
+    for (model, loads) in counts["loads"].as_object().expect("loads by model") {
+        assert_eq!(loads, 1, "{model} was loaded {loads} times for one burst");
+    }
+    assert_no_breach(&session);
+}
+
+#[test]
+fn daemon_without_the_platform_goes_on_serving() {
+    let session = fleet(20.0);
+    let address = session.platform_of(3);
+    session.faults(&json!({"platform": {"cut": [address]}})).expect("faults are switched");
+    thread::sleep(Duration::from_secs(6));
+    let answered = ask(&session, "caxias-1", "curb-answers-1");
+    assert_eq!(answered.status, 200, "{}", answered.body);
+    session.faults(&json!({})).expect("faults are switched");
+    session
+        .wait_for("the daemon is a member again", |session| {
+            let status = session.status("caxias-1");
+            status.is_ok_and(|status| status.members.contains_key("caxias-1"))
+        })
+        .expect("it joins again");
+    assert_no_breach(&session);
+}
+
+#[test]
+fn platform_outage_expels_nobody() {
+    let session = fleet(20.0);
+    let before = session.status("poa-centro-1").expect("status");
+    session.faults(&json!({"platform": {"down": true}})).expect("faults are switched");
+    thread::sleep(Duration::from_secs(8));
+    session.faults(&json!({"platform": {"writes_down": true}})).expect("faults are switched");
+    thread::sleep(Duration::from_secs(8));
+    session.faults(&json!({})).expect("faults are switched");
+    thread::sleep(Duration::from_secs(4));
+    let after = session.status("poa-centro-1").expect("status");
+    assert_eq!(before.members, after.members);
+    assert_eq!(before.epoch, after.epoch, "the epoch moved though nobody left");
+}
+
+#[test]
+fn leaving_endpoint_gets_no_new_work() {
+    let session = fleet(20.0);
+    let (model, _) = model_at(&session, "e1");
+    let endpoint = session.owners_of(&model)[0].0.clone();
+    assert_eq!(ask(&session, "caxias-2", &model).status, 200);
+    session.vms(&json!({endpoint.as_str(): "leaving"})).expect("the list is changed");
+    session
+        .wait_for("the model placed elsewhere", |session| {
+            let owners = session.owners_of(&model);
+            owners.len() == 1 && owners[0].0 != endpoint
+        })
+        .expect("its replica is decided elsewhere");
+    thread::sleep(Duration::from_secs(5));
+    let report = session.load(&json!([completions(&[model], 20, 1_000)])).expect("load runs");
+    assert_no_violation(&report);
+    assert_eq!(verdicts(&report, "done"), 20, "{report:#}");
+    assert_no_breach(&session);
+}
+
+#[test]
+fn rolling_stop_under_load_cuts_nothing() {
+    let mut session = fleet(20.0);
+    let names = model_names(&session)[..8].to_vec();
+    let vms: Vec<String> = session.daemons.keys().cloned().collect();
+    for vm in vms {
+        let targets: Vec<String> = session
+            .daemons
+            .iter()
+            .filter(|(name, _)| **name != vm)
+            .map(|(_, daemon)| daemon.callers.clone())
+            .collect();
+        let targets: Vec<&str> = targets.iter().map(String::as_str).collect();
+        let report = thread::scope(|scope| {
+            let (loading, names) = (&session, &names);
+            let targets = &targets;
+            let load = scope
+                .spawn(move || loading.load_at(targets, &json!([completions(names, 120, 4_000)])));
+            thread::sleep(Duration::from_millis(500));
+            session.daemons[&vm].terminate();
+            load.join().expect("the load tool ends").expect("the load tool runs")
+        });
+        assert_no_violation(&report);
+        assert_eq!(verdicts(&report, "done"), 120, "stop of {vm}: {report:#}");
+        let daemon = session.daemon(&vm);
+        assert!(daemon.wait(), "{vm} did not end well");
+        assert!(daemon.log_text().contains("Stopped with 0 requests left"), "{vm} left requests");
+        daemon.restart().expect("the daemon starts again");
+        session
+            .wait_for("the daemon ready again", |session| {
+                session.status(&vm).is_ok_and(|s| s.ready && s.members.contains_key(&vm))
+            })
+            .expect("it joins again");
+    }
+    assert_no_breach(&session);
+}
+
+fn ask(session: &Session, entry: &str, model: &str) -> Answered {
+    let text = format!("text for {model}");
+    let answered = session.complete(entry, "riders-token", model, &text, 30_000);
+    let answered = answered.expect("the entry daemon answers");
+    if answered.status == 200 {
+        assert_eq!(answered.body["choices"][0]["message"]["content"], text.as_str());
+    }
+    answered
+}
+
+fn model_names(session: &Session) -> Vec<String> {
+    let config = trestle_config::from_str(&session.config, "fleet.jsonc").expect("it is in order");
+    config.catalog.models.keys().map(ToString::to_string).collect()
+}
+
+/// A model with one replica at an engine whose name ends so, and the VM of the owner.
+fn model_at(session: &Session, engine_suffix: &str) -> (String, String) {
+    for vm in session.daemons.keys() {
+        let status = session.status(vm).expect("the daemon answers");
+        let owned = status
+            .endpoints
+            .iter()
+            .filter(|(name, state)| state.role == "owner" && name.ends_with(engine_suffix));
+        for (_, state) in owned {
+            let mut models = state.placed.keys();
+            if let Some(model) = models.find(|model| session.owners_of(model).len() == 1) {
+                return (model.clone(), vm.clone());
+            }
+        }
+    }
+    panic!("no model with one replica at an engine {engine_suffix}");
+}
+
+/// A daemon of another failure domain than the VM.
+fn elsewhere(vm: &str) -> &'static str {
+    if vm.starts_with("caxias") { "pelotas-1" } else { "caxias-1" }
+}
--- a/crates/trestle-wire/src/order.rs
+++ b/crates/trestle-wire/src/order.rs
@@ -1,4 +1,4 @@
-//! Orders to engines, and their reports.
+//! Orders to engines, and the state that answers them.
 
 use std::collections::BTreeMap;
 use trestle_core::order::{ModelReport, Order, OrderKind, Phase, Report};
@@ -60,8 +60,6 @@
 #[trestle_macros::wire]
 #[derive(Default)]
 pub struct WireReport {
-    /// Grows with each change of state.
-    pub sequence: u64,
     /// Models that take memory.
     pub models: BTreeMap<String, WireModelReport>,
 }
@@ -106,7 +104,7 @@
 impl From<WireReport> for Report {
     fn from(wire: WireReport) -> Self {
         let models = wire.models.into_iter().map(|(model, state)| (model.into(), state.into()));
-        Self { sequence: wire.sequence, models: models.collect() }
+        Self { models: models.collect() }
     }
 }
 
--- a/crates/trestle-wire/src/peer.rs
+++ b/crates/trestle-wire/src/peer.rs
@@ -11,10 +11,10 @@
     async fn release(endpoint: String, ticket: u64);
     /// Asks whether this daemon owns the endpoint, or will as soon as it can.
     async fn owns(endpoint: String) -> bool;
+    /// Tells that the owner of the endpoint has changed its row.
+    async fn row_changed(endpoint: String);
     /// Asks for the file in force if it is newer than the version.
     async fn config_after(version: u64) -> Option<WireConfig>;
-    /// Asks for the version in force.
-    async fn config_version() -> u64;
 }
 
 /// A configuration file with its version.
--- a/crates/trestled/src/control.rs
+++ b/crates/trestled/src/control.rs
@@ -65,7 +65,8 @@
     Timing {
         lease_ms: intervals.lease_ms,
         expiry_ms: intervals.expiry_ms,
-        report_ms: intervals.report_ms,
+        grant_ms: intervals.grant_ms,
+        look_ms: intervals.look_ms,
         settle_ms: intervals.settle_ms,
         ..Timing::default()
     }
--- a/crates/trestled/src/peer_server.rs
+++ b/crates/trestled/src/peer_server.rs
@@ -69,14 +69,14 @@
         answer.recv().await.unwrap_or(false)
     }
 
+    async fn row_changed(self, _: Context, endpoint: String) {
+        self.0.tell(Event::RowChanged(endpoint.into()));
+    }
+
     async fn config_after(self, _: Context, version: u64) -> Option<WireConfig> {
         let routing = self.0.routing();
         let ours = routing.config.catalog.version;
         let text = routing.config_text.to_string();
         (ours > version).then_some(WireConfig { version: ours, text })
     }
-
-    async fn config_version(self, _: Context) -> u64 {
-        self.0.routing().config.catalog.version
-    }
 }
--- a/crates/trestled/src/shell.rs
+++ b/crates/trestled/src/shell.rs
@@ -18,8 +18,10 @@
         Action::Probe { vm, address, endpoint } => {
             smol::spawn(probe(daemon, vm, address, endpoint)).detach();
         }
+        Action::Notify { address, endpoint, .. } => {
+            smol::spawn(notify(daemon, address, endpoint)).detach();
+        }
         Action::Order(endpoint, order) => smol::spawn(send_order(daemon, endpoint, order)).detach(),
-        Action::FetchReport(endpoint) => smol::spawn(fetch_report(daemon, endpoint)).detach(),
         Action::Members(row) => {
             tracing::info!("member: Epoch {} has {} members.", row.epoch, row.members.len());
             daemon.metrics.epoch(row.epoch);
@@ -72,6 +74,12 @@
     daemon.tell(Event::Probed { vm, endpoint, owns });
 }
 
+async fn notify(daemon: Arc<Daemon>, address: String, endpoint: EndpointName) {
+    if let Err(error) = daemon.peers.row_changed(&address, endpoint.as_str()).await {
+        tracing::debug!("owner: A successor for {endpoint} was not told: {error}.");
+    }
+}
+
 async fn send_order(daemon: Arc<Daemon>, endpoint: EndpointName, order: Order) {
     tracing::debug!("owner: Ordering {:?} at {endpoint}.", order.kind);
     let url = daemon.routing().config.engine_urls.get(&endpoint).cloned();
@@ -91,9 +99,3 @@
     }
     daemon.tell(Event::Ordered { endpoint, fence: order.fence, outcome });
 }
-
-async fn fetch_report(daemon: Arc<Daemon>, endpoint: EndpointName) {
-    let Some(url) = daemon.routing().config.engine_urls.get(&endpoint).cloned() else { return };
-    let report = daemon.engine.report(&url).await.ok();
-    daemon.tell(Event::Reported { endpoint, report });
-}
