Say unknown where another attempt may have run a call

Change: what may be told at the deadline depends on what the attempt has read; a caller that has sent a key before says so, and is told `unknown` where the platform cannot be read.

--- a/crates/trestle-core/src/claim.rs
+++ b/crates/trestle-core/src/claim.rs
@@ -6,7 +6,8 @@
 //! may tell the caller:
 //!
 //! - *not run*: only while the attempt holds the claim, or no claim exists, and
-//!   it has sent nothing and never will.
+//!   it has sent nothing and never will. Where the row cannot be read, only if
+//!   the caller has not sent the key before.
 //! - *answered*: the recorded answer, or the one it has just received.
 //! - *unknown*: in every other case.
 
@@ -110,6 +111,7 @@
 #[trestle_macros::plain]
 pub struct Attempt {
     name: String,
+    is_repeated: bool,
     phase: AttemptPhase,
 }
 
@@ -129,8 +131,10 @@
 
 impl Attempt {
     /// A new attempt; its name must be unique for all time.
-    pub fn new(name: String) -> Self {
-        Self { name, phase: AttemptPhase::Fresh }
+    ///
+    /// `is_repeated` says that the caller has sent the key before.
+    pub fn new(name: String, is_repeated: bool) -> Self {
+        Self { name, is_repeated, phase: AttemptPhase::Fresh }
     }
 
     /// The name of the attempt.
@@ -158,6 +162,7 @@
             (AttemptPhase::MayHold, ClaimEvent::ClaimUnknown) => Step::Read,
             (AttemptPhase::MayHold, ClaimEvent::Conflict) => Step::Read,
             (AttemptPhase::MayHold, _) => self.record(Recorded::NotRun),
+            (AttemptPhase::Fresh, _) if self.is_repeated => Step::End(End::Unknown),
             (AttemptPhase::Fresh, _) => Step::End(End::NotRun),
             (AttemptPhase::Waiting, _) => Step::End(End::Unknown),
         }
--- a/crates/trestle-load/src/send.rs
+++ b/crates/trestle-load/src/send.rs
@@ -67,14 +67,14 @@
 }
 
 async fn request(client: &Client, target: &str, stream: &Stream, index: usize, id: &str) -> Ended {
-    let mut ended = request_once(client, target, stream, index, id).await;
+    let mut ended = request_once(client, target, stream, index, id, false).await;
     if let Work::Calls { ask_again, .. } = &stream.work {
         for _ in 0..*ask_again {
             if !matches!(ended.verdict, Verdict::Unknown(_) | Verdict::Broken(_)) {
                 break;
             }
             Timer::after(ASK_AGAIN).await;
-            ended = request_once(client, target, stream, index, id).await;
+            ended = request_once(client, target, stream, index, id, true).await;
         }
     }
     ended
@@ -86,9 +86,13 @@
     stream: &Stream,
     index: usize,
     id: &str,
+    is_repeated: bool,
 ) -> Ended {
     let text = format!("text of {id}");
-    let conn = prepare(client, target, stream, index, id, &text);
+    let mut conn = prepare(client, target, stream, index, id, &text);
+    if is_repeated {
+        conn = conn.with_request_header(headers::REPEATED, "true");
+    }
     let deadline = Duration::from_millis(stream.deadline_ms);
     let started = Instant::now();
     let missing = async {
--- a/crates/trestle-session/tests/common/mod.rs
+++ b/crates/trestle-session/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! What the session tests share.
 
+#![allow(dead_code, reason = "each test file uses some of it")]
+
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use trestle_session::{Session, SessionPlan};
--- a/crates/trestle-wire/src/headers.rs
+++ b/crates/trestle-wire/src/headers.rs
@@ -6,6 +6,8 @@
 pub const CLASS: &str = "trestle-class";
 /// Identifies the request; answers carry it back.
 pub const REQUEST_ID: &str = "x-request-id";
+/// `true` where the caller has sent the idempotency key before.
+pub const REPEATED: &str = "trestle-repeated";
 /// What became of the request: `done`, `not_run` or `unknown`.
 pub const OUTCOME: &str = "trestle-outcome";
 /// Time the request waited for a permit, in milliseconds.
--- a/crates/trestled/src/claims.rs
+++ b/crates/trestled/src/claims.rs
@@ -2,10 +2,10 @@
 //!
 //! [`trestle_core::claim`] decides; this carries the steps out. An attempt runs
 //! in a task of its own, so that a caller who goes away or whose deadline comes
-//! does not end it between two steps. Whether the attempt may still send is one
-//! flag, which the attempt and the caller's side both change by
-//! compare-and-swap: whoever is first decides.
+//! does not end it between two steps. Whether the attempt may still send is
+//! decided by a [`gate`].
 
+mod gate;
 mod record;
 mod writer;
 
@@ -18,13 +18,11 @@
     },
 };
 use futures_lite::FutureExt;
+use gate::Gate;
 use sha2::{Digest, Sha256};
 use smol::Timer;
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU8, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 use trestle_config::Service;
@@ -42,19 +40,14 @@
 /// Time for which an answer is held back until it is recorded.
 const RECORD_MS: u64 = 500;
 
-/// Nothing was sent, and it may still be.
-const OPEN: u8 = 0;
-/// The attempt has begun to send.
-const SENDING: u8 = 1;
-/// The attempt must not send any more.
-const CLOSED: u8 = 2;
-
 /// A call with everything that an attempt needs.
 pub(crate) struct ClaimedCall {
     pub(crate) row: String,
     pub(crate) service: Service,
     pub(crate) call: ServiceCall,
     pub(crate) deadline: Instant,
+    /// Whether the caller says that it has sent the key before.
+    pub(crate) is_repeated: bool,
 }
 
 /// How a call ended, for its caller.
@@ -67,8 +60,9 @@
 
 /// Runs a call once, or finds out what became of it.
 pub(crate) async fn run(daemon: &Arc<Daemon>, claimed: ClaimedCall) -> ClaimEnd {
-    let gate = Arc::new(AtomicU8::new(OPEN));
+    let gate = Arc::new(Gate::default());
     let deadline = claimed.deadline;
+    let is_repeated = claimed.is_repeated;
     let (reply, answer) = async_channel::bounded(1);
     let running = Running::new(Arc::clone(daemon), claimed, Arc::clone(&gate));
     let attempt = async move {
@@ -79,34 +73,27 @@
     let ended = async { answer.recv().await.unwrap_or(ClaimEnd::Unknown) };
     let late = async {
         Timer::at(deadline).await;
-        close(&gate)
+        gate.close(is_repeated)
     };
     ended.or(late).await
 }
 
-/// Forbids the attempt to send; tells what the caller may be told.
-fn close(gate: &AtomicU8) -> ClaimEnd {
-    match gate.compare_exchange(OPEN, CLOSED, Ordering::SeqCst, Ordering::SeqCst) {
-        Ok(_) | Err(CLOSED) => ClaimEnd::NotRun,
-        Err(_) => ClaimEnd::Unknown,
-    }
-}
-
 /// An attempt under way.
 struct Running {
     daemon: Arc<Daemon>,
     claimed: ClaimedCall,
-    gate: Arc<AtomicU8>,
+    gate: Arc<Gate>,
     attempt: Attempt,
     digest: String,
     answer: Option<ServiceAnswer>,
 }
 
 impl Running {
-    fn new(daemon: Arc<Daemon>, claimed: ClaimedCall, gate: Arc<AtomicU8>) -> Self {
+    fn new(daemon: Arc<Daemon>, claimed: ClaimedCall, gate: Arc<Gate>) -> Self {
         let name = format!("{}-{:032x}", daemon.me, fastrand::u128(..));
         let digest = digest_of(&claimed.call);
-        Self { daemon, claimed, gate, attempt: Attempt::new(name), digest, answer: None }
+        let attempt = Attempt::new(name, claimed.is_repeated);
+        Self { daemon, claimed, gate, attempt, digest, answer: None }
     }
 
     async fn run(mut self) -> ClaimEnd {
@@ -160,6 +147,7 @@
     }
 
     async fn claim(&mut self, version: u64) -> ClaimEvent {
+        self.gate.note_free();
         let claim = self.wire_claim(WireClaimState::Claimed);
         let outcome = self.daemon.claim_writer.write(&self.claimed.row, version, &claim).await;
         match outcome {
@@ -190,16 +178,12 @@
             }
         }
         // From here on nothing is sent, whatever the caller's side decides.
-        self.gate.store(CLOSED, Ordering::SeqCst);
+        self.gate.shut();
         ClaimEvent::NotSent
     }
 
     fn begin_to_send(&self) -> bool {
-        if Instant::now() >= self.claimed.deadline {
-            return false;
-        }
-        let begun = self.gate.compare_exchange(OPEN, SENDING, Ordering::SeqCst, Ordering::SeqCst);
-        matches!(begun, Ok(_) | Err(SENDING))
+        Instant::now() < self.claimed.deadline && self.gate.begin_to_send()
     }
 
     async fn send_to(&self, place: &Place) -> Called {
@@ -234,6 +218,7 @@
     }
 
     async fn wait(&mut self) -> ClaimEvent {
+        self.gate.note_foreign();
         if Instant::now() + Duration::from_millis(WAIT_MS) >= self.claimed.deadline {
             return ClaimEvent::Deadline;
         }
--- a/crates/trestled/src/entry/service.rs
+++ b/crates/trestled/src/entry/service.rs
@@ -59,6 +59,8 @@
     let is_repeatable = service.repeatable_methods.iter().any(|m| m == method.as_str());
     let query = conn.querystring();
     let path = if query.is_empty() { format!("/{path}") } else { format!("/{path}?{query}") };
+    let repeated = conn.request_headers().get_str(headers::REPEATED);
+    let is_repeated = repeated.is_some_and(|text| text == "true");
     let key = if is_repeatable { None } else { Some(key_of(service, conn)?) };
     let content_type = conn.request_headers().get_str("content-type").map(str::to_owned);
     let service_call = ServiceCall {
@@ -73,7 +75,7 @@
         None => repeatable(daemon, call, service, &service_call).await,
         Some((_, key)) => {
             let row = claim_key(name, call.tenant.as_str(), key);
-            once(daemon, call, service, service_call.clone(), row).await
+            once(daemon, call, service, service_call.clone(), row, is_repeated).await
         }
     }
 }
@@ -131,13 +133,20 @@
     service: &Service,
     service_call: ServiceCall,
     row: String,
+    is_repeated: bool,
 ) -> Result<ServiceAnswer, Failure> {
-    let claimed =
-        ClaimedCall { row, service: service.clone(), call: service_call, deadline: call.deadline };
+    let claimed = ClaimedCall {
+        row,
+        service: service.clone(),
+        call: service_call,
+        deadline: call.deadline,
+        is_repeated,
+    };
     match claims::run(daemon, claimed).await {
         ClaimEnd::Answered(answer) => Ok(answer),
         ClaimEnd::NotRun if daemon.platform_is_down() => {
-            let message = "the platform does not answer, so the call cannot be claimed";
+            let message = "the platform does not answer, so the call was not claimed and not \
+                           sent; if the key was sent before, that may have run";
             Err(Failure::not_run(503, "platform_down", message).after_ms(PLATFORM_RETRY_MS))
         }
         ClaimEnd::NotRun => {
