--- a/crates/trestle-core/src/claim.rs
+++ b/crates/trestle-core/src/claim.rs
@@ -5,9 +5,9 @@
 //! send the call, and only once. What it knows at each moment decides what it
 //! may tell the caller:
 //!
-//! - *not run*: only while the attempt holds the claim, or no claim exists, and
-//!   it has sent nothing and never will. Where the row cannot be read, only if
-//!   the caller has not sent the key before.
+//! - *not run*: only while the attempt holds the claim and has sent nothing and
+//!   never will. Where the row cannot be read at all, only if the caller has not
+//!   sent the key before.
 //! - *answered*: the recorded answer, or the one it has just received.
 //! - *unknown*: in every other case.
 
@@ -126,7 +126,7 @@
     Waiting,
     /// Holds the claim; the call may be under way.
     Sending,
-    Recording(Recorded),
+    Recording(End),
 }
 
 impl Attempt {
@@ -150,18 +150,20 @@
     /// Takes what happened and returns the next step.
     pub fn next(&mut self, event: ClaimEvent) -> Step {
         match (self.phase, event) {
-            (AttemptPhase::Sending, ClaimEvent::Answer) => self.record(Recorded::Answered),
-            (AttemptPhase::Sending, ClaimEvent::NotSent) => self.record(Recorded::NotRun),
+            (AttemptPhase::Sending, ClaimEvent::Answer) => {
+                self.record(Recorded::Answered, End::Answered)
+            }
+            (AttemptPhase::Sending, ClaimEvent::NotSent) => {
+                self.record(Recorded::NotRun, End::NotRun)
+            }
             (AttemptPhase::Sending, _) => Step::End(End::Unknown),
-            (AttemptPhase::Recording(recorded), _) => Step::End(match recorded {
-                Recorded::NotRun => End::NotRun,
-                Recorded::Answered => End::Answered,
-            }),
+            (AttemptPhase::Recording(end), _) => Step::End(end),
             (_, ClaimEvent::Read(row)) => self.on_row(row),
             (AttemptPhase::Fresh | AttemptPhase::MayHold, ClaimEvent::Claimed) => self.send(),
             (AttemptPhase::MayHold, ClaimEvent::ClaimUnknown) => Step::Read,
             (AttemptPhase::MayHold, ClaimEvent::Conflict) => Step::Read,
-            (AttemptPhase::MayHold, _) => self.record(Recorded::NotRun),
+            // Another attempt may hold the claim and have sent the call.
+            (AttemptPhase::MayHold, _) => self.record(Recorded::NotRun, End::Unknown),
             (AttemptPhase::Fresh, _) if self.is_repeated => Step::End(End::Unknown),
             (AttemptPhase::Fresh, _) => Step::End(End::NotRun),
             (AttemptPhase::Waiting, _) => Step::End(End::Unknown),
@@ -192,8 +194,8 @@
         Step::Send
     }
 
-    fn record(&mut self, recorded: Recorded) -> Step {
-        self.phase = AttemptPhase::Recording(recorded);
+    fn record(&mut self, recorded: Recorded, end: End) -> Step {
+        self.phase = AttemptPhase::Recording(end);
         Step::Record(recorded)
     }
 }
--- a/crates/trestled/src/claims.rs
+++ b/crates/trestled/src/claims.rs
@@ -147,7 +147,7 @@
     }
 
     async fn claim(&mut self, version: u64) -> ClaimEvent {
-        self.gate.note_free();
+        self.gate.note_contested();
         let claim = self.wire_claim(WireClaimState::Claimed);
         let outcome = self.daemon.claim_writer.write(&self.claimed.row, version, &claim).await;
         match outcome {
@@ -158,6 +158,7 @@
     }
 
     async fn send(&mut self) -> ClaimEvent {
+        self.gate.note_held();
         for endpoint in choice::order(&self.daemon, &self.claimed.service) {
             let place = choice::take(&self.daemon, &self.claimed.service, &endpoint);
             let Some(place) = place else { continue };
@@ -218,7 +219,7 @@
     }
 
     async fn wait(&mut self) -> ClaimEvent {
-        self.gate.note_foreign();
+        self.gate.note_contested();
         if Instant::now() + Duration::from_millis(WAIT_MS) >= self.claimed.deadline {
             return ClaimEvent::Deadline;
         }
--- a/crates/trestled/src/claims/gate.rs
+++ b/crates/trestled/src/claims/gate.rs
@@ -9,10 +9,10 @@
 
 /// The row of the key has not been read yet.
 const UNREAD: u8 = 0;
-/// No other attempt holds the claim, and this one has sent nothing.
-const OPEN: u8 = 1;
-/// Another attempt holds the claim.
-const FOREIGN: u8 = 2;
+/// The attempt holds the claim, and has sent nothing.
+const HELD: u8 = 1;
+/// Another attempt holds the claim, or may.
+const CONTESTED: u8 = 2;
 /// The attempt has begun to send.
 const SENDING: u8 = 3;
 /// The attempt must not send any more.
@@ -23,19 +23,19 @@
 pub(crate) struct Gate(AtomicU8);
 
 impl Gate {
-    /// Notes that another attempt holds the claim.
-    pub(crate) fn note_foreign(&self) {
-        let _ = self.change(UNREAD, FOREIGN).or_else(|_| self.change(OPEN, FOREIGN));
+    /// Notes that another attempt holds the claim, or may.
+    pub(crate) fn note_contested(&self) {
+        let _ = self.change(UNREAD, CONTESTED);
     }
 
-    /// Notes that no other attempt holds the claim.
-    pub(crate) fn note_free(&self) {
-        let _ = self.change(UNREAD, OPEN).or_else(|_| self.change(FOREIGN, OPEN));
+    /// Notes that the attempt holds the claim.
+    pub(crate) fn note_held(&self) {
+        let _ = self.change(UNREAD, HELD).or_else(|_| self.change(CONTESTED, HELD));
     }
 
     /// Begins to send, or goes on to; tells whether that is allowed.
     pub(crate) fn begin_to_send(&self) -> bool {
-        matches!(self.change(OPEN, SENDING), Ok(_) | Err(SENDING))
+        matches!(self.change(HELD, SENDING), Ok(_) | Err(SENDING))
     }
 
     /// Forbids to send, whatever has been sent before.
@@ -57,7 +57,7 @@
         }
         match state {
             UNREAD if !is_repeated => ClaimEnd::NotRun,
-            OPEN => ClaimEnd::NotRun,
+            HELD => ClaimEnd::NotRun,
             _ => ClaimEnd::Unknown,
         }
     }
