--- a/crates/trestle-core/src/review.rs
+++ b/crates/trestle-core/src/review.rs
@@ -10,6 +10,7 @@
     placing::{self, Site},
     row::{Row, RowKey, Rows, Txn, Versioned},
     seat::Seat,
+    timing::Timing,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -30,6 +31,19 @@
         self.next_ms = now_ms;
     }
 
+    /// Has the next round wait; the first ones follow each other closely, and
+    /// each lets one more candidate stand in for better ones.
+    fn end_round(&mut self, now_ms: u64, timing: &Timing) {
+        let is_early = self.round < MAX_CANDIDATES;
+        self.next_ms = now_ms + if is_early { timing.placing_ms } else { timing.review_ms };
+        self.round = (self.round + 1).min(MAX_CANDIDATES);
+    }
+
+    /// Candidates for whom others may stand in by now.
+    fn patience(&self) -> usize {
+        self.round.saturating_sub(1)
+    }
+
     /// Starts a round at the next opportunity.
     pub(crate) fn begin_soon(&mut self, now_ms: u64) {
         self.next_ms = now_ms;
@@ -44,7 +58,7 @@
             return;
         }
         let keys = self.keys_to_review();
-        self.review.next_ms = now_ms + self.timing.review_ms;
+        self.review.end_round(now_ms, &self.timing);
         if keys.is_empty() {
             return;
         }
@@ -56,10 +70,6 @@
     pub(crate) fn on_review(&mut self, rows: Option<Rows>, now_ms: u64, actions: &mut Vec<Action>) {
         self.review.is_reading = false;
         let Some(rows) = rows else { return };
-        if self.review.round < MAX_CANDIDATES {
-            self.review.round += 1;
-            self.review.next_ms = now_ms + self.timing.placing_ms;
-        }
         let endpoints: Vec<EndpointName> = self.reviewed().map(|(name, _)| name.clone()).collect();
         for endpoint in endpoints {
             self.review_endpoint(&endpoint, &rows, now_ms, actions);
@@ -106,7 +116,7 @@
         if let Some(txn) = self.rest_or_wake(site, seat, rows, now_ms) {
             return Some(txn);
         }
-        let wanted = placing::wanted(site, &self.catalog, self.review.round.saturating_sub(1));
+        let wanted = placing::wanted(site, &self.catalog, self.review.patience());
         placing::place(site, &wanted, rows, &self.catalog, &self.membership)
     }
 
@@ -214,7 +224,7 @@
         let mut keys = BTreeSet::new();
         for (endpoint, seat) in self.reviewed() {
             let Some(site) = self.site(endpoint, seat) else { continue };
-            let wanted = placing::wanted(site, &self.catalog, self.review.round);
+            let wanted = placing::wanted(site, &self.catalog, self.review.patience());
             let models: BTreeSet<&ModelName> =
                 wanted.into_iter().chain(seat.row.placed.keys()).collect();
             if models.is_empty() {
