--- /dev/null
+++ b/crates/trestle-session/tests/input.rs
@@ -0,0 +1,143 @@
+//! Bad input gets a clear error and leaves the daemon serving.
+
+mod common;
+
+use common::{assert_no_breach, fleet};
+use serde_json::{Value, json};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
+use trestle_session::Session;
+
+const CHAT: &str = "/v1/chat/completions";
+const TOKEN: &str = "riders-token";
+
+/// A request that is wrong in one way, and what has to come of it.
+struct Case {
+    name: &'static str,
+    token: &'static str,
+    path: &'static str,
+    headers: Vec<(&'static str, String)>,
+    body: String,
+    status: u16,
+    code: &'static str,
+}
+
+fn good_body() -> String {
+    let message = json!({"role": "user", "content": "hello"});
+    json!({"model": "unlock-help-1", "messages": [message]}).to_string()
+}
+
+fn cases() -> Vec<Case> {
+    let case = |name, status, code| Case {
+        name,
+        token: TOKEN,
+        path: CHAT,
+        headers: Vec::new(),
+        body: good_body(),
+        status,
+        code,
+    };
+    let unknown_model = json!({"model": "no-such-model", "messages": []}).to_string();
+    let deadline = |text: &str| vec![("trestle-deadline-ms", text.to_owned())];
+    vec![
+        Case { body: "{ not json".into(), ..case("broken JSON", 400, "bad_json") },
+        Case { body: String::new(), ..case("empty body", 400, "bad_json") },
+        Case { body: unknown_model, ..case("unknown model", 404, "unknown_model") },
+        Case { body: "x".repeat(2 << 20), ..case("oversize body", 413, "body_too_long") },
+        Case { token: "wrong", ..case("wrong token", 401, "unknown_token") },
+        Case { headers: deadline("5s"), ..case("deadline with a unit", 400, "bad_deadline") },
+        Case { headers: deadline("-1"), ..case("negative deadline", 400, "bad_deadline") },
+        Case { headers: deadline("999999999"), ..case("endless deadline", 400, "bad_deadline") },
+        Case {
+            headers: vec![("trestle-class", "planning".into())],
+            ..case("class of another tenant", 400, "unknown_class")
+        },
+        Case {
+            headers: vec![("x-request-id", "a b".into())],
+            ..case("request id with a space", 400, "bad_request_id")
+        },
+        Case { path: "/v2/chat", ..case("unknown path", 404, "unknown_path") },
+        Case { path: "/services/none/x", ..case("unknown service", 404, "unknown_service") },
+        Case {
+            headers: deadline("1"),
+            ..case("deadline too close for a cold model", 503, "deadline_too_close")
+        },
+    ]
+}
+
+#[test]
+fn bad_input_gets_a_clear_error() {
+    let session = fleet(20.0);
+    for case in cases() {
+        let answered =
+            session.post("caxias-1", case.token, case.path, &case.headers, case.body.clone());
+        let answered = answered.unwrap_or_else(|error| panic!("{}: {error}", case.name));
+        let error = &answered.body["error"];
+        assert_eq!(answered.status, case.status, "{}: {}", case.name, answered.body);
+        assert_eq!(error["code"], case.code, "{}", case.name);
+        assert_eq!(error["outcome"], "not_run", "{}", case.name);
+        assert!(error["message"].as_str().is_some_and(|text| text.len() > 10), "{}", case.name);
+        assert_serves(&session);
+    }
+    assert_no_breach(&session);
+}
+
+/// A refusal because of a deadline says when to come back, and comes at once.
+#[test]
+fn a_refusal_comes_at_once_with_the_time_to_come_back() {
+    let session = fleet(1.0);
+    let started = Instant::now();
+    let answered = session.complete("caxias-1", TOKEN, "depot-planner-1", "soon", 3_000);
+    let answered = answered.expect("the daemon answers");
+    assert_eq!(answered.body["error"]["code"], "deadline_too_close", "{}", answered.body);
+    assert!(answered.body["error"]["retry_after_ms"].as_u64().is_some_and(|ms| ms > 0));
+    assert!(started.elapsed() < Duration::from_millis(2_500), "it was held back");
+}
+
+#[test]
+fn slow_callers_do_not_keep_others_waiting() {
+    let session = fleet(20.0);
+    let address = session.daemons["caxias-1"].callers.clone();
+    let mut slow: Vec<TcpStream> = Vec::new();
+    for _ in 0..50 {
+        let mut stream = TcpStream::connect(&address).expect("the daemon listens");
+        let head = format!(
+            "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {TOKEN}\r\n\
+             content-length: 100\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("the head is sent");
+        slow.push(stream);
+    }
+    thread::sleep(Duration::from_millis(300));
+    assert_serves(&session);
+    let mut answer = String::new();
+    let mut first = slow.remove(0);
+    first.set_read_timeout(Some(Duration::from_secs(15))).expect("a time-out is set");
+    let _ = first.read_to_string(&mut answer);
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("slow_body"), "{answer}");
+}
+
+#[test]
+fn models_and_adapters_are_listed_and_served() {
+    let session = fleet(20.0);
+    let answered = session.complete("caxias-1", TOKEN, "city-01", "adapted", 20_000);
+    assert_eq!(answered.expect("the daemon answers").status, 200);
+    let metrics = session.metrics("caxias-1").expect("metrics are served");
+    for wanted in
+        ["trestle_request_ms", "trestle_cold_wait_ms", "tenant=\"riders\"", "class=\"curb\""]
+    {
+        assert!(metrics.contains(wanted), "no {wanted} in the metrics");
+    }
+}
+
+fn assert_serves(session: &Session) {
+    let answered = session.complete("caxias-1", TOKEN, "unlock-help-1", "still there", 20_000);
+    let answered = answered.expect("the daemon answers");
+    let content: &Value = &answered.body["choices"][0]["message"]["content"];
+    assert_eq!((answered.status, content.as_str()), (200, Some("still there")));
+}
