--- a/crates/trestle-core/tests/scenarios.rs
+++ b/crates/trestle-core/tests/scenarios.rs
@@ -13,14 +13,9 @@
 
 const DAEMONS: [(&str, &str); 3] = [("a-1", "a"), ("a-2", "a"), ("a-3", "a")];
 
-/// Two engines that check numbers and one model that may have one replica.
-fn two_engines() -> Catalog {
-    let engine = || EngineSpec {
-        domain: "a".into(),
-        memory_bytes: 100,
-        slots: 4,
-        fencing: Fencing::Checked,
-    };
+/// Two engines and one model that may have one replica.
+fn two_engines(fencing: Fencing) -> Catalog {
+    let engine = || EngineSpec { domain: "a".into(), memory_bytes: 100, slots: 4, fencing };
     let model = ModelSpec {
         memory_bytes: 60,
         max_replicas: 1,
@@ -59,7 +54,7 @@
 /// retired, and takes over at the old epoch.
 #[test]
 fn successor_cut_off_cannot_load_a_retired_model() {
-    let mut world = World::new(1, two_engines(), &DAEMONS);
+    let mut world = World::new(1, two_engines(Fencing::Checked), &DAEMONS);
     world.run_for(8_000);
     let (old, new) = placed(&world);
     let (owner, stale) = successor(&world, old);
@@ -79,7 +74,7 @@
 /// could still load there, so the replica is not given back.
 #[test]
 fn replica_counts_until_the_engine_accepts_the_new_epoch() {
-    let mut world = World::new(2, two_engines(), &DAEMONS);
+    let mut world = World::new(2, two_engines(Fencing::Checked), &DAEMONS);
     world.run_for(8_000);
     let (old, new) = placed(&world);
     let (owner, stale) = successor(&world, old);
@@ -98,7 +93,7 @@
 /// Two daemons that both reach an engine, but not each other, take over once each.
 #[test]
 fn daemons_cut_from_each_other_do_not_thrash() {
-    let mut world = World::new(3, two_engines(), &DAEMONS);
+    let mut world = World::new(3, two_engines(Fencing::Checked), &DAEMONS);
     world.run_for(8_000);
     let (engine, _) = placed(&world);
     let (owner, other) = successor(&world, engine);
@@ -114,10 +109,32 @@
     assert!(refused <= 2, "{refused} orders were refused");
 }
 
+/// An owner that was frozen with a load in hand sends it long after it was
+/// replaced, to an engine that ignores numbers.
+#[test]
+fn frozen_owner_with_a_load_in_hand_makes_no_surplus_replica() {
+    let mut world = World::new(6, two_engines(Fencing::Ignored), &DAEMONS);
+    world.run_for(8_000);
+    let (old, new) = placed(&world);
+    let (owner, _) = successor(&world, old);
+    let resumes_ms = world.now_ms + 60_000;
+    world.faults.orders_held_until_ms.insert(owner.clone(), resumes_ms);
+    world.ask(owner.as_str(), old, "m", 0);
+    world.run_for(400);
+    world.freeze(owner.as_str(), resumes_ms - world.now_ms);
+    world.list(old, Some(VmState::Leaving));
+    world.run_for(40_000);
+    ask_all_but(&mut world, &owner, new);
+    world.run_for(40_000);
+    world.faults.orders_held_until_ms.clear();
+    world.run_for(60_000);
+    assert_eq!(placed(&world).0, new, "the replica is decided elsewhere in the end");
+}
+
 /// With the platform down, a successor takes over and starts a cold model.
 #[test]
 fn cold_start_without_the_platform_after_the_owner_died() {
-    let mut world = World::new(4, two_engines(), &DAEMONS);
+    let mut world = World::new(4, two_engines(Fencing::Checked), &DAEMONS);
     world.run_for(8_000);
     let (engine, _) = placed(&world);
     let (owner, other) = successor(&world, engine);
@@ -133,7 +150,7 @@
 /// An outage of the platform moves no epoch, however long.
 #[test]
 fn outage_expels_nobody() {
-    let mut world = World::new(5, two_engines(), &DAEMONS);
+    let mut world = World::new(5, two_engines(Fencing::Checked), &DAEMONS);
     world.run_for(8_000);
     let epoch = world.epoch("a-1");
     world.faults.platform_down = true;
--- a/crates/trestle-core/tests/world/faults.rs
+++ b/crates/trestle-core/tests/world/faults.rs
@@ -1,6 +1,6 @@
 //! What goes wrong in the world.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{EndpointName, VmName};
 
 /// What goes wrong in the world.
@@ -11,6 +11,9 @@
     pub(crate) lost_answers_percent: u8,
     pub(crate) slow_orders_percent: u8,
     pub(crate) slow_order_ms: u64,
+    /// Until when orders that a daemon has decided on are not sent, as when it is
+    /// frozen in between.
+    pub(crate) orders_held_until_ms: BTreeMap<VmName, u64>,
     pub(crate) platform_cut: BTreeSet<VmName>,
     pub(crate) engine_cut: BTreeSet<(VmName, EndpointName)>,
     pub(crate) peers_cut: BTreeSet<(VmName, VmName)>,
--- a/crates/trestle-core/tests/world/mod.rs
+++ b/crates/trestle-core/tests/world/mod.rs
@@ -379,7 +379,8 @@
         let longest_ms = self.faults.slow_order_ms;
         let delay_ms = if is_slow { self.random(longest_ms) } else { self.hop_ms() };
         // What a frozen daemon has not sent yet, it sends when it goes on.
-        let frozen_ms = self.vms[&name].frozen_until_ms;
+        let held_ms = self.faults.orders_held_until_ms.get(&name).copied().unwrap_or(0);
+        let frozen_ms = self.vms[&name].frozen_until_ms.max(held_ms);
         let at_ms = (self.now_ms + delay_ms).max(frozen_ms);
         self.queue.push(at_ms, Happening::Order(name, run, endpoint, order));
     }
