--- a/crates/trestle-core/src/node.rs
+++ b/crates/trestle-core/src/node.rs
@@ -519,7 +519,7 @@
         };
         let most_urgent = owned.filter_map(first_of).min();
         let is_first = most_urgent.is_none_or(|(_, name)| name == *endpoint);
-        under_way < self.loads.share() && is_first
+        under_way < self.loads.limit() && is_first
     }
 
     /// What a load for the ask has to expect, if one is needed.
@@ -539,7 +539,7 @@
         let domains: BTreeSet<&DomainName> =
             self.catalog.engines.values().map(|engine| &engine.domain).collect();
         let daemons = self.membership.row().members.len() * domains.len().max(1);
-        self.loads.set_share(self.catalog.full_speed_loads, daemons);
+        self.loads.set_store(self.catalog.full_speed_loads, daemons);
     }
 
     fn refuse_late_parked(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
--- a/crates/trestle-session/src/bin/trestle-demo.rs
+++ b/crates/trestle-session/src/bin/trestle-demo.rs
@@ -75,15 +75,16 @@
     let names: Vec<String> = trestle_config::from_str(&session.config, "fleet.jsonc")
         .map(|config| config.catalog.models.keys().map(ToString::to_string).collect())
         .unwrap_or_default();
-    let stream = |tenant: &str, class: &str, deadline_ms: u64, stream: bool| {
+    let (for_riders, for_planners) = names.split_at(names.len() / 2);
+    let stream = |tenant: &str, class: &str, names: &[String], stream: bool| {
         json!({
             "tenant": tenant, "token": format!("{tenant}-token"), "class": class,
-            "requests": 350, "over_ms": 0, "deadline_ms": deadline_ms,
+            "requests": 350, "over_ms": 0, "deadline_ms": 60_000,
             "work": {"models": {"names": names, "stream": stream}},
         })
     };
     session.load(&json!([
-        stream("riders", "curb", 60_000, false),
-        stream("planners", "planning", 60_000, true),
+        stream("riders", "curb", for_riders, false),
+        stream("planners", "planning", for_planners, true),
     ]))
 }
