--- a/crates/trestle-load/src/plan.rs
+++ b/crates/trestle-load/src/plan.rs
@@ -26,6 +26,9 @@
     pub(crate) class: String,
     /// Requests to send.
     pub(crate) requests: usize,
+    /// Time before the first of them.
+    #[serde(default)]
+    pub(crate) start_ms: u64,
     /// Time over which they are spread; 0 sends all at once.
     pub(crate) over_ms: u64,
     /// Time until each answer is due.
--- a/crates/trestle-load/src/send.rs
+++ b/crates/trestle-load/src/send.rs
@@ -63,7 +63,8 @@
 
 fn start_of(stream: &Stream, index: usize) -> Duration {
     let share = index as f64 / stream.requests.max(1) as f64;
-    Duration::from_millis(stream.over_ms).mul_f64(share)
+    let start = Duration::from_millis(stream.start_ms);
+    start + Duration::from_millis(stream.over_ms).mul_f64(share)
 }
 
 async fn request(client: &Client, target: &str, stream: &Stream, index: usize, id: &str) -> Ended {
--- a/crates/trestle-session/src/bin/trestle-demo.rs
+++ b/crates/trestle-session/src/bin/trestle-demo.rs
@@ -48,7 +48,10 @@
         answered.body["choices"][0]["message"]["content"].as_str().unwrap_or(""),
     );
     let report = burst(&session)?;
-    println!("A burst for 50 models at {} daemons at once:", DAEMONS.len());
+    println!(
+        "A burst for 50 models at {} daemons at once, planners first, riders half a second later:",
+        DAEMONS.len(),
+    );
     println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
     let counts = session.counts()?;
     println!("Loads of each model: {}", counts["loads"]);
@@ -76,15 +79,15 @@
         .map(|config| config.catalog.models.keys().map(ToString::to_string).collect())
         .unwrap_or_default();
     let (for_riders, for_planners) = names.split_at(names.len() / 2);
-    let stream = |tenant: &str, class: &str, names: &[String], stream: bool| {
+    let stream = |tenant: &str, class: &str, names: &[String], start_ms: u64, stream: bool| {
         json!({
             "tenant": tenant, "token": format!("{tenant}-token"), "class": class,
-            "requests": 350, "over_ms": 0, "deadline_ms": 60_000,
+            "requests": 350, "start_ms": start_ms, "over_ms": 0, "deadline_ms": 60_000,
             "work": {"models": {"names": names, "stream": stream}},
         })
     };
     session.load(&json!([
-        stream("riders", "curb", for_riders, false),
-        stream("planners", "planning", for_planners, true),
+        stream("planners", "planning", for_planners, 0, true),
+        stream("riders", "curb", for_riders, 500, false),
     ]))
 }
