--- a/crates/trestle-core/src/lib.rs
+++ b/crates/trestle-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod endpoint_row;
 pub mod event;
 pub mod fence;
+pub mod habits;
 pub mod health;
 pub mod keep;
 pub mod lease_row;
--- /dev/null
+++ b/crates/trestle-policy/src/simulate.rs
@@ -0,0 +1,208 @@
+//! A deployment under a policy, in virtual time.
+
+use crate::{
+    day::{Deployment, HOUR_MS, MINUTE_MS, ModelDay, civil},
+    policy::Policy,
+};
+use hdrhistogram::Histogram;
+use std::collections::BTreeSet;
+use trestle_core::{
+    habits::{BIN_MINUTES, Bin, Habits},
+    keep::Gaps,
+};
+
+/// Length of a bin of habits.
+const BIN_MS: u64 = BIN_MINUTES as u64 * MINUTE_MS;
+/// Gap after which a request counts as a first one.
+const FIRST_AFTER_MS: u64 = MINUTE_MS;
+/// Time between two starts of loads at the weight store.
+const START_INTERVAL_MS: u64 = 333;
+/// Loads that the weight store serves at full speed.
+const FULL_SPEED_LOADS: u64 = 4;
+const DIGITS: u8 = 3;
+
+/// What a policy has led to.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub struct Outcome {
+    /// First requests.
+    pub first_requests: u64,
+    /// Those of them that found their model not loaded.
+    pub cold: u64,
+    /// Cold wait of the median first request.
+    pub p50_ms: u64,
+    /// Cold wait that 90 in 100 first requests stay within.
+    pub p90_ms: u64,
+    /// Cold wait that 99 in 100 first requests stay within.
+    pub p99_ms: u64,
+    /// Cold wait of all first requests together.
+    pub total_wait_ms: u64,
+    /// Idle accelerator time.
+    pub idle_ms: u64,
+}
+
+impl Outcome {
+    /// Idle accelerator hours.
+    pub fn idle_hours(&self) -> f64 {
+        self.idle_ms as f64 / HOUR_MS as f64
+    }
+}
+
+/// A request that finds its model not loaded.
+struct Cold {
+    at_ms: u64,
+    urgency: u8,
+    load_ms: u64,
+    is_measured: bool,
+}
+
+/// Runs a deployment under a policy.
+pub fn simulate(deployment: &Deployment, policy: &Policy) -> Outcome {
+    let mut colds = Vec::new();
+    let mut idle_ms = 0;
+    let mut first_requests = 0;
+    for model in &deployment.models {
+        let lived = live(model, deployment, policy, &mut colds);
+        idle_ms += lived.idle_ms;
+        first_requests += lived.first_requests;
+    }
+    let waits = waits(colds);
+    summary(first_requests, &waits, idle_ms)
+}
+
+/// What one model's time has come to.
+#[derive(Default)]
+struct Lived {
+    idle_ms: u64,
+    first_requests: u64,
+}
+
+fn live(
+    model: &ModelDay,
+    deployment: &Deployment,
+    policy: &Policy,
+    colds: &mut Vec<Cold>,
+) -> Lived {
+    let mut lived = Lived::default();
+    let mut gaps = Gaps::default();
+    let expected = expected_times(model, deployment, policy);
+    let mut last_ms = None;
+    let from_ms = deployment.measured_from_ms;
+    for at_ms in model.requests_ms.iter().copied() {
+        let gap_ms = last_ms.map_or(u64::MAX, |last_ms| at_ms - last_ms);
+        let keep_ms = policy.keep_ms(model, &gaps, gap_ms);
+        let kept =
+            last_ms.map_or((0, 0), |last_ms: u64| (last_ms, last_ms.saturating_add(keep_ms)));
+        let since_ms = last_ms.unwrap_or(0);
+        lived.idle_ms += idle_within(model, &expected, kept, since_ms.max(from_ms), at_ms);
+        let is_loaded = at_ms < kept.1 || is_within(&expected, at_ms);
+        let is_measured = at_ms >= from_ms;
+        let is_first = gap_ms > FIRST_AFTER_MS;
+        lived.first_requests += u64::from(is_first && is_measured);
+        if !is_loaded {
+            let (urgency, load_ms) = (model.urgency, model.load_ms);
+            let is_measured = is_first && is_measured;
+            colds.push(Cold { at_ms, urgency, load_ms, is_measured });
+        }
+        if last_ms.is_some() && gap_ms > model.load_ms {
+            gaps.note(gap_ms);
+        }
+        last_ms = Some(at_ms);
+    }
+    let last_ms = last_ms.unwrap_or(0);
+    let kept = (last_ms, last_ms.saturating_add(policy.keep_ms(model, &gaps, u64::MAX)));
+    let end_ms = deployment.end_ms;
+    lived.idle_ms += idle_within(model, &expected, kept, last_ms.max(from_ms), end_ms);
+    lived
+}
+
+/// Spans in which the model is kept loaded whether requests come or not, in order.
+fn expected_times(model: &ModelDay, deployment: &Deployment, policy: &Policy) -> Vec<(u64, u64)> {
+    let mut habits = Habits::default();
+    let mut spans: Vec<(u64, u64)> = Vec::new();
+    let mut requests = model.requests_ms.iter().copied().peekable();
+    for bin_ms in (0..deployment.end_ms).step_by(BIN_MS as usize) {
+        let end_ms = bin_ms + BIN_MS;
+        let bin = Bin::of(civil(bin_ms));
+        let by_habit =
+            policy.habit_price(model).is_some_and(|price| habits.is_expected(bin, &price));
+        let is_open = |at_ms| model.windows.iter().any(|window| window.is_open(civil(at_ms)));
+        let by_window = policy.honours_windows() && (is_open(bin_ms) || is_open(end_ms - 1));
+        if by_habit || by_window {
+            match spans.last_mut().filter(|span| span.1 == bin_ms) {
+                Some(span) => span.1 = end_ms,
+                None => spans.push((bin_ms.saturating_sub(model.load_ms), end_ms)),
+            }
+        }
+        let mut came = false;
+        while requests.next_if(|at_ms| *at_ms < end_ms).is_some() {
+            came = true;
+        }
+        habits.note(bin, came);
+    }
+    spans
+}
+
+/// Idle time from one request to the next, as a share of the accelerator.
+fn idle_within(
+    model: &ModelDay,
+    expected: &[(u64, u64)],
+    kept: (u64, u64),
+    from_ms: u64,
+    to_ms: u64,
+) -> u64 {
+    if from_ms >= to_ms {
+        return 0;
+    }
+    let kept_ms = kept.1.min(to_ms).saturating_sub(kept.0.max(from_ms));
+    let from_ms = from_ms.max(kept.1);
+    let first = expected.partition_point(|span| span.1 <= from_ms);
+    let spans = expected[first..].iter().take_while(|span| span.0 < to_ms);
+    let expected_ms: u64 =
+        spans.map(|span| span.1.min(to_ms).saturating_sub(span.0.max(from_ms))).sum();
+    (kept_ms + expected_ms) * model.share_percent / 100
+}
+
+fn is_within(expected: &[(u64, u64)], at_ms: u64) -> bool {
+    let first = expected.partition_point(|span| span.1 <= at_ms);
+    expected.get(first).is_some_and(|span| span.0 <= at_ms)
+}
+
+/// What each measured first request waits, with the weight store shared between loads.
+fn waits(mut colds: Vec<Cold>) -> Vec<u64> {
+    colds.sort_by_key(|cold| (cold.at_ms, cold.urgency));
+    let mut next_start_ms = 0;
+    let mut running_until_ms: BTreeSet<(u64, usize)> = BTreeSet::new();
+    let mut waits = Vec::new();
+    for (index, cold) in colds.iter().enumerate() {
+        let start_ms = cold.at_ms.max(next_start_ms);
+        next_start_ms = start_ms + START_INTERVAL_MS;
+        running_until_ms.retain(|(until_ms, _)| *until_ms > start_ms);
+        let running = running_until_ms.len() as u64 + 1;
+        let load_ms = cold.load_ms * running.max(FULL_SPEED_LOADS) / FULL_SPEED_LOADS;
+        running_until_ms.insert((start_ms + load_ms, index));
+        if cold.is_measured {
+            waits.push(start_ms + load_ms - cold.at_ms);
+        }
+    }
+    waits
+}
+
+fn summary(first_requests: u64, waits: &[u64], idle_ms: u64) -> Outcome {
+    let mut histogram: Histogram<u64> = Histogram::new(DIGITS).expect("three digits are allowed");
+    for wait_ms in waits {
+        // Growing fails only for values past any time that a run can take.
+        let _ = histogram.record(*wait_ms);
+    }
+    let warm = first_requests - waits.len() as u64;
+    let _ = histogram.record_n(0, warm);
+    Outcome {
+        first_requests,
+        cold: waits.len() as u64,
+        p50_ms: histogram.value_at_quantile(0.5),
+        p90_ms: histogram.value_at_quantile(0.9),
+        p99_ms: histogram.value_at_quantile(0.99),
+        total_wait_ms: waits.iter().sum(),
+        idle_ms,
+    }
+}
