--- a/crates/trestle-core/src/event.rs
+++ b/crates/trestle-core/src/event.rs
@@ -3,8 +3,9 @@
 use crate::{
     catalog::Catalog,
     fence::Fence,
+    habits::Habits,
     membership_row::MembershipRow,
-    names::{EndpointName, VmName},
+    names::{EndpointName, ModelName, VmName},
     order::{Order, OrderOutcome},
     permit::{PermitAnswer, PermitAsk, Ticket},
     row::{CommitOutcome, RowKey, Rows, Txn},
@@ -17,6 +18,8 @@
 pub enum Event {
     /// Time went on.
     Tick,
+    /// What was kept of the habits of the models at an endpoint.
+    Habits(EndpointName, BTreeMap<ModelName, Habits>),
     /// The operators' clocks went on.
     Clock(CivilTime),
     /// A configuration came into force.
@@ -114,6 +117,10 @@
     Answer(Ticket, PermitAnswer),
     /// Tell the rest of the daemon about the members of the domain.
     Members(MembershipRow),
+    /// Read what was kept of the habits at an endpoint.
+    FetchHabits(EndpointName),
+    /// Keep the habits at an endpoint, for its later owners.
+    KeepHabits(EndpointName, BTreeMap<ModelName, Habits>),
     /// This daemon owns the endpoint from now on, or no longer.
     Ownership {
         /// The endpoint.
--- a/crates/trestle-core/src/habits.rs
+++ b/crates/trestle-core/src/habits.rs
@@ -48,6 +48,17 @@
 }
 
 impl Habits {
+    /// Habits that were kept; `None` if there are not as many shares as bins.
+    pub fn from_shares(shares: &[u16]) -> Option<Self> {
+        let (working_days, weekends) = shares.split_at_checked(BINS_A_DAY)?;
+        Some(Self { shares: [working_days.try_into().ok()?, weekends.try_into().ok()?] })
+    }
+
+    /// The shares of all bins, to be kept.
+    pub fn to_shares(&self) -> Vec<u16> {
+        self.shares.concat()
+    }
+
     /// Notes whether a request came in a bin that is over.
     pub fn note(&mut self, bin: Bin, came: bool) {
         let share = &mut self.shares[usize::from(bin.is_weekend)][bin.index];
--- a/crates/trestle-core/src/node.rs
+++ b/crates/trestle-core/src/node.rs
@@ -47,7 +47,6 @@
     pub(crate) vms: Vms,
     pub(crate) review: Review,
     loads: Loads,
-    expected: BTreeSet<ModelName>,
     acted_epoch: u64,
     next_lease_ms: u64,
     next_refresh_ms: u64,
@@ -67,7 +66,6 @@
             vms: Vms::default(),
             review: Review::default(),
             loads: Loads::default(),
-            expected: BTreeSet::new(),
             acted_epoch: 0,
             next_lease_ms: 0,
             next_refresh_ms: 0,
@@ -97,7 +95,10 @@
         let mut actions = Vec::new();
         match event {
             Event::Tick => self.on_tick(now_ms, &mut actions),
-            Event::Clock(time) => self.on_clock(time),
+            Event::Clock(time) => self.on_clock(time, &mut actions),
+            Event::Habits(endpoint, habits) => {
+                self.with_owned(&endpoint, |owned| owned.take_habits(habits));
+            }
             Event::Catalog(catalog) => self.on_catalog(catalog, now_ms, &mut actions),
             Event::Vms(vms) => self.on_vms(vms, now_ms),
             Event::Read(purpose, rows) => self.on_read(purpose, rows, now_ms, &mut actions),
@@ -135,14 +136,13 @@
         self.refuse_late_parked(now_ms, actions);
     }
 
-    fn on_clock(&mut self, time: CivilTime) {
-        let expected: BTreeSet<ModelName> = self.catalog.expected_at(time).cloned().collect();
-        for seat in self.seats.values_mut() {
-            if let Some(owned) = seat.owned_mut() {
-                owned.set_expected(&expected);
+    fn on_clock(&mut self, time: CivilTime, actions: &mut Vec<Action>) {
+        for (endpoint, seat) in &mut self.seats {
+            let Role::Owner(owned) = &mut seat.role else { continue };
+            if let Some(habits) = owned.on_clock(time, &seat.row, &self.catalog) {
+                actions.push(Action::KeepHabits(endpoint.clone(), habits));
             }
         }
-        self.expected = expected;
     }
 
     fn follow_membership(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
@@ -373,8 +373,8 @@
             role => {
                 let mut owned = Owned::new(spec.clone(), fence, &seat.row, self.timing);
                 owned.set_leaving(self.vms.is_leaving(endpoint.as_str()));
-                owned.set_expected(&self.expected);
                 *role = Role::Owner(Box::new(owned));
+                actions.push(Action::FetchHabits(endpoint.clone()));
             }
         }
         actions.push(Action::Ownership { endpoint: endpoint.clone(), fence: Some(fence) });
--- a/crates/trestle-core/src/owned.rs
+++ b/crates/trestle-core/src/owned.rs
@@ -18,6 +18,7 @@
     catalog::{Catalog, EngineSpec, Fencing, ModelSpec},
     endpoint_row::EndpointRow,
     fence::Fence,
+    habits::{Bin, Habits},
     keep::Gaps,
     loads::Outlook,
     names::{ModelName, VmName},
@@ -25,6 +26,7 @@
     permit::{PERMIT_USE_MS, PermitAnswer, PermitAsk, Refusal, Ticket},
     queue::Queue,
     timing::Timing,
+    window::{CivilTime, LEAD_MINUTES},
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -66,6 +68,9 @@
     used_ms: BTreeMap<ModelName, u64>,
     gaps: BTreeMap<ModelName, Gaps>,
     expected: BTreeSet<ModelName>,
+    habits: BTreeMap<ModelName, Habits>,
+    bin: Option<Bin>,
+    came: BTreeSet<ModelName>,
     service_ms: BTreeMap<ModelName, u64>,
     failed_ms: BTreeMap<ModelName, u64>,
     ended_loads: Vec<(ModelName, u64)>,
@@ -126,6 +131,9 @@
             used_ms: BTreeMap::new(),
             gaps: BTreeMap::new(),
             expected: BTreeSet::new(),
+            habits: BTreeMap::new(),
+            bin: None,
+            came: BTreeSet::new(),
             service_ms: BTreeMap::new(),
             failed_ms: BTreeMap::new(),
             ended_loads: Vec::new(),
@@ -296,6 +304,7 @@
         }
         ask.cold = !self.is_ready(&ask.model);
         self.note_gap(&ask.model, model.load_ms, now_ms);
+        self.came.insert(ask.model.clone());
         self.used_ms.insert(ask.model.clone(), now_ms);
         self.queue.push(ask);
         None
@@ -313,9 +322,55 @@
         }
     }
 
-    /// Sets the models that are expected to be needed.
-    pub fn set_expected(&mut self, expected: &BTreeSet<ModelName>) {
-        self.expected = expected.clone();
+    /// Learns from a bin that is over, and sees what is expected now or soon.
+    ///
+    /// Returns the habits if they have changed and should be kept.
+    pub fn on_clock(
+        &mut self,
+        time: CivilTime,
+        placed: &EndpointRow,
+        catalog: &Catalog,
+    ) -> Option<BTreeMap<ModelName, Habits>> {
+        let bin = Bin::of(time);
+        let ended = self.bin.replace(bin).filter(|ended| *ended != bin);
+        if let Some(ended) = ended {
+            self.learn(ended, placed);
+        }
+        let soon = Bin::of(time.later(LEAD_MINUTES));
+        let models = placed.placed.keys();
+        self.expected = models
+            .filter(|model| {
+                self.is_habitual(model, bin, catalog) || self.is_habitual(model, soon, catalog)
+            })
+            .chain(catalog.expected_at(time))
+            .cloned()
+            .collect();
+        ended.map(|_| self.habits.clone()).filter(|habits| !habits.is_empty())
+    }
+
+    /// Takes what earlier owners have kept; what was learnt here since goes first.
+    pub fn take_habits(&mut self, kept: BTreeMap<ModelName, Habits>) {
+        for (model, habits) in kept {
+            self.habits.entry(model).or_insert(habits);
+        }
+    }
+
+    fn learn(&mut self, ended: Bin, placed: &EndpointRow) {
+        for model in placed.placed.keys() {
+            let came = self.came.contains(model);
+            if came || self.habits.contains_key(model) {
+                self.habits.entry(model.clone()).or_default().note(ended, came);
+            }
+        }
+        self.habits.retain(|model, _| placed.placed.contains_key(model));
+        self.came.clear();
+    }
+
+    fn is_habitual(&self, model: &ModelName, bin: Bin, catalog: &Catalog) -> bool {
+        let habits = self.habits.get(model);
+        habits.zip(catalog.models.get(model)).is_some_and(|(habits, spec)| {
+            habits.is_expected(bin, &catalog.keep_price(spec, &self.spec))
+        })
     }
 
     /// Time for which a model is kept without a request.
--- a/crates/trestle-core/src/window.rs
+++ b/crates/trestle-core/src/window.rs
@@ -30,6 +30,19 @@
     pub minute: u16,
 }
 
+impl CivilTime {
+    /// The moment some minutes later; less than a day.
+    #[must_use]
+    pub fn later(self, minutes: u16) -> Self {
+        let minute = self.minute + minutes;
+        if minute < MINUTES_A_DAY {
+            return Self { minute, ..self };
+        }
+        // The month may be one too early for its first minutes, which only windows heed.
+        Self { minute: minute - MINUTES_A_DAY, weekday: (self.weekday + 1) % 7, ..self }
+    }
+}
+
 impl Window {
     /// Whether the window is open, or about to open.
     pub fn is_open(&self, time: CivilTime) -> bool {
--- a/crates/trestle-core/tests/scenarios.rs
+++ b/crates/trestle-core/tests/scenarios.rs
@@ -165,3 +165,82 @@
     world.run_for(20_000);
     assert_eq!(world.epoch("a-1"), epoch);
 }
+
+/// One engine with room for one of two models.
+fn one_engine() -> Catalog {
+    let mut catalog = two_engines(Fencing::Checked);
+    catalog.engines.remove("y");
+    let model = catalog.models["m"].clone();
+    catalog.models.insert("n".into(), model);
+    catalog
+}
+
+/// Loads the model and waits until it has served and is idle.
+fn warm_up(world: &mut World, owner: &VmName) {
+    world.run_for(8_000);
+    world.ask(owner.as_str(), "x", "m", 0);
+    world.run_for(9_000);
+}
+
+/// An owner that was frozen and replaced finds a request when it goes on, and must
+/// not let it run beside the orders of its successor.
+#[test]
+fn owner_resumed_after_its_replacement_gives_no_permit() {
+    for seed in 0..8 {
+        for delay_ms in (0..800).step_by(40) {
+            let mut world = World::new(seed, one_engine(), &DAEMONS);
+            world.run_for(2_000);
+            let (owner, other) = successor(&world, "x");
+            warm_up(&mut world, &owner);
+            world.freeze(owner.as_str(), 20_000);
+            world.ask(owner.as_str(), "x", "m", 0);
+            world.run_for(20_000 - 400 + delay_ms);
+            world.ask(other.as_str(), "x", "n", 0);
+            world.run_for(6_000);
+        }
+    }
+}
+
+/// A permit of an owner that is lost right after is used late, while the successor
+/// makes room for another model.
+#[test]
+fn successor_waits_for_permits_that_are_out() {
+    for seed in 0..8 {
+        for use_ms in (50..900).step_by(25) {
+            let mut world = World::new(seed, one_engine(), &DAEMONS);
+            world.run_for(2_000);
+            let (owner, other) = successor(&world, "x");
+            warm_up(&mut world, &owner);
+            world.faults.permit_use_ms = use_ms;
+            world.ask(owner.as_str(), "x", "m", 0);
+            world.run_for(60);
+            world.kill(owner.as_str());
+            world.ask(other.as_str(), "x", "n", 1);
+            world.run_for(8_000);
+        }
+    }
+}
+
+/// A successor reads what is placed just before a placement is retired, and gets the
+/// answer after it has read the new epoch.
+#[test]
+fn rows_read_before_an_epoch_are_not_acted_on_at_it() {
+    for delay_ms in (0..6_000).step_by(150) {
+        let mut world = World::new(7, two_engines(Fencing::Checked), &DAEMONS);
+        world.run_for(8_000);
+        let (old, new) = placed(&world);
+        let (owner, stale) = successor(&world, old);
+        world.faults.late_placements_ms.insert(stale.clone(), 3_000);
+        world.run_for(delay_ms);
+        world.list(old, Some(VmState::Leaving));
+        world.run_for(3_500);
+        world.faults.platform_cut.insert(stale.clone());
+        world.faults.peers_cut.insert((owner, stale.clone()));
+        world.run_for(4_000);
+        ask_all_but(&mut world, &stale, new);
+        world.run_for(2_500);
+        world.ask(stale.as_str(), old, "m", 1);
+        world.run_for(4_000);
+        assert!(world.loads <= 1);
+    }
+}
--- a/crates/trestle-core/tests/world/faults.rs
+++ b/crates/trestle-core/tests/world/faults.rs
@@ -11,6 +11,10 @@
     pub(crate) lost_answers_percent: u8,
     pub(crate) slow_orders_percent: u8,
     pub(crate) slow_order_ms: u64,
+    /// Time by which answers to reads of placements are late.
+    pub(crate) late_placements_ms: BTreeMap<VmName, u64>,
+    /// Time that entry daemons take to use a permit.
+    pub(crate) permit_use_ms: u64,
     /// Until when orders that a daemon has decided on are not sent, as when it is
     /// frozen in between.
     pub(crate) orders_held_until_ms: BTreeMap<VmName, u64>,
--- a/crates/trestle-core/tests/world/mod.rs
+++ b/crates/trestle-core/tests/world/mod.rs
@@ -273,7 +273,13 @@
             Happening::Read(name, run, purpose, keys) => {
                 let is_cut = self.faults.is_platform_cut(&name);
                 let rows = (!is_cut).then(|| self.table.read(&keys));
-                self.event_soon(&name, run, Event::Read(purpose, rows));
+                let late_ms = self.faults.late_placements_ms.get(&name).copied().unwrap_or(0);
+                let is_late =
+                    matches!(purpose, trestle_core::event::ReadPurpose::Placements { .. });
+                let late_ms = if is_late { late_ms } else { 0 };
+                let at_ms = self.now_ms + self.hop_ms() + late_ms;
+                let event = Event::Read(purpose, rows);
+                self.queue.push(at_ms, Happening::Event(name, run, event));
             }
             Happening::Order(name, run, endpoint, order) => {
                 self.take_order(name, run, endpoint, order);
@@ -347,7 +353,10 @@
                     self.event_soon(&vm, run, Event::RowChanged(endpoint));
                 }
             }
-            Action::Members(_) | Action::Ownership { .. } => {}
+            Action::Members(_)
+            | Action::Ownership { .. }
+            | Action::FetchHabits(_)
+            | Action::KeepHabits(..) => {}
             Action::Left => self.vm(name.as_str()).is_alive = false,
         }
     }
@@ -450,7 +459,7 @@
             return;
         }
         self.granted += 1;
-        let at_ms = self.now_ms + self.hop_ms();
+        let at_ms = self.now_ms + self.hop_ms().max(self.faults.permit_use_ms);
         self.queue.push(
             at_ms,
             Happening::Begin {
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -9,11 +9,13 @@
 //! - [`peer`]: what daemons ask each other.
 //! - [`claim`]: calls that may not be repeated.
 //! - [`admin`]: what operators ask a daemon.
+//! - [`habits`]: what is kept of the times at which models are used.
 //! - [`headers`]: HTTP headers towards callers and endpoints.
 
 pub mod admin;
 pub mod claim;
 mod error;
+pub mod habits;
 pub mod headers;
 pub mod order;
 pub mod peer;
--- a/crates/trestled/src/shell.rs
+++ b/crates/trestled/src/shell.rs
@@ -1,13 +1,15 @@
 //! Carries out what the node asks for, and tells it the outcome.
 
 use crate::daemon::Daemon;
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 use trestle_core::{
     event::{Action, CommitPurpose, Event, ReadPurpose},
-    names::{EndpointName, VmName},
+    habits::Habits,
+    names::{EndpointName, ModelName, VmName},
     order::{Order, OrderOutcome},
     row::{CommitOutcome, RowKey, Txn},
 };
+use trestle_wire::habits::{WireHabits, habits_object};
 
 /// Carries out one action, in a task of its own where it takes time.
 pub(crate) fn carry_out(daemon: &Arc<Daemon>, action: Action) {
@@ -35,6 +37,10 @@
         Action::Ownership { endpoint, fence: None } => {
             tracing::info!("owner: Gave up {endpoint}.");
         }
+        Action::FetchHabits(endpoint) => smol::spawn(fetch_habits(daemon, endpoint)).detach(),
+        Action::KeepHabits(endpoint, habits) => {
+            smol::spawn(keep_habits(daemon, endpoint, habits)).detach();
+        }
         Action::Left => {
             tracing::info!("member: Left the failure domain.");
             daemon.asking.left();
@@ -74,6 +80,26 @@
     daemon.tell(Event::Probed { vm, endpoint, owns });
 }
 
+async fn fetch_habits(daemon: Arc<Daemon>, endpoint: EndpointName) {
+    let content = daemon.platform.get_object(&habits_object(endpoint.as_str())).await;
+    let wire = content.ok().and_then(|content| serde_json::from_slice::<WireHabits>(&content).ok());
+    if let Some(wire) = wire {
+        daemon.tell(Event::Habits(endpoint, wire.into()));
+    }
+}
+
+async fn keep_habits(
+    daemon: Arc<Daemon>,
+    endpoint: EndpointName,
+    habits: BTreeMap<ModelName, Habits>,
+) {
+    let Ok(content) = serde_json::to_vec(&WireHabits::from(&habits)) else { return };
+    let kept = daemon.platform.put_object(&habits_object(endpoint.as_str()), &content).await;
+    if let Err(error) = kept {
+        tracing::debug!("owner: Habits at {endpoint} were not kept: {error}.");
+    }
+}
+
 async fn notify(daemon: Arc<Daemon>, address: String, endpoint: EndpointName) {
     if let Err(error) = daemon.peers.row_changed(&address, endpoint.as_str()).await {
         tracing::debug!("owner: A successor for {endpoint} was not told: {error}.");
