--- a/crates/trestle-load/src/plan.rs
+++ b/crates/trestle-load/src/plan.rs
@@ -33,6 +33,9 @@
     pub(crate) over_ms: u64,
     /// Time until each answer is due.
     pub(crate) deadline_ms: u64,
+    /// Whether answers are only timed, as those of an engine that is asked directly.
+    #[serde(default)]
+    pub(crate) unchecked: bool,
     /// What each request is for.
     pub(crate) work: Work,
 }
--- a/crates/trestle-load/src/send.rs
+++ b/crates/trestle-load/src/send.rs
@@ -111,7 +111,8 @@
     match answered {
         Err(message) => Ended { verdict: Verdict::Broken(message), took, cold_wait_ms: None },
         Ok(answer) => {
-            let mut verdict = check::verdict(&answer, &expected);
+            let mut verdict =
+                if stream.unchecked { Verdict::Done } else { check::verdict(&answer, &expected) };
             if took > deadline + LATE_GRACE && !matches!(verdict, Verdict::Violation(_)) {
                 verdict = Verdict::Violation(format!("late: {} ms", took.as_millis()));
             }
--- /dev/null
+++ b/crates/trestle-session/src/bench.rs
@@ -0,0 +1,237 @@
+//! Measurements over whole sessions, printed by `trestle-bench`.
+//!
+//! Each prints figures of one run; none is a gate. What is exact has its bounds
+//! in the tests.
+
+use crate::{Result, Session, SessionPlan};
+use serde_json::{Value, json};
+use std::{
+    fs, thread,
+    time::{Duration, Instant},
+};
+
+/// One engine a domain, and a model at each that answers at once.
+const CONFIG: &str = include_str!("../bench.jsonc");
+const DAEMONS: [(&str, &str); 4] = [("a-1", "a"), ("a-2", "a"), ("b-1", "b"), ("b-2", "b")];
+/// Clock ticks a second, as `/proc` counts processor time.
+const TICKS_A_SECOND: f64 = 100.0;
+
+/// Starts the session that all measurements run in.
+///
+/// # Errors
+///
+/// Fails if a process cannot be started.
+pub fn start() -> Result<Session> {
+    let intervals = json!({});
+    let plan = SessionPlan { config: CONFIG, daemons: &DAEMONS, speed: 1.0, intervals };
+    let session = Session::start(&plan)?;
+    session.apply()?;
+    session.wait_for("every model placed", |session| {
+        ["fast", "steady"].iter().all(|model| !session.owners_of(model).is_empty())
+    })?;
+    Ok(session)
+}
+
+fn stream(class: &str, model: &str, requests: usize, over_ms: u64, deadline_ms: u64) -> Value {
+    json!({
+        "tenant": class, "token": format!("{class}-token"), "class": class,
+        "requests": requests, "over_ms": over_ms, "deadline_ms": deadline_ms,
+        "work": {"models": {"names": [model], "stream": false}},
+    })
+}
+
+fn micros(report: &Value, what: &str) -> u64 {
+    report["groups"][0]["done_us"][what].as_u64().unwrap_or(0)
+}
+
+fn done(report: &Value, class: &str) -> u64 {
+    let groups = report["groups"].as_array().into_iter().flatten();
+    let group = groups.into_iter().find(|group| group["class"] == class);
+    group.and_then(|group| group["verdicts"]["done"].as_u64()).unwrap_or(0)
+}
+
+/// What the path adds to asking the engine directly, and processor time a request.
+///
+/// # Errors
+///
+/// Fails if the load tool cannot run.
+pub fn overhead(session: &Session) -> Result<()> {
+    let requests = 4_000;
+    let streams = json!([stream("urgent", "fast", requests, 8_000, 10_000)]);
+    session.load(&json!([stream("urgent", "fast", 50, 500, 10_000)]))?;
+    let engine = session.engine_address("fast");
+    let direct = session.load_at(&[&engine], &direct_streams(&streams))?;
+    let before: f64 = session.daemons.values().map(|d| processor_s(d.pid())).sum();
+    let through = session.load(&streams)?;
+    let after: f64 = session.daemons.values().map(|d| processor_s(d.pid())).sum();
+    let added = micros(&through, "p50").saturating_sub(micros(&direct, "p50"));
+    println!(
+        "overhead: direct p50 {} us, p99 {} us",
+        micros(&direct, "p50"),
+        micros(&direct, "p99")
+    );
+    println!(
+        "overhead: through daemons p50 {} us, p99 {} us; added at the median {added} us",
+        micros(&through, "p50"),
+        micros(&through, "p99"),
+    );
+    let a_request_us = (after - before) * 1e6 / requests as f64;
+    println!("overhead: {a_request_us:.0} us of processor time a request, all daemons together");
+    Ok(())
+}
+
+/// The engine answers without outcome headers, so its answers are not checked.
+fn direct_streams(streams: &Value) -> Value {
+    let mut streams = streams.clone();
+    streams[0]["unchecked"] = json!(true);
+    streams
+}
+
+/// Goodput at capacity and at ten times the load.
+///
+/// # Errors
+///
+/// Fails if the load tool cannot run.
+pub fn overload(session: &Session) -> Result<()> {
+    // Eight slots of 100 ms each: 80 requests a second.
+    let (capacity, seconds) = (80, 10);
+    let at = |factor: usize| {
+        let requests = capacity * factor * seconds;
+        let flood = stream("patient", "steady", requests, seconds as u64 * 1_000, 2_000);
+        let urgent = stream("urgent", "steady", capacity * seconds / 8, 10_000, 2_000);
+        session.load(&json!([flood, urgent]))
+    };
+    at(1)?;
+    let at_capacity = at(1)?;
+    let flooded = at(10)?;
+    let goodput = |report: &Value| {
+        let all = done(report, "patient") + done(report, "urgent");
+        all as f64 * 1_000.0 / report["took_ms"].as_f64().unwrap_or(1.0)
+    };
+    let (normal, ten) = (goodput(&at_capacity), goodput(&flooded));
+    println!("overload: goodput {normal:.1}/s at capacity, {ten:.1}/s at 10 times the load");
+    println!("overload: ratio {:.2}", ten / normal);
+    for report in [&at_capacity, &flooded] {
+        for group in report["groups"].as_array().into_iter().flatten() {
+            println!(
+                "overload: {} {}, done p99 {} us, refused p50 {} us, p99 {} us",
+                group["class"],
+                group["verdicts"],
+                group["done_us"]["p99"],
+                group["refused_us"]["p50"],
+                group["refused_us"]["p99"],
+            );
+        }
+        println!("overload: {} violations", report["violations"].as_array().map_or(0, Vec::len));
+    }
+    Ok(())
+}
+
+/// Many requests while an engine crosses, cuts and fails some of its answers.
+///
+/// # Errors
+///
+/// Fails if the load tool cannot run.
+pub fn crossed(session: &Session, requests: usize) -> Result<()> {
+    let faults = json!({"cross_answers": 300, "cut_answers": 300, "fail_answers": 300});
+    let engines: Value = ["a-e1", "b-e1"].iter().map(|name| (*name, faults.clone())).collect();
+    session.faults(&json!({"engines": engines}))?;
+    let over_ms = requests as u64 / 2;
+    let report = session.load(&json!([stream("urgent", "fast", requests, over_ms, 10_000)]))?;
+    session.faults(&json!({}))?;
+    println!("crossed: {}", report["groups"][0]["verdicts"]);
+    println!("crossed: {} violations", report["violations"].as_array().map_or(0, Vec::len));
+    Ok(())
+}
+
+/// What the daemons ask of the table at rest, and their processor time and memory.
+///
+/// # Errors
+///
+/// Fails if the stand-in does not answer.
+pub fn rest(session: &Session) -> Result<()> {
+    let seconds = 20;
+    let before = session.counts()?;
+    let used_before: f64 = session.daemons.values().map(|d| processor_s(d.pid())).sum();
+    let sent_before = loopback_bytes();
+    thread::sleep(Duration::from_secs(seconds));
+    let after = session.counts()?;
+    let used = session.daemons.values().map(|d| processor_s(d.pid())).sum::<f64>() - used_before;
+    let sent = loopback_bytes() - sent_before;
+    let daemons = session.daemons.len() as f64;
+    let rate = |name: &str| {
+        let count = |counts: &Value| counts[name].as_f64().unwrap_or(0.0);
+        (count(&after) - count(&before)) / seconds as f64 / daemons
+    };
+    println!("rest: {:.2} table reads/s a daemon", rate("table_reads"));
+    println!("rest: {:.2} table writes/s a daemon", rate("table_writes"));
+    println!("rest: {:.2} orders/s a daemon", rate("orders"));
+    let share = used / seconds as f64 / daemons * 100.0;
+    println!("rest: {share:.2} % of a core a daemon");
+    let bytes = sent as f64 / seconds as f64 / daemons;
+    println!("rest: {bytes:.0} bytes/s a daemon over loopback, heads and both directions included");
+    let memory = session.daemons.values().map(|d| memory_kib(d.pid())).max().unwrap_or(0);
+    println!("rest: {memory} KiB of memory at most");
+    Ok(())
+}
+
+/// Time without an owner after a kill, and time for a change to be in force.
+///
+/// # Errors
+///
+/// Fails if a process of the session cannot be asked.
+pub fn takeover(session: &mut Session) -> Result<()> {
+    for platform_down in [false, true] {
+        let (_, owner) = session.owners_of("fast").first().cloned().unwrap_or_default();
+        let entry = if owner.starts_with('a') { "b-1" } else { "a-1" };
+        if platform_down {
+            session.faults(&json!({"platform": {"down": true}}))?;
+            thread::sleep(Duration::from_secs(4));
+        }
+        session.daemon(&owner).kill();
+        let killed = Instant::now();
+        let answered = session.complete(entry, "urgent-token", "fast", "still there?", 20_000)?;
+        println!(
+            "takeover: platform down {platform_down}: status {} after {} ms",
+            answered.status,
+            killed.elapsed().as_millis(),
+        );
+        session.faults(&json!({}))?;
+        session.daemon(&owner).restart()?;
+        session.wait_for("the daemon is a member again", |session| {
+            session.status(&owner).is_ok_and(|s| s.ready && s.members.contains_key(&owner))
+        })?;
+    }
+    let started = Instant::now();
+    let platform = session.platform();
+    session.ctl(&["apply", &session.config_path(), "--platform", &platform])?;
+    session.wait_for("version 2 in force", |session| {
+        let versions = session.daemons.keys().map(|vm| session.status(vm));
+        versions.into_iter().all(|status| status.is_ok_and(|status| status.config_version == 2))
+    })?;
+    println!("config: in force at every daemon after {} ms", started.elapsed().as_millis());
+    Ok(())
+}
+
+/// Processor time of a process so far.
+fn processor_s(pid: u32) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|text| text.parse().ok()).unwrap_or(0.0);
+    // User and system time, the 14th and 15th field of the file.
+    (ticks(11) + ticks(12)) / TICKS_A_SECOND
+}
+
+/// Memory of a process at present.
+fn memory_kib(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|text| text.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+/// Bytes that have gone over the loopback interface.
+fn loopback_bytes() -> u64 {
+    let devices = fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = devices.lines().find_map(|line| line.trim().strip_prefix("lo:"));
+    line.and_then(|text| text.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
--- a/crates/trestle-session/src/daemon_process.rs
+++ b/crates/trestle-session/src/daemon_process.rs
@@ -50,6 +50,11 @@
         Ok(daemon)
     }
 
+    /// Its process id, 0 once it has ended.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Starts the daemon again after it has ended.
     ///
     /// # Errors
--- a/crates/trestle-session/src/lib.rs
+++ b/crates/trestle-session/src/lib.rs
@@ -5,6 +5,7 @@
 //! run at once. Tests break things through it: they kill and freeze daemons and
 //! switch faults of the stand-in. The demonstration uses it too.
 
+pub mod bench;
 mod daemon_process;
 mod error;
 mod process;
--- a/crates/trestle-session/src/session.rs
+++ b/crates/trestle-session/src/session.rs
@@ -325,6 +325,15 @@
         found
     }
 
+    /// Where an engine is reached at which the model is placed, as `ip:port`.
+    pub fn engine_address(&self, model: &str) -> String {
+        let endpoint = self.owners_of(model).first().map(|(endpoint, _)| endpoint.clone());
+        let file = trestle_config::read_jsonc::<ConfigFile>(&self.config, "configuration").ok();
+        let url =
+            endpoint.zip(file).and_then(|(name, file)| Some(file.engines.get(&name)?.url.clone()));
+        url.unwrap_or_default().trim_start_matches("http://").to_owned()
+    }
+
     fn all_ready(&self) -> bool {
         self.daemons.keys().all(|vm| self.status(vm).is_ok_and(|status| status.ready))
     }
