Give no permit to what cannot end in time any more

Ruled out: serving the latest deadline first (starves those who came in time). Change: before permits are given, whatever cannot end by its deadline is refused with its whole measured service time in mind; a quarter is added to the expected wait for others when a request is admitted.

--- a/crates/trestle-core/src/node.rs
+++ b/crates/trestle-core/src/node.rs
@@ -499,8 +499,9 @@
         let Role::Owner(owned) = &mut seat.role else { return };
         owned.give_up_order(now_ms);
         owned.lapse(|vm| self.vms.is_gone(vm.as_str(), &self.timing), now_ms);
-        let answers =
-            owned.grant(now_ms).into_iter().chain(owned.refuse_late(&self.catalog, now_ms));
+        // A request that cannot end in time any more must not take the place of one that can.
+        let late = owned.refuse_late(&self.catalog, now_ms);
+        let answers = late.into_iter().chain(owned.grant(now_ms));
         actions.extend(answers.map(|(ticket, answer)| Action::Answer(ticket, answer)));
         let order = owned.next_order(&seat.row, &self.catalog, may_load, now_ms);
         actions.extend(order.map(|order| Action::Order(endpoint.clone(), order)));
--- a/crates/trestle-core/src/owned.rs
+++ b/crates/trestle-core/src/owned.rs
@@ -46,6 +46,8 @@
 const SILENT_AFTER: u32 = 3;
 /// Urgency and deadline of a load that no request waits for.
 const EXPECTED_LOAD: (u8, u64) = (u8::MAX, u64::MAX);
+/// Part of an expected wait for others that is added to it, so that what is admitted ends in time.
+const QUEUE_MARGIN: u64 = 4;
 /// How much faster than declared a load may be.
 const FASTEST_LOAD: u64 = 4;
 /// Time after which a load that the endpoint could not carry out is tried again.
@@ -299,7 +301,8 @@
         if is_loaded && ask.patience_ms.is_some_and(|patience_ms| wait_ms > patience_ms) {
             return Some(PermitAnswer::Busy { wait_ms });
         }
-        let end_ms = now_ms + wait_ms + self.service_of(&ask.model, Some(model));
+        let margin_ms = self.queue_ms(ask.urgency, model) / QUEUE_MARGIN;
+        let end_ms = now_ms + wait_ms + margin_ms + self.service_of(&ask.model, Some(model));
         if end_ms > ask.deadline_ms {
             return Some(refused(Refusal::DeadlineTooClose, end_ms - ask.deadline_ms));
         }
@@ -753,7 +756,7 @@
     fn shortest_ms(&self, model: &ModelName, catalog: &Catalog, now_ms: u64) -> u64 {
         let Some(spec) = catalog.models.get(model) else { return 0 };
         let load_ms = self.load_left_ms(model, spec.load_ms / FASTEST_LOAD, now_ms);
-        load_ms + self.service_of(model, Some(spec)) / 2
+        load_ms + self.service_of(model, Some(spec))
     }
 
     fn late_answer(&self, ask: &PermitAsk, catalog: &Catalog) -> PermitAnswer {
