Run bursts with something failing in the middle

Change: kill, freeze, platform outage, lost answers, cut and crossed answers, slow weights, alone and together, under completions, streams and calls that may not be repeated; and ten times the load with a bound on goodput.

--- a/crates/trestle-session/src/bench.rs
+++ b/crates/trestle-session/src/bench.rs
@@ -87,31 +87,66 @@
     streams
 }
 
-/// Goodput at capacity and at ten times the load.
+/// Requests a second that the engine of the steady model serves: 8 slots of 100 ms.
+const CAPACITY: usize = 80;
+/// The urgent class asks for this part of the capacity.
+const URGENT_PART: usize = 8;
+
+/// What a load has led to beside ten times that load.
+#[derive(Debug)]
+pub struct Goodput {
+    /// Answers a second at ten times the load, by those at capacity.
+    pub ratio: f64,
+    /// Violations in both runs.
+    pub violations: usize,
+    /// Requests of the urgent class in each run.
+    pub urgent_requests: u64,
+    /// The urgent class alone, from the report of ten times the load.
+    pub urgent_only: Value,
+    reports: [Value; 2],
+}
+
+/// Loads the steady model at capacity, and then with ten times as much.
 ///
 /// # Errors
 ///
 /// Fails if the load tool cannot run.
-pub fn overload(session: &Session) -> Result<()> {
-    // Eight slots of 100 ms each: 80 requests a second.
-    let (capacity, seconds) = (80, 10);
+pub fn goodput_ratio(session: &Session, seconds: usize) -> Result<Goodput> {
+    let urgent_requests = CAPACITY * seconds / URGENT_PART;
+    let over_ms = seconds as u64 * 1_000;
     let at = |factor: usize| {
-        let requests = capacity * factor * seconds;
-        let flood = stream("patient", "steady", requests, seconds as u64 * 1_000, 2_000);
-        let urgent = stream("urgent", "steady", capacity * seconds / 8, 10_000, 2_000);
+        let flood = stream("patient", "steady", CAPACITY * factor * seconds, over_ms, 2_000);
+        let urgent = stream("urgent", "steady", urgent_requests, over_ms, 2_000);
         session.load(&json!([flood, urgent]))
     };
-    at(1)?;
-    let at_capacity = at(1)?;
-    let flooded = at(10)?;
+    session.load(&json!([stream("urgent", "steady", 10, 1_000, 5_000)]))?;
+    let reports = [at(1)?, at(10)?];
     let goodput = |report: &Value| {
         let all = done(report, "patient") + done(report, "urgent");
         all as f64 * 1_000.0 / report["took_ms"].as_f64().unwrap_or(1.0)
     };
-    let (normal, ten) = (goodput(&at_capacity), goodput(&flooded));
-    println!("overload: goodput {normal:.1}/s at capacity, {ten:.1}/s at 10 times the load");
-    println!("overload: ratio {:.2}", ten / normal);
-    for report in [&at_capacity, &flooded] {
+    let violations = reports.iter().filter_map(|report| report["violations"].as_array());
+    let groups = reports[1]["groups"].as_array().cloned().unwrap_or_default();
+    let urgent: Vec<Value> =
+        groups.into_iter().filter(|group| group["class"] == "urgent").collect();
+    Ok(Goodput {
+        ratio: goodput(&reports[1]) / goodput(&reports[0]),
+        violations: violations.map(Vec::len).sum(),
+        urgent_requests: urgent_requests as u64,
+        urgent_only: json!({"groups": urgent, "violations": []}),
+        reports,
+    })
+}
+
+/// Prints what [`goodput_ratio`] has found.
+///
+/// # Errors
+///
+/// Fails if the load tool cannot run.
+pub fn overload(session: &Session) -> Result<()> {
+    let found = goodput_ratio(session, 10)?;
+    println!("overload: goodput at 10 times the load is {:.2} of that at capacity", found.ratio);
+    for report in &found.reports {
         for group in report["groups"].as_array().into_iter().flatten() {
             println!(
                 "overload: {} {}, done p99 {} us, refused p50 {} us, p99 {} us",
@@ -122,8 +157,8 @@
                 group["refused_us"]["p99"],
             );
         }
-        println!("overload: {} violations", report["violations"].as_array().map_or(0, Vec::len));
     }
+    println!("overload: {} violations", found.violations);
     Ok(())
 }
 
--- /dev/null
+++ b/crates/trestle-session/tests/under_load.rs
@@ -0,0 +1,128 @@
+//! Bursts with something failing in the middle, and a load that is far too high.
+
+mod common;
+
+use common::{assert_all_done, assert_no_breach, assert_no_violation, fleet, verdicts};
+use serde_json::{Value, json};
+use std::{thread, time::Duration};
+use trestle_session::{Session, bench};
+
+/// The daemon that fails; requests go to the others, as behind a balancer.
+const VICTIM: &str = "poa-centro-2";
+const CALLS: u64 = 120;
+
+/// What fails while the requests run.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    Kill,
+    Freeze,
+    PlatformDown,
+    LostAnswers,
+    CutAnswers,
+    SlowWeights,
+}
+
+macro_rules! bursts {
+    ($($name:ident: $faults:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                burst_with(&$faults);
+            }
+        )+
+    };
+}
+
+bursts! {
+    kill: [Fault::Kill];
+    freeze: [Fault::Freeze];
+    platform_down: [Fault::PlatformDown];
+    lost_answers: [Fault::LostAnswers];
+    cut_and_crossed_answers: [Fault::CutAnswers];
+    kill_while_platform_is_down: [Fault::PlatformDown, Fault::Kill];
+    freeze_with_lost_answers: [Fault::LostAnswers, Fault::Freeze];
+    kill_with_cut_answers_and_slow_weights: [Fault::CutAnswers, Fault::SlowWeights, Fault::Kill];
+}
+
+fn streams() -> Value {
+    let names: Vec<String> = (1..=5).map(|number| format!("receipt-writer-{number}")).collect();
+    let models = |tenant: &str, class: &str, stream: bool| {
+        json!({
+            "tenant": tenant, "token": format!("{tenant}-token"), "class": class,
+            "requests": 300, "over_ms": 6_000, "deadline_ms": 15_000,
+            "work": {"models": {"names": names, "stream": stream}},
+        })
+    };
+    let calls = json!({
+        "tenant": "mechanics", "token": "mechanics-token", "class": "desk",
+        "requests": CALLS, "over_ms": 6_000, "deadline_ms": 5_000,
+        "work": {"calls": {
+            "path": "/services/tickets/swap", "key_header": "idempotency-key",
+            "key_prefix": "swap", "ask_again": 6,
+        }},
+    });
+    json!([models("riders", "curb", false), models("planners", "planning", true), calls])
+}
+
+fn burst_with(kinds: &[Fault]) {
+    let session = fleet(10.0);
+    let targets: Vec<&str> = session
+        .daemons
+        .iter()
+        .filter(|(vm, _)| vm.as_str() != VICTIM)
+        .map(|(_, daemon)| daemon.callers.as_str())
+        .collect();
+    let report = thread::scope(|scope| {
+        let (loading, targets) = (&session, &targets);
+        let load = scope.spawn(move || loading.load_at(targets, &streams()));
+        thread::sleep(Duration::from_secs(2));
+        begin(&session, kinds);
+        thread::sleep(Duration::from_secs(3));
+        session.faults(&json!({})).expect("faults are switched");
+        session.daemons[VICTIM].resume();
+        load.join().expect("the load tool ends").expect("the load tool runs")
+    });
+    assert_no_violation(&report);
+    assert_no_breach(&session);
+    let done_calls = report["groups"].as_array().expect("groups").iter();
+    let mut done_calls = done_calls.filter(|group| group["tenant"] == "mechanics");
+    let calls = done_calls.next().expect("the calls are reported");
+    let count = |name: &str| calls["verdicts"][name].as_u64().unwrap_or(0);
+    let unknown = count("unknown:outcome_unknown");
+    let runs = session.runs_by_key().expect("runs").as_object().map_or(0, |runs| runs.len() as u64);
+    let done = count("done");
+    assert!(done <= runs && runs <= done + unknown, "{runs} runs, {done} done, {unknown} unknown");
+    let answered = verdicts(&report, "done");
+    assert!(answered * 10 >= (600 + CALLS) * 7, "only {answered} were answered: {report:#}");
+}
+
+fn begin(session: &Session, kinds: &[Fault]) {
+    let mut faults = json!({});
+    for kind in kinds {
+        match kind {
+            Fault::Kill => session.daemons[VICTIM].kill_by_signal(),
+            Fault::Freeze => session.daemons[VICTIM].freeze(),
+            Fault::PlatformDown => faults["platform"]["down"] = json!(true),
+            Fault::LostAnswers => faults["platform"]["lose_answers"] = json!(10),
+            Fault::SlowWeights => faults["weights_slower"] = json!(3.0),
+            Fault::CutAnswers => {
+                for engine in ["poa-centro-e1", "caxias-e1", "pelotas-e1", "caxias-e2"] {
+                    faults["engines"][engine] =
+                        json!({"cut_answers": 3, "cross_answers": 3, "fail_answers": 3});
+                }
+            }
+        }
+    }
+    session.faults(&faults).expect("faults are switched");
+}
+
+/// The ratio is measured in one run, and its bound leaves a wide margin.
+#[test]
+fn goodput_holds_at_ten_times_the_load() {
+    let session = bench::start().expect("the session starts");
+    let goodput = bench::goodput_ratio(&session, 5).expect("the load tool runs");
+    assert!(goodput.ratio >= 0.6, "{goodput:?}");
+    assert_eq!(goodput.violations, 0, "{goodput:?}");
+    assert_all_done(&goodput.urgent_only, goodput.urgent_requests);
+    assert_no_breach(&session);
+}
