Adopt a failure domain that has lost all its daemons

Change: one daemon of each domain follows the leases of each other one; when none has moved for twice the expiry, it joins that domain's row as an adopter, expels the dead, owns the endpoints, and leaves when a daemon of the domain itself is back. The control thread holds a node for each domain it acts in.

--- a/crates/trestle-core/src/event.rs
+++ b/crates/trestle-core/src/event.rs
@@ -60,6 +60,22 @@
     Stop,
 }
 
+impl Event {
+    /// The endpoint that the event is about; `None` if it is about more than one.
+    pub fn endpoint(&self) -> Option<&EndpointName> {
+        match self {
+            Self::Probed { endpoint, .. }
+            | Self::RowChanged(endpoint)
+            | Self::Ordered { endpoint, .. }
+            | Self::Habits(endpoint, _)
+            | Self::Release(endpoint, _)
+            | Self::Cancel(endpoint, _) => Some(endpoint),
+            Self::Ask(ask) => Some(&ask.endpoint),
+            _ => None,
+        }
+    }
+}
+
 /// What a read is for.
 #[trestle_macros::plain]
 #[derive(Copy)]
@@ -73,6 +89,8 @@
     },
     /// To place models and to take them away.
     Review,
+    /// To see whether another domain has lost all its members.
+    Adoption,
 }
 
 /// What a transaction is for.
--- a/crates/trestle-core/src/lib.rs
+++ b/crates/trestle-core/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`queue`] and [`permit`]: who may send a request, and when.
 //! - [`loads`] and [`keep`]: when a model is loaded, and how long it is kept.
 
+pub mod adoption;
 pub mod candidates;
 pub mod catalog;
 pub mod claim;
--- a/crates/trestle-core/src/membership.rs
+++ b/crates/trestle-core/src/membership.rs
@@ -46,6 +46,7 @@
 struct Observed {
     lease: LeaseRow,
     still_ms: u64,
+    has_moved: bool,
 }
 
 impl Membership {
@@ -168,6 +169,13 @@
         self.observed.iter().filter(|(_, o)| expired(o)).map(|(vm, _)| vm).collect()
     }
 
+    /// Whether an adopter sees a member of the domain itself that lives.
+    pub fn is_relieved(&self) -> bool {
+        let is_native = |vm: &VmName| self.row.members.get(vm).is_some_and(|m| !m.is_adopter);
+        let mut observed = self.observed.iter();
+        self.member.is_adopter && observed.any(|(vm, observed)| observed.has_moved && is_native(vm))
+    }
+
     fn changed_row(&self, gone: BTreeSet<&str>) -> Option<MembershipRow> {
         if self.leaving {
             return self.is_member().then(|| self.row.without(&self.me));
@@ -219,8 +227,10 @@
     fn observe_lease(&mut self, vm: VmName, lease: LeaseRow, counted_ms: u64) {
         match self.observed.get_mut(&vm) {
             Some(observed) if observed.lease == lease => observed.still_ms += counted_ms,
-            _ => {
-                self.observed.insert(vm, Observed { lease, still_ms: 0 });
+            known => {
+                // A lease that was not read yet has not moved when it first is.
+                let has_moved = known.is_some_and(|known| known.lease.renewals > 0);
+                self.observed.insert(vm, Observed { lease, still_ms: 0, has_moved });
             }
         }
     }
--- a/crates/trestle-core/src/membership_row.rs
+++ b/crates/trestle-core/src/membership_row.rs
@@ -25,6 +25,8 @@
     pub address: String,
     /// Differs between two runs of a daemon on one VM.
     pub incarnation: u64,
+    /// Whether it belongs to another domain and only stands in.
+    pub is_adopter: bool,
 }
 
 impl MembershipRow {
--- a/crates/trestle-core/src/node.rs
+++ b/crates/trestle-core/src/node.rs
@@ -186,6 +186,8 @@
                 self.on_placements(epoch, rows.as_ref(), now_ms, actions);
             }
             ReadPurpose::Review => self.on_review(rows, now_ms, actions),
+            // Not a matter of one domain's node.
+            ReadPurpose::Adoption => {}
         }
     }
 
@@ -195,6 +197,9 @@
         if self.membership.row().epoch != before {
             actions.push(Action::Members(self.membership.row().clone()));
         }
+        if self.membership.is_relieved() {
+            self.membership.leave();
+        }
         if self.membership.has_left() {
             self.give_up_all(actions);
             return;
--- a/crates/trestle-core/tests/membership.rs
+++ b/crates/trestle-core/tests/membership.rs
@@ -80,7 +80,7 @@
 }
 
 fn member(name: &str) -> Member {
-    Member { address: name.to_owned(), incarnation: 1 }
+    Member { address: name.to_owned(), incarnation: 1, is_adopter: false }
 }
 
 fn rows(lease: LeaseRow) -> Rows {
--- a/crates/trestle-core/tests/world/mod.rs
+++ b/crates/trestle-core/tests/world/mod.rs
@@ -131,7 +131,8 @@
         self.next_run += 1;
         let name = VmName::from(vm);
         let domain = DomainName::from(domain);
-        let member = Member { address: vm.to_owned(), incarnation: self.next_run };
+        let member =
+            Member { address: vm.to_owned(), incarnation: self.next_run, is_adopter: false };
         let node = Node::new(name.clone(), member, domain.clone(), timing());
         let run = self.next_run;
         let is_known = self.vms.contains_key(&name);
--- a/crates/trestle-session/tests/ownership.rs
+++ b/crates/trestle-session/tests/ownership.rs
@@ -102,6 +102,36 @@
     assert_no_breach(&session);
 }
 
+#[test]
+fn domain_that_lost_all_its_daemons_is_adopted() {
+    let mut session = fleet(20.0);
+    let caxias = ["caxias-1", "caxias-2"];
+    let (model, _) = model_at(&session, "e1");
+    for vm in caxias {
+        session.daemon(vm).kill();
+    }
+    session
+        .wait_for("its endpoints owned by others", |session| {
+            let others = session.daemons.keys().filter_map(|vm| session.status(vm).ok());
+            let owned = others.flat_map(|status| status.endpoints);
+            let confirmed = owned.filter(|(_, state)| state.role == "owner" && state.confirmed);
+            confirmed.filter(|(name, _)| name.starts_with("caxias")).count() == 3
+        })
+        .expect("the domain is adopted");
+    assert_eq!(ask(&session, "pelotas-1", &model).status, 200);
+    session.daemon("caxias-1").restart().expect("the daemon starts again");
+    session
+        .wait_for("the domain has its own daemon again", |session| {
+            session.status("caxias-1").is_ok_and(|status| {
+                let own = status.endpoints.values().filter(|state| state.role == "owner");
+                own.count() == 3 && status.members.len() == 1
+            })
+        })
+        .expect("the adopter leaves");
+    assert_eq!(ask(&session, "caxias-1", &model).status, 200);
+    assert_no_breach(&session);
+}
+
 #[test]
 fn platform_outage_expels_nobody() {
     let session = fleet(20.0);
--- a/crates/trestle-wire/src/row.rs
+++ b/crates/trestle-wire/src/row.rs
@@ -31,6 +31,8 @@
 pub struct WireMember {
     address: String,
     incarnation: u64,
+    #[serde(default)]
+    is_adopter: bool,
 }
 
 /// A stored lease.
@@ -163,8 +165,8 @@
 impl From<&MembershipRow> for WireMembership {
     fn from(row: &MembershipRow) -> Self {
         let members = row.members.iter().map(|(vm, member)| {
-            let Member { address, incarnation } = member.clone();
-            (vm.to_string(), WireMember { address, incarnation })
+            let Member { address, incarnation, is_adopter } = member.clone();
+            (vm.to_string(), WireMember { address, incarnation, is_adopter })
         });
         Self { epoch: row.epoch, members: members.collect(), unsettled: strings(&row.unsettled) }
     }
@@ -173,8 +175,8 @@
 impl From<WireMembership> for MembershipRow {
     fn from(wire: WireMembership) -> Self {
         let members = wire.members.into_iter().map(|(vm, member)| {
-            let WireMember { address, incarnation } = member;
-            (VmName::from(vm), Member { address, incarnation })
+            let WireMember { address, incarnation, is_adopter } = member;
+            (VmName::from(vm), Member { address, incarnation, is_adopter })
         });
         Self {
             epoch: wire.epoch,
--- a/crates/trestled/src/control.rs
+++ b/crates/trestled/src/control.rs
@@ -12,13 +12,20 @@
 use futures_lite::FutureExt;
 use smol::Timer;
 use snafu::ResultExt;
-use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::Duration,
+};
 use trestle_core::{
-    event::{Action, Event},
+    adoption::{self, Adoption},
+    event::{Action, Event, ReadPurpose},
     membership_row::Member,
-    names::EndpointName,
+    names::{DomainName, EndpointName},
     node::Node,
     permit::{PermitAnswer, PermitAsk, Ticket},
+    row::Rows,
     timing::Timing,
 };
 use trestle_wire::admin::Status;
@@ -28,8 +35,10 @@
 
 /// What the control thread takes.
 pub(crate) enum Message {
-    /// Something happened.
+    /// Something happened at one endpoint, or to the whole daemon.
     Event(Event),
+    /// Something happened in one failure domain.
+    DomainEvent(DomainName, Event),
     /// An entry daemon asks for a permit.
     Ask(PermitAsk, Sender<PermitAnswer>),
     /// A peer asks whether this daemon owns an endpoint.
@@ -41,18 +50,26 @@
 /// Everything that the control thread holds.
 struct Control {
     daemon: Arc<Daemon>,
-    node: Node,
+    own: DomainName,
+    /// A node for the daemon's own domain, and one for each that it has adopted.
+    nodes: BTreeMap<DomainName, Node>,
+    adoptions: BTreeMap<DomainName, Adoption>,
+    next_adoption_ms: u64,
     waiting: BTreeMap<Ticket, Sender<PermitAnswer>>,
 }
 
 /// Starts the control thread.
 pub(crate) fn start(daemon: Arc<Daemon>, messages: Receiver<Message>) -> Result<()> {
-    let settings = &daemon.settings;
-    let member =
-        Member { address: daemon.peers_address().to_string(), incarnation: daemon.incarnation };
-    let domain = settings.domain.as_str().into();
-    let node = Node::new(daemon.me.clone(), member, domain, timing(&daemon));
-    let control = Control { daemon, node, waiting: BTreeMap::new() };
+    let own = DomainName::from(daemon.settings.domain.as_str());
+    let mut control = Control {
+        daemon,
+        own: own.clone(),
+        nodes: BTreeMap::new(),
+        adoptions: BTreeMap::new(),
+        next_adoption_ms: 0,
+        waiting: BTreeMap::new(),
+    };
+    control.add_node(own);
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || smol::block_on(control.run(messages)))
@@ -80,6 +97,7 @@
             if now_ms >= next_tick_ms {
                 next_tick_ms = now_ms + TICK_MS;
                 self.take(Message::Event(Event::Tick));
+                self.follow_adoptions();
             }
             let next_tick = async {
                 Timer::after(Duration::from_millis(next_tick_ms.saturating_sub(now_ms))).await;
@@ -94,51 +112,138 @@
 
     fn take(&mut self, message: Message) {
         match message {
-            Message::Event(event) => self.handle(event),
+            Message::Event(event) => self.distribute(event),
+            Message::DomainEvent(domain, Event::Read(ReadPurpose::Adoption, rows)) => {
+                self.on_adoption_read(&domain, rows.as_ref());
+            }
+            Message::DomainEvent(domain, event) => self.handle(&domain, event),
             Message::Ask(ask, reply) => {
                 self.waiting.insert(ask.ticket, reply);
-                self.handle(Event::Ask(ask));
+                let domain = self.domain_of(&ask.endpoint);
+                self.handle(&domain, Event::Ask(ask));
             }
             Message::Owns(endpoint, reply) => {
-                let _ = reply.try_send(self.node.owns(&endpoint));
+                let node = self.nodes.get(&self.domain_of(&endpoint));
+                let _ = reply.try_send(node.is_some_and(|node| node.owns(&endpoint)));
             }
             Message::Status(reply) => {
-                let _ = reply.try_send(status::of(&self.daemon, &self.node));
+                let _ = reply.try_send(status::of(&self.daemon, &self.own, &self.nodes));
             }
         }
     }
 
-    fn handle(&mut self, event: Event) {
+    /// Hands an event to the node of its endpoint, or to all.
+    fn distribute(&mut self, event: Event) {
         if let Event::Cancel(_, ticket) = &event {
             self.waiting.remove(ticket);
         }
-        for action in self.node.handle(event, self.daemon.now_ms()) {
-            self.carry_out(action);
+        match event.endpoint().map(|endpoint| self.domain_of(endpoint)) {
+            Some(domain) => self.handle(&domain, event),
+            None => {
+                for domain in self.nodes.keys().cloned().collect::<Vec<_>>() {
+                    self.handle(&domain, event.clone());
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, domain: &DomainName, event: Event) {
+        let now_ms = self.daemon.now_ms();
+        let Some(node) = self.nodes.get_mut(domain) else {
+            // An ask that came too late finds nobody who could answer it.
+            if let Event::Ask(ask) = event {
+                let answer = PermitAnswer::NotOwner { owner_rank: None };
+                self.carry_out(domain, Action::Answer(ask.ticket, answer));
+            }
+            return;
+        };
+        for action in node.handle(event, now_ms) {
+            self.carry_out(domain, action);
         }
     }
 
-    fn carry_out(&mut self, action: Action) {
+    fn carry_out(&mut self, domain: &DomainName, action: Action) {
         let Action::Answer(ticket, answer) = action else {
-            shell::carry_out(&self.daemon, action);
+            let has_left = action == Action::Left;
+            shell::carry_out(&self.daemon, domain, action);
+            if has_left && *domain != self.own {
+                self.nodes.remove(domain);
+            }
             return;
         };
         let reply = self.waiting.remove(&ticket);
         let is_received = reply.is_some_and(|reply| reply.try_send(answer.clone()).is_ok());
         let is_granted = matches!(answer, PermitAnswer::Granted { .. });
         if is_granted && !is_received {
-            self.give_back(ticket);
+            self.give_back(domain, ticket);
         }
     }
 
     /// Gives back a permit that nobody waits for any more.
-    fn give_back(&mut self, ticket: Ticket) {
-        let owns = self
-            .node
-            .seats()
-            .iter()
-            .find(|(_, seat)| seat.owned().is_some_and(|owned| owned.has_permit(ticket)));
-        if let Some(endpoint) = owns.map(|(endpoint, _)| endpoint.clone()) {
-            self.handle(Event::Release(endpoint, ticket));
+    fn give_back(&mut self, domain: &DomainName, ticket: Ticket) {
+        let seats = self.nodes.get(domain).map(Node::seats).into_iter().flatten();
+        let mut holders = seats.filter(|(_, seat)| {
+            let owned = seat.owned();
+            owned.is_some_and(|owned| owned.has_permit(ticket))
+        });
+        if let Some(endpoint) = holders.next().map(|(endpoint, _)| endpoint.clone()) {
+            self.handle(domain, Event::Release(endpoint, ticket));
+        }
+    }
+
+    fn domain_of(&self, endpoint: &EndpointName) -> DomainName {
+        self.daemon.routing().domain_of(endpoint).unwrap_or(&self.own).clone()
+    }
+
+    fn add_node(&mut self, domain: DomainName) {
+        let member = Member {
+            address: self.daemon.peers_address().to_string(),
+            incarnation: self.daemon.incarnation,
+            is_adopter: domain != self.own,
+        };
+        let timing = timing(&self.daemon);
+        let node = Node::new(self.daemon.me.clone(), member, domain.clone(), timing);
+        self.nodes.insert(domain, node);
+    }
+
+    /// Follows the domains that this daemon may have to adopt.
+    fn follow_adoptions(&mut self) {
+        let now_ms = self.daemon.now_ms();
+        if now_ms < self.next_adoption_ms || self.daemon.is_stopping.load(Ordering::Relaxed) {
+            return;
+        }
+        let timing = timing(&self.daemon);
+        self.next_adoption_ms = now_ms + timing.lease_ms;
+        let Some(membership) = self.nodes.get(&self.own).map(Node::membership) else { return };
+        let row = membership.row();
+        let domains = self.daemon.routing().domain_names();
+        let others = domains.into_iter().filter(|domain| !self.nodes.contains_key(domain));
+        let followed: BTreeSet<DomainName> =
+            others.filter(|domain| adoption::follows(row, membership.me(), domain)).collect();
+        self.adoptions.retain(|domain, _| followed.contains(domain));
+        for domain in followed {
+            let adoption = self
+                .adoptions
+                .entry(domain.clone())
+                .or_insert_with(|| Adoption::new(domain.clone(), timing));
+            let read = Action::Read(ReadPurpose::Adoption, adoption.keys());
+            shell::carry_out(&self.daemon, &domain, read);
+        }
+    }
+
+    fn on_adoption_read(&mut self, domain: &DomainName, rows: Option<&Rows>) {
+        let now_ms = self.daemon.now_ms();
+        let own = self.nodes.get(&self.own).map(Node::membership);
+        let is_fresh = own.is_some_and(|membership| membership.lease_is_fresh(now_ms));
+        let Some(adoption) = self.adoptions.get_mut(domain) else { return };
+        adoption.on_read(rows, is_fresh, now_ms);
+        if !adoption.is_due(&self.own, &self.daemon.routing().domain_names()) {
+            return;
         }
+        tracing::warn!("member: Adopting {domain}, whose daemons are all gone.");
+        self.adoptions.remove(domain);
+        self.add_node(domain.clone());
+        let catalog = Arc::new(self.daemon.routing().config.catalog.clone());
+        self.handle(domain, Event::Catalog(catalog));
     }
 }
--- a/crates/trestled/src/daemon.rs
+++ b/crates/trestled/src/daemon.rs
@@ -20,7 +20,7 @@
 use trestle_core::{
     event::Event,
     health::Health,
-    names::{EndpointName, TenantName, VmName},
+    names::{DomainName, EndpointName, TenantName, VmName},
     permit::Ticket,
     retry_budget::RetryBudget,
 };
@@ -113,6 +113,11 @@
         self.send(Message::Event(event));
     }
 
+    /// Tells the control thread what happened in one failure domain.
+    pub(crate) fn tell_domain(&self, domain: DomainName, event: Event) {
+        self.send(Message::DomainEvent(domain, event));
+    }
+
     /// Sends the control thread a message.
     pub(crate) fn send(&self, message: Message) {
         // The channel closes only when the control thread has ended with the process.
--- a/crates/trestled/src/metrics.rs
+++ b/crates/trestled/src/metrics.rs
@@ -111,8 +111,8 @@
     }
 
     /// Notes the epoch of the domain.
-    pub(crate) fn epoch(&self, epoch: u64) {
-        self.epoch.record(epoch, &[]);
+    pub(crate) fn epoch(&self, domain: &str, epoch: u64) {
+        self.epoch.record(epoch, &[KeyValue::new("domain", domain.to_owned())]);
     }
 
     /// All metrics as text.
--- a/crates/trestled/src/routing.rs
+++ b/crates/trestled/src/routing.rs
@@ -63,6 +63,11 @@
         chain.map(|vm| (vm.clone(), row.members[vm].address.clone())).collect()
     }
 
+    /// The failure domain of an engine.
+    pub(crate) fn domain_of(&self, engine: &EndpointName) -> Option<&DomainName> {
+        self.config.catalog.engines.get(engine).map(|spec| &spec.domain)
+    }
+
     /// Every failure domain that the configuration names.
     pub(crate) fn domain_names(&self) -> BTreeSet<DomainName> {
         self.config.catalog.engines.values().map(|engine| engine.domain.clone()).collect()
--- a/crates/trestled/src/shell.rs
+++ b/crates/trestled/src/shell.rs
@@ -5,18 +5,19 @@
 use trestle_core::{
     event::{Action, CommitPurpose, Event, ReadPurpose},
     habits::Habits,
-    names::{EndpointName, ModelName, VmName},
+    names::{DomainName, EndpointName, ModelName, VmName},
     order::{Order, OrderOutcome},
     row::{CommitOutcome, RowKey, Txn},
 };
 use trestle_wire::habits::{WireHabits, habits_object};
 
 /// Carries out one action, in a task of its own where it takes time.
-pub(crate) fn carry_out(daemon: &Arc<Daemon>, action: Action) {
+pub(crate) fn carry_out(daemon: &Arc<Daemon>, domain: &DomainName, action: Action) {
     let daemon = Arc::clone(daemon);
+    let domain = domain.clone();
     match action {
-        Action::Read(purpose, keys) => smol::spawn(read(daemon, purpose, keys)).detach(),
-        Action::Commit(purpose, txn) => smol::spawn(commit(daemon, purpose, txn)).detach(),
+        Action::Read(purpose, keys) => smol::spawn(read(daemon, domain, purpose, keys)).detach(),
+        Action::Commit(purpose, txn) => smol::spawn(commit(daemon, domain, purpose, txn)).detach(),
         Action::Probe { vm, address, endpoint } => {
             smol::spawn(probe(daemon, vm, address, endpoint)).detach();
         }
@@ -25,9 +26,9 @@
         }
         Action::Order(endpoint, order) => smol::spawn(send_order(daemon, endpoint, order)).detach(),
         Action::Members(row) => {
-            tracing::info!("member: Epoch {} has {} members.", row.epoch, row.members.len());
-            daemon.metrics.epoch(row.epoch);
-            let domain = daemon.settings.domain.as_str().into();
+            let members = row.members.len();
+            tracing::info!("member: Epoch {} of {domain} has {members} members.", row.epoch);
+            daemon.metrics.epoch(domain.as_str(), row.epoch);
             daemon.change_routing(|routing| routing.take_members(domain, row));
         }
         Action::Ownership { endpoint, fence: Some(fence) } => {
@@ -42,14 +43,16 @@
             smol::spawn(keep_habits(daemon, endpoint, habits)).detach();
         }
         Action::Left => {
-            tracing::info!("member: Left the failure domain.");
-            daemon.asking.left();
+            tracing::info!("member: Left {domain}.");
+            if domain.as_str() == daemon.settings.domain {
+                daemon.asking.left();
+            }
         }
         Action::Answer(..) => {}
     }
 }
 
-async fn read(daemon: Arc<Daemon>, purpose: ReadPurpose, keys: Vec<RowKey>) {
+async fn read(daemon: Arc<Daemon>, domain: DomainName, purpose: ReadPurpose, keys: Vec<RowKey>) {
     daemon.metrics.table_read();
     let rows = match daemon.platform.read(&keys).await {
         Ok(rows) => {
@@ -61,10 +64,10 @@
             None
         }
     };
-    daemon.tell(Event::Read(purpose, rows));
+    daemon.tell_domain(domain, Event::Read(purpose, rows));
 }
 
-async fn commit(daemon: Arc<Daemon>, purpose: CommitPurpose, txn: Txn) {
+async fn commit(daemon: Arc<Daemon>, domain: DomainName, purpose: CommitPurpose, txn: Txn) {
     daemon.metrics.table_write();
     let outcome = daemon.platform.commit(&txn).await;
     if outcome == CommitOutcome::Unknown {
@@ -72,7 +75,7 @@
     } else {
         daemon.platform_answered();
     }
-    daemon.tell(Event::Committed(purpose, outcome));
+    daemon.tell_domain(domain, Event::Committed(purpose, outcome));
 }
 
 async fn probe(daemon: Arc<Daemon>, vm: VmName, address: String, endpoint: EndpointName) {
--- a/crates/trestled/src/status.rs
+++ b/crates/trestled/src/status.rs
@@ -3,6 +3,7 @@
 use crate::daemon::Daemon;
 use std::collections::BTreeMap;
 use trestle_core::{
+    names::DomainName,
     node::Node,
     order::Phase,
     seat::{Role, Seat},
@@ -10,11 +11,13 @@
 use trestle_wire::admin::{EndpointStatus, Status};
 
 /// The state of the daemon.
-pub(crate) fn of(daemon: &Daemon, node: &Node) -> Status {
-    let row = node.membership().row();
+pub(crate) fn of(daemon: &Daemon, own: &DomainName, nodes: &BTreeMap<DomainName, Node>) -> Status {
+    let row = nodes.get(own).map(|node| node.membership().row().clone()).unwrap_or_default();
     let members = row.members.iter().map(|(vm, member)| (vm.to_string(), member.address.clone()));
-    let seats =
-        node.seats().iter().map(|(endpoint, seat)| (endpoint.to_string(), endpoint_of(seat)));
+    let seats = nodes
+        .values()
+        .flat_map(Node::seats)
+        .map(|(endpoint, seat)| (endpoint.to_string(), endpoint_of(seat)));
     Status {
         vm: daemon.me.to_string(),
         domain: daemon.settings.domain.clone(),
