--- a/crates/trestle-config/src/read.rs
+++ b/crates/trestle-config/src/read.rs
@@ -29,7 +29,8 @@
         .into_iter()
         .map(|finding| {
             let path: Vec<&str> = finding.path.iter().map(String::as_str).collect();
-            locate::problem_at(text, &path, finding.message)
+            let message = format!("{}: {}", path.join("."), finding.message);
+            locate::problem_at(text, &path, message)
         })
         .collect();
     problems.sort_by_key(|problem| (problem.line, problem.column));
@@ -51,7 +52,10 @@
     let problems: Vec<Problem> = settings
         .findings()
         .into_iter()
-        .map(|(path, message)| locate::problem_at(&text, &path, message))
+        .map(|(path, message)| {
+            let message = format!("{}: {message}", path.join("."));
+            locate::problem_at(&text, &path, message)
+        })
         .collect();
     if problems.is_empty() {
         Ok(settings)
--- /dev/null
+++ b/crates/trestle-config/tests/files.rs
@@ -0,0 +1,78 @@
+//! What is wrong with a file is told with its place.
+
+use trestle_config::{Category, from_str};
+
+const FLEET: &str = include_str!("../../../examples/fleet.jsonc");
+const HERBARIUM: &str = include_str!("../../../examples/herbarium.jsonc");
+
+macro_rules! wrong_files {
+    ($($name:ident: $from:literal => $to:literal, $category:ident, $message:literal;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let text = FLEET.replacen($from, $to, 1);
+                assert_ne!(text, FLEET, "nothing was changed");
+                let error = from_str(&text, "fleet.jsonc").unwrap_err();
+                assert_eq!(error.classify(), Category::$category, "{error}");
+                let problem = &error.problems()[0];
+                let line = 1 + text[..place(&text, $to)].matches('\n').count();
+                assert_eq!(problem.line, line, "{error}");
+                assert!(problem.column > 0, "{error}");
+                assert!(error.to_string().contains($message), "{error}");
+            }
+        )+
+    };
+}
+
+fn place(text: &str, changed: &str) -> usize {
+    text.find(changed).expect("the change is there")
+}
+
+wrong_files! {
+    unknown_key: "\"urgency\": 0" => "\"urgence\": 0", Data, "unknown field `urgence`";
+    wrong_type: "\"urgency\": 0" => "\"urgency\": \"0\"", Data, "invalid type: string";
+    trailing_comma: "\"deadline_ms\": 300000}" => "\"deadline_ms\": 300000,}", Syntax, "no trailing commas";
+    duplicate_key: "\"curb\": {" => "\"desk\": {", Data, "key `desk` stands twice";
+    unknown_class: "\"classes\": [\"curb\"]" => "\"classes\": [\"curbs\"]", Data, "class `curbs` is not declared";
+    no_such_base: "{\"base\": \"unlock-help-1\"}" => "{\"base\": \"unlock\"}", Data, "model `unlock` is not declared";
+    url_without_port: "http://127.0.0.1:9101" => "http://127.0.0.1", Data, "must be `http://ip:port`";
+    endless_load: "\"load_ms\": 7500" => "\"load_ms\": 99999999", Data, "must be 1 ms to one hour";
+    short_digest: "\"token_sha256\": [\"" => "\"token_sha256\": [\"x", Data, "must be 64 hexadecimal digits";
+}
+
+#[test]
+fn examples_are_in_order_and_have_the_sizes_of_the_brief() {
+    for (text, models, adapters) in [(FLEET, 50, 55), (HERBARIUM, 50, 60)] {
+        let config = from_str(text, "example").unwrap_or_else(|error| panic!("{error}"));
+        assert_eq!(config.catalog.models.len(), models);
+        assert_eq!(config.adapters.len(), adapters);
+        assert_eq!(config.catalog.engines.len(), 9);
+        assert_eq!(
+            config.services.values().map(|service| service.endpoints.len()).sum::<usize>(),
+            3
+        );
+    }
+}
+
+#[test]
+fn windows_are_read_and_checked() {
+    let with = |window: &str| {
+        let keep = "\"keep_ms\": 600000";
+        FLEET.replacen(keep, &format!("{keep}, \"windows\": [{window}]"), 1)
+    };
+    let good = with("{\"weekdays\": [\"mon\"], \"from\": \"07:00\", \"to\": \"09:30\"}");
+    let config = from_str(&good, "fleet.jsonc").unwrap_or_else(|error| panic!("{error}"));
+    let windows: Vec<_> = config.catalog.models.values().flat_map(|spec| &spec.windows).collect();
+    assert_eq!((windows[0].from_minute, windows[0].to_minute, windows[0].weekdays), (420, 570, 1));
+    for (window, message) in [
+        ("{\"from\": \"09:00\", \"to\": \"07:00\"}", "must close after it opens"),
+        ("{\"from\": \"9\", \"to\": \"10:00\"}", "must be a time of day"),
+        (
+            "{\"weekdays\": [\"monday\"], \"from\": \"07:00\", \"to\": \"08:00\"}",
+            "must be one of: mon",
+        ),
+    ] {
+        let error = from_str(&with(window), "fleet.jsonc").unwrap_err();
+        assert!(error.to_string().contains(message), "{error}");
+    }
+}
--- a/crates/trestled/src/logs.rs
+++ b/crates/trestled/src/logs.rs
@@ -2,7 +2,7 @@
 
 use crate::error::{LogFilterSnafu, Result};
 use snafu::ResultExt;
-use std::io;
+use std::io::{self, IsTerminal};
 use tracing_subscriber::EnvFilter;
 use trestle_config::settings::{LogFormat, LogSettings};
 
@@ -10,7 +10,10 @@
 pub(crate) fn init(settings: &LogSettings) -> Result<()> {
     let filter = &settings.filter;
     let filter = EnvFilter::try_new(filter).context(LogFilterSnafu { filter })?;
-    let subscriber = tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr);
+    let subscriber = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(io::stderr().is_terminal())
+        .with_writer(io::stderr);
     match settings.format {
         LogFormat::Text => subscriber.with_target(false).init(),
         LogFormat::Json => subscriber.json().init(),
