--- a/crates/trestle-config/tests/files.rs
+++ b/crates/trestle-config/tests/files.rs
@@ -25,14 +25,14 @@
 }
 
 fn place(text: &str, changed: &str) -> usize {
-    text.find(changed).expect("the change is there")
+    text.rfind(changed).expect("the change is there")
 }
 
 wrong_files! {
     unknown_key: "\"urgency\": 0" => "\"urgence\": 0", Data, "unknown field `urgence`";
     wrong_type: "\"urgency\": 0" => "\"urgency\": \"0\"", Data, "invalid type: string";
     trailing_comma: "\"deadline_ms\": 300000}" => "\"deadline_ms\": 300000,}", Syntax, "no trailing commas";
-    duplicate_key: "\"curb\": {" => "\"desk\": {", Data, "key `desk` stands twice";
+    duplicate_key: "\"desk\": {" => "\"curb\": {", Data, "key `curb` stands twice";
     unknown_class: "\"classes\": [\"curb\"]" => "\"classes\": [\"curbs\"]", Data, "class `curbs` is not declared";
     no_such_base: "{\"base\": \"unlock-help-1\"}" => "{\"base\": \"unlock\"}", Data, "model `unlock` is not declared";
     url_without_port: "http://127.0.0.1:9101" => "http://127.0.0.1", Data, "must be `http://ip:port`";
