Rank candidates once a configuration, not at every look

Change: the catalog holds the candidates, and a new version takes over those of models that have not changed.

--- a/crates/trestle-config/src/config.rs
+++ b/crates/trestle-config/src/config.rs
@@ -101,10 +101,10 @@
         Some(Target { model: model.clone(), adapter: None })
     }
 
-    /// The configuration with its version set.
+    /// The configuration at a version, after the one that was in force before.
     #[must_use]
-    pub fn at_version(mut self, version: u64) -> Self {
-        self.catalog.version = version;
+    pub fn at_version(mut self, version: u64, before: &Self) -> Self {
+        self.catalog = self.catalog.at_version(version, &before.catalog);
         self
     }
 }
@@ -122,11 +122,11 @@
             utc_offset_minutes: file.utc_offset_minutes,
             tokens: tokens.collect(),
             catalog: Catalog {
-                version: 0,
                 idle_per_wait: file.idle_per_wait,
                 full_speed_loads: file.weight_store.full_speed_loads,
                 models: convert(file.models),
                 engines: convert(file.engines),
+                ..Catalog::default()
             },
             classes: convert(file.classes),
             tenants: convert(file.tenants),
--- a/crates/trestle-core/src/catalog.rs
+++ b/crates/trestle-core/src/catalog.rs
@@ -1,6 +1,7 @@
 //! The part of the configuration in force that decisions need.
 
 use crate::{
+    candidates,
     keep::KeepPrice,
     names::{DomainName, EndpointName, ModelName},
     window::{CivilTime, Window},
@@ -21,6 +22,8 @@
     pub full_speed_loads: usize,
     /// Engines that models may be placed at.
     pub engines: BTreeMap<EndpointName, EngineSpec>,
+    /// Candidates of each model, set by [`Catalog::at_version`].
+    pub candidates: BTreeMap<ModelName, Vec<EndpointName>>,
 }
 
 /// What decisions need to know of a model.
@@ -64,6 +67,30 @@
 }
 
 impl Catalog {
+    /// The catalog of a new version, whose candidates are taken over from the one
+    /// before as far as neither the engines nor the model have changed.
+    #[must_use]
+    pub fn at_version(mut self, version: u64, before: &Self) -> Self {
+        self.version = version;
+        let same_engines = self.engines == before.engines;
+        let known = |name: &ModelName| {
+            let is_same = same_engines && self.models.get(name) == before.models.get(name);
+            before.candidates.get(name).filter(|_| is_same).cloned()
+        };
+        let names = self.models.keys();
+        let all = names.map(|name| {
+            let ranked = known(name).unwrap_or_else(|| candidates::ranked(&self, name));
+            (name.clone(), ranked)
+        });
+        self.candidates = all.collect();
+        self
+    }
+
+    /// Engines that the model may be placed at, best first.
+    pub fn candidates(&self, model: &ModelName) -> &[EndpointName] {
+        self.candidates.get(model).map_or(&[], Vec::as_slice)
+    }
+
     /// What decides how long a model is kept at an engine.
     pub fn keep_price(&self, model: &ModelSpec, engine: &EngineSpec) -> KeepPrice {
         KeepPrice {
--- a/crates/trestle-core/src/lib.rs
+++ b/crates/trestle-core/src/lib.rs
@@ -10,12 +10,12 @@
 //!
 //! - [`membership`]: who belongs to a failure domain.
 //! - [`seat`] and [`owned`]: who owns an endpoint, and what the owner does.
-//! - [`placing`] and [`candidates`]: where a model may be loaded.
+//! - [`placing`] and [`catalog`]: where a model may be loaded.
 //! - [`queue`] and [`permit`]: who may send a request, and when.
 //! - [`loads`] and [`keep`]: when a model is loaded, and how long it is kept.
 
 pub mod adoption;
-pub mod candidates;
+mod candidates;
 pub mod catalog;
 pub mod claim;
 pub mod endpoint_row;
--- a/crates/trestle-core/src/placing.rs
+++ b/crates/trestle-core/src/placing.rs
@@ -48,8 +48,8 @@
 /// lets one more candidate stand in for better ones that have no room.
 pub fn wanted<'a>(site: Site<'_>, catalog: &'a Catalog, patience: usize) -> Vec<&'a ModelName> {
     let is_wanted = |name: &ModelName| {
-        let ranked = crate::candidates::candidates(catalog, name);
-        let rank = ranked.iter().position(|candidate| *candidate == site.name);
+        let ranked = catalog.candidates(name);
+        let rank = ranked.iter().position(|candidate| candidate == site.name);
         let within = catalog.models[name].max_replicas.saturating_add(patience);
         rank.is_some_and(|rank| rank < within) && !site.row.placed.contains_key(name)
     };
@@ -99,9 +99,9 @@
         }
         let (_, replicas) = model_row(rows, name);
         let excess = replicas.replicas.len().saturating_sub(spec.max_replicas);
-        let ranked = crate::candidates::candidates(catalog, name);
-        let held = ranked.iter().rev().filter(|candidate| replicas.replicas.contains(**candidate));
-        held.take(excess).any(|candidate| *candidate == site.name)
+        let ranked = catalog.candidates(name).iter().rev();
+        let held = ranked.filter(|candidate| replicas.replicas.contains(*candidate));
+        held.take(excess).any(|candidate| candidate == site.name)
     };
     active.filter(|(name, p)| is_unwanted(name, p)).map(|(name, _)| name).collect()
 }
--- a/crates/trestled/src/config_watch.rs
+++ b/crates/trestled/src/config_watch.rs
@@ -75,8 +75,9 @@
 }
 
 fn take(daemon: &Daemon, offered: &WireConfig) {
+    let before = Arc::clone(&daemon.routing().config);
     let config = match trestle_config::from_str(&offered.text, "configuration") {
-        Ok(config) => Arc::new(config.at_version(offered.version)),
+        Ok(config) => Arc::new(config.at_version(offered.version, &before)),
         Err(error) => {
             tracing::error!("config: Version {} is not valid: {error}.", offered.version);
             return;
--- a/crates/trestled/src/entry/permits.rs
+++ b/crates/trestled/src/entry/permits.rs
@@ -115,7 +115,7 @@
         let health = traffic.health.get(endpoint);
         excluded.contains(endpoint) || health.is_some_and(|health| health.is_avoided(now_ms))
     };
-    let all = routing.candidates(model).iter();
+    let all = routing.config.catalog.candidates(model).iter();
     let staying = all.filter(|endpoint| !routing.leaving.contains(endpoint.as_str()));
     let mut ordered: Vec<EndpointName> = staying.cloned().collect();
     ordered.sort_by_key(|endpoint| {
--- a/crates/trestled/src/routing.rs
+++ b/crates/trestled/src/routing.rs
@@ -6,9 +6,8 @@
 };
 use trestle_config::Config;
 use trestle_core::{
-    candidates::candidates,
     membership_row::MembershipRow,
-    names::{DomainName, EndpointName, ModelName, VmName},
+    names::{DomainName, EndpointName, VmName},
 };
 
 /// What traffic needs to know of configuration and membership.
@@ -22,7 +21,6 @@
     pub(crate) domains: BTreeMap<DomainName, MembershipRow>,
     /// Endpoints that are leaving.
     pub(crate) leaving: BTreeSet<String>,
-    candidates: Arc<BTreeMap<ModelName, Vec<EndpointName>>>,
 }
 
 impl Routing {
@@ -31,12 +29,6 @@
         if config.catalog.version <= self.config.catalog.version {
             return false;
         }
-        let names = config.catalog.models.keys();
-        let all = names.map(|model| {
-            let ranked = candidates(&config.catalog, model).into_iter().cloned().collect();
-            (model.clone(), ranked)
-        });
-        self.candidates = Arc::new(all.collect());
         self.config = config;
         self.config_text = text;
         true
@@ -50,11 +42,6 @@
         }
     }
 
-    /// Engines a model may be placed at, best first.
-    pub(crate) fn candidates(&self, model: &ModelName) -> &[EndpointName] {
-        self.candidates.get(model).map_or(&[], Vec::as_slice)
-    }
-
     /// The chain of owners of an engine and where peers reach them.
     pub(crate) fn owners(&self, engine: &EndpointName) -> Vec<(VmName, String)> {
         let Some(spec) = self.config.catalog.engines.get(engine) else { return Vec::new() };
