--- a/crates/trestle-config/src/settings.rs
+++ b/crates/trestle-config/src/settings.rs
@@ -109,8 +109,8 @@
 impl Default for Intervals {
     fn default() -> Self {
         Self {
-            config_poll_ms: 1_000,
-            vm_list_ms: 1_000,
+            config_poll_ms: 2_000,
+            vm_list_ms: 2_000,
             lease_ms: 2_000,
             expiry_ms: 8_000,
             grant_ms: 2_000,
--- a/crates/trestled/src/domains_watch.rs
+++ b/crates/trestled/src/domains_watch.rs
@@ -9,12 +9,14 @@
     row::{Row, RowKey, Versioned},
 };
 
+/// Leases between two reads; requests that find no owner ask for one sooner.
+const LEASES: u32 = 3;
 /// Shortest time between two reads that are asked for.
 const REFRESH_PAUSE: Duration = Duration::from_millis(100);
 
 /// Follows the members of other domains until the process ends.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
-    let interval = Duration::from_millis(daemon.settings.intervals.lease_ms);
+    let interval = LEASES * Duration::from_millis(daemon.settings.intervals.lease_ms);
     loop {
         follow(&daemon).await;
         let due = async {
