Split the large files of the decisions by matter

Change: an owned endpoint's orders, admission and keeping, a node's chain and what it owns, and the world's messages have files of their own. Behaviour stays, but for one bound found while reading: a measured service time counts for twice the declared one at most, or a few long requests could have all others refused, and none would be measured any more.

--- /dev/null
+++ b/crates/trestle-core/src/owned/admission.rs
@@ -0,0 +1,225 @@
+//! Requests: who may wait, who may go, and who is refused.
+
+use super::{Owned, Permit, is_ready};
+use crate::{
+    catalog::{Catalog, Fencing, ModelSpec},
+    endpoint_row::EndpointRow,
+    loads::Outlook,
+    names::{ModelName, VmName},
+    order::Phase,
+    permit::{PermitAnswer, PermitAsk, Refusal, Ticket},
+};
+use std::{collections::BTreeMap, ops::RangeInclusive};
+
+/// Requests of one tenant that may wait at one endpoint.
+const MAX_WAITING_PER_TENANT: usize = 256;
+/// Shortest and longest time to come back that a refusal names.
+const RETRY_AFTER_MS: RangeInclusive<u64> = 200..=60_000;
+/// Share of an old average in a new one, in eighths.
+const AVERAGE_EIGHTHS: u64 = 7;
+/// How much longer than declared a request is expected to run at most.
+///
+/// Without a bound, a few long requests could have all others refused, and no
+/// shorter one would be measured any more.
+const LONGEST_SERVICE: u64 = 2;
+/// Time beyond its deadline for which a permit stays out.
+const PERMIT_GRACE_MS: u64 = 1_000;
+/// Part of an expected wait for others that is added to it, so that what is
+/// admitted ends in time.
+const QUEUE_MARGIN: u64 = 4;
+/// How much faster than declared a load may be.
+const FASTEST_LOAD: u64 = 4;
+
+impl Owned {
+    /// Takes an ask; answers at once unless it has to wait.
+    pub fn ask(
+        &mut self,
+        mut ask: PermitAsk,
+        placed: &EndpointRow,
+        catalog: &Catalog,
+        outlook: Outlook,
+        now_ms: u64,
+    ) -> Option<PermitAnswer> {
+        let may_serve =
+            placed.is_active(&ask.model) || self.serves_retiring(&ask.model, placed, now_ms);
+        let model = catalog.models.get(&ask.model).filter(|_| may_serve);
+        let Some(model) = model else {
+            return Some(PermitAnswer::NotPlaced);
+        };
+        if self.leaving {
+            return Some(refused(Refusal::Leaving, model.load_ms));
+        }
+        if self.is_silent() {
+            return Some(refused(Refusal::EndpointSilent, self.timing.order_ms));
+        }
+        if self.queue.waiting_of(&ask.tenant) >= MAX_WAITING_PER_TENANT {
+            return Some(refused(Refusal::TenantQueueFull, self.queue_ms(ask.urgency, model)));
+        }
+        let wait_ms = self.expected_wait_ms(&ask, model, outlook, now_ms);
+        let is_loaded = self.is_ready(&ask.model);
+        if is_loaded && ask.patience_ms.is_some_and(|patience_ms| wait_ms > patience_ms) {
+            return Some(PermitAnswer::Busy { wait_ms });
+        }
+        let margin_ms = self.queue_ms(ask.urgency, model) / QUEUE_MARGIN;
+        let end_ms = now_ms + wait_ms + margin_ms + self.service_of(&ask.model, Some(model));
+        if end_ms > ask.deadline_ms {
+            return Some(refused(Refusal::DeadlineTooClose, end_ms - ask.deadline_ms));
+        }
+        ask.cold = !self.is_ready(&ask.model);
+        self.note_gap(&ask.model, model.load_ms, now_ms);
+        self.came.insert(ask.model.clone());
+        self.used_ms.insert(ask.model.clone(), now_ms);
+        self.queue.push(ask);
+        None
+    }
+
+    /// Grants every permit that can be granted now.
+    pub fn grant(&mut self, now_ms: u64) -> Vec<(Ticket, PermitAnswer)> {
+        let mut granted = Vec::new();
+        while self.may_grant(now_ms) && self.out() < self.spec.slots {
+            let held = &self.held;
+            let Some(ask) = self.queue.pop(|model| is_ready(held, model)) else { break };
+            granted.push((ask.ticket, PermitAnswer::Granted { cold: ask.cold }));
+            self.used_ms.insert(ask.model.clone(), now_ms);
+            self.permits.insert(
+                ask.ticket,
+                Permit {
+                    entry: ask.entry,
+                    model: ask.model,
+                    granted_ms: now_ms,
+                    deadline_ms: ask.deadline_ms,
+                },
+            );
+        }
+        granted
+    }
+
+    /// Refuses every waiting request that cannot be served any more.
+    pub fn refuse_late(&mut self, catalog: &Catalog, now_ms: u64) -> Vec<(Ticket, PermitAnswer)> {
+        let shortest: BTreeMap<ModelName, u64> = self
+            .queue
+            .wanted()
+            .into_iter()
+            .map(|model| (model.clone(), self.shortest_ms(model, catalog, now_ms)))
+            .collect();
+        let leaving = self.leaving;
+        let is_late = |ask: &PermitAsk| {
+            leaving || now_ms + shortest.get(&ask.model).copied().unwrap_or(0) > ask.deadline_ms
+        };
+        let late = self.queue.drain_if(is_late);
+        late.into_iter().map(|ask| (ask.ticket, self.late_answer(&ask, catalog))).collect()
+    }
+
+    /// Takes a permit back.
+    pub fn release(&mut self, ticket: Ticket, now_ms: u64) {
+        let Some(permit) = self.permits.remove(&ticket) else {
+            self.foreign_running = self.foreign_running.saturating_sub(1);
+            return;
+        };
+        self.used_ms.insert(permit.model.clone(), now_ms);
+        let took_ms = now_ms.saturating_sub(permit.granted_ms);
+        let average = self.service_ms.entry(permit.model).or_insert(took_ms);
+        *average = (*average * AVERAGE_EIGHTHS + took_ms) / (AVERAGE_EIGHTHS + 1);
+    }
+
+    /// Forgets a waiting request whose caller has gone.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.queue.remove(ticket);
+    }
+
+    /// Takes back the permits of entry daemons that are gone, and overdue ones.
+    pub fn lapse(&mut self, is_gone: impl Fn(&VmName) -> bool, now_ms: u64) {
+        self.permits.retain(|_, permit| {
+            let lapses_ms = permit.deadline_ms.saturating_add(PERMIT_GRACE_MS);
+            !is_gone(&permit.entry) && now_ms < lapses_ms
+        });
+    }
+
+    /// Gives up every waiting request, for another owner to serve.
+    pub fn abandon(&mut self) -> Vec<Ticket> {
+        self.queue.drain_if(|_| true).into_iter().map(|ask| ask.ticket).collect()
+    }
+
+    /// Whether a model that is on its way out can still be served.
+    ///
+    /// Where the endpoint ignores numbers, an idle model is unloaded by taking
+    /// its placement away. Until the unload is sent, only this owner can send
+    /// it, so a request that comes in time is served.
+    fn serves_retiring(&self, model: &ModelName, placed: &EndpointRow, now_ms: u64) -> bool {
+        let is_placed = placed.placed.contains_key(model);
+        let is_whole = self.is_ready(model) && self.no_unload_can_come(model, now_ms);
+        self.spec.fencing == Fencing::Ignored && is_placed && is_whole
+    }
+
+    fn may_grant(&self, now_ms: u64) -> bool {
+        let is_heard = self.looked_ms.is_some_and(|at_ms| now_ms < at_ms + self.timing.grant_ms);
+        self.is_confirmed() && is_heard && !self.leaving
+    }
+
+    fn out(&self) -> usize {
+        self.permits.len() + self.foreign_running
+    }
+
+    fn service_of(&self, model: &ModelName, spec: Option<&ModelSpec>) -> u64 {
+        let declared = spec.map_or(0, |spec| spec.service_ms);
+        let measured = self.service_ms.get(model).copied().unwrap_or(declared);
+        measured.min(declared * LONGEST_SERVICE)
+    }
+
+    fn queue_ms(&self, urgency: u8, model: &ModelSpec) -> u64 {
+        let before =
+            (self.queue.ahead_of(urgency) + self.out() + 1).saturating_sub(self.spec.slots);
+        before as u64 * model.service_ms / self.spec.slots.max(1) as u64
+    }
+
+    fn load_left_ms(&self, model: &ModelName, load_ms: u64, now_ms: u64) -> u64 {
+        match self.held.get(model) {
+            Some(held) if held.phase == Phase::Ready => 0,
+            Some(held) if held.phase == Phase::Loading => {
+                load_ms.saturating_sub(now_ms.saturating_sub(held.since_ms))
+            }
+            _ => load_ms,
+        }
+    }
+
+    fn expected_wait_ms(
+        &self,
+        ask: &PermitAsk,
+        model: &ModelSpec,
+        outlook: Outlook,
+        now_ms: u64,
+    ) -> u64 {
+        let load_ms = outlook.load_ms(model.load_ms);
+        let begun = self.held.contains_key(&ask.model);
+        let ahead_ms = if begun { 0 } else { outlook.ahead_ms };
+        let load_ms = ahead_ms + self.load_left_ms(&ask.model, load_ms, now_ms);
+        self.queue_ms(ask.urgency, model).max(load_ms)
+    }
+
+    /// The shortest time in which a waiting request for the model can still be answered.
+    fn shortest_ms(&self, model: &ModelName, catalog: &Catalog, now_ms: u64) -> u64 {
+        let Some(spec) = catalog.models.get(model) else { return 0 };
+        let load_ms = self.load_left_ms(model, spec.load_ms / FASTEST_LOAD, now_ms);
+        load_ms + self.service_of(model, Some(spec))
+    }
+
+    fn late_answer(&self, ask: &PermitAsk, catalog: &Catalog) -> PermitAnswer {
+        let reason = if self.leaving {
+            Refusal::Leaving
+        } else if self.is_confirmed() {
+            Refusal::DeadlinePassed
+        } else {
+            Refusal::EndpointSilent
+        };
+        let retry_ms = catalog
+            .models
+            .get(&ask.model)
+            .map_or(0, |spec| self.queue_ms(ask.urgency, spec).max(spec.load_ms / 2));
+        refused(reason, retry_ms)
+    }
+}
+
+fn refused(reason: Refusal, retry_after_ms: u64) -> PermitAnswer {
+    let retry_after_ms = retry_after_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end());
+    PermitAnswer::Refused { reason, retry_after_ms }
+}
--- /dev/null
+++ b/crates/trestle-core/tests/world/deliver.rs
@@ -0,0 +1,244 @@
+//! How messages travel in the world, and what each leads to.
+
+use super::{Happening, TICK_MS, TIMEOUT_MS, World};
+use trestle_core::{
+    event::{Action, CommitPurpose, Event, ReadPurpose},
+    names::{EndpointName, ModelName, VmName},
+    order::{Order, OrderOutcome},
+    permit::{PERMIT_USE_MS, PermitAnswer, Ticket},
+    row::{CommitOutcome, Txn},
+};
+
+impl World {
+    pub(super) fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Tick(name) => self.tick(name),
+            Happening::Event(name, run, event) => self.deliver(name, run, event),
+            Happening::Commit(name, run, purpose, txn) => {
+                self.queue_answer_after_commit(name, run, purpose, txn);
+            }
+            Happening::Read(name, run, purpose, keys) => {
+                let is_cut = self.faults.is_platform_cut(&name);
+                let rows = (!is_cut).then(|| self.table.read(&keys));
+                let late_ms = self.faults.late_placements_ms.get(&name).copied().unwrap_or(0);
+                let is_late = matches!(purpose, ReadPurpose::Placements { .. });
+                let late_ms = if is_late { late_ms } else { 0 };
+                let at_ms = self.now_ms + self.hop_ms() + late_ms;
+                let event = Event::Read(purpose, rows);
+                self.queue.push(at_ms, Happening::Event(name, run, event));
+            }
+            Happening::Order(name, run, endpoint, order) => {
+                self.take_order(name, run, endpoint, order);
+            }
+            Happening::Loaded(endpoint, model) => self.engine(&endpoint).loaded(&model),
+            Happening::Unloaded(endpoint, model) => self.engine(&endpoint).unloaded(&model),
+            Happening::Begin { endpoint, model, owner, ticket, by_ms } => {
+                self.begin(endpoint, model, owner, ticket, by_ms);
+            }
+            Happening::End { endpoint, model, owner, ticket } => {
+                self.engine(&endpoint).end(&model);
+                self.release(&owner, endpoint, ticket);
+            }
+        }
+    }
+
+    fn tick(&mut self, name: VmName) {
+        self.queue.push(self.now_ms + TICK_MS, Happening::Tick(name.clone()));
+        let vm = &self.vms[&name];
+        if !vm.is_alive || vm.frozen_until_ms > self.now_ms {
+            return;
+        }
+        let run = vm.run;
+        if self.random(20) == 0 && !self.faults.is_platform_cut(&name) {
+            let listed = self.listed.clone();
+            self.handle(&name, run, Event::Vms(listed));
+        }
+        self.handle(&name, run, Event::Tick);
+    }
+
+    fn deliver(&mut self, name: VmName, run: u64, event: Event) {
+        let until_ms = self.vms[&name].frozen_until_ms;
+        if until_ms > self.now_ms {
+            self.queue.push(until_ms, Happening::Event(name, run, event));
+            return;
+        }
+        self.handle(&name, run, event);
+    }
+
+    fn handle(&mut self, name: &VmName, run: u64, event: Event) {
+        let Some(vm) = self.vms.get_mut(name) else { return };
+        if !vm.is_alive || vm.run != run {
+            return;
+        }
+        let actions = vm.node.handle(event, self.now_ms);
+        for action in actions {
+            self.carry_out(name, run, action);
+        }
+    }
+
+    fn carry_out(&mut self, name: &VmName, run: u64, action: Action) {
+        let at_ms = self.now_ms + self.hop_ms();
+        let name = name.clone();
+        match action {
+            Action::Read(purpose, keys) => {
+                self.queue.push(at_ms, Happening::Read(name, run, purpose, keys));
+            }
+            Action::Commit(purpose, txn) => {
+                self.queue.push(at_ms, Happening::Commit(name, run, purpose, txn));
+            }
+            Action::Probe { vm, endpoint, .. } => {
+                let owns = self.probe(&name, &vm, &endpoint);
+                let event = Event::Probed { vm, endpoint, owns };
+                self.queue.push(at_ms, Happening::Event(name, run, event));
+            }
+            Action::Order(endpoint, order) => self.send_order(name, run, endpoint, order),
+            Action::Answer(ticket, answer) => self.answered(&name, ticket, answer),
+            Action::Notify { vm, endpoint, .. } => {
+                let run = self.vms.get(&vm).map_or(0, |vm| vm.run);
+                if !self.faults.are_peers_cut(&name, &vm) {
+                    self.event_soon(&vm, run, Event::RowChanged(endpoint));
+                }
+            }
+            Action::Members(_)
+            | Action::Ownership { .. }
+            | Action::FetchHabits(_)
+            | Action::KeepHabits(..) => {}
+            Action::Left => self.vm(name.as_str()).is_alive = false,
+        }
+    }
+
+    fn probe(&self, from: &VmName, to: &VmName, endpoint: &EndpointName) -> Option<bool> {
+        let vm = self.vms.get(to)?;
+        let is_reachable = vm.is_alive
+            && vm.frozen_until_ms <= self.now_ms
+            && !self.faults.are_peers_cut(from, to);
+        is_reachable.then(|| vm.node.owns(endpoint))
+    }
+
+    /// Sends an order; some are delayed for long, and arrive after the sender has given them up.
+    fn send_order(&mut self, name: VmName, run: u64, endpoint: EndpointName, order: Order) {
+        let fence = order.fence;
+        let unknown =
+            Event::Ordered { endpoint: endpoint.clone(), fence, outcome: OrderOutcome::Unknown };
+        self.queue.push(self.now_ms + TIMEOUT_MS, Happening::Event(name.clone(), run, unknown));
+        if self.faults.is_engine_cut(&name, &endpoint) {
+            return;
+        }
+        let is_slow = self.rng.u8(..100) < self.faults.slow_orders_percent;
+        let longest_ms = self.faults.slow_order_ms;
+        let delay_ms = if is_slow { self.random(longest_ms) } else { self.hop_ms() };
+        // What a frozen daemon has not sent yet, it sends when it goes on.
+        let held_ms = self.faults.orders_held_until_ms.get(&name).copied().unwrap_or(0);
+        let frozen_ms = self.vms[&name].frozen_until_ms.max(held_ms);
+        let at_ms = (self.now_ms + delay_ms).max(frozen_ms);
+        self.queue.push(at_ms, Happening::Order(name, run, endpoint, order));
+    }
+
+    fn take_order(&mut self, name: VmName, run: u64, endpoint: EndpointName, order: Order) {
+        let fence = order.fence;
+        let decided = self.table.decided_models(&endpoint);
+        let now_ms = self.now_ms;
+        let taken = self.engine(&endpoint).take(order, &decided, now_ms, endpoint.as_str());
+        self.loads += u64::from(taken.loading.is_some());
+        let ends_ms = self.now_ms + 500 + self.random(1_500);
+        if let Some(model) = taken.loading {
+            self.queue.push(ends_ms, Happening::Loaded(endpoint.clone(), model));
+        }
+        if let Some(model) = taken.unloading {
+            let ends_ms = self.now_ms + 50 + self.random(200);
+            self.queue.push(ends_ms, Happening::Unloaded(endpoint.clone(), model));
+        }
+        let is_lost = self.rng.u8(..100) < self.faults.lost_answers_percent;
+        if !is_lost {
+            self.event_soon(&name, run, Event::Ordered { endpoint, fence, outcome: taken.outcome });
+        }
+    }
+
+    fn queue_answer_after_commit(
+        &mut self,
+        name: VmName,
+        run: u64,
+        purpose: CommitPurpose,
+        txn: Txn,
+    ) {
+        let mut outcome = CommitOutcome::Unknown;
+        if !self.faults.is_platform_cut(&name) && !self.faults.writes_down {
+            outcome = self.table.commit(txn, &self.catalog);
+            self.check_decided();
+            if self.rng.u8(..100) < self.faults.lost_answers_percent {
+                outcome = CommitOutcome::Unknown;
+            }
+        }
+        self.event_soon(&name, run, Event::Committed(purpose, outcome));
+    }
+
+    /// Whatever takes memory at an engine must be decided to be there.
+    fn check_decided(&self) {
+        for (name, engine) in &self.engines {
+            let decided = self.table.decided_models(name);
+            for model in engine.held() {
+                assert!(
+                    decided.contains(model),
+                    "surplus replica at {} ms: {model} at {name} is not decided any more",
+                    self.now_ms
+                );
+            }
+        }
+    }
+
+    fn answered(&mut self, owner: &VmName, ticket: Ticket, answer: PermitAnswer) {
+        let Some(ask) = self.asks.remove(&ticket) else { return };
+        if !matches!(answer, PermitAnswer::Granted { .. }) {
+            self.refused += 1;
+            return;
+        }
+        self.granted += 1;
+        let at_ms = self.now_ms + self.hop_ms().max(self.faults.permit_use_ms);
+        self.queue.push(
+            at_ms,
+            Happening::Begin {
+                endpoint: ask.endpoint,
+                model: ask.model,
+                owner: owner.clone(),
+                ticket,
+                by_ms: self.now_ms + PERMIT_USE_MS,
+            },
+        );
+    }
+
+    fn begin(
+        &mut self,
+        endpoint: EndpointName,
+        model: ModelName,
+        owner: VmName,
+        ticket: Ticket,
+        by_ms: u64,
+    ) {
+        if self.now_ms > by_ms || !self.engine(&endpoint).begin(&model) {
+            self.release(&owner, endpoint, ticket);
+            return;
+        }
+        let ends_ms = self.now_ms + 100 + self.random(4_000);
+        self.queue.push(ends_ms, Happening::End { endpoint, model, owner, ticket });
+    }
+
+    fn release(&mut self, owner: &VmName, endpoint: EndpointName, ticket: Ticket) {
+        let run = self.vms[owner].run;
+        self.event_soon(owner, run, Event::Release(endpoint, ticket));
+    }
+
+    pub(super) fn event_soon(&mut self, name: &VmName, run: u64, event: Event) {
+        let at_ms = self.now_ms + self.hop_ms();
+        self.queue.push(at_ms, Happening::Event(name.clone(), run, event));
+    }
+
+    fn hop_ms(&mut self) -> u64 {
+        let longest_ms = if self.rng.u8(..10) == 0 { 300 } else { 10 };
+        self.random(longest_ms)
+    }
+
+    pub(super) fn running(&self) -> Vec<(VmName, u64)> {
+        let alive = self.vms.iter().filter(|(_, vm)| vm.is_alive);
+        alive.map(|(name, vm)| (name.clone(), vm.run)).collect()
+    }
+}
--- a/crates/trestle-session/src/bin/trestle-demo.rs
+++ b/crates/trestle-session/src/bin/trestle-demo.rs
@@ -4,18 +4,11 @@
 
 use serde_json::json;
 use std::{process::ExitCode, time::Instant};
-use trestle_session::{Result, Session, SessionPlan};
+use trestle_session::{
+    Result, Session, SessionPlan,
+    fleet::{CONFIG, DAEMONS, PLACEMENTS},
+};
 
-const CONFIG: &str = include_str!("../../../../examples/fleet.jsonc");
-const DAEMONS: [(&str, &str); 7] = [
-    ("poa-centro-1", "poa-centro"),
-    ("poa-centro-2", "poa-centro"),
-    ("poa-centro-3", "poa-centro"),
-    ("caxias-1", "caxias"),
-    ("caxias-2", "caxias"),
-    ("pelotas-1", "pelotas"),
-    ("pelotas-2", "pelotas"),
-];
 /// Loads and requests take this much less time than in the example.
 const SPEED: f64 = 5.0;
 
@@ -71,7 +64,7 @@
         .filter(|state| state.role == "owner")
         .map(|state| state.placed.len())
         .sum();
-    models >= 60
+    models >= PLACEMENTS
 }
 
 fn burst(session: &Session) -> Result<serde_json::Value> {
--- a/crates/trestle-session/src/lib.rs
+++ b/crates/trestle-session/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bench;
 mod daemon_process;
 mod error;
+pub mod fleet;
 mod process;
 mod session;
 
--- a/crates/trestle-session/tests/common/mod.rs
+++ b/crates/trestle-session/tests/common/mod.rs
@@ -4,28 +4,15 @@
 
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use trestle_session::{Session, SessionPlan};
-
-pub(crate) const FLEET: &str = include_str!("../../../../examples/fleet.jsonc");
-
-/// Daemons of the fleet: three in one failure domain, two in each of the others.
-pub(crate) const DAEMONS: [(&str, &str); 7] = [
-    ("poa-centro-1", "poa-centro"),
-    ("poa-centro-2", "poa-centro"),
-    ("poa-centro-3", "poa-centro"),
-    ("caxias-1", "caxias"),
-    ("caxias-2", "caxias"),
-    ("pelotas-1", "pelotas"),
-    ("pelotas-2", "pelotas"),
-];
-
-/// Placements that the fleet's configuration asks for.
-const FLEET_PLACEMENTS: usize = 60;
+use trestle_session::{
+    Session, SessionPlan,
+    fleet::{CONFIG, DAEMONS, PLACEMENTS},
+};
 
 /// Starts the fleet with short intervals, its configuration applied and every model placed.
 pub(crate) fn fleet(speed: f64) -> Session {
     let plan =
-        SessionPlan { config: FLEET, daemons: &DAEMONS, speed, intervals: short_intervals() };
+        SessionPlan { config: CONFIG, daemons: &DAEMONS, speed, intervals: short_intervals() };
     let session = Session::start(&plan).expect("the session starts");
     session.apply().expect("the configuration is accepted");
     session.wait_for("every model placed", all_placed).expect("every model is placed");
@@ -48,7 +35,7 @@
         placed.entry(endpoint).or_default().push(state.placed.len());
     }
     let all_agree = placed.values().all(|counts| counts.iter().all(|count| *count == counts[0]));
-    all_agree && placements(session) >= FLEET_PLACEMENTS
+    all_agree && placements(session) >= PLACEMENTS
 }
 
 /// Placements of all owned endpoints.
--- a/crates/trestle-session/tests/configuration.rs
+++ b/crates/trestle-session/tests/configuration.rs
@@ -3,16 +3,20 @@
 
 mod common;
 
-use common::{FLEET, assert_no_breach, fleet, short_intervals};
+use common::{assert_no_breach, fleet, short_intervals};
 use serde_json::json;
 use std::{fmt::Write, thread, time::Duration};
-use trestle_session::{Session, SessionPlan};
+use trestle_session::{Session, SessionPlan, fleet::CONFIG};
 
 /// A session with two daemons and nothing applied.
 fn small() -> Session {
     let daemons = [("poa-centro-1", "poa-centro"), ("caxias-1", "caxias")];
-    let plan =
-        SessionPlan { config: FLEET, daemons: &daemons, speed: 20.0, intervals: short_intervals() };
+    let plan = SessionPlan {
+        config: CONFIG,
+        daemons: &daemons,
+        speed: 20.0,
+        intervals: short_intervals(),
+    };
     Session::start(&plan).expect("the session starts")
 }
 
