Read the members of other domains as soon as a configuration names them

Change: a new configuration has them read at once; while the platform cannot be read, a member of the other domain is asked. Bodies of all requests together are bounded (64 MiB).

--- a/crates/trestle-client/src/peers.rs
+++ b/crates/trestle-client/src/peers.rs
@@ -12,6 +12,7 @@
 };
 use tarpc::{client, context, serde_transport, tokio_serde::formats::Bincode};
 use tokio_util::codec::LengthDelimitedCodec;
+use trestle_core::membership_row::MembershipRow;
 use trestle_wire::peer::{PeerClient, WireAnswer, WireAsk, WireConfig};
 
 /// Time for opening a connection to a peer.
@@ -86,6 +87,18 @@
         self.settle(address, client.row_changed(context, endpoint.to_owned()).await)
     }
 
+    /// Asks the peer at an address for the members of its own failure domain.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer does not answer.
+    pub async fn members(&self, address: &str) -> Result<Option<MembershipRow>> {
+        let context = context_for(QUESTION_TIMEOUT_MS);
+        let client = self.client(address).await?;
+        let members = self.settle(address, client.members(context).await)?;
+        Ok(members.map(MembershipRow::from))
+    }
+
     /// Asks the peer at an address for a configuration newer than the version.
     ///
     /// # Errors
--- a/crates/trestle-config/src/settings.rs
+++ b/crates/trestle-config/src/settings.rs
@@ -40,6 +40,8 @@
     pub connections: usize,
     /// Size of a request's body.
     pub body_bytes: usize,
+    /// Size of all bodies that are held at once.
+    pub all_bodies_bytes: usize,
     /// Time in which a caller has to send a body.
     pub body_ms: u64,
     /// Size of the headers of a request.
@@ -98,6 +100,7 @@
         Self {
             connections: 2_000,
             body_bytes: 1 << 20,
+            all_bodies_bytes: 64 << 20,
             body_ms: 10_000,
             header_bytes: 16 << 10,
             kept_answer_bytes: 64 << 10,
--- a/crates/trestle-session/src/bench.rs
+++ b/crates/trestle-session/src/bench.rs
@@ -258,7 +258,7 @@
 }
 
 /// Memory of a process at present.
-fn memory_kib(pid: u32) -> u64 {
+pub fn memory_kib(pid: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     line.and_then(|text| text.split_whitespace().next()?.parse().ok()).unwrap_or(0)
--- a/crates/trestle-session/tests/input.rs
+++ b/crates/trestle-session/tests/input.rs
@@ -141,3 +141,39 @@
     let content: &Value = &answered.body["choices"][0]["message"]["content"];
     assert_eq!((answered.status, content.as_str()), (200, Some("still there")));
 }
+
+/// Many large bodies at once are refused beyond a limit, and memory stays bounded.
+#[test]
+fn a_flood_of_large_bodies_is_refused_beyond_a_limit() {
+    let session = fleet(20.0);
+    let address = session.daemons["caxias-1"].callers.clone();
+    // Each body is one byte short, so the daemon holds them all.
+    let body = "x".repeat((1 << 20) - 1);
+    let mut open: Vec<TcpStream> = Vec::new();
+    for _ in 0..100 {
+        let mut stream = TcpStream::connect(&address).expect("the daemon listens");
+        let head = format!(
+            "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {TOKEN}\r\n\
+             content-length: {}\r\n\r\n",
+            1 << 20,
+        );
+        stream.write_all(head.as_bytes()).expect("the head is sent");
+        // The daemon may refuse before it has read everything.
+        let _ = stream.write_all(body.as_bytes());
+        open.push(stream);
+    }
+    thread::sleep(Duration::from_millis(500));
+    let pid = session.daemons["caxias-1"].pid();
+    let resident = trestle_session::bench::memory_kib(pid);
+    assert!(resident < 200 << 10, "the daemon holds {resident} KiB");
+    let answered = session.complete("caxias-1", TOKEN, "unlock-help-1", "now", 20_000);
+    let answered = answered.expect("the daemon answers");
+    assert_eq!(answered.body["error"]["code"], "too_many_bytes", "{}", answered.body);
+    drop(open);
+    session
+        .wait_for("room for bodies again", |session| {
+            let answered = session.complete("caxias-1", TOKEN, "unlock-help-1", "then", 20_000);
+            answered.is_ok_and(|answered| answered.status == 200)
+        })
+        .expect("the daemon serves again");
+}
--- a/crates/trestle-wire/src/peer.rs
+++ b/crates/trestle-wire/src/peer.rs
@@ -1,5 +1,6 @@
 //! What daemons ask each other.
 
+use crate::row::WireMembership;
 use trestle_core::permit::{PermitAnswer, PermitAsk, Refusal, Ticket};
 
 /// The service of a daemon towards its peers.
@@ -13,6 +14,8 @@
     async fn owns(endpoint: String) -> bool;
     /// Tells that the owner of the endpoint has changed its row.
     async fn row_changed(endpoint: String);
+    /// Asks for the members of the peer's own failure domain, as it has read them.
+    async fn members() -> Option<WireMembership>;
     /// Asks for the file in force if it is newer than the version.
     async fn config_after(version: u64) -> Option<WireConfig>;
 }
--- a/crates/trestled/src/config_watch.rs
+++ b/crates/trestled/src/config_watch.rs
@@ -89,6 +89,8 @@
     if is_taken {
         tracing::info!("config: Version {} is in force.", offered.version);
         daemon.metrics.config_version(offered.version);
+        // The configuration names the domains, so only now can their members be read.
+        daemon.refresh_domains();
         daemon.tell(Event::Catalog(Arc::new(config.catalog.clone())));
     }
 }
--- a/crates/trestled/src/domains_watch.rs
+++ b/crates/trestled/src/domains_watch.rs
@@ -1,4 +1,5 @@
-//! Follows the members of the other failure domains.
+//! Follows the members of the other failure domains, by the table or, while that
+//! cannot be read, by asking one of them.
 
 use crate::daemon::Daemon;
 use futures_lite::FutureExt;
@@ -33,12 +34,12 @@
 async fn follow(daemon: &Daemon) {
     let own = DomainName::from(daemon.settings.domain.as_str());
     let names = daemon.routing().domain_names();
-    let keys: Vec<RowKey> =
-        names.into_iter().filter(|name| *name != own).map(RowKey::Membership).collect();
-    if keys.is_empty() {
+    let others: Vec<DomainName> = names.into_iter().filter(|name| *name != own).collect();
+    if others.is_empty() {
         return;
     }
     daemon.metrics.table_read();
+    let keys: Vec<RowKey> = others.iter().cloned().map(RowKey::Membership).collect();
     match daemon.platform.read(&keys).await {
         Ok(rows) => daemon.change_routing(|routing| {
             for (key, Versioned { row, .. }) in rows {
@@ -47,6 +48,25 @@
                 }
             }
         }),
-        Err(error) => tracing::debug!("member: Other domains cannot be read: {error}."),
+        Err(error) => {
+            tracing::debug!("member: Other domains cannot be read: {error}.");
+            for domain in others {
+                ask_a_member(daemon, domain).await;
+            }
+        }
+    }
+}
+
+/// Learns the members of a domain from one of them, while the platform cannot be read.
+async fn ask_a_member(daemon: &Daemon, domain: DomainName) {
+    let routing = daemon.routing();
+    let known = routing.domains.get(&domain).map(|row| row.members.values());
+    let addresses: Vec<&str> =
+        known.into_iter().flatten().map(|member| member.address.as_str()).collect();
+    let Some(address) = addresses.get(fastrand::usize(..addresses.len().max(1))) else { return };
+    match daemon.peers.members(address).await {
+        Ok(Some(row)) => daemon.change_routing(|routing| routing.take_members(domain, row)),
+        Ok(None) => {}
+        Err(error) => tracing::debug!("member: {domain} cannot be asked: {error}."),
     }
 }
--- a/crates/trestled/src/entry/body.rs
+++ b/crates/trestled/src/entry/body.rs
@@ -4,7 +4,11 @@
 use crate::daemon::Daemon;
 use futures_lite::{AsyncReadExt, FutureExt};
 use smol::Timer;
-use std::{io, time::Duration};
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 use trillium::Conn;
 
 /// Bytes of a body past the limit that are still read, so that the caller gets
@@ -13,28 +17,63 @@
 /// Bytes that are read at once.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// When to come back after too many bodies were held at once.
+const CROWDED_RETRY_MS: u64 = 1_000;
+
+/// The whole body of a request, counted among all bodies until it is dropped.
+pub(crate) struct Body {
+    pub(crate) content: Vec<u8>,
+    daemon: Arc<Daemon>,
+    counted_bytes: usize,
+}
+
+impl Body {
+    fn new(daemon: &Arc<Daemon>) -> Self {
+        Self { content: Vec::new(), daemon: Arc::clone(daemon), counted_bytes: 0 }
+    }
+
+    /// Adds a part, unless too much is held already.
+    fn push(&mut self, part: &[u8]) -> Result<(), Failure> {
+        let before = self.daemon.body_bytes.fetch_add(part.len(), Ordering::Relaxed);
+        self.counted_bytes += part.len();
+        if before + part.len() > self.daemon.settings.limits.all_bodies_bytes {
+            let message = "this daemon holds as many bytes of requests as it may";
+            let failure = Failure::not_run(503, "too_many_bytes", message);
+            return Err(failure.after_ms(CROWDED_RETRY_MS));
+        }
+        self.content.extend_from_slice(part);
+        Ok(())
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        self.daemon.body_bytes.fetch_sub(self.counted_bytes, Ordering::Relaxed);
+    }
+}
+
 /// Reads the whole body of a request.
-pub(crate) async fn read(daemon: &Daemon, conn: &mut Conn) -> Result<Vec<u8>, Failure> {
+pub(crate) async fn read(daemon: &Arc<Daemon>, conn: &mut Conn) -> Result<Body, Failure> {
     let limits = &daemon.settings.limits;
     let reading = async {
-        let mut body = conn.request_body().await.with_max_len(u64::MAX);
-        let mut content = Vec::new();
+        let mut reader = conn.request_body().await.with_max_len(u64::MAX);
+        let mut body = Body::new(daemon);
         let mut chunk = vec![0; CHUNK_BYTES];
         let mut total = 0;
         loop {
-            let count = body.read(&mut chunk).await.map_err(|error| broken(&error))?;
+            let count = reader.read(&mut chunk).await.map_err(|error| broken(&error))?;
             total += count;
             if count == 0 || total > limits.body_bytes + MAX_DRAINED_BYTES {
                 break;
             }
             if total <= limits.body_bytes {
-                content.extend_from_slice(&chunk[..count]);
+                body.push(&chunk[..count])?;
             }
         }
         if total > limits.body_bytes {
             return Err(too_long(limits.body_bytes));
         }
-        Ok(content)
+        Ok(body)
     };
     let timed_out = async {
         Timer::after(Duration::from_millis(limits.body_ms)).await;
--- a/crates/trestled/src/entry/model.rs
+++ b/crates/trestled/src/entry/model.rs
@@ -37,8 +37,8 @@
 
 /// Answers a completion request.
 pub(crate) async fn complete(daemon: &Arc<Daemon>, call: &Call, mut conn: Conn) -> Conn {
-    let completion = match read(daemon, call, &mut conn).await {
-        Ok(completion) => completion,
+    let (completion, _body) = match read(daemon, call, &mut conn).await {
+        Ok(read) => read,
         Err(failure) => return refuse(daemon, call, conn, failure),
     };
     let answered = conn.cancel_on_disconnect(serve(daemon, call, &completion)).await;
@@ -63,9 +63,14 @@
     failure.into_answer(conn, &call.request_id)
 }
 
-async fn read(daemon: &Daemon, call: &Call, conn: &mut Conn) -> Result<Completion, Failure> {
-    let bytes = body::read(daemon, conn).await?;
-    let mut content: Value = serde_json::from_slice(&bytes).map_err(|error| {
+/// Reads the request; its body counts among all bodies as long as it is kept.
+async fn read(
+    daemon: &Arc<Daemon>,
+    call: &Call,
+    conn: &mut Conn,
+) -> Result<(Completion, body::Body), Failure> {
+    let body = body::read(daemon, conn).await?;
+    let mut content: Value = serde_json::from_slice(&body.content).map_err(|error| {
         let message = format!("the body is not JSON: {error}");
         Failure::not_run(400, "bad_json", message)
     })?;
@@ -76,7 +81,8 @@
     };
     let is_stream = content["stream"].as_bool().unwrap_or(false);
     content["model"] = target.model.as_str().into();
-    Ok(Completion { path: conn.path().to_owned(), target, body: content, is_stream })
+    let completion = Completion { path: conn.path().to_owned(), target, body: content, is_stream };
+    Ok((completion, body))
 }
 
 async fn serve(
--- a/crates/trestled/src/entry/service.rs
+++ b/crates/trestled/src/entry/service.rs
@@ -63,11 +63,12 @@
     let is_repeated = repeated.is_some_and(|text| text == "true");
     let key = if is_repeatable { None } else { Some(key_of(service, conn)?) };
     let content_type = conn.request_headers().get_str("content-type").map(str::to_owned);
+    let body = body::read(daemon, conn).await?;
     let service_call = ServiceCall {
         method,
         path,
         content_type,
-        body: body::read(daemon, conn).await?,
+        body: body.content.clone(),
         request_id: call.request_id.clone(),
         key,
     };
--- a/crates/trestled/src/peer_server.rs
+++ b/crates/trestled/src/peer_server.rs
@@ -19,7 +19,10 @@
 };
 use tokio_util::codec::LengthDelimitedCodec;
 use trestle_core::{event::Event, permit::Ticket};
-use trestle_wire::peer::{Peer, WireAnswer, WireAsk, WireConfig};
+use trestle_wire::{
+    peer::{Peer, WireAnswer, WireAsk, WireConfig},
+    row::WireMembership,
+};
 
 /// Begins to listen for peers.
 pub(crate) async fn listen(daemon: &Daemon) -> Result<TcpListener> {
@@ -73,6 +76,11 @@
         self.0.tell(Event::RowChanged(endpoint.into()));
     }
 
+    async fn members(self, _: Context) -> Option<WireMembership> {
+        let routing = self.0.routing();
+        routing.domains.get(self.0.settings.domain.as_str()).map(WireMembership::from)
+    }
+
     async fn config_after(self, _: Context, version: u64) -> Option<WireConfig> {
         let routing = self.0.routing();
         let ours = routing.config.catalog.version;
