--- a/crates/trestled/src/stop.rs
+++ b/crates/trestled/src/stop.rs
@@ -23,6 +23,8 @@
 const NOTICE_MS: u64 = 1_500;
 /// Time between two looks whether everything has ended.
 const LOOK_MS: u64 = 50;
+/// Time in which the last answers reach their callers.
+const FLUSH_MS: u64 = 500;
 /// Time for leaving the failure domain while the platform does not answer.
 const LEAVE_MS: u64 = 5_000;
 
@@ -44,7 +46,7 @@
         Timer::after(Duration::from_millis(LOOK_MS)).await;
     }
     callers.stop();
-    Timer::after(Duration::from_millis(2 * LOOK_MS)).await;
+    Timer::after(Duration::from_millis(FLUSH_MS)).await;
     let left = daemon.in_flight.load(Ordering::Relaxed);
     tracing::info!("stop: Stopped with {left} requests left.");
     Ok(())
