--- a/crates/trestle-policy/src/report.rs
+++ b/crates/trestle-policy/src/report.rs
@@ -68,7 +68,9 @@
     text
 }
 
-/// Draws the 99th percentile of cold wait against idle hours.
+/// Draws what all first requests waited together against idle hours.
+///
+/// The 99th percentile, in the tables, moves in steps and makes no curve.
 ///
 /// # Errors
 ///
