Make the scenario of rows read before an epoch meet its guard

Cause: the trial without the guard stayed green, because the stale daemon had learnt from the platform's list that the endpoint was leaving, and loaded nothing for that reason; and no read of placements was under way at the right time. Change: it does not read the list in this scenario, and begins a read just before the mark.

--- a/crates/trestle-core/tests/scenarios.rs
+++ b/crates/trestle-core/tests/scenarios.rs
@@ -226,15 +226,17 @@
 /// answer after it has read the new epoch.
 #[test]
 fn rows_read_before_an_epoch_are_not_acted_on_at_it() {
-    for delay_ms in (0..6_000).step_by(150) {
+    for delay_ms in (250..1_000).step_by(25) {
         let mut world = World::new(7, two_engines(Fencing::Checked), &DAEMONS);
         world.run_for(8_000);
         let (old, new) = placed(&world);
         let (owner, stale) = successor(&world, old);
         world.faults.late_placements_ms.insert(stale.clone(), 3_000);
+        world.faults.list_unread.insert(stale.clone());
+        world.row_changed(&stale, old);
         world.run_for(delay_ms);
         world.list(old, Some(VmState::Leaving));
-        world.run_for(3_500);
+        world.run_for(4_000);
         world.faults.platform_cut.insert(stale.clone());
         world.faults.peers_cut.insert((owner, stale.clone()));
         world.ask(stale.as_str(), old, "m", 1);
--- a/crates/trestle-core/tests/world/deliver.rs
+++ b/crates/trestle-core/tests/world/deliver.rs
@@ -49,7 +49,9 @@
             return;
         }
         let run = vm.run;
-        if self.random(20) == 0 && !self.faults.is_platform_cut(&name) {
+        let reads_list =
+            !self.faults.is_platform_cut(&name) && !self.faults.list_unread.contains(&name);
+        if self.random(20) == 0 && reads_list {
             let listed = self.listed.clone();
             self.handle(&name, run, Event::Vms(listed));
         }
--- a/crates/trestle-core/tests/world/faults.rs
+++ b/crates/trestle-core/tests/world/faults.rs
@@ -19,6 +19,8 @@
     /// frozen in between.
     pub(crate) orders_held_until_ms: BTreeMap<VmName, u64>,
     pub(crate) platform_cut: BTreeSet<VmName>,
+    /// Daemons that do not learn of changes in the platform's list of VMs.
+    pub(crate) list_unread: BTreeSet<VmName>,
     pub(crate) engine_cut: BTreeSet<(VmName, EndpointName)>,
     pub(crate) peers_cut: BTreeSet<(VmName, VmName)>,
 }
--- a/crates/trestle-core/tests/world/mod.rs
+++ b/crates/trestle-core/tests/world/mod.rs
@@ -164,6 +164,12 @@
         self.event_soon(&name, run, Event::Stop);
     }
 
+    /// Tells a daemon that a row has changed, so that it reads what is placed.
+    pub(crate) fn row_changed(&mut self, vm: &VmName, engine: &str) {
+        let run = self.vms[vm].run;
+        self.event_soon(vm, run, Event::RowChanged(engine.into()));
+    }
+
     /// Puts a changed configuration in force.
     pub(crate) fn configure(&mut self, change: impl FnOnce(&mut Catalog)) {
         change(&mut self.catalog);
