Say once what stood twice, and rank loads only where one is due

Cause: read as a whole, the change held a check that stood twice (a model that no unload can reach), a length of bin in two crates, a condition whose second half nothing used, two methods of the platform client that nothing called, and a rank of all owned endpoints' loads at every step of each of them, due or not. Change: one piece for each; the rank is made only for an endpoint with a load due. Behaviour and checks stay.

--- a/crates/trestle-client/src/error.rs
+++ b/crates/trestle-client/src/error.rs
@@ -27,13 +27,3 @@
     #[snafu(display("peer {address} did not answer: {source}"))]
     Rpc { address: String, source: tarpc::client::RpcError },
 }
-
-impl Error {
-    /// Whether the request was answered, with a status that is not success.
-    pub fn status(&self) -> Option<u16> {
-        match &self.0 {
-            Inner::Status { status, .. } => Some(*status),
-            _ => None,
-        }
-    }
-}
--- a/crates/trestle-client/src/platform.rs
+++ b/crates/trestle-client/src/platform.rs
@@ -107,14 +107,4 @@
         let list: VmList = http::get_json(&self.client, &url, TIMEOUT_MS).await?;
         Ok(list.vms.into_iter().map(|(name, state)| (name, state.into())).collect())
     }
-
-    /// Tells whether an error means that there is no such object.
-    pub fn is_missing(error: &crate::Error) -> bool {
-        error.status() == Some(404)
-    }
-
-    /// Forgets idle connections that have closed.
-    pub fn clean_up(&self) {
-        self.client.clean_up_pool();
-    }
 }
--- a/crates/trestle-core/src/habits.rs
+++ b/crates/trestle-core/src/habits.rs
@@ -9,9 +9,10 @@
 use crate::{keep::KeepPrice, window::CivilTime};
 
 /// Minutes of a bin.
-pub const BIN_MINUTES: u16 = 15;
+const BIN_MINUTES: u16 = 15;
 const BINS_A_DAY: usize = 24 * 60 / BIN_MINUTES as usize;
-const BIN_MS: u64 = BIN_MINUTES as u64 * 60_000;
+/// Milliseconds of a bin.
+pub const BIN_MS: u64 = BIN_MINUTES as u64 * 60_000;
 const SATURDAY: u8 = 5;
 /// The share of days that counts as all of them.
 const ALWAYS: u16 = 1_000;
--- a/crates/trestle-core/src/node.rs
+++ b/crates/trestle-core/src/node.rs
@@ -191,7 +191,7 @@
             return;
         }
         if !self.membership.is_member() && self.membership.row().epoch > 0 {
-            self.drop_seats(|_, _| true, actions);
+            self.drop_seats(|_| true, actions);
         }
         self.change_membership(actions);
         if self.membership.row().epoch != self.acted_epoch {
@@ -210,7 +210,7 @@
     }
 
     fn give_up_all(&mut self, actions: &mut Vec<Action>) {
-        self.drop_seats(|_, _| true, actions);
+        self.drop_seats(|_| true, actions);
         if !self.was_told_left {
             self.was_told_left = true;
             actions.push(Action::Left);
--- a/crates/trestle-core/src/node/chain.rs
+++ b/crates/trestle-core/src/node/chain.rs
@@ -69,7 +69,7 @@
         self.acted_epoch = epoch;
         self.share_loads();
         let chained: BTreeMap<EndpointName, u8> = self.chained_endpoints().collect();
-        self.drop_seats(|endpoint, _| !chained.contains_key(endpoint), actions);
+        self.drop_seats(|endpoint| !chained.contains_key(endpoint), actions);
         for (endpoint, rank) in chained {
             let (version, row) = endpoint_row(rows, &endpoint);
             self.take_seat(&endpoint, Seat::standby(epoch, rank, row, version), now_ms, actions);
@@ -226,12 +226,10 @@
 
     pub(super) fn drop_seats(
         &mut self,
-        condition: impl Fn(&EndpointName, &Seat) -> bool,
+        condition: impl Fn(&EndpointName) -> bool,
         actions: &mut Vec<Action>,
     ) {
-        for (endpoint, seat) in
-            self.seats.extract_if(.., |endpoint, seat| condition(endpoint, seat))
-        {
+        for (endpoint, seat) in self.seats.extract_if(.., |endpoint, _| condition(endpoint)) {
             actions.extend(seat.parked.iter().map(|ask| not_owner(ask.ticket, None)));
             give_up(&endpoint, seat.role, actions);
         }
--- a/crates/trestle-core/src/node/owning.rs
+++ b/crates/trestle-core/src/node/owning.rs
@@ -82,7 +82,11 @@
     }
 
     /// Whether the endpoint's next load is the most urgent, and within this daemon's share.
-    pub(super) fn may_load(&self, endpoint: &EndpointName, now_ms: u64) -> bool {
+    fn may_load(&self, endpoint: &EndpointName, now_ms: u64) -> bool {
+        let is_due = |seat: &Seat| seat.owned()?.first_load(&seat.row, now_ms);
+        if self.seats.get(endpoint).and_then(is_due).is_none() {
+            return false;
+        }
         let owned = self.seats.iter().filter_map(|(name, seat)| Some((name, seat, seat.owned()?)));
         let under_way: usize = owned.clone().map(|(.., owned)| owned.loading().count()).sum();
         let first_of = |(name, seat, owned): (&EndpointName, &Seat, &Owned)| {
--- a/crates/trestle-core/src/owned.rs
+++ b/crates/trestle-core/src/owned.rs
@@ -182,8 +182,8 @@
     pub fn is_in_use(&self, model: &ModelName, catalog: &Catalog, now_ms: u64) -> bool {
         let keep_ms = self.keep_ms(model, catalog);
         let used_ms = self.used_ms.get(model);
-        let is_whole = self.is_ready(model) && self.no_unload_can_come(model, now_ms);
-        is_whole && used_ms.is_some_and(|used_ms| now_ms < used_ms.saturating_add(keep_ms))
+        let is_staying = self.is_staying(model, now_ms);
+        is_staying && used_ms.is_some_and(|used_ms| now_ms < used_ms.saturating_add(keep_ms))
     }
 
     /// Sets the models that no other owner can give permits for any more.
@@ -206,8 +206,10 @@
         self.queue.len()
     }
 
-    fn no_unload_can_come(&self, model: &ModelName, now_ms: u64) -> bool {
-        !self.inherited.contains(model) && self.unloads_have_settled(now_ms)
+    /// Whether the model is ready, and no unload of any owner can still reach it.
+    fn is_staying(&self, model: &ModelName, now_ms: u64) -> bool {
+        let is_inherited = self.inherited.contains(model);
+        self.is_ready(model) && !is_inherited && self.unloads_have_settled(now_ms)
     }
 
     fn is_ready(&self, model: &ModelName) -> bool {
--- a/crates/trestle-core/src/owned/admission.rs
+++ b/crates/trestle-core/src/owned/admission.rs
@@ -65,7 +65,7 @@
         if end_ms > ask.deadline_ms {
             return Some(refused(Refusal::DeadlineTooClose, end_ms - ask.deadline_ms));
         }
-        ask.cold = !self.is_ready(&ask.model);
+        ask.cold = !is_loaded;
         self.note_gap(&ask.model, model.load_ms, now_ms);
         self.came.insert(ask.model.clone());
         self.used_ms.insert(ask.model.clone(), now_ms);
@@ -147,8 +147,7 @@
     /// it, so a request that comes in time is served.
     fn serves_retiring(&self, model: &ModelName, placed: &EndpointRow, now_ms: u64) -> bool {
         let is_placed = placed.placed.contains_key(model);
-        let is_whole = self.is_ready(model) && self.no_unload_can_come(model, now_ms);
-        self.spec.fencing == Fencing::Ignored && is_placed && is_whole
+        self.spec.fencing == Fencing::Ignored && is_placed && self.is_staying(model, now_ms)
     }
 
     fn may_grant(&self, now_ms: u64) -> bool {
--- a/crates/trestle-core/src/review.rs
+++ b/crates/trestle-core/src/review.rs
@@ -102,7 +102,8 @@
         if !removable.is_empty() {
             return placing::remove(site, &removable.iter().collect::<Vec<_>>(), rows);
         }
-        let unwanted = if self.vms.is_leaving(endpoint.as_str()) {
+        let is_leaving = self.vms.is_leaving(endpoint.as_str());
+        let unwanted = if is_leaving {
             seat.row.placed.keys().filter(|model| seat.row.is_active(model)).collect()
         } else {
             placing::unwanted(site, &self.catalog, rows)
@@ -110,7 +111,7 @@
         if !unwanted.is_empty() {
             return placing::retire(site, &unwanted, &self.membership);
         }
-        if self.vms.is_leaving(endpoint.as_str()) {
+        if is_leaving {
             return None;
         }
         if let Some(txn) = self.rest_or_wake(site, seat, rows, now_ms) {
--- a/crates/trestle-policy/src/simulate.rs
+++ b/crates/trestle-policy/src/simulate.rs
@@ -7,12 +7,10 @@
 use hdrhistogram::Histogram;
 use std::collections::BTreeSet;
 use trestle_core::{
-    habits::{BIN_MINUTES, Bin, Habits},
+    habits::{BIN_MS, Bin, Habits},
     keep::Gaps,
 };
 
-/// Length of a bin of habits.
-const BIN_MS: u64 = BIN_MINUTES as u64 * MINUTE_MS;
 /// Gap after which a request counts as a first one.
 const FIRST_AFTER_MS: u64 = MINUTE_MS;
 /// Time between two starts of loads at the weight store.
--- a/crates/trestled/src/claims.rs
+++ b/crates/trestled/src/claims.rs
@@ -13,8 +13,8 @@
     daemon::Daemon,
     entry::{
         InFlight,
+        choice::{self, Place},
         service_call::{self, Called, ServiceAnswer, ServiceCall},
-        {choice, choice::Place},
     },
 };
 use futures_lite::FutureExt;
--- a/crates/trestled/src/entry/service_call.rs
+++ b/crates/trestled/src/entry/service_call.rs
@@ -1,6 +1,7 @@
 //! Sending a call to a server of a plain service.
 
 use super::{choice::Place, engine_call::is_refused};
+use futures_lite::FutureExt;
 use std::time::Duration;
 use trestle_wire::headers;
 use trillium::Method;
@@ -46,7 +47,6 @@
     call: &ServiceCall,
     limit: Duration,
 ) -> Called {
-    use futures_lite::FutureExt;
     let late = async {
         smol::Timer::after(limit).await;
         Called::Lost("no answer came in time".to_owned())
