--- /dev/null
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -0,0 +1,77 @@
+//! Settings of a daemon whose state lies in an outside store.
+
+use crate::settings::LogSettings;
+use std::net::{IpAddr, SocketAddr};
+
+/// Settings of a daemon whose state lies in an outside store.
+#[trestle_macros::wire]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The name of the VM.
+    pub vm: String,
+    /// The VM's address, where other daemons reach it.
+    pub address: IpAddr,
+    /// The VM's failure domain.
+    pub domain: String,
+    /// Where callers reach the daemon.
+    pub callers_address: SocketAddr,
+    /// Where the balancer asks whether the daemon is ready.
+    pub readiness_address: SocketAddr,
+    /// Where other daemons reach it, at its own address.
+    pub peers_port: u16,
+    /// Where metrics are served, at its own address.
+    pub metrics_port: u16,
+    /// Where the store is reached.
+    pub store_address: SocketAddr,
+    /// What the operators have agreed with their users.
+    pub bounds: Bounds,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// What the operators have agreed with their users.
+#[trestle_macros::wire]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Between the news that an endpoint is leaving and the last request to it.
+    pub leaving_ms: u64,
+    /// Between the acceptance of a configuration and its being in force.
+    pub config_ms: u64,
+    /// After trouble, until everything must work again.
+    pub contact_ms: u64,
+    /// For a planned stop.
+    pub stop_s: u64,
+    /// Between orders of two VMs to the same engine.
+    pub order_quiet_ms: u64,
+    /// Further sends a request, of all daemons together.
+    pub retry_ratio: f64,
+    /// The window over which further sends are counted.
+    pub retry_window_s: u64,
+    /// Further sends beyond the ratio in a window.
+    pub retry_fixed: u32,
+    /// The window over which loads from the weight store are counted.
+    pub load_window_s: u64,
+    /// By what factor loads may exceed the weight store's rate in a window.
+    pub load_factor: f64,
+}
+
+impl EntrySettings {
+    /// Values that cannot work, with the path that leads to each.
+    pub(crate) fn findings(&self) -> Vec<(Vec<&'static str>, String)> {
+        let mut found = Vec::new();
+        let mut check = |holds: bool, path: &[&'static str], message: &str| {
+            if !holds {
+                found.push((path.to_vec(), message.to_owned()));
+            }
+        };
+        check(!self.vm.is_empty(), &["vm"], "must not be empty");
+        check(!self.domain.is_empty(), &["domain"], "must not be empty");
+        let differ = self.peers_port != self.metrics_port;
+        check(differ, &["metrics_port"], "must differ from `peers_port`");
+        let is_ratio = self.bounds.retry_ratio >= 0.0;
+        check(is_ratio, &["bounds", "retry_ratio"], "must not be negative");
+        check(self.bounds.stop_s >= 1, &["bounds", "stop_s"], "must be at least 1");
+        found
+    }
+}
--- a/crates/trestle-config/src/lib.rs
+++ b/crates/trestle-config/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod check;
 mod config;
+pub mod entry_settings;
 mod error;
 pub mod file;
 mod locate;
@@ -27,4 +28,4 @@
 
 pub use config::{Adapter, Class, Config, Service, ServiceEndpoint, Target, Tenant};
 pub use error::{Category, Error, Problem, Result};
-pub use read::{digest, from_str, read_jsonc, read_settings};
+pub use read::{SettingsFile, digest, from_str, read_jsonc, read_settings};
--- a/crates/trestle-config/src/read.rs
+++ b/crates/trestle-config/src/read.rs
@@ -3,6 +3,7 @@
 use crate::{
     check,
     config::Config,
+    entry_settings::EntrySettings,
     error::{Category, Error, Problem, Result},
     file::ConfigFile,
     locate,
@@ -11,7 +12,7 @@
 use json_comments::StripComments;
 use serde::de::DeserializeOwned;
 use sha2::{Digest, Sha256};
-use std::{fs, path::Path};
+use std::{collections::BTreeMap, fs, path::Path};
 
 /// Reads and checks a configuration; `file` names it in errors.
 ///
@@ -37,30 +38,52 @@
     Err(Error::new(file, Category::Data, problems))
 }
 
+/// The settings of a daemon, of either kind.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SettingsFile {
+    /// For a daemon before engines that answer to this project's own interface.
+    Own(Settings),
+    /// For a daemon whose state lies in an outside store.
+    Entry(EntrySettings),
+}
+
+/// The key that tells the two kinds of settings from each other.
+const STORE_KEY: &str = "store_address";
+
 /// Reads the settings of a process.
 ///
 /// # Errors
 ///
 /// Fails if the file cannot be read or is not what a process needs.
-pub fn read_settings(path: &Path) -> Result<Settings> {
+pub fn read_settings(path: &Path) -> Result<SettingsFile> {
     let file = path.display().to_string();
     let text = fs::read_to_string(path).map_err(|error| {
         let message = format!("cannot be read ({error}); check the path and its permissions");
         Error::new(&file, Category::Io, vec![Problem { line: 0, column: 0, message }])
     })?;
+    let keys: BTreeMap<String, serde_json::Value> = read_jsonc(&text, &file)?;
+    if keys.contains_key(STORE_KEY) {
+        let settings: EntrySettings = read_jsonc(&text, &file)?;
+        refuse(&text, &file, settings.findings())?;
+        return Ok(SettingsFile::Entry(settings));
+    }
     let settings: Settings = read_jsonc(&text, &file)?;
-    let problems: Vec<Problem> = settings
-        .findings()
+    refuse(&text, &file, settings.findings())?;
+    Ok(SettingsFile::Own(settings))
+}
+
+/// Fails with everything that was found wrong, each with its place.
+fn refuse(text: &str, file: &str, findings: Vec<(Vec<&'static str>, String)>) -> Result<()> {
+    let problems: Vec<Problem> = findings
         .into_iter()
         .map(|(path, message)| {
             let message = format!("{}: {message}", path.join("."));
-            locate::problem_at(&text, &path, message)
+            locate::problem_at(text, &path, message)
         })
         .collect();
-    if problems.is_empty() {
-        Ok(settings)
-    } else {
-        Err(Error::new(&file, Category::Data, problems))
+    match problems.is_empty() {
+        true => Ok(()),
+        false => Err(Error::new(file, Category::Data, problems)),
     }
 }
 
--- a/crates/trestle-core/src/names.rs
+++ b/crates/trestle-core/src/names.rs
@@ -61,4 +61,8 @@
     ModelName;
     /// A tenant, whose callers share limits.
     TenantName;
+    /// A service: engines, or servers of a plain application, that stand for each other.
+    ServiceName;
+    /// An adapter of a model, by the name it has there.
+    AdapterName;
 }
--- /dev/null
+++ b/crates/trestle-dispatch/src/catalog.rs
@@ -0,0 +1,74 @@
+//! The operators' configuration, as decisions use it.
+
+use crate::route::RouteTable;
+use std::collections::BTreeMap;
+use trestle_core::names::{ModelName, ServiceName};
+
+/// One version of the configuration.
+#[trestle_macros::plain]
+pub struct Catalog {
+    /// Grows with each change, not by one.
+    pub version: u64,
+    /// All routes.
+    pub routes: RouteTable,
+    /// All services.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// What callers may do.
+    pub limits: CallerLimits,
+}
+
+/// Limits towards callers.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub struct CallerLimits {
+    /// Size of the head of a request.
+    pub header_bytes: usize,
+    /// Size of the body of a request.
+    pub body_bytes: usize,
+    /// Time for sending a request's head.
+    pub header_ms: u64,
+    /// Time for which a connection may be idle.
+    pub idle_ms: u64,
+}
+
+/// One service.
+#[trestle_macros::plain]
+pub struct Service {
+    /// Connections that each of its endpoints takes from all callers together.
+    pub max_connections: u32,
+    /// What its engines can hold; none for a plain service.
+    pub engine: Option<EngineSpec>,
+}
+
+/// What each engine of a service can hold.
+#[trestle_macros::plain]
+pub struct EngineSpec {
+    /// Requests that an engine runs at once.
+    pub slots: u32,
+    /// Memory for weights and adapters.
+    pub memory_mb: u64,
+    /// Adapters that an engine can hold.
+    pub adapter_slots: u32,
+    /// Loads from the weight store a second that it is built for, in thousandths.
+    pub loads_per_1000_s: u64,
+    /// The models of the service.
+    pub models: BTreeMap<ModelName, ModelSpec>,
+}
+
+/// One model.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub struct ModelSpec {
+    /// Memory for its weights, rounded up.
+    pub weights_mb: u64,
+    /// Memory for one of its adapters, rounded up.
+    pub adapter_mb: u64,
+    /// Number of its adapters.
+    pub adapters: u32,
+    /// Time of a load from the weight store.
+    pub remote_load_ms: u64,
+    /// Time of a load from the engine's disk.
+    pub disk_load_ms: u64,
+    /// Time of a load from the engine's memory.
+    pub memory_load_ms: u64,
+}
--- /dev/null
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -0,0 +1,75 @@
+//! The choice of an endpoint for one request.
+
+use crate::{directory::Directory, endpoint::Endpoint, record::Records, replicas::ReplicaView};
+use std::collections::BTreeSet;
+use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
+
+/// What crossing to another failure domain counts, as a share of an endpoint's
+/// slots: half a request on an engine of 64, so that load is evened out first.
+const CROSSING_SHARE: f64 = 0.01;
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The model, where the service is one of engines.
+    pub model: Option<&'a ModelName>,
+    /// The adapter of that model.
+    pub adapter: Option<&'a AdapterName>,
+    /// Endpoints that have already failed this request.
+    pub tried: &'a BTreeSet<EndpointName>,
+}
+
+/// What is known when the choice is made.
+#[derive(Debug, Clone, Copy)]
+pub struct Known<'a> {
+    /// Live endpoints.
+    pub directory: &'a Directory,
+    /// What the giver of orders says.
+    pub replicas: &'a ReplicaView,
+    /// How endpoints behaved.
+    pub records: &'a Records,
+    /// The failure domain of this daemon.
+    pub domain: &'a DomainName,
+    /// Time on the monotonic clock.
+    pub now_ms: u64,
+}
+
+/// The endpoint for a request: of those that can run it, the least loaded.
+///
+/// Endpoints that failed lately are taken only if there is no other. Ties are
+/// broken by `lot`, which should differ from request to request.
+pub fn choose<'a>(known: Known<'a>, need: Need<'_>, lot: u64) -> Option<&'a Endpoint> {
+    let able = known
+        .directory
+        .iter()
+        .filter(|endpoint| endpoint.service == *need.service && !endpoint.is_leaving)
+        .filter(|endpoint| !need.tried.contains(&endpoint.name))
+        .filter(|endpoint| match need.model {
+            Some(model) => known.replicas.can_run(endpoint, model, need.adapter),
+            None => true,
+        });
+    let rank = |endpoint: &&Endpoint| {
+        let record = known.records.of(&endpoint.name);
+        let is_avoided = record.health.is_avoided(known.now_ms);
+        (is_avoided, cost(&known, endpoint), mix(lot, &endpoint.name))
+    };
+    able.min_by(|one, other| {
+        let ((avoided, cost, tie), (other_avoided, other_cost, other_tie)) =
+            (rank(one), rank(other));
+        avoided.cmp(&other_avoided).then(cost.total_cmp(&other_cost)).then(tie.cmp(&other_tie))
+    })
+}
+
+/// How loaded an endpoint is, as a share of its slots.
+fn cost(known: &Known<'_>, endpoint: &Endpoint) -> f64 {
+    let own = known.records.of(&endpoint.name).in_flight;
+    let running = own.max(known.replicas.running(&endpoint.name));
+    let crossing = if endpoint.domain == *known.domain { 0.0 } else { CROSSING_SHARE };
+    f64::from(running) / f64::from(endpoint.slots.max(1)) + crossing
+}
+
+fn mix(lot: u64, name: &EndpointName) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), lot)
+}
--- /dev/null
+++ b/crates/trestle-dispatch/src/demand.rs
@@ -0,0 +1,144 @@
+//! What is asked for, as all daemons tell the giver of orders.
+
+use std::collections::BTreeMap;
+use trestle_core::names::{AdapterName, EndpointName, ModelName, VmName};
+
+/// Time in which an arrival's weight in a rate falls to 1/e. Long enough that a
+/// rarely used model which came twice is told from one that came once, short
+/// enough that a model out of demand gives way within some ten seconds.
+const RATE_MEMORY_MS: f64 = 8_000.0;
+/// Time after which a daemon that tells nothing no longer counts.
+const SILENT_MS: u64 = 2_000;
+/// Time for which a daemon counts among those that share budgets.
+const COUNTED_MS: u64 = 30_000;
+
+/// What one daemon tells of one service.
+#[trestle_macros::plain]
+#[derive(Default)]
+pub struct DemandDigest {
+    /// Requests that arrived since the last digest.
+    pub arrivals: BTreeMap<ModelName, u32>,
+    /// Requests that wait for a model.
+    pub waiting: Vec<Waiting>,
+    /// Requests that run, by engine and model.
+    pub running: BTreeMap<EndpointName, BTreeMap<ModelName, u32>>,
+    /// Requests that run, by engine and adapter.
+    pub adapters_in_use: BTreeMap<EndpointName, Vec<(ModelName, AdapterName)>>,
+}
+
+/// Requests of one daemon that wait for the same thing, or will be back for it.
+#[trestle_macros::key]
+pub struct Waiting {
+    /// Urgency of the most urgent; 0 goes first.
+    pub priority: u8,
+    /// Time until the first of them is no longer on time.
+    pub due_in_ms: u64,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter, if it is one that is missing.
+    pub adapter: Option<AdapterName>,
+    /// How many.
+    pub count: u32,
+}
+
+/// What all daemons ask for, of one service.
+#[derive(Debug, Default)]
+pub struct Demand {
+    daemons: BTreeMap<VmName, Told>,
+    rates: BTreeMap<ModelName, Rate>,
+}
+
+#[derive(Debug)]
+struct Told {
+    at_ms: u64,
+    digest: DemandDigest,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Rate {
+    weight: f64,
+    at_ms: u64,
+    last_arrival_ms: u64,
+}
+
+impl Demand {
+    /// Takes what a daemon tells.
+    pub fn told(&mut self, daemon: VmName, digest: DemandDigest, now_ms: u64) {
+        for (model, count) in &digest.arrivals {
+            let rate = self.rates.entry(model.clone()).or_default();
+            rate.weight = rate.decayed(now_ms) + f64::from(*count);
+            rate.at_ms = now_ms;
+            rate.last_arrival_ms = now_ms;
+        }
+        self.daemons.insert(daemon, Told { at_ms: now_ms, digest });
+    }
+
+    /// Forgets daemons that have been silent for long.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.daemons.retain(|_, told| now_ms < told.at_ms + COUNTED_MS);
+    }
+
+    /// Daemons that told something lately.
+    pub fn daemons(&self) -> usize {
+        self.daemons.len()
+    }
+
+    /// Arrivals a second for a model.
+    pub fn rate_per_s(&self, model: &ModelName, now_ms: u64) -> f64 {
+        self.rates.get(model).map_or(0.0, |rate| rate.decayed(now_ms) * 1e3 / RATE_MEMORY_MS)
+    }
+
+    /// When a model was last asked for.
+    pub fn last_arrival_ms(&self, model: &ModelName) -> Option<u64> {
+        self.rates.get(model).map(|rate| rate.last_arrival_ms)
+    }
+
+    /// Everything that waits, the most urgent first.
+    pub fn waiting(&self, now_ms: u64) -> Vec<&Waiting> {
+        let mut waiting: Vec<&Waiting> =
+            self.live(now_ms).flat_map(|digest| &digest.waiting).collect();
+        waiting.sort();
+        waiting
+    }
+
+    /// Requests for a model that run at an engine.
+    pub fn running(&self, endpoint: &EndpointName, model: &ModelName, now_ms: u64) -> u32 {
+        let of_engine = self.live(now_ms).filter_map(|digest| digest.running.get(endpoint));
+        of_engine.filter_map(|running| running.get(model)).sum()
+    }
+
+    /// All requests that run at an engine.
+    pub fn running_at(&self, endpoint: &EndpointName, now_ms: u64) -> u32 {
+        let of_engine = self.live(now_ms).filter_map(|digest| digest.running.get(endpoint));
+        of_engine.flat_map(BTreeMap::values).sum()
+    }
+
+    /// All requests for a model that run anywhere.
+    pub fn running_everywhere(&self, model: &ModelName, now_ms: u64) -> u32 {
+        let all = self.live(now_ms).flat_map(|digest| digest.running.values());
+        all.filter_map(|running| running.get(model)).sum()
+    }
+
+    /// Whether a request with an adapter runs at an engine.
+    pub fn uses_adapter(
+        &self,
+        endpoint: &EndpointName,
+        adapter: &(ModelName, AdapterName),
+        now_ms: u64,
+    ) -> bool {
+        let mut of_engine = self.live(now_ms).filter_map(|told| told.adapters_in_use.get(endpoint));
+        of_engine.any(|adapters| adapters.contains(adapter))
+    }
+
+    fn live(&self, now_ms: u64) -> impl Iterator<Item = &DemandDigest> {
+        let is_live = move |told: &&Told| now_ms < told.at_ms + SILENT_MS;
+        self.daemons.values().filter(is_live).map(|told| &told.digest)
+    }
+}
+
+impl Rate {
+    fn decayed(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        self.weight * (-age_ms / RATE_MEMORY_MS).exp()
+    }
+}
--- /dev/null
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -0,0 +1,237 @@
+//! Who may give orders: a lease in one row of the store.
+//!
+//! The holder counts from the moment before it sent its last renewal that
+//! succeeded, on its own monotonic clock; an observer counts from the moment at
+//! which it first knew of that renewal. Since the first is never later than the
+//! second, the holder has stopped before an observer's conditional write can
+//! replace it. Engines may judge orders of two machines that come close after
+//! each other, so a new holder also lets a quiet time pass.
+//!
+//! No clocks are compared, and nobody takes over without the store.
+
+use std::net::SocketAddr;
+
+/// Times of the lease.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub struct LeaseTiming {
+    /// Between two renewals.
+    pub renew_ms: u64,
+    /// For which a renewal lets its holder give orders.
+    pub hold_ms: u64,
+    /// Between the last order of one machine and the first of another.
+    pub quiet_ms: u64,
+}
+
+/// Added where one machine waits for another's time to pass, for differences in
+/// the pace of clocks and orders that are on their way.
+const MARGIN_MS: u64 = 300;
+/// Pause after a write whose outcome is not known, or that the store refused.
+const RETRY_MS: u64 = 250;
+
+/// The row.
+#[trestle_macros::plain]
+pub struct LeaseRow {
+    /// The machine that holds the lease.
+    pub holder: String,
+    /// Where its daemon answers others.
+    pub address: SocketAddr,
+    /// The start of that daemon, as a random number.
+    pub incarnation: u64,
+    /// Fencing number; grows with each holder.
+    pub token: u64,
+    /// Renewals of this holder.
+    pub renewals: u64,
+    /// Whether the holder has given the lease up.
+    pub is_released: bool,
+}
+
+/// A conditional write of the row.
+#[trestle_macros::plain]
+pub struct LeaseWrite {
+    /// The version that the row must have; 0 if it must not exist.
+    pub expected: u64,
+    /// The new row.
+    pub row: LeaseRow,
+}
+
+/// One daemon's view of the lease.
+#[derive(Debug)]
+pub struct Lease {
+    me: Identity,
+    timing: LeaseTiming,
+    seen: Option<Seen>,
+    /// Orders may be given until then.
+    held_until_ms: u64,
+    /// Orders may be given from then on.
+    quiet_until_ms: u64,
+    next_write_ms: u64,
+    is_writing: bool,
+    is_leaving: bool,
+}
+
+/// The daemon that takes part.
+#[trestle_macros::plain]
+pub struct Identity {
+    /// The machine, by a name and address that no other has.
+    pub machine: String,
+    /// Where the daemon answers others.
+    pub address: SocketAddr,
+    /// This start of the daemon.
+    pub incarnation: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Seen {
+    row: Option<LeaseRow>,
+    version: u64,
+    since_ms: u64,
+}
+
+impl Lease {
+    /// A daemon's view before it has read anything.
+    pub fn new(me: Identity, timing: LeaseTiming) -> Self {
+        Self {
+            me,
+            timing,
+            seen: None,
+            held_until_ms: 0,
+            quiet_until_ms: 0,
+            next_write_ms: 0,
+            is_writing: false,
+            is_leaving: false,
+        }
+    }
+
+    /// Takes the row as it was read, or as its holder tells it; version 0 if there is none.
+    pub fn observed(&mut self, row: Option<LeaseRow>, version: u64, now_ms: u64) {
+        if self.seen.as_ref().is_some_and(|seen| seen.version >= version && version > 0) {
+            return;
+        }
+        if self.seen.as_ref().is_some_and(|seen| seen.version == 0 && version == 0) {
+            return;
+        }
+        if !row.as_ref().is_some_and(|row| self.is_mine(row)) {
+            self.held_until_ms = 0;
+        }
+        self.seen = Some(Seen { row, version, since_ms: now_ms });
+    }
+
+    /// The write that is due now. Its outcome must be told to [`Self::written`].
+    pub fn due_write(&mut self, now_ms: u64) -> Option<LeaseWrite> {
+        if self.is_writing || now_ms < self.next_write_ms {
+            return None;
+        }
+        let seen = self.seen.clone()?;
+        let row = match &seen.row {
+            Some(row) if self.is_mine(row) && row.is_released => return None,
+            Some(row) if self.is_mine(row) => {
+                LeaseRow { renewals: row.renewals + 1, is_released: self.is_leaving, ..row.clone() }
+            }
+            _ if self.is_leaving => return None,
+            Some(row) if !self.may_replace(row, &seen, now_ms) => return None,
+            other => self.first_row(other.as_ref().map_or(0, |row| row.token) + 1),
+        };
+        self.is_writing = true;
+        Some(LeaseWrite { expected: seen.version, row })
+    }
+
+    /// Takes the outcome of a write that was sent at `sent_ms`: the version it got, if it
+    /// is known to have taken effect.
+    pub fn written(&mut self, write: LeaseWrite, version: Option<u64>, sent_ms: u64, now_ms: u64) {
+        self.is_writing = false;
+        let Some(version) = version else {
+            self.next_write_ms = now_ms + RETRY_MS;
+            return;
+        };
+        self.next_write_ms = sent_ms + self.timing.renew_ms;
+        if write.row.renewals == 0 {
+            self.quiet_until_ms = self.quiet_end_ms(now_ms);
+        }
+        self.held_until_ms = sent_ms + self.timing.hold_ms;
+        if write.row.is_released {
+            self.held_until_ms = 0;
+        }
+        self.seen = Some(Seen { row: Some(write.row), version, since_ms: now_ms });
+    }
+
+    /// The fencing number under which an order may be sent now, if any may.
+    pub fn may_order(&self, now_ms: u64) -> Option<u64> {
+        let row = self.seen.as_ref()?.row.as_ref()?;
+        let is_time = now_ms >= self.quiet_until_ms && now_ms < self.held_until_ms;
+        (is_time && self.is_mine(row) && !row.is_released).then_some(row.token)
+    }
+
+    /// The time in which orders may be sent: from, and until.
+    pub fn order_window(&self) -> (u64, u64) {
+        (self.quiet_until_ms, self.held_until_ms)
+    }
+
+    /// Whether this daemon holds the lease, also while it must still be quiet.
+    pub fn is_holder(&self, now_ms: u64) -> bool {
+        let row = self.seen.as_ref().and_then(|seen| seen.row.as_ref());
+        now_ms < self.held_until_ms && row.is_some_and(|row| self.is_mine(row))
+    }
+
+    /// The row as last seen, with its version.
+    pub fn seen(&self) -> Option<(&LeaseRow, u64)> {
+        let seen = self.seen.as_ref()?;
+        Some((seen.row.as_ref()?, seen.version))
+    }
+
+    /// Whether the row was ever read.
+    pub fn is_known(&self) -> bool {
+        self.seen.is_some()
+    }
+
+    /// Gives the lease up with the next write, and takes it no more.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+        self.next_write_ms = 0;
+    }
+
+    /// Whether nothing is left to write before the daemon may end.
+    pub fn has_left(&self) -> bool {
+        let row = self.seen.as_ref().and_then(|seen| seen.row.as_ref());
+        self.is_leaving && !row.is_some_and(|row| self.is_mine(row) && !row.is_released)
+    }
+
+    fn is_mine(&self, row: &LeaseRow) -> bool {
+        row.holder == self.me.machine && row.incarnation == self.me.incarnation
+    }
+
+    fn is_same_machine(&self, row: &LeaseRow) -> bool {
+        row.holder == self.me.machine
+    }
+
+    fn may_replace(&self, row: &LeaseRow, seen: &Seen, now_ms: u64) -> bool {
+        row.is_released
+            || self.is_same_machine(row)
+            || now_ms >= seen.since_ms + self.timing.hold_ms + MARGIN_MS
+    }
+
+    fn first_row(&self, token: u64) -> LeaseRow {
+        LeaseRow {
+            holder: self.me.machine.clone(),
+            address: self.me.address,
+            incarnation: self.me.incarnation,
+            token,
+            renewals: 0,
+            is_released: false,
+        }
+    }
+
+    /// When the first order may be given, for a lease that was taken just now.
+    fn quiet_end_ms(&self, now_ms: u64) -> u64 {
+        let Some(seen) = &self.seen else { return now_ms };
+        let Some(row) = &seen.row else { return now_ms };
+        if self.is_same_machine(row) {
+            return now_ms;
+        }
+        let last_order_ms = match row.is_released {
+            true => seen.since_ms,
+            false => seen.since_ms + self.timing.hold_ms,
+        };
+        last_order_ms + self.timing.quiet_ms + MARGIN_MS
+    }
+}
--- /dev/null
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -0,0 +1,30 @@
+//! Decisions of a daemon whose durable state lies in an outside store.
+//!
+//! Everything here is a plain function over plain state: no input or output, no
+//! clock, no randomness of its own. The daemon feeds in what it observes, with
+//! the time on its monotonic clock, and carries out what comes back.
+//!
+//! - What is known: [`catalog`] (the operators' configuration), [`directory`]
+//!   (live endpoints), [`request`] (one request's head).
+//! - Traffic: [`choice`] picks an endpoint, [`record`] remembers how endpoints
+//!   behaved, [`retry_share`] bounds retries, [`patience`] decides between
+//!   waiting and refusing.
+//! - Replicas: [`lease`] says who may give orders, [`demand`] what is asked for,
+//!   [`placing`] what to load and evict, [`orders`] how one engine's orders
+//!   follow each other.
+
+pub mod catalog;
+pub mod choice;
+pub mod demand;
+pub mod directory;
+pub mod endpoint;
+pub mod lease;
+pub mod orders;
+pub mod patience;
+pub mod placing;
+pub mod record;
+pub mod replicas;
+pub mod request;
+pub mod retry_share;
+pub mod route;
+pub mod store;
--- /dev/null
+++ b/crates/trestle-dispatch/src/retry_share.rs
@@ -0,0 +1,75 @@
+//! One daemon's share of a retry budget that all daemons have together.
+//!
+//! Within any window the whole system may add a ratio of the requests, and a
+//! fixed number beyond, as further sends. Daemons cannot ask each other at every
+//! send, and must keep the budget while they are cut off from each other, so
+//! each takes the ratio of its own requests and an equal part of the fixed
+//! number. That sums to the budget whatever the daemons know of each other.
+
+use std::collections::VecDeque;
+
+/// Length of a counting interval; the window is rounded up to whole ones.
+const SLICE_MS: u64 = 1_000;
+/// Part of the fixed number that is shared out; the rest covers daemons that
+/// started a moment ago and have not yet been counted.
+const SHARED_PART: f64 = 0.7;
+
+/// What bounds further sends of the whole system.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBounds {
+    /// Further sends a request.
+    pub ratio: f64,
+    /// Length of the window.
+    pub window_ms: u64,
+    /// Further sends beyond the ratio in a window.
+    pub fixed: u32,
+}
+
+/// One daemon's share of the budget for one service.
+#[derive(Debug, Default)]
+pub struct RetryShare {
+    slices: VecDeque<Slice>,
+}
+
+#[derive(Debug, Default)]
+struct Slice {
+    number: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+impl RetryShare {
+    /// Notes a request of a caller.
+    pub fn requested(&mut self, now_ms: u64) {
+        self.slice(now_ms).requests += 1;
+    }
+
+    /// Takes one further send, if the share allows it.
+    pub fn take(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> bool {
+        self.forget(now_ms, bounds.window_ms);
+        let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
+        let repeats: u32 = self.slices.iter().map(|slice| slice.repeats).sum();
+        let fixed = f64::from(bounds.fixed) * SHARED_PART / daemons.max(1) as f64;
+        if f64::from(repeats + 1) > f64::from(requests) * bounds.ratio + fixed {
+            return false;
+        }
+        self.slice(now_ms).repeats += 1;
+        true
+    }
+
+    fn slice(&mut self, now_ms: u64) -> &mut Slice {
+        let number = now_ms / SLICE_MS;
+        if self.slices.back().is_none_or(|slice| slice.number != number) {
+            self.slices.push_back(Slice { number, ..Slice::default() });
+        }
+        self.slices.back_mut().expect("a slice was just added")
+    }
+
+    /// Forgets slices that no window which ends now can reach.
+    fn forget(&mut self, now_ms: u64, window_ms: u64) {
+        let oldest = (now_ms / SLICE_MS).saturating_sub(window_ms.div_ceil(SLICE_MS));
+        while self.slices.front().is_some_and(|slice| slice.number < oldest) {
+            self.slices.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestle-entry/src/control/book.rs
@@ -0,0 +1,152 @@
+//! What the giver of orders knows of one service's engines.
+
+use std::collections::{BTreeMap, BTreeSet};
+use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
+use trestle_dispatch::{
+    catalog::EngineSpec,
+    demand::Demand,
+    directory::Directory,
+    endpoint::Endpoint,
+    orders::OrderChain,
+    placing::{Change, EngineState, Planner},
+    replicas::{EngineNote, ReplicaView},
+};
+
+/// Time for which an engine gets no orders after a change there failed.
+const FAILED_PAUSE_MS: u64 = 1_000;
+
+/// What the giver of orders knows of one service's engines.
+#[derive(Debug, Default)]
+pub(crate) struct Book {
+    /// What callers of all daemons ask for.
+    pub(crate) demand: Demand,
+    engines: BTreeMap<EndpointName, EngineBook>,
+    ready_in_ms: BTreeMap<ModelName, u64>,
+}
+
+/// A change to begin, with the orders that make it.
+pub(crate) type Begun = (Endpoint, Change, OrderChain);
+
+#[derive(Debug, Default)]
+struct EngineBook {
+    held: BTreeMap<ModelName, BTreeSet<AdapterName>>,
+    /// Orders that it has accepted, if that is certain.
+    order_count: Option<u64>,
+    arrived_ms: BTreeMap<ModelName, u64>,
+    change: Option<Change>,
+    paused_until_ms: u64,
+}
+
+impl Book {
+    /// What to change now, if orders may be given.
+    pub(crate) fn plan(
+        &mut self,
+        spec: &EngineSpec,
+        directory: &BTreeMap<EndpointName, Endpoint>,
+        may_order: bool,
+        now_ms: u64,
+    ) -> Vec<Begun> {
+        self.demand.tick(now_ms);
+        self.follow(directory);
+        let engines = &self.engines;
+        let states = directory.values().filter_map(|endpoint| {
+            let book = engines.get(&endpoint.name)?;
+            (now_ms >= book.paused_until_ms).then_some(EngineState {
+                endpoint,
+                held: &book.held,
+                arrived_ms: &book.arrived_ms,
+                change: book.change.as_ref(),
+            })
+        });
+        let plan = Planner::new(spec, &self.demand, states, now_ms).plan();
+        self.ready_in_ms = plan.ready_in_ms;
+        if !may_order {
+            return Vec::new();
+        }
+        let changes = plan.changes.into_iter();
+        changes.filter_map(|change| self.begin(change, directory)).collect()
+    }
+
+    /// Takes the end of a change.
+    pub(crate) fn change_ended(
+        &mut self,
+        endpoint: &EndpointName,
+        chain: &OrderChain,
+        now_ms: u64,
+    ) {
+        let Some(book) = self.engines.get_mut(endpoint) else { return };
+        let Some(change) = book.change.take() else { return };
+        book.held.clone_from(chain.held());
+        book.order_count = chain.order_count();
+        book.arrived_ms.retain(|model, _| chain.held().contains_key(model));
+        if chain.is_done() {
+            book.arrived_ms.insert(change.model, now_ms);
+        } else {
+            book.order_count = None;
+            book.paused_until_ms = now_ms + FAILED_PAUSE_MS;
+        }
+    }
+
+    /// What daemons are told.
+    pub(crate) fn view(
+        &self,
+        service: &ServiceName,
+        directory: &Directory,
+        now_ms: u64,
+    ) -> ReplicaView {
+        let engines = directory.usable(service).filter_map(|endpoint| {
+            let book = self.engines.get(&endpoint.name)?;
+            Some((endpoint.name.clone(), self.note(endpoint, book, now_ms)))
+        });
+        ReplicaView {
+            engines: engines.collect(),
+            ready_in_ms: self.ready_in_ms.clone(),
+            daemons: self.demand.daemons(),
+        }
+    }
+
+    fn note(&self, endpoint: &Endpoint, book: &EngineBook, now_ms: u64) -> EngineNote {
+        let change = book.change.as_ref();
+        let going = change.map(|change| change.evicted.iter()).into_iter().flatten();
+        let gone = endpoint.held.keys().filter(|model| !book.held.contains_key(*model));
+        let coming = change.filter(|change| change.adapter.is_none()).map(|change| &change.model);
+        let arrived = book.held.keys().filter(|model| Some(*model) != coming);
+        let coming_adapter = change.and_then(|change| {
+            change.adapter.clone().map(|adapter| (change.model.clone(), adapter))
+        });
+        let adapters = book.held.iter().flat_map(|(model, adapters)| {
+            adapters.iter().map(move |adapter| (model.clone(), adapter.clone()))
+        });
+        EngineNote {
+            retiring: going.chain(gone).cloned().collect(),
+            arrived: arrived.cloned().collect(),
+            adapters: adapters.filter(|key| Some(key) != coming_adapter.as_ref()).collect(),
+            running: self.demand.running_at(&endpoint.name, now_ms),
+        }
+    }
+
+    /// Takes over what engines say of themselves, where nothing newer is known.
+    fn follow(&mut self, directory: &BTreeMap<EndpointName, Endpoint>) {
+        self.engines.retain(|name, _| directory.contains_key(name));
+        for endpoint in directory.values() {
+            let book = self.engines.entry(endpoint.name.clone()).or_default();
+            let is_newer = book.order_count.is_none_or(|count| endpoint.order_count > count);
+            if book.change.is_none() && is_newer {
+                book.held.clone_from(&endpoint.held);
+                book.order_count = None;
+            }
+        }
+    }
+
+    fn begin(
+        &mut self,
+        change: Change,
+        directory: &BTreeMap<EndpointName, Endpoint>,
+    ) -> Option<Begun> {
+        let endpoint = directory.get(&change.endpoint)?.clone();
+        let book = self.engines.get_mut(&change.endpoint)?;
+        let chain = OrderChain::new(change.orders(), book.held.clone(), book.order_count);
+        book.change = Some(change.clone());
+        Some((endpoint, change, chain))
+    }
+}
--- /dev/null
+++ b/crates/trestle-entry/src/control/change.rs
@@ -0,0 +1,120 @@
+//! Carries out one change at one engine, order by order.
+
+use crate::{control::message::Message, daemon::Daemon, net::exchange::Line};
+use smol::Timer;
+use std::{sync::Arc, time::Duration};
+use trestle_core::names::ServiceName;
+use trestle_dispatch::{
+    endpoint::{Endpoint, EngineReport},
+    orders::{Next, Order, OrderAnswer, OrderChain},
+    placing::Change,
+};
+
+/// Time for an engine to answer an order or a question; it answers at once.
+const CALL_MS: u64 = 500;
+/// Longest time for a change after the time that was planned: a load from the
+/// weight store beside others, or an unload behind long streams.
+const OVERTIME_MS: u64 = 12_000;
+
+/// Begins a change in a task of its own.
+pub(crate) fn start(
+    daemon: &Arc<Daemon>,
+    service: ServiceName,
+    endpoint: Endpoint,
+    change: Change,
+    chain: OrderChain,
+) {
+    let (evicted, model, adapter) = (&change.evicted, &change.model, &change.adapter);
+    tracing::info!(
+        endpoint = %endpoint.name, %model, ?adapter, ?evicted, remote = change.is_remote,
+        "order: A change begins."
+    );
+    smol::spawn(run(Arc::clone(daemon), service, endpoint, change, chain)).detach();
+}
+
+async fn run(
+    daemon: Arc<Daemon>,
+    service: ServiceName,
+    endpoint: Endpoint,
+    change: Change,
+    mut chain: OrderChain,
+) {
+    let line = Line::new(endpoint.address);
+    let started_ms = daemon.knowledge.now_ms();
+    let limit_ms = change.done_at_ms + OVERTIME_MS;
+    let failure = loop {
+        let (next, not_before_ms) = chain.next();
+        let wait_ms = not_before_ms.saturating_sub(daemon.knowledge.now_ms());
+        if wait_ms > 0 {
+            Timer::after(Duration::from_millis(wait_ms)).await;
+        }
+        let now_ms = daemon.knowledge.now_ms();
+        if now_ms > limit_ms {
+            break Some("it took too long".to_owned());
+        }
+        match next {
+            Next::Done => break None,
+            Next::Failed(failure) => break Some(format!("{failure:?}")),
+            Next::Report => {
+                let report = ask(&daemon, &line, &endpoint).await;
+                chain.reported(report.as_ref(), daemon.knowledge.now_ms());
+            }
+            Next::Send(order, count) => {
+                let Some(answer) = give(&daemon, &line, &endpoint, &order, count).await else {
+                    break Some("the lease has run out".to_owned());
+                };
+                chain.answered(answer, daemon.knowledge.now_ms());
+            }
+        }
+    };
+    let took_ms = daemon.knowledge.now_ms() - started_ms;
+    let (name, model) = (&endpoint.name, &change.model);
+    match &failure {
+        None => tracing::info!(endpoint = %name, %model, took_ms, "order: A change is done."),
+        Some(failure) => {
+            tracing::warn!(endpoint = %name, %model, took_ms, failure, "order: A change failed.");
+        }
+    }
+    daemon.metrics.change(failure.is_none(), change.is_remote, took_ms);
+    daemon.tell(Message::ChangeEnded { service, endpoint: endpoint.name, chain });
+}
+
+async fn ask(daemon: &Daemon, line: &Line, endpoint: &Endpoint) -> Option<EngineReport> {
+    let call = (daemon.wire.endpoint.report_call)();
+    let answer = match line.exchange(call, CALL_MS).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            tracing::warn!(endpoint = %endpoint.name, %error, "order: No report.");
+            return None;
+        }
+    };
+    match (daemon.wire.endpoint.report_answer)(answer.status, &answer.body) {
+        Ok(report) => Some(report),
+        Err(error) => {
+            tracing::warn!(endpoint = %endpoint.name, %error, "order: No report.");
+            None
+        }
+    }
+}
+
+/// Gives an order, if one may leave now.
+async fn give(
+    daemon: &Daemon,
+    line: &Line,
+    endpoint: &Endpoint,
+    order: &Order,
+    count: u64,
+) -> Option<OrderAnswer> {
+    let giver = &daemon.settings.vm;
+    let token = daemon.order_permit.token(daemon.knowledge.now_ms())?;
+    let call = (daemon.wire.endpoint.order_call)(&endpoint.name, order, count, giver, token);
+    let answer = match line.exchange(call, CALL_MS).await {
+        Ok(answer) => (daemon.wire.endpoint.order_answer)(answer.status),
+        Err(error) => {
+            tracing::warn!(endpoint = %endpoint.name, %error, "order: No answer.");
+            OrderAnswer::Unknown
+        }
+    };
+    tracing::debug!(endpoint = %endpoint.name, ?order, count, token, ?answer, "order: Given.");
+    Some(answer)
+}
--- /dev/null
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -0,0 +1,181 @@
+//! The control thread.
+//!
+//! It alone holds the lease and the books of engines. It takes one message after
+//! another, decides by the functions of `trestle_dispatch`, and leaves what takes
+//! time to tasks that report back by message.
+
+pub(crate) mod book;
+pub(crate) mod change;
+pub(crate) mod leasing;
+pub(crate) mod message;
+pub(crate) mod permit;
+
+use crate::{
+    control::{book::Book, leasing::Leasing, message::Message},
+    daemon::Daemon,
+};
+use async_channel::Receiver;
+use futures_lite::FutureExt;
+use smol::Timer;
+use std::{collections::BTreeMap, io, sync::Arc, thread, time::Duration};
+use trestle_core::names::{EndpointName, ServiceName, VmName};
+use trestle_dispatch::{catalog::Catalog, demand::DemandDigest, orders::OrderChain};
+use trestle_wire::replicas::{WireSynced, WireView};
+
+/// Longest time between two looks at what is due, while holding the lease.
+const HOLDER_TICK_MS: u64 = 100;
+/// The same while another daemon holds it.
+const STANDBY_TICK_MS: u64 = 250;
+/// Shortest time between two plans.
+const PLAN_GAP_MS: u64 = 15;
+
+/// Everything that the control thread holds.
+struct Control {
+    daemon: Arc<Daemon>,
+    leasing: Leasing,
+    books: BTreeMap<ServiceName, Book>,
+    planned_ms: u64,
+    is_plan_due: bool,
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+///
+/// Fails if the system gives no thread.
+pub(crate) fn start(daemon: Arc<Daemon>, messages: Receiver<Message>) -> io::Result<()> {
+    let leasing = Leasing::new(Arc::clone(&daemon));
+    let control =
+        Control { daemon, leasing, books: BTreeMap::new(), planned_ms: 0, is_plan_due: false };
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || smol::block_on(control.run(messages)))?;
+    Ok(())
+}
+
+impl Control {
+    async fn run(mut self, messages: Receiver<Message>) {
+        self.leasing.read_soon();
+        loop {
+            let tick_ms = self.until_next_look();
+            let tick = async {
+                Timer::after(Duration::from_millis(tick_ms)).await;
+                Ok(Message::Tick)
+            };
+            match messages.recv().or(tick).await {
+                Ok(message) => self.take(message),
+                Err(_) => return,
+            }
+            self.look();
+        }
+    }
+
+    fn until_next_look(&self) -> u64 {
+        let now_ms = self.now_ms();
+        if self.is_plan_due {
+            return (self.planned_ms + PLAN_GAP_MS).saturating_sub(now_ms);
+        }
+        if self.leasing.is_holder(now_ms) { HOLDER_TICK_MS } else { STANDBY_TICK_MS }
+    }
+
+    fn take(&mut self, message: Message) {
+        let now_ms = self.now_ms();
+        match message {
+            Message::Tick => self.is_plan_due = true,
+            Message::Sync { vm, digests, reply } => {
+                let synced = self.sync(vm, digests);
+                // The asker may have given up.
+                let _ = reply.try_send(synced);
+            }
+            Message::LeaseSeen { row, version } => self.leasing.seen(row, version, now_ms),
+            Message::LeaseUnread => self.leasing.unread(now_ms),
+            Message::LeaseWritten { write, outcome, sent_ms } => {
+                self.leasing.written(write, outcome, sent_ms, now_ms);
+            }
+            Message::GiverSilent => self.leasing.giver_silent(now_ms),
+            Message::Giver(reply) => {
+                let _ = reply.try_send(self.leasing.giver(now_ms));
+            }
+            Message::ChangeEnded { service, endpoint, chain } => {
+                self.change_ended(&service, &endpoint, &chain);
+            }
+            Message::Stop(reply) => self.leasing.leave(reply),
+        }
+    }
+
+    /// Does what is due by time.
+    fn look(&mut self) {
+        let now_ms = self.now_ms();
+        let was_holder = self.leasing.is_acting();
+        self.leasing.look(now_ms);
+        if was_holder && !self.leasing.is_acting() {
+            self.books.clear();
+        }
+        let is_time = now_ms >= self.planned_ms + PLAN_GAP_MS;
+        if self.is_plan_due && is_time && self.leasing.is_holder(now_ms) {
+            self.is_plan_due = false;
+            self.planned_ms = now_ms;
+            self.plan(now_ms);
+        }
+        self.is_plan_due &= self.leasing.is_holder(now_ms);
+    }
+
+    fn sync(&mut self, vm: VmName, digests: Vec<(ServiceName, DemandDigest)>) -> WireSynced {
+        let now_ms = self.now_ms();
+        let is_giver = self.leasing.is_holder(now_ms);
+        if is_giver {
+            for (service, digest) in digests {
+                self.is_plan_due |= !digest.waiting.is_empty();
+                let book = self.books.entry(service).or_default();
+                book.demand.told(vm.clone(), digest, now_ms);
+            }
+        }
+        let views = self.books.iter().map(|(service, book)| {
+            let view = self
+                .daemon
+                .knowledge
+                .with(|beliefs| book.view(service, &beliefs.directory, now_ms));
+            (service.to_string(), WireView::from(&view))
+        });
+        WireSynced {
+            views: if is_giver { views.collect() } else { BTreeMap::new() },
+            lease: self.leasing.row(),
+            is_giver,
+        }
+    }
+
+    fn plan(&mut self, now_ms: u64) {
+        let Some(catalog) = self.daemon.knowledge.catalog() else { return };
+        let may_order = self.leasing.may_order(now_ms).is_some();
+        for (service, book) in &mut self.books {
+            let Some(spec) = engine_spec(&catalog, service) else { continue };
+            let directory = self.daemon.knowledge.with(|beliefs| {
+                let engines = beliefs.directory.usable(service).cloned();
+                engines.map(|endpoint| (endpoint.name.clone(), endpoint)).collect()
+            });
+            let changes = book.plan(spec, &directory, may_order, now_ms);
+            for (endpoint, change, chain) in changes {
+                change::start(&self.daemon, service.clone(), endpoint, change, chain);
+            }
+        }
+    }
+
+    fn change_ended(&mut self, service: &ServiceName, endpoint: &EndpointName, chain: &OrderChain) {
+        let now_ms = self.now_ms();
+        if let Some(book) = self.books.get_mut(service) {
+            book.change_ended(endpoint, chain, now_ms);
+        }
+        self.is_plan_due = true;
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.daemon.knowledge.now_ms()
+    }
+}
+
+fn engine_spec<'a>(
+    catalog: &'a Catalog,
+    service: &ServiceName,
+) -> Option<&'a trestle_dispatch::catalog::EngineSpec> {
+    catalog.services.get(service)?.engine.as_ref()
+}
--- /dev/null
+++ b/crates/trestle-entry/src/daemon.rs
@@ -0,0 +1,79 @@
+//! What the parts of the daemon share.
+
+use crate::{
+    control::{message::Message, permit::OrderPermit},
+    knowledge::Knowledge,
+    metrics::Metrics,
+    net::pool::Pool,
+    store::client::Store,
+    wire::Wire,
+};
+use async_channel::Sender;
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+};
+use trestle_config::entry_settings::EntrySettings;
+
+/// What the parts of the daemon share.
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    pub(crate) settings: EntrySettings,
+    pub(crate) wire: Wire,
+    pub(crate) knowledge: Knowledge,
+    pub(crate) store: Store,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
+    pub(crate) control: Sender<Message>,
+    pub(crate) order_permit: OrderPermit,
+    pub(crate) is_stopping: AtomicBool,
+    pub(crate) in_flight: AtomicUsize,
+    next_number: AtomicU64,
+}
+
+impl Daemon {
+    /// A daemon that has not started.
+    pub(crate) fn new(
+        settings: EntrySettings,
+        wire: Wire,
+        metrics: Metrics,
+        control: Sender<Message>,
+    ) -> Self {
+        Self {
+            knowledge: Knowledge::new(&settings),
+            store: Store::new(settings.store_address, wire.store),
+            pool: Pool::default(),
+            metrics,
+            control,
+            order_permit: OrderPermit::default(),
+            is_stopping: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            next_number: AtomicU64::new(1),
+            wire,
+            settings,
+        }
+    }
+
+    /// Whether the balancer should send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let is_stopping = self.is_stopping.load(Ordering::Relaxed);
+        !is_stopping
+            && self.knowledge.with(|beliefs| beliefs.catalog.is_some() && beliefs.is_listed)
+    }
+
+    /// Where other daemons reach this one.
+    pub(crate) fn peers_address(&self) -> SocketAddr {
+        SocketAddr::new(self.settings.address, self.settings.peers_port)
+    }
+
+    /// A number that nothing else in this process has.
+    pub(crate) fn next_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Tells the control thread something.
+    pub(crate) fn tell(&self, message: Message) {
+        // The channel closes only when the control thread has ended with the process.
+        let _ = self.control.try_send(message);
+    }
+}
--- /dev/null
+++ b/crates/trestle-entry/src/lib.rs
@@ -0,0 +1,174 @@
+//! The daemon before an outside store: traffic and control around the decisions
+//! of [`trestle_dispatch`].
+//!
+//! All daemons are alike. Each follows the operators' configuration and the list
+//! of live endpoints in the store, and serves callers by what it knows. One of
+//! them at a time, by a lease in the store, gives orders to engines.
+//!
+//! - [`traffic`] carries requests. It looks at [`knowledge`] and changes only the
+//!   records in it.
+//! - [`store`] follows the store, [`peer`] the giver of orders; both change
+//!   [`knowledge`].
+//! - [`control`] is one thread that holds the lease and plans changes at engines.
+//! - [`wire`] is what the daemon has to be told about its surroundings.
+//!
+//! Imports run from traffic, store, peer and control to `daemon`, `knowledge`
+//! and `net`, and from there to decisions.
+
+mod control;
+mod daemon;
+mod knowledge;
+mod logs;
+mod metrics;
+mod net;
+mod peer;
+mod stop;
+mod store;
+mod tidy;
+mod traffic;
+pub mod wire;
+
+use crate::{
+    daemon::Daemon,
+    logs::Logs,
+    metrics::Metrics,
+    traffic::{
+        answer::{self, Body},
+        serve::{self, Closing, Limits},
+    },
+};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use smol::net::TcpListener;
+use snafu::{ResultExt, Snafu};
+use std::{io, net::SocketAddr, path::PathBuf, sync::Arc};
+use trestle_config::entry_settings::EntrySettings;
+
+/// Limits towards the balancer, readers of metrics, and callers before there is a
+/// configuration.
+const OWN_LIMITS: Limits = Limits { header_bytes: 16 << 10, idle_ms: 30_000 };
+
+/// The daemon cannot start or go on.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The log filter is not understood.
+    #[snafu(display("{source}"))]
+    Filter {
+        /// Why.
+        source: logs::FilterError,
+    },
+    /// Metrics cannot be set up.
+    #[snafu(display("metrics cannot be set up: {source}"))]
+    Metrics {
+        /// Why.
+        source: opentelemetry_sdk::error::OTelSdkError,
+    },
+    /// An address cannot be listened at.
+    #[snafu(display("address {address} cannot be used: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The system gives no thread or signals.
+    #[snafu(display("the system gives no {what}: {source}"))]
+    System {
+        /// What it does not give.
+        what: &'static str,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if it cannot start.
+pub fn run(settings: EntrySettings, settings_path: PathBuf, wire: wire::Wire) -> Result<(), Error> {
+    let logs = Arc::new(Logs::start(&settings.log).context(FilterSnafu)?);
+    let metrics = Metrics::new().context(MetricsSnafu)?;
+    let (control, messages) = async_channel::unbounded();
+    let daemon = Arc::new(Daemon::new(settings, wire, metrics, control));
+    control::start(Arc::clone(&daemon), messages).context(SystemSnafu { what: "thread" })?;
+    smol::block_on(serve_all(daemon, logs, settings_path))
+}
+
+async fn serve_all(
+    daemon: Arc<Daemon>,
+    logs: Arc<Logs>,
+    settings_path: PathBuf,
+) -> Result<(), Error> {
+    let settings = &daemon.settings;
+    let peers = listen(daemon.peers_address()).await?;
+    let readiness = listen(settings.readiness_address).await?;
+    let metrics = listen(SocketAddr::new(settings.address, settings.metrics_port)).await?;
+    let callers = listen(settings.callers_address).await?;
+    tracing::info!(
+        vm = settings.vm, domain = settings.domain, callers = %settings.callers_address,
+        store = %settings.store_address, "daemon: Started."
+    );
+    smol::spawn(store::config::run(Arc::clone(&daemon))).detach();
+    smol::spawn(store::endpoints::run(Arc::clone(&daemon))).detach();
+    smol::spawn(peer::server::run(Arc::clone(&daemon), peers)).detach();
+    smol::spawn(peer::sync::run(Arc::clone(&daemon))).detach();
+    smol::spawn(tidy::run(Arc::clone(&daemon))).detach();
+    serve_readiness(&daemon, readiness);
+    serve_metrics(&daemon, logs, metrics);
+    let closing = serve_callers(&daemon, callers);
+    let reread = || tidy::reread(&daemon, &settings_path);
+    stop::wait(&daemon, &closing, reread).await.context(SystemSnafu { what: "signals" })
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+fn serve_callers(daemon: &Arc<Daemon>, listener: TcpListener) -> Arc<Closing> {
+    let closing = Arc::new(Closing::default());
+    let limits = {
+        let daemon = Arc::clone(daemon);
+        move || match daemon.knowledge.catalog() {
+            Some(catalog) => Limits {
+                header_bytes: catalog.limits.header_bytes,
+                idle_ms: catalog.limits.idle_ms + catalog.limits.header_ms,
+            },
+            None => OWN_LIMITS,
+        }
+    };
+    let daemon = Arc::clone(daemon);
+    let handle = move |request| traffic::handle::handle(Arc::clone(&daemon), request);
+    smol::spawn(serve::run(listener, Arc::clone(&closing), limits, handle)).detach();
+    closing
+}
+
+fn serve_readiness(daemon: &Arc<Daemon>, listener: TcpListener) {
+    let daemon = Arc::clone(daemon);
+    let handle = move |request: Request<Incoming>| {
+        let is_known = request.uri().path() == daemon.wire.readiness_path;
+        let status = match daemon.is_ready() {
+            _ if !is_known => StatusCode::NOT_FOUND,
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        async move { own_answer(status, Bytes::new()) }
+    };
+    smol::spawn(serve::run(listener, Arc::default(), || OWN_LIMITS, handle)).detach();
+}
+
+fn serve_metrics(daemon: &Arc<Daemon>, logs: Arc<Logs>, listener: TcpListener) {
+    let daemon = Arc::clone(daemon);
+    let handle = move |_: Request<Incoming>| {
+        let text = daemon.metrics.to_text(daemon.store.calls(), logs.dropped());
+        async move { own_answer(StatusCode::OK, Bytes::from(text)) }
+    };
+    smol::spawn(serve::run(listener, Arc::default(), || OWN_LIMITS, handle)).detach();
+}
+
+fn own_answer(status: StatusCode, content: Bytes) -> Response<Body> {
+    let mut response = Response::new(answer::whole(content));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/trestle-entry/src/metrics.rs
@@ -0,0 +1,101 @@
+//! Metrics: counters and latency histograms, by route and outcome.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::{error::OTelSdkError, metrics::SdkMeterProvider};
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Upper bounds of the histograms, in milliseconds.
+const BOUNDS_MS: [f64; 13] =
+    [5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1.6e3, 3.2e3, 6.4e3, 1.28e4, 2.56e4];
+
+/// Metrics of the daemon.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    first_ms: Histogram<f64>,
+    whole_ms: Histogram<f64>,
+    change_ms: Histogram<f64>,
+    sends: Counter<u64>,
+    config_version: Gauge<u64>,
+    store_calls: Gauge<u64>,
+    log_drops: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Metrics that can be scraped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the registry refuses them.
+    pub(crate) fn new() -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("trestled");
+        let histogram = |name: &'static str, text: &'static str| {
+            let builder = meter.f64_histogram(name).with_description(text);
+            builder.with_boundaries(BOUNDS_MS.to_vec()).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        let sends = meter.u64_counter("trestle_sends").with_description("Sends to endpoints");
+        Ok(Self {
+            first_ms: histogram("trestle_first_ms", "Time from request to the answer's first part"),
+            whole_ms: histogram("trestle_whole_ms", "Time from request to the answer's end"),
+            change_ms: histogram("trestle_change_ms", "Time of changes at engines"),
+            sends: sends.build(),
+            config_version: gauge("trestle_config_version", "Configuration in force"),
+            store_calls: gauge("trestle_store_calls", "Calls to the store since the start"),
+            log_drops: gauge("trestle_log_drops", "Log lines dropped since the start"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Notes the first part of an answer.
+    pub(crate) fn first(&self, route: &str, time_ms: u64) {
+        self.first_ms.record(time_ms as f64, &[KeyValue::new("route", route.to_owned())]);
+    }
+
+    /// Notes the end of a request.
+    pub(crate) fn whole(&self, route: &str, outcome: &'static str, time_ms: u64) {
+        let labels = [KeyValue::new("route", route.to_owned()), KeyValue::new("outcome", outcome)];
+        self.whole_ms.record(time_ms as f64, &labels);
+    }
+
+    /// Notes a send to an endpoint, and whether it was the first of its request.
+    pub(crate) fn send(&self, is_first: bool) {
+        self.sends.add(1, &[KeyValue::new("first", is_first)]);
+    }
+
+    /// Notes a change at an engine.
+    pub(crate) fn change(&self, is_done: bool, is_remote: bool, time_ms: u64) {
+        let labels = [KeyValue::new("done", is_done), KeyValue::new("remote", is_remote)];
+        self.change_ms.record(time_ms as f64, &labels);
+    }
+
+    /// Notes the configuration in force.
+    pub(crate) fn config_version(&self, version: u64) {
+        self.config_version.record(version, &[]);
+    }
+
+    /// All metrics as text, with what is counted elsewhere.
+    pub(crate) fn to_text(&self, store_calls: u64, log_drops: usize) -> String {
+        self.store_calls.record(store_calls, &[]);
+        self.log_drops.record(log_drops as u64, &[]);
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            tracing::warn!(%error, "metrics: They cannot be written as text.");
+            text.clear();
+        }
+        String::from_utf8(text).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/trestle-entry/src/net/exchange.rs
@@ -0,0 +1,106 @@
+//! Whole exchanges of small messages over a kept connection.
+
+use crate::{net::connect, wire::Call};
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::{HeaderValue, Request, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use smol::{Timer, lock::Mutex};
+use smol_hyper::rt::FuturesIo;
+use snafu::{ResultExt, Snafu};
+use std::{io, net::SocketAddr, time::Duration};
+
+/// Largest answer to a call of control.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Time for opening a connection.
+const CONNECT_MS: u64 = 400;
+
+/// An exchange that did not end with a whole answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum Error {
+    #[snafu(display("{address} cannot be reached: {source}"))]
+    Connect { address: SocketAddr, source: io::Error },
+    #[snafu(display("the connection to {address} broke: {source}"))]
+    Http { address: SocketAddr, source: hyper::Error },
+    #[snafu(display("the answer of {address} is not whole: {source}"))]
+    Body { address: SocketAddr, source: Box<dyn std::error::Error + Send + Sync> },
+    #[snafu(display("{address} did not answer within {timeout_ms} ms"))]
+    TimedOut { address: SocketAddr, timeout_ms: u64 },
+}
+
+/// One kept connection to an address, used by one exchange at a time.
+#[derive(Debug)]
+pub(crate) struct Line {
+    address: SocketAddr,
+    kept: Mutex<Option<SendRequest<Full<Bytes>>>>,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) body: Bytes,
+}
+
+impl Line {
+    /// A line that is not connected yet.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self { address, kept: Mutex::new(None) }
+    }
+
+    /// Sends a call and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer in time. The call may have taken effect.
+    pub(crate) async fn exchange(&self, call: Call, timeout_ms: u64) -> Result<Answer, Error> {
+        let mut kept = self.kept.lock().await;
+        let address = self.address;
+        let timed_out = async {
+            Timer::after(Duration::from_millis(timeout_ms)).await;
+            TimedOutSnafu { address, timeout_ms }.fail()
+        };
+        let sender = kept.take();
+        let (answer, sender) = exchange(sender, address, call).or(timed_out).await?;
+        *kept = Some(sender);
+        Ok(answer)
+    }
+}
+
+async fn exchange(
+    kept: Option<SendRequest<Full<Bytes>>>,
+    address: SocketAddr,
+    call: Call,
+) -> Result<(Answer, SendRequest<Full<Bytes>>), Error> {
+    let mut sender = match kept {
+        Some(sender) if sender.is_ready() => sender,
+        _ => handshake(address).await?,
+    };
+    let request = to_request(call, address);
+    let response = sender.send_request(request).await.context(HttpSnafu { address })?;
+    let status = response.status().as_u16();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let body = body.context(BodySnafu { address })?.to_bytes();
+    Ok((Answer { status, body }, sender))
+}
+
+async fn handshake(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Error> {
+    let stream = connect::open(address, CONNECT_MS).await.context(ConnectSnafu { address })?;
+    let (sender, connection) =
+        http1::handshake(FuturesIo::new(stream)).await.context(HttpSnafu { address })?;
+    smol::spawn(async move {
+        // An error here ends the exchange, which reports it.
+        let _ = connection.await;
+    })
+    .detach();
+    Ok(sender)
+}
+
+fn to_request(call: Call, address: SocketAddr) -> Request<Full<Bytes>> {
+    let mut request = call.map(|body| Full::new(Bytes::from(body)));
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    request
+}
--- /dev/null
+++ b/crates/trestle-entry/src/peer/client.rs
@@ -0,0 +1,76 @@
+//! The connection to the giver of orders.
+
+use crate::net::connect;
+use async_compat::{Compat, CompatExt};
+use snafu::{ResultExt, Snafu};
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tarpc::{
+    client::{self, RpcError},
+    context, serde_transport,
+    tokio_serde::formats::Bincode,
+};
+use tokio_util::codec::LengthDelimitedCodec;
+use trestle_wire::replicas::{ReplicasClient, WireDigest, WireSynced};
+
+/// Time for opening a connection.
+const CONNECT_MS: u64 = 300;
+/// Time for an answer, which is given at once; a slowed VM takes several times as long.
+const ANSWER_MS: u64 = 600;
+
+/// A question that was not answered.
+#[derive(Debug, Snafu)]
+pub(crate) enum Error {
+    #[snafu(display("{address} cannot be reached: {source}"))]
+    Connect { address: SocketAddr, source: io::Error },
+    #[snafu(display("{address} did not answer: {source}"))]
+    Rpc { address: SocketAddr, source: RpcError },
+}
+
+/// The connection to the giver of orders.
+#[derive(Debug, Default)]
+pub(crate) struct GiverClient {
+    open: Option<(SocketAddr, ReplicasClient)>,
+}
+
+impl GiverClient {
+    /// Tells the giver at an address what callers ask for.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer in time.
+    pub(crate) async fn sync(
+        &mut self,
+        address: SocketAddr,
+        vm: &str,
+        digests: Vec<WireDigest>,
+    ) -> Result<WireSynced, Error> {
+        let client = match self.open.take() {
+            Some((open_to, client)) if open_to == address => client,
+            _ => connect(address).await.context(ConnectSnafu { address })?,
+        };
+        let mut context = context::current();
+        context.deadline = Instant::now() + Duration::from_millis(ANSWER_MS);
+        let answer = client.sync(context, vm.to_owned(), digests).await;
+        let answer = answer.context(RpcSnafu { address })?;
+        self.open = Some((address, client));
+        Ok(answer)
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<ReplicasClient> {
+    let stream = connect::open(address, CONNECT_MS).await?;
+    let framed = LengthDelimitedCodec::builder().new_framed(stream.compat());
+    let transport = serde_transport::new(framed, Bincode::default());
+    let client::NewClient { client, dispatch } =
+        ReplicasClient::new(client::Config::default(), transport);
+    let dispatch = async {
+        // An error here ends every pending call, and each of them reports it.
+        let _ = dispatch.await;
+    };
+    smol::spawn(Compat::new(dispatch)).detach();
+    Ok(client)
+}
--- /dev/null
+++ b/crates/trestle-entry/src/peer/mod.rs
@@ -0,0 +1,5 @@
+//! What daemons tell each other.
+
+pub(crate) mod client;
+pub(crate) mod server;
+pub(crate) mod sync;
--- /dev/null
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -0,0 +1,51 @@
+//! Serves other daemons.
+
+use crate::{control::message::Message, daemon::Daemon};
+use async_compat::{Compat, CompatExt};
+use futures_util::StreamExt;
+use smol::net::{TcpListener, TcpStream};
+use std::{collections::BTreeMap, sync::Arc};
+use tarpc::{
+    context::Context,
+    serde_transport,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+use tokio_util::codec::LengthDelimitedCodec;
+use trestle_wire::replicas::{Replicas, WireDigest, WireSynced};
+
+/// Serves other daemons until the process ends.
+pub(crate) async fn run(daemon: Arc<Daemon>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => smol::spawn(serve(Arc::clone(&daemon), stream)).detach(),
+            Err(error) => tracing::warn!(%error, "peer: A connection was not accepted."),
+        }
+    }
+}
+
+async fn serve(daemon: Arc<Daemon>, stream: TcpStream) {
+    if let Err(error) = crate::net::connect::prepare(&stream) {
+        tracing::debug!(%error, "peer: A connection has the system's own options.");
+    }
+    let framed = LengthDelimitedCodec::builder().new_framed(stream.compat());
+    let transport = serde_transport::new(framed, Bincode::default());
+    let requests = BaseChannel::with_defaults(transport).execute(Server(daemon).serve());
+    // One after the other: a daemon asks again only when it has its answer.
+    let each = requests.for_each(|answering| answering);
+    Compat::new(each).await;
+}
+
+/// Answers the questions of other daemons.
+#[derive(Clone)]
+struct Server(Arc<Daemon>);
+
+impl Replicas for Server {
+    async fn sync(self, _: Context, vm: String, digests: Vec<WireDigest>) -> WireSynced {
+        let (reply, answer) = async_channel::bounded(1);
+        let digests = digests.into_iter().map(Into::into).collect();
+        self.0.tell(Message::Sync { vm: vm.into(), digests, reply });
+        let nothing = WireSynced { lease: None, is_giver: false, views: BTreeMap::new() };
+        answer.recv().await.unwrap_or(nothing)
+    }
+}
--- /dev/null
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -0,0 +1,126 @@
+//! Tells the giver of orders what callers ask for, and learns where models are.
+
+use crate::{
+    control::message::{Giver, Message},
+    daemon::Daemon,
+    peer::client::GiverClient,
+};
+use futures_lite::FutureExt;
+use smol::Timer;
+use std::{sync::Arc, time::Duration};
+use trestle_core::names::ServiceName;
+use trestle_dispatch::{demand::DemandDigest, replicas::ReplicaView};
+use trestle_wire::replicas::{WireDigest, WireSynced};
+
+/// Between two tellings while nothing waits.
+const CALM_MS: u64 = 300;
+/// The same while requests wait for a model.
+const WAITING_MS: u64 = 60;
+/// Shortest time between two tellings.
+const LEAST_MS: u64 = 20;
+/// Time for which what the giver said is believed after it fell silent. The list
+/// of endpoints has caught up by then.
+const BELIEVED_MS: u64 = 3_000;
+
+/// Tells and learns until the process ends.
+pub(crate) async fn run(daemon: Arc<Daemon>) {
+    let mut client = GiverClient::default();
+    let mut heard_ms = 0;
+    let mut is_heard = false;
+    loop {
+        let urgent = daemon.knowledge.wished();
+        let synced = step(&daemon, &mut client).await;
+        let now_ms = daemon.knowledge.now_ms();
+        if synced != is_heard {
+            is_heard = synced;
+            tracing::info!(heard = is_heard, "sync: The giver of orders was found or lost.");
+        }
+        if synced {
+            heard_ms = now_ms;
+        } else if now_ms > heard_ms + BELIEVED_MS {
+            daemon.knowledge.with(|beliefs| beliefs.replicas.clear());
+        }
+        Timer::after(Duration::from_millis(LEAST_MS)).await;
+        let is_waiting = daemon
+            .knowledge
+            .with(|beliefs| beliefs.asked.values().any(|asked| !asked.waiting.is_empty()));
+        let pause_ms = if is_waiting { WAITING_MS } else { CALM_MS } - LEAST_MS;
+        let pause = async {
+            Timer::after(Duration::from_millis(pause_ms)).await;
+        };
+        urgent.or(pause).await;
+    }
+}
+
+/// Tells once; returns whether the giver answered.
+async fn step(daemon: &Arc<Daemon>, client: &mut GiverClient) -> bool {
+    let digests = digests(daemon);
+    let answer = match giver(daemon).await {
+        Giver::Here => tell_here(daemon, digests).await,
+        Giver::At(address) => {
+            let wire = digests.into_iter().map(|(service, told)| WireDigest::new(&service, told));
+            match client.sync(address, &daemon.settings.vm, wire.collect()).await {
+                Ok(answer) => Some(answer),
+                Err(error) => {
+                    tracing::debug!(%error, "sync: The giver of orders does not answer.");
+                    None
+                }
+            }
+        }
+        Giver::Nobody => None,
+    };
+    let Some(answer) = answer else {
+        daemon.tell(Message::GiverSilent);
+        return false;
+    };
+    if let Some((lease, version)) = answer.lease {
+        daemon.tell(Message::LeaseSeen { row: Some(lease.into()), version });
+    }
+    if !answer.is_giver {
+        daemon.tell(Message::GiverSilent);
+        return false;
+    }
+    let views = answer.views.into_iter().map(|(service, view)| (service.into(), view.into()));
+    learn(daemon, views.collect());
+    true
+}
+
+fn learn(daemon: &Daemon, views: Vec<(ServiceName, ReplicaView)>) {
+    let is_news = daemon.knowledge.with(|beliefs| {
+        views.iter().any(|(service, view)| beliefs.replicas.get(service) != Some(view))
+    });
+    if !is_news {
+        return;
+    }
+    daemon.knowledge.change(|beliefs| {
+        for (service, view) in views {
+            beliefs.daemons = view.daemons.max(1);
+            beliefs.replicas.insert(service, view);
+        }
+    });
+}
+
+fn digests(daemon: &Daemon) -> Vec<(ServiceName, DemandDigest)> {
+    let now_ms = daemon.knowledge.now_ms();
+    let Some(catalog) = daemon.knowledge.catalog() else { return Vec::new() };
+    let engines = catalog.services.iter().filter(|(_, service)| service.engine.is_some());
+    daemon.knowledge.with(|beliefs| {
+        engines.map(|(name, _)| (name.clone(), beliefs.asked_of(name).digest(now_ms))).collect()
+    })
+}
+
+async fn giver(daemon: &Daemon) -> Giver {
+    let (reply, answer) = async_channel::bounded(1);
+    daemon.tell(Message::Giver(reply));
+    answer.recv().await.unwrap_or(Giver::Nobody)
+}
+
+async fn tell_here(
+    daemon: &Daemon,
+    digests: Vec<(ServiceName, DemandDigest)>,
+) -> Option<WireSynced> {
+    let (reply, answer) = async_channel::bounded(1);
+    let vm = daemon.settings.vm.as_str().into();
+    daemon.tell(Message::Sync { vm, digests, reply });
+    answer.recv().await.ok()
+}
--- /dev/null
+++ b/crates/trestle-entry/src/stop.rs
@@ -0,0 +1,71 @@
+//! Signals: planned stops, and settings that have changed.
+//!
+//! A stop first says that the daemon is not ready, so that the balancer sends it
+//! nothing new, and gives up the lease on orders. Meanwhile everything that comes
+//! is served. Then connections end as their requests do.
+
+use crate::{control::message::Message, daemon::Daemon, traffic::serve::Closing};
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, StreamExt};
+use smol::Timer;
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+/// Time in which the balancer notices: it asks once a second and believes the second
+/// answer.
+const NOTICE_MS: u64 = 2_600;
+/// Time for giving up the lease; the store may be away.
+const LEAVE_MS: u64 = 1_500;
+/// Time between two looks whether everything has ended.
+const LOOK_MS: u64 = 20;
+/// Part of the time for a stop that is left unused, so that the end comes by itself.
+const SPARE_MS: u64 = 300;
+
+/// Serves until the daemon is told to stop, and stops.
+///
+/// # Errors
+///
+/// Fails if signals cannot be received.
+pub(crate) async fn wait(
+    daemon: &Daemon,
+    closing: &Arc<Closing>,
+    reread: impl Fn(),
+) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    loop {
+        match signals.next().await {
+            Some(Ok(Signal::Hup)) => reread(),
+            Some(Ok(_)) | None => break,
+            Some(Err(error)) => return Err(error),
+        }
+    }
+    let started = Instant::now();
+    tracing::info!(in_flight = daemon.in_flight.load(Ordering::Relaxed), "stop: Stopping.");
+    daemon.is_stopping.store(true, Ordering::SeqCst);
+    leave(daemon).await;
+    let noticed = Duration::from_millis(NOTICE_MS).saturating_sub(started.elapsed());
+    Timer::after(noticed).await;
+    closing.close();
+    let limit = Duration::from_millis(daemon.settings.bounds.stop_s * 1_000 - SPARE_MS);
+    while closing.open() > 0 && started.elapsed() < limit {
+        Timer::after(Duration::from_millis(LOOK_MS)).await;
+    }
+    tracing::info!(open = closing.open(), "stop: Stopped.");
+    Ok(())
+}
+
+async fn leave(daemon: &Daemon) {
+    let (reply, left) = async_channel::bounded(1);
+    daemon.tell(Message::Stop(reply));
+    let left = async {
+        let _ = left.recv().await;
+    };
+    let timed_out = async {
+        Timer::after(Duration::from_millis(LEAVE_MS)).await;
+        tracing::warn!("stop: The lease could not be given up; it will run out.");
+    };
+    left.or(timed_out).await;
+}
--- /dev/null
+++ b/crates/trestle-entry/src/store/mod.rs
@@ -0,0 +1,5 @@
+//! The store, and what is followed in it.
+
+pub(crate) mod client;
+pub(crate) mod config;
+pub(crate) mod endpoints;
--- /dev/null
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -0,0 +1,177 @@
+//! One send of a request to one endpoint.
+
+use crate::{
+    net::pool::{Connection, SendError},
+    traffic::{select::Taken, task::Task},
+};
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use smol::Timer;
+use std::{sync::Arc, time::Duration};
+use trestle_dispatch::request::AnswerHead;
+
+/// Largest answer of a plain call that is taken.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// The head of an endpoint's answer, its body still to come.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) taken: Taken,
+    pub(crate) connection: Connection,
+    pub(crate) response: Response<Incoming>,
+    pub(crate) head: AnswerHead,
+}
+
+/// A whole answer of an endpoint.
+#[derive(Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) response: Response<Bytes>,
+}
+
+/// Why a send led to no answer that can be passed on.
+#[derive(Debug)]
+pub(crate) enum Unanswered {
+    /// The endpoint could not be connected to; it knows nothing of the request.
+    Unreachable(String),
+    /// The endpoint says that it did not run the request.
+    NotRun(StatusCode),
+    /// It may have run.
+    MayHaveRun(String),
+}
+
+impl Unanswered {
+    /// Whether the request may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        matches!(self, Self::MayHaveRun(_))
+    }
+
+    /// A short reason, for logs.
+    pub(crate) fn reason(&self) -> String {
+        match self {
+            Self::Unreachable(reason) => format!("not reached: {reason}"),
+            Self::NotRun(status) => format!("refused with {status}"),
+            Self::MayHaveRun(reason) => reason.clone(),
+        }
+    }
+}
+
+/// Sends a request and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Fails if there is none that can be passed on within the time.
+pub(crate) async fn send(
+    task: &Arc<Task>,
+    taken: Taken,
+    last_event_id: Option<u64>,
+    timeout_ms: u64,
+) -> Result<Attempt, Unanswered> {
+    let timed_out = async {
+        Timer::after(Duration::from_millis(timeout_ms)).await;
+        Err(Unanswered::MayHaveRun(format!("no answer within {timeout_ms} ms")))
+    };
+    let sent = exchange(task, &taken, last_event_id).or(timed_out).await;
+    let now_ms = task.daemon.knowledge.now_ms();
+    let name = &taken.endpoint.name;
+    match sent {
+        Ok((connection, response, head)) => Ok(Attempt { taken, connection, response, head }),
+        Err(unanswered) => {
+            if !matches!(unanswered, Unanswered::NotRun(_)) {
+                task.daemon.knowledge.with(|beliefs| beliefs.records.failed(name, now_ms));
+            }
+            tracing::info!(
+                id = task.head.id, endpoint = %name, reason = unanswered.reason(),
+                elapsed_ms = task.elapsed_ms(), "request: A send failed."
+            );
+            Err(unanswered)
+        }
+    }
+}
+
+async fn exchange(
+    task: &Arc<Task>,
+    taken: &Taken,
+    last_event_id: Option<u64>,
+) -> Result<(Connection, Response<Incoming>, AnswerHead), Unanswered> {
+    let endpoint = &taken.endpoint;
+    let pool = &task.daemon.pool;
+    loop {
+        let connection = pool.connection(&endpoint.name, endpoint.address).await;
+        let mut connection =
+            connection.map_err(|error| Unanswered::Unreachable(error.to_string()))?;
+        match connection.send(task.request(endpoint, last_event_id)).await {
+            Ok(response) => return check(task, connection, response).await,
+            // A kept connection had been closed; the request never left.
+            Err(SendError::NotSent(_)) if !connection.is_fresh() => {}
+            Err(SendError::NotSent(reason)) => return Err(Unanswered::Unreachable(reason)),
+            Err(SendError::Unknown(reason)) => return Err(Unanswered::MayHaveRun(reason)),
+        }
+    }
+}
+
+/// Checks that an answer belongs to the request, and whether it ran.
+async fn check(
+    task: &Arc<Task>,
+    connection: Connection,
+    response: Response<Incoming>,
+) -> Result<(Connection, Response<Incoming>, AnswerHead), Unanswered> {
+    let head = (task.daemon.wire.head.read_answer)(response.headers());
+    if head.request_id.as_deref() != Some(task.head.id.as_str()) {
+        return Err(Unanswered::MayHaveRun("the answer belongs to another request".to_owned()));
+    }
+    if head.is_not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Err(Unanswered::NotRun(response.status()));
+    }
+    if response.status().is_success() && (!head.is_signed || head.is_encoded) {
+        return Err(Unanswered::MayHaveRun("the answer is not the endpoint's own".to_owned()));
+    }
+    Ok((connection, response, head))
+}
+
+impl Attempt {
+    /// Reads the whole body, and keeps the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is not whole within the time.
+    pub(crate) async fn whole(
+        self,
+        task: &Task,
+        timeout_ms: u64,
+    ) -> Result<WholeAnswer, Unanswered> {
+        let Self { taken, connection, response, head } = self;
+        let (mut parts, body) = response.into_parts();
+        let collected = async {
+            let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+            whole.map(|whole| whole.to_bytes()).map_err(|error| error.to_string())
+        };
+        let timed_out = async {
+            Timer::after(Duration::from_millis(timeout_ms)).await;
+            Err(format!("the answer was not whole within {timeout_ms} ms"))
+        };
+        let knowledge = &task.daemon.knowledge;
+        let name = &taken.endpoint.name;
+        match collected.or(timed_out).await {
+            Ok(content) => {
+                let is_sound = !parts.status.is_server_error();
+                let now_ms = knowledge.now_ms();
+                knowledge.with(|beliefs| match is_sound {
+                    true => beliefs.records.succeeded(name),
+                    false => beliefs.records.failed(name, now_ms),
+                });
+                task.daemon.pool.keep(name, connection, head.idle_ms);
+                (task.daemon.wire.head.forward_answer)(&mut parts.headers);
+                parts.headers.remove(http::header::CONTENT_LENGTH);
+                Ok(WholeAnswer { response: Response::from_parts(parts, content) })
+            }
+            Err(reason) => {
+                let now_ms = knowledge.now_ms();
+                knowledge.with(|beliefs| beliefs.records.failed(name, now_ms));
+                Err(Unanswered::MayHaveRun(reason))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -0,0 +1,162 @@
+//! From the head of a request to its route, and from there to its end.
+
+use crate::{
+    daemon::Daemon,
+    traffic::{
+        answer::{Body, Failure},
+        plain,
+        report::{self, Ended},
+        stream,
+        task::Task,
+    },
+};
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::{HeaderValue, Request, Response, header, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use smol::Timer;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use trestle_dispatch::{catalog::Catalog, request::RequestHead};
+
+/// When a caller should come back while the daemon knows no configuration yet.
+const UNKNOWN_RETRY_MS: u64 = 500;
+
+/// Answers one request.
+pub(crate) async fn handle(daemon: Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
+    let _counted = InFlight::new(&daemon);
+    let is_ambiguous = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let mut response = match accept(&daemon, request).await {
+        Ok(task) => see_through(task).await,
+        Err((failure, id)) => {
+            tracing::info!(id, end = failure.name(), "request: Not taken.");
+            failure.answer(&daemon.wire.head, id.as_deref())
+        }
+    };
+    // Two readings of one body are how a second request is hidden in it; nothing
+    // that follows on such a connection is read.
+    if is_ambiguous || daemon.is_stopping.load(Ordering::Relaxed) {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Reads a request and finds its route.
+async fn accept(
+    daemon: &Arc<Daemon>,
+    request: Request<Incoming>,
+) -> Result<Arc<Task>, (Failure, Option<String>)> {
+    let arrived_ms = daemon.knowledge.now_ms();
+    let (parts, body) = request.into_parts();
+    let Some(head) = (daemon.wire.head.read_request)(&parts.headers) else {
+        return Err((Failure::BadRequest, None));
+    };
+    let id = head.id.clone();
+    let refuse = |failure| (failure, Some(id.clone()));
+    let Some(catalog) = daemon.knowledge.catalog() else {
+        return Err(refuse(Failure::NotRun { retry_after_ms: UNKNOWN_RETRY_MS }));
+    };
+    let both_lengths = parts.headers.contains_key(header::CONTENT_LENGTH)
+        && parts.headers.contains_key(header::TRANSFER_ENCODING);
+    if both_lengths {
+        return Err(refuse(Failure::BadRequest));
+    }
+    let body = read_body(body, &catalog).await.map_err(refuse)?;
+    let task = to_task(daemon, &catalog, parts, head, body, arrived_ms).map_err(refuse)?;
+    Ok(Arc::new(task))
+}
+
+fn to_task(
+    daemon: &Arc<Daemon>,
+    catalog: &Catalog,
+    parts: Parts,
+    head: RequestHead,
+    body: Bytes,
+    arrived_ms: u64,
+) -> Result<Task, Failure> {
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.ok_or(Failure::BadRequest)?;
+    let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
+    let route = catalog.routes.find(host, parts.uri.path()).ok_or(Failure::NoRoute)?;
+    let service = route.target(&head.id).ok_or(Failure::NoRoute)?.clone();
+    let uri = parts.uri.path_and_query().map(|path| path.as_str().parse());
+    let Some(Ok(uri)) = uri else { return Err(Failure::BadRequest) };
+    Ok(Task {
+        daemon: Arc::clone(daemon),
+        service,
+        allowed_ms: route.timeout_ms.min(head.deadline_ms.unwrap_or(u64::MAX)),
+        route: route.clone(),
+        head,
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+        body,
+        arrived_ms,
+        config_version: catalog.version,
+    })
+}
+
+async fn read_body(body: Incoming, catalog: &Catalog) -> Result<Bytes, Failure> {
+    let collected = async {
+        match Limited::new(body, catalog.limits.body_bytes).collect().await {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => Err(Failure::TooLarge),
+            Err(_) => Err(Failure::BadRequest),
+        }
+    };
+    let timed_out = async {
+        Timer::after(Duration::from_millis(catalog.limits.idle_ms)).await;
+        Err(Failure::BadRequest)
+    };
+    collected.or(timed_out).await
+}
+
+async fn see_through(task: Arc<Task>) -> Response<Body> {
+    note_arrival(&task);
+    let outcome = match task.route.is_stream() {
+        true => stream::run(&task).await,
+        false => plain::run(&task).await,
+    };
+    let endpoint = outcome.endpoint.as_deref();
+    match outcome.response {
+        Ok(response) => {
+            if !outcome.is_stream {
+                report::ended(&task, Ended::Whole, endpoint, outcome.sends, None);
+            }
+            response
+        }
+        Err(failure) => {
+            report::ended(&task, Ended::Failed(failure), endpoint, outcome.sends, None);
+            failure.answer(&task.daemon.wire.head, Some(&task.head.id))
+        }
+    }
+}
+
+fn note_arrival(task: &Task) {
+    task.daemon.knowledge.with(|beliefs| {
+        beliefs.requested(&task.service, task.arrived_ms);
+        if let Some(model) = &task.head.model {
+            let arrivals = &mut beliefs.asked_of(&task.service).arrivals;
+            *arrivals.entry(model.clone()).or_default() += 1;
+        }
+    });
+}
+
+/// A request that is being answered.
+struct InFlight(Arc<Daemon>);
+
+impl InFlight {
+    fn new(daemon: &Arc<Daemon>) -> Self {
+        daemon.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(daemon))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -0,0 +1,61 @@
+//! One line of log for the end of each request, and its metrics.
+
+use crate::traffic::{answer::Failure, task::Task};
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Ended {
+    /// The caller has the whole answer of an endpoint.
+    Whole,
+    /// The daemon answered by itself.
+    Failed(Failure),
+    /// The answer broke off.
+    Broken,
+    /// Its time was over before its end.
+    OutOfTime,
+    /// The caller left.
+    CallerLeft,
+}
+
+impl Ended {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Failed(failure) => failure.name(),
+            Self::Broken => "broken",
+            Self::OutOfTime => "out_of_time",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+}
+
+/// Notes the end of a request.
+pub(crate) fn ended(
+    task: &Task,
+    end: Ended,
+    endpoint: Option<&str>,
+    sends: u32,
+    last_id: Option<u64>,
+) {
+    let took_ms = task.elapsed_ms();
+    let retry_after_ms = match end {
+        Ended::Failed(Failure::NotRun { retry_after_ms }) => Some(retry_after_ms),
+        _ => None,
+    };
+    tracing::info!(
+        id = task.head.id,
+        route = task.route.name,
+        config = task.config_version,
+        model = task.head.model.as_ref().map(AsRef::<str>::as_ref),
+        adapter = task.head.adapter.as_ref().map(AsRef::<str>::as_ref),
+        end = end.name(),
+        endpoint,
+        sends,
+        last_id,
+        retry_after_ms,
+        took_ms,
+        allowed_ms = task.allowed_ms,
+        "request: Ended."
+    );
+    task.daemon.metrics.whole(&task.route.name, end.name(), took_ms);
+}
--- /dev/null
+++ b/crates/trestle-entry/src/traffic/serve.rs
@@ -0,0 +1,129 @@
+//! Takes connections.
+
+use event_listener::Event;
+use futures_lite::{FutureExt, pin};
+use http::{Request, Response};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::{
+    convert::Infallible,
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+/// Least size of the buffer for a request's head that the library takes.
+const LEAST_BUFFER_BYTES: usize = 16 << 10;
+
+/// Limits of one connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// Size of a request's head.
+    pub(crate) header_bytes: usize,
+    /// Time for which the connection may be idle, with the next request's head.
+    pub(crate) idle_ms: u64,
+}
+
+/// Ends the connections of a listener.
+#[derive(Debug, Default)]
+pub(crate) struct Closing {
+    is_closing: AtomicBool,
+    closing: Event,
+    open: AtomicUsize,
+}
+
+impl Closing {
+    /// Ends each connection once its request is answered; idle ones end now.
+    pub(crate) fn close(&self) {
+        self.is_closing.store(true, Ordering::SeqCst);
+        self.closing.notify(usize::MAX);
+    }
+
+    /// Connections that are open.
+    pub(crate) fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    async fn wait(&self) {
+        let closing = self.closing.listen();
+        if !self.is_closing.load(Ordering::SeqCst) {
+            closing.await;
+        }
+    }
+}
+
+/// Answers requests on all connections of a listener until the process ends.
+pub(crate) async fn run<H, F, B>(
+    listener: TcpListener,
+    closing: Arc<Closing>,
+    limits: impl Fn() -> Limits,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let closing = Arc::clone(&closing);
+                smol::spawn(serve(stream, closing, limits(), handle.clone())).detach();
+            }
+            Err(error) => {
+                // Out of descriptors, most likely; others will be closed soon.
+                tracing::warn!(%error, "serve: A connection was not accepted.");
+                smol::Timer::after(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve<H, F, B>(stream: TcpStream, closing: Arc<Closing>, limits: Limits, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    if let Err(error) = crate::net::connect::prepare(&stream) {
+        tracing::debug!(%error, "serve: A connection has the system's own options.");
+    }
+    closing.open.fetch_add(1, Ordering::SeqCst);
+    let service = service_fn(move |request| {
+        let answering = handle(request);
+        async move { Ok::<_, Infallible>(answering.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_ms))
+        .max_buf_size(limits.header_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(FuturesIo::new(stream), service);
+    pin!(connection);
+    let told_to_close = async {
+        closing.wait().await;
+        None
+    };
+    let ended = async { Some(connection.as_mut().await) }.or(told_to_close).await;
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(%error, "serve: A connection ended early.");
+    }
+    closing.open.fetch_sub(1, Ordering::SeqCst);
+}
--- /dev/null
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -0,0 +1,338 @@
+//! Streams: events are passed on as they come, and only whole ones.
+//!
+//! The head of the answer leaves with the first event, so a send that fails
+//! before can be followed by another. A stream that breaks later goes on at
+//! another endpoint behind the last event that was passed on, if its route
+//! allows that; otherwise its connection is closed without an end.
+
+use crate::traffic::{
+    answer::{Broken, Failure, RETRY_SOON_MS, whole},
+    attempt::{self, Attempt, Unanswered, WholeAnswer},
+    events::EventBuffer,
+    plain::Outcome,
+    report::{self, Ended},
+    select::{self, Taken},
+    task::Task,
+};
+use bytes::Bytes;
+use futures_lite::{FutureExt, stream};
+use http::{Response, StatusCode, header, response::Parts};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use smol::Timer;
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use trestle_core::names::EndpointName;
+
+/// Objectives within which the first event must come before another endpoint is tried.
+const FIRST_EVENT_OBJECTIVES: u64 = 2;
+/// Pauses within which the next event must come before another endpoint is tried.
+const STALLED_PAUSES: u64 = 4;
+
+/// Sees a stream through to its first event; the rest goes on in the body.
+pub(crate) async fn run(task: &Arc<Task>) -> Outcome {
+    let mut flow = Flow::new(task);
+    let opened = flow.open().await;
+    let (endpoint, sends) = (flow.last.clone(), flow.sends);
+    let is_stream = matches!(opened, Ok(Opened::Events(..)));
+    let response = match opened {
+        Ok(Opened::Events(parts, first)) => {
+            task.daemon.metrics.first(&task.route.name, task.elapsed_ms());
+            let running = Running { flow, first: Some(first), end: None };
+            let body = StreamBody::new(stream::unfold(running, Running::next)).boxed_unsync();
+            Ok(Response::from_parts(*parts, body))
+        }
+        Ok(Opened::Whole(answer)) => Ok(answer.response.map(whole)),
+        Err(failure) => Err(failure),
+    };
+    Outcome { response, endpoint, sends, is_stream }
+}
+
+enum Opened {
+    /// The first events, and the head that goes before them.
+    Events(Box<Parts>, Bytes),
+    /// An answer that is no stream of events.
+    Whole(WholeAnswer),
+}
+
+/// What the body of a stream brings next.
+enum Step {
+    Events(Bytes),
+    End,
+    Broken(String),
+}
+
+/// One stream on its way.
+struct Flow {
+    task: Arc<Task>,
+    sends: u32,
+    last: Option<String>,
+    tried: BTreeSet<EndpointName>,
+    may_have_run: bool,
+    failed_answer: Option<WholeAnswer>,
+    buffer: EventBuffer,
+    source: Option<Source>,
+}
+
+/// Where the events of a stream come from now.
+struct Source {
+    taken: Taken,
+    connection: crate::net::pool::Connection,
+    body: Incoming,
+    idle_ms: Option<u64>,
+}
+
+impl Flow {
+    fn new(task: &Arc<Task>) -> Self {
+        Self {
+            task: Arc::clone(task),
+            sends: 0,
+            last: None,
+            tried: BTreeSet::new(),
+            may_have_run: false,
+            failed_answer: None,
+            buffer: EventBuffer::after(task.head.last_event_id),
+            source: None,
+        }
+    }
+
+    /// Sends until a first event has come, or an answer that is none.
+    async fn open(&mut self) -> Result<Opened, Failure> {
+        loop {
+            let attempt = match self.send().await {
+                Ok(attempt) => attempt,
+                Err(Some(failure)) => return self.give_up(failure),
+                Err(None) => continue,
+            };
+            if attempt.response.status() != StatusCode::OK {
+                match attempt.whole(&self.task, self.task.left_ms()).await {
+                    Ok(answer) if !self.is_resumable() => return Ok(Opened::Whole(answer)),
+                    Ok(answer) => self.failed_answer = Some(answer),
+                    Err(_) if !self.is_resumable() => return self.give_up(Failure::MayHaveRun),
+                    Err(_) => {}
+                }
+                self.may_have_run = true;
+                continue;
+            }
+            let parts = self.begin(attempt);
+            match self.step(self.first_event_ms()).await {
+                Step::Events(first) => return Ok(Opened::Events(Box::new(parts), first)),
+                Step::End => return Ok(Opened::Events(Box::new(parts), Bytes::new())),
+                Step::Broken(reason) => {
+                    self.note_broken(&reason);
+                    if !self.is_resumable() {
+                        return self.give_up(Failure::MayHaveRun);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Goes on at another endpoint; returns whether that was possible.
+    async fn resume(&mut self) -> bool {
+        loop {
+            match self.send().await {
+                Ok(attempt) if attempt.response.status() == StatusCode::OK => {
+                    self.begin(attempt);
+                    return true;
+                }
+                Ok(_) | Err(Some(_)) => return false,
+                Err(None) => {}
+            }
+        }
+    }
+
+    /// One send. `Err(None)` means that another may follow.
+    async fn send(&mut self) -> Result<Attempt, Option<Failure>> {
+        if self.task.is_over() {
+            return Err(Some(Failure::OutOfTime));
+        }
+        let taken = self.take_endpoint().await.map_err(Some)?;
+        if self.sends > 0 && !self.may_send_again() {
+            return Err(Some(Failure::NotRun { retry_after_ms: RETRY_SOON_MS }));
+        }
+        self.tried.insert(taken.endpoint.name.clone());
+        self.last = Some(taken.endpoint.name.to_string());
+        self.task.daemon.metrics.send(self.sends == 0);
+        self.sends += 1;
+        let (last_event_id, timeout_ms) = (self.buffer.last_id(), self.first_event_ms());
+        match attempt::send(&self.task, taken, last_event_id, timeout_ms).await {
+            Ok(attempt) => Ok(attempt),
+            Err(unanswered) => {
+                self.may_have_run |= unanswered.may_have_run();
+                let is_final =
+                    matches!(unanswered, Unanswered::MayHaveRun(_)) && !self.is_resumable();
+                Err(is_final.then_some(Failure::MayHaveRun))
+            }
+        }
+    }
+
+    async fn take_endpoint(&self) -> Result<Taken, Failure> {
+        let taken = select::select(&self.task, &self.tried).await;
+        if taken.is_err() && self.may_have_run && self.is_resumable() {
+            // The only endpoint with the model may be sound all the same.
+            return select::select(&self.task, &BTreeSet::new()).await;
+        }
+        taken
+    }
+
+    /// Takes the head of a stream; its events are read by [`Self::step`].
+    fn begin(&mut self, attempt: Attempt) -> Parts {
+        let (mut parts, body) = attempt.response.into_parts();
+        (self.task.daemon.wire.head.forward_answer)(&mut parts.headers);
+        parts.headers.remove(header::CONTENT_LENGTH);
+        self.source = Some(Source {
+            taken: attempt.taken,
+            connection: attempt.connection,
+            body,
+            idle_ms: attempt.head.idle_ms,
+        });
+        parts
+    }
+
+    /// The next whole events, within a time.
+    async fn step(&mut self, timeout_ms: u64) -> Step {
+        loop {
+            if let Some(events) = self.buffer.take_whole() {
+                return Step::Events(events);
+            }
+            let Some(source) = &mut self.source else {
+                return Step::Broken("there is no source".to_owned());
+            };
+            let timed_out = async {
+                Timer::after(Duration::from_millis(timeout_ms)).await;
+                Some(Err(format!("no event within {timeout_ms} ms")))
+            };
+            let frame = async {
+                let frame = source.body.frame().await?;
+                Some(frame.map_err(|error| error.to_string()))
+            };
+            match frame.or(timed_out).await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.push(&data);
+                    }
+                }
+                Some(Err(reason)) => return Step::Broken(reason),
+                None if self.buffer.is_torn() => {
+                    return Step::Broken("it ended in the middle of an event".to_owned());
+                }
+                None => return self.end(),
+            }
+        }
+    }
+
+    fn end(&mut self) -> Step {
+        if let Some(source) = self.source.take() {
+            let daemon = &self.task.daemon;
+            let name = &source.taken.endpoint.name;
+            daemon.knowledge.with(|beliefs| beliefs.records.succeeded(name));
+            daemon.pool.keep(name, source.connection, source.idle_ms);
+        }
+        Step::End
+    }
+
+    fn note_broken(&mut self, reason: &str) {
+        self.may_have_run = true;
+        self.buffer.drop_torn();
+        let Some(source) = self.source.take() else { return };
+        let name = &source.taken.endpoint.name;
+        let daemon = &self.task.daemon;
+        let now_ms = daemon.knowledge.now_ms();
+        daemon.knowledge.with(|beliefs| beliefs.records.failed(name, now_ms));
+        tracing::info!(
+            id = self.task.head.id, endpoint = %name, reason, last_id = self.buffer.last_id(),
+            elapsed_ms = self.task.elapsed_ms(), "request: A stream broke."
+        );
+    }
+
+    /// What the caller gets where no more sends follow.
+    fn give_up(&mut self, failure: Failure) -> Result<Opened, Failure> {
+        match self.failed_answer.take() {
+            // An endpoint's own failure says more than one of ours.
+            Some(answer) => Ok(Opened::Whole(answer)),
+            None if self.may_have_run && self.task.is_over() => Err(Failure::OutOfTime),
+            None if self.may_have_run => Err(Failure::MayHaveRun),
+            None if failure == Failure::OutOfTime => {
+                Err(Failure::NotRun { retry_after_ms: RETRY_SOON_MS })
+            }
+            None => Err(failure),
+        }
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.task.route.is_idempotent()
+    }
+
+    fn has_sends_left(&self) -> bool {
+        self.sends < self.task.route.attempts
+    }
+
+    fn may_send_again(&self) -> bool {
+        let now_ms = self.task.daemon.knowledge.now_ms();
+        let service = &self.task.service;
+        self.has_sends_left()
+            && self.task.daemon.knowledge.with(|beliefs| beliefs.take_retry(service, now_ms))
+    }
+
+    fn first_event_ms(&self) -> u64 {
+        let left_ms = self.task.left_ms();
+        match self.is_resumable() && self.has_sends_left() {
+            true => (FIRST_EVENT_OBJECTIVES * self.task.route.objective_ms).min(left_ms),
+            false => left_ms,
+        }
+    }
+
+    fn next_event_ms(&self) -> u64 {
+        let left_ms = self.task.left_ms();
+        match self.is_resumable() && self.has_sends_left() {
+            true => (STALLED_PAUSES * self.task.route.pause_ms).min(left_ms),
+            false => left_ms,
+        }
+    }
+}
+
+/// A stream whose first events have come.
+struct Running {
+    flow: Flow,
+    first: Option<Bytes>,
+    end: Option<Ended>,
+}
+
+impl Running {
+    /// The next part of the body.
+    async fn next(mut self) -> Option<(Result<Frame<Bytes>, Broken>, Self)> {
+        if self.end.is_some() {
+            return None;
+        }
+        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+            return Some((Ok(Frame::data(first)), self));
+        }
+        loop {
+            match self.flow.step(self.flow.next_event_ms()).await {
+                Step::Events(events) => return Some((Ok(Frame::data(events)), self)),
+                Step::End => {
+                    self.end = Some(Ended::Whole);
+                    return None;
+                }
+                Step::Broken(reason) => {
+                    self.flow.note_broken(&reason);
+                    let may_resume = self.flow.is_resumable() && !self.flow.task.is_over();
+                    if !(may_resume && self.flow.resume().await) {
+                        let is_over = self.flow.task.is_over();
+                        self.end = Some(if is_over { Ended::OutOfTime } else { Ended::Broken });
+                        return Some((Err(reason.into()), self));
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let flow = &self.flow;
+        let end = self.end.unwrap_or(Ended::CallerLeft);
+        report::ended(&flow.task, end, flow.last.as_deref(), flow.sends, flow.buffer.last_id());
+    }
+}
--- /dev/null
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -0,0 +1,72 @@
+//! One request on its way.
+
+use crate::daemon::Daemon;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri};
+use http_body_util::Full;
+use std::sync::Arc;
+use trestle_core::names::ServiceName;
+use trestle_dispatch::{
+    endpoint::Endpoint,
+    request::{Forwarded, RequestHead},
+    route::Route,
+};
+
+/// Most urgent and least urgent value that an endpoint takes.
+const PRIORITIES: (u8, u8) = (0, 9);
+
+/// One request on its way.
+#[derive(Debug)]
+pub(crate) struct Task {
+    pub(crate) daemon: Arc<Daemon>,
+    pub(crate) route: Route,
+    pub(crate) service: ServiceName,
+    pub(crate) head: RequestHead,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) arrived_ms: u64,
+    /// Time from the arrival until the final answer is due.
+    pub(crate) allowed_ms: u64,
+    /// The configuration under which it was routed.
+    pub(crate) config_version: u64,
+}
+
+impl Task {
+    /// Time since its arrival.
+    pub(crate) fn elapsed_ms(&self) -> u64 {
+        self.daemon.knowledge.now_ms().saturating_sub(self.arrived_ms)
+    }
+
+    /// Time that is left until its final answer is due.
+    pub(crate) fn left_ms(&self) -> u64 {
+        self.allowed_ms.saturating_sub(self.elapsed_ms())
+    }
+
+    /// Whether its final answer is due.
+    pub(crate) fn is_over(&self) -> bool {
+        self.left_ms() == 0
+    }
+
+    /// The request as an endpoint gets it.
+    pub(crate) fn request(
+        &self,
+        endpoint: &Endpoint,
+        last_event_id: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let mut headers = self.headers.clone();
+        let forwarded = Forwarded {
+            endpoint: &endpoint.name,
+            deadline_ms: self.left_ms(),
+            priority: self.route.priority.clamp(PRIORITIES.0, PRIORITIES.1),
+            last_event_id,
+        };
+        (self.daemon.wire.head.forward_request)(&mut headers, &forwarded);
+        *request.headers_mut() = headers;
+        request
+    }
+}
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`table`] and [`row`]: the platform's table.
 //! - [`order`]: orders to engines, and their reports.
 //! - [`peer`]: what daemons ask each other.
+//! - [`replicas`]: what daemons and the giver of orders tell each other.
 //! - [`claim`]: calls that may not be repeated.
 //! - [`admin`]: what operators ask a daemon.
 //! - [`habits`]: what is kept of the times at which models are used.
@@ -19,6 +20,7 @@
 pub mod headers;
 pub mod order;
 pub mod peer;
+pub mod replicas;
 pub mod row;
 pub mod table;
 
--- /dev/null
+++ b/crates/trestle-wire/src/replicas.rs
@@ -0,0 +1,242 @@
+//! What daemons and the giver of orders tell each other.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
+use trestle_dispatch::{
+    demand::{DemandDigest, Waiting},
+    lease::LeaseRow,
+    replicas::{EngineNote, ReplicaView},
+};
+
+/// The service between daemons and the giver of orders.
+#[tarpc::service]
+pub trait Replicas {
+    /// Tells what callers ask for, and learns where models are.
+    async fn sync(vm: String, digests: Vec<WireDigest>) -> WireSynced;
+}
+
+/// What the giver of orders answers.
+#[trestle_macros::wire]
+pub struct WireSynced {
+    /// The lease as it last wrote it, with the version of the row.
+    pub lease: Option<(WireLease, u64)>,
+    /// Whether it holds the lease.
+    pub is_giver: bool,
+    /// What it knows, by service.
+    pub views: BTreeMap<String, WireView>,
+}
+
+/// The lease on giving orders, as the store's row holds it.
+#[trestle_macros::wire]
+pub struct WireLease {
+    /// The machine that holds it.
+    pub holder: String,
+    /// Where its daemon answers others.
+    pub address: SocketAddr,
+    /// The start of that daemon.
+    pub incarnation: u64,
+    /// The fencing number.
+    pub token: u64,
+    /// Renewals of this holder.
+    pub renewals: u64,
+    /// Whether it has been given up.
+    pub is_released: bool,
+}
+
+/// What one daemon tells of one service.
+#[trestle_macros::wire]
+pub struct WireDigest {
+    /// The service.
+    pub service: String,
+    /// Requests that arrived, by model.
+    pub arrivals: Vec<(String, u32)>,
+    /// Requests that wait.
+    pub waiting: Vec<WireWaiting>,
+    /// Requests that run, by engine and model.
+    pub running: Vec<(String, Vec<(String, u32)>)>,
+    /// Adapters in use, by engine, with their models.
+    pub adapters: Vec<(String, Vec<(String, String)>)>,
+}
+
+/// Requests that wait for the same thing.
+#[trestle_macros::wire]
+pub struct WireWaiting {
+    /// Urgency; 0 goes first.
+    pub priority: u8,
+    /// Time until the first of them is no longer on time.
+    pub due_in_ms: u64,
+    /// The model.
+    pub model: String,
+    /// The adapter.
+    pub adapter: Option<String>,
+    /// How many.
+    pub count: u32,
+}
+
+/// What the giver of orders knows of one service.
+#[trestle_macros::wire]
+pub struct WireView {
+    /// By engine.
+    pub engines: Vec<(String, WireNote)>,
+    /// When models will be ready.
+    pub ready_in_ms: Vec<(String, u64)>,
+    /// Daemons that told something lately.
+    pub daemons: usize,
+}
+
+/// What the giver of orders knows of one engine.
+#[trestle_macros::wire]
+pub struct WireNote {
+    /// Models that are going.
+    pub retiring: Vec<String>,
+    /// Models that have arrived.
+    pub arrived: Vec<String>,
+    /// Adapters that are there, with their models.
+    pub adapters: Vec<(String, String)>,
+    /// Requests that run there.
+    pub running: u32,
+}
+
+impl From<&LeaseRow> for WireLease {
+    fn from(row: &LeaseRow) -> Self {
+        Self {
+            holder: row.holder.clone(),
+            address: row.address,
+            incarnation: row.incarnation,
+            token: row.token,
+            renewals: row.renewals,
+            is_released: row.is_released,
+        }
+    }
+}
+
+impl From<WireLease> for LeaseRow {
+    fn from(wire: WireLease) -> Self {
+        Self {
+            holder: wire.holder,
+            address: wire.address,
+            incarnation: wire.incarnation,
+            token: wire.token,
+            renewals: wire.renewals,
+            is_released: wire.is_released,
+        }
+    }
+}
+
+impl WireDigest {
+    /// The wire form of what one daemon tells of a service.
+    pub fn new(service: &ServiceName, digest: DemandDigest) -> Self {
+        let running = digest.running.into_iter().map(|(endpoint, models)| {
+            (endpoint.to_string(), models.into_iter().map(|(m, n)| (m.to_string(), n)).collect())
+        });
+        let adapters = digest
+            .adapters_in_use
+            .into_iter()
+            .map(|(endpoint, keys)| (endpoint.to_string(), to_pairs(keys)));
+        Self {
+            service: service.to_string(),
+            arrivals: digest.arrivals.into_iter().map(|(m, n)| (m.to_string(), n)).collect(),
+            waiting: digest.waiting.into_iter().map(WireWaiting::from).collect(),
+            running: running.collect(),
+            adapters: adapters.collect(),
+        }
+    }
+}
+
+impl From<WireDigest> for (ServiceName, DemandDigest) {
+    fn from(wire: WireDigest) -> Self {
+        let running = wire.running.into_iter().map(|(endpoint, models)| {
+            let models = models.into_iter().map(|(m, n)| (ModelName::from(m), n)).collect();
+            (EndpointName::from(endpoint), models)
+        });
+        let adapters = wire
+            .adapters
+            .into_iter()
+            .map(|(endpoint, keys)| (EndpointName::from(endpoint), from_pairs(keys)));
+        let digest = DemandDigest {
+            arrivals: wire.arrivals.into_iter().map(|(m, n)| (ModelName::from(m), n)).collect(),
+            waiting: wire.waiting.into_iter().map(Waiting::from).collect(),
+            running: running.collect(),
+            adapters_in_use: adapters.collect(),
+        };
+        (wire.service.into(), digest)
+    }
+}
+
+impl From<Waiting> for WireWaiting {
+    fn from(waiting: Waiting) -> Self {
+        Self {
+            priority: waiting.priority,
+            due_in_ms: waiting.due_in_ms,
+            model: waiting.model.to_string(),
+            adapter: waiting.adapter.map(|adapter| adapter.to_string()),
+            count: waiting.count,
+        }
+    }
+}
+
+impl From<WireWaiting> for Waiting {
+    fn from(wire: WireWaiting) -> Self {
+        Self {
+            priority: wire.priority,
+            due_in_ms: wire.due_in_ms,
+            model: wire.model.into(),
+            adapter: wire.adapter.map(AdapterName::from),
+            count: wire.count,
+        }
+    }
+}
+
+impl From<&ReplicaView> for WireView {
+    fn from(view: &ReplicaView) -> Self {
+        let engines =
+            view.engines.iter().map(|(name, note)| (name.to_string(), WireNote::from(note)));
+        Self {
+            engines: engines.collect(),
+            ready_in_ms: view.ready_in_ms.iter().map(|(m, ms)| (m.to_string(), *ms)).collect(),
+            daemons: view.daemons,
+        }
+    }
+}
+
+impl From<WireView> for ReplicaView {
+    fn from(wire: WireView) -> Self {
+        let engines = wire.engines.into_iter().map(|(name, note)| (name.into(), note.into()));
+        let ready = wire.ready_in_ms.into_iter();
+        Self {
+            engines: engines.collect(),
+            ready_in_ms: ready.map(|(model, ms)| (ModelName::from(model), ms)).collect(),
+            daemons: wire.daemons,
+        }
+    }
+}
+
+impl From<&EngineNote> for WireNote {
+    fn from(note: &EngineNote) -> Self {
+        Self {
+            retiring: note.retiring.iter().map(ToString::to_string).collect(),
+            arrived: note.arrived.iter().map(ToString::to_string).collect(),
+            adapters: to_pairs(note.adapters.iter().cloned()),
+            running: note.running,
+        }
+    }
+}
+
+impl From<WireNote> for EngineNote {
+    fn from(wire: WireNote) -> Self {
+        Self {
+            retiring: wire.retiring.into_iter().map(ModelName::from).collect(),
+            arrived: wire.arrived.into_iter().map(ModelName::from).collect(),
+            adapters: from_pairs(wire.adapters),
+            running: wire.running,
+        }
+    }
+}
+
+fn to_pairs(keys: impl IntoIterator<Item = (ModelName, AdapterName)>) -> Vec<(String, String)> {
+    keys.into_iter().map(|(model, adapter)| (model.to_string(), adapter.to_string())).collect()
+}
+
+fn from_pairs<C: FromIterator<(ModelName, AdapterName)>>(keys: Vec<(String, String)>) -> C {
+    keys.into_iter().map(|(model, adapter)| (model.into(), adapter.into())).collect()
+}
--- a/crates/trestled/src/args.rs
+++ b/crates/trestled/src/args.rs
@@ -3,7 +3,7 @@
 use crate::error::{ArgsSnafu, ConfigSnafu, Result};
 use snafu::ResultExt;
 use std::path::PathBuf;
-use trestle_config::{read_settings, settings::Settings};
+use trestle_config::{SettingsFile, read_settings};
 
 const HELP: &str = "\
 trestled: the daemon of trestlestile, one on each entry VM
@@ -42,7 +42,7 @@
     }
 
     /// The settings that the file holds.
-    pub(crate) fn settings(&self) -> Result<Settings> {
+    pub(crate) fn settings(&self) -> Result<SettingsFile> {
         read_settings(&self.settings_path).context(ConfigSnafu)
     }
 }
--- a/crates/trestled/src/error.rs
+++ b/crates/trestled/src/error.rs
@@ -22,6 +22,8 @@
     Thread { source: io::Error },
     #[snafu(display("metrics cannot be set up: {source}"))]
     Metrics { source: opentelemetry_sdk::error::OTelSdkError },
+    #[snafu(display("{source}"))]
+    Entry { source: trestle_entry::Error },
     #[snafu(display("signals cannot be received: {source}"))]
     Signals { source: io::Error },
 }
--- a/crates/trestled/src/main.rs
+++ b/crates/trestled/src/main.rs
@@ -29,10 +29,17 @@
 mod shell;
 mod status;
 mod stop;
+mod surroundings;
 mod vms_watch;
 
-use crate::{args::Args, daemon::Daemon, error::Result};
+use crate::{
+    args::Args,
+    daemon::Daemon,
+    error::{EntrySnafu, Result},
+};
+use snafu::ResultExt;
 use std::{process::ExitCode, sync::Arc};
+use trestle_config::{SettingsFile, settings::Settings};
 
 fn main() -> ExitCode {
     match run() {
@@ -51,6 +58,16 @@
         println!("{}: settings are in order", args.settings_path.display());
         return Ok(());
     }
+    match settings {
+        SettingsFile::Own(settings) => run_own(settings),
+        SettingsFile::Entry(settings) => {
+            let wire = surroundings::platform();
+            trestle_entry::run(settings, args.settings_path, wire).context(EntrySnafu)
+        }
+    }
+}
+
+fn run_own(settings: Settings) -> Result<()> {
     logs::init(&settings.log)?;
     let (daemon, control) = Daemon::new(settings)?;
     control::start(Arc::clone(&daemon), control)?;
--- /dev/null
+++ b/crates/trestled/src/surroundings.rs
@@ -0,0 +1,36 @@
+//! The surroundings that a daemon with an outside store can be given.
+
+use trestle_entry::wire::{EndpointWire, HeadWire, StoreWire, Wire};
+use trestle_platform::{READINESS_PATH, configuration, endpoint, head, order, store};
+
+/// The users' platform.
+pub(crate) fn platform() -> Wire {
+    Wire {
+        store: StoreWire {
+            config_row: (configuration::TABLE, configuration::KEY),
+            endpoint_table: endpoint::TABLE,
+            read_call: store::read_call,
+            read_answer: |status, body| Ok(store::read_answer(status, body)?),
+            follow_call: store::follow_call,
+            follow_answer: |status, body| Ok(store::follow_answer(status, body)?),
+            write_call: store::write_call,
+            write_answer: store::write_answer,
+            read_config: |text| Ok(configuration::read(text)?),
+            read_endpoint: |name, text| Ok(endpoint::read_entry(name, text)?),
+        },
+        endpoint: EndpointWire {
+            report_call: endpoint::report_call,
+            report_answer: |status, body| Ok(endpoint::report_answer(status, body)?),
+            order_call: order::call,
+            order_answer: order::answer,
+        },
+        head: HeadWire {
+            read_request: head::read_request,
+            forward_request: head::forward_request,
+            read_answer: head::read_answer,
+            forward_answer: head::forward_answer,
+            own_answer: head::own_answer,
+        },
+        readiness_path: READINESS_PATH,
+    }
+}
