Know an engine's order count, its room and its adapters

An entry's number counts the messages by which an engine enters itself, not its orders (one name, two meanings), so a book with true counts was overwritten by old entries; an order that is already fulfilled does not count; adapters that were there were ordered again and again; and a new giver took adapters from entries, which engines do not renew for them.

Ruled out: two givers at once (one lease at a time in the logs), late orders.

Change: chains check each load against what the engine holds and its room, tell whether a load is done by giving the same order again (the engine answers at once; reports are 200 ms old), and books follow entries only where they differ for longer than entries take.

--- a/crates/trestle-dispatch/src/catalog.rs
+++ b/crates/trestle-dispatch/src/catalog.rs
@@ -1,7 +1,7 @@
 //! The operators' configuration, as decisions use it.
 
-use crate::route::RouteTable;
-use std::collections::BTreeMap;
+use crate::{orders::Held, route::RouteTable};
+use std::{collections::BTreeMap, sync::Arc};
 use trestle_core::names::{ModelName, ServiceName};
 
 /// One version of the configuration.
@@ -37,7 +37,7 @@
     /// Connections that each of its endpoints takes from all callers together.
     pub max_connections: u32,
     /// What its engines can hold; none for a plain service.
-    pub engine: Option<EngineSpec>,
+    pub engine: Option<Arc<EngineSpec>>,
 }
 
 /// What each engine of a service can hold.
@@ -72,3 +72,26 @@
     /// Time of a load from the engine's memory.
     pub memory_load_ms: u64,
 }
+
+impl EngineSpec {
+    /// Memory for the weights of a model.
+    ///
+    /// A model that left the configuration counts as if it filled an engine, so that
+    /// nothing is loaded beside it.
+    pub fn weights_mb(&self, model: &ModelName) -> u64 {
+        self.models.get(model).map_or(self.memory_mb, |spec| spec.weights_mb)
+    }
+
+    /// Memory for one adapter of a model.
+    pub fn adapter_mb(&self, model: &ModelName) -> u64 {
+        self.models.get(model).map_or(0, |spec| spec.adapter_mb)
+    }
+
+    /// Memory for everything that an engine holds.
+    pub fn held_mb(&self, held: &Held) -> u64 {
+        let each = held.iter().map(|(model, adapters)| {
+            self.weights_mb(model) + adapters.len() as u64 * self.adapter_mb(model)
+        });
+        each.sum()
+    }
+}
--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -36,7 +36,7 @@
         }
         endpoint.is_leaving |= self.leaving.contains(&endpoint.name);
         if let Some(known) = self.endpoints.get(&endpoint.name)
-            && known.order_count > endpoint.order_count
+            && known.entry_number > endpoint.entry_number
         {
             // An older message that arrived late: only its news of leaving counts.
             let is_leaving = endpoint.is_leaving;
--- a/crates/trestle-dispatch/src/endpoint.rs
+++ b/crates/trestle-dispatch/src/endpoint.rs
@@ -23,8 +23,8 @@
     pub slots: u32,
     /// Whether it is leaving and must get no new work.
     pub is_leaving: bool,
-    /// Orders that it has accepted since its start.
-    pub order_count: u64,
+    /// Number of the message by which it entered this; later ones are higher.
+    pub entry_number: u64,
     /// Models that it holds, with their adapters.
     pub held: BTreeMap<ModelName, BTreeSet<AdapterName>>,
     /// Models with a copy in the memory of its host, which load fastest.
--- a/crates/trestle-dispatch/src/orders.rs
+++ b/crates/trestle-dispatch/src/orders.rs
@@ -4,19 +4,33 @@
 //! another count. Every order here names the count it expects, so an order that
 //! got no answer cannot take effect after a later one: the same order is sent
 //! again with the same count, and whichever arrives second is refused.
+//!
+//! Reports of engines are some hundred ms old, so they are asked for only where
+//! the count is not known. Whether a load is done is asked by giving the same
+//! order again: the engine says at once that it is fulfilled.
 
-use crate::endpoint::EngineReport;
-use std::collections::{BTreeMap, BTreeSet};
+use crate::{catalog::EngineSpec, endpoint::EngineReport};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 use trestle_core::names::{AdapterName, ModelName};
 
-/// Pause before an order is sent again while the engine is carrying one out.
-const BUSY_PAUSE_MS: u64 = 110;
+/// Pause before an order is sent again while the engine carries out an unload.
+const BUSY_PAUSE_MS: u64 = 70;
+/// The same while it carries out a load that should be done.
+const SETTLE_PAUSE_MS: u64 = 50;
 /// Pause before an order is sent again that got no answer.
 const UNANSWERED_PAUSE_MS: u64 = 100;
-/// Pause between two looks at an engine's report; it is some 200 ms old anyway.
+/// Pause between two looks at an engine's report.
 const REPORT_PAUSE_MS: u64 = 100;
+/// Age that a report may have; one that came this long after the last accepted
+/// order tells the count truly.
+const REPORT_AGE_MS: u64 = 600;
 /// Sends of one order without an answer after which the change is given up.
 const MOST_UNANSWERED: u32 = 6;
+/// Refusals in a row after which the engine's report is looked at.
+const CONFLICTS_BEFORE_LOOK: u32 = 6;
 
 /// One order.
 #[trestle_macros::plain]
@@ -83,75 +97,85 @@
 /// The orders of one change at one engine.
 #[derive(Debug)]
 pub struct OrderChain {
+    spec: Arc<EngineSpec>,
     steps: Vec<Order>,
     at: usize,
-    held: BTreeMap<ModelName, BTreeSet<AdapterName>>,
-    order_count: Option<u64>,
-    /// Whether the last step was accepted and must still be seen in a report.
+    held: Held,
+    order_count: u64,
+    /// Whether the count is certain enough to give an order by it.
+    is_counted: bool,
+    /// Whether the last step was accepted, and must still be seen to be fulfilled.
     is_settling: bool,
-    must_look: bool,
+    /// Time that the load of the last step should take.
+    load_ms: u64,
+    accepted_ms: u64,
     unanswered: u32,
+    conflicts: u32,
     not_before_ms: u64,
     failure: Option<Failure>,
 }
 
+/// Models and adapters that an engine holds.
+pub type Held = BTreeMap<ModelName, BTreeSet<AdapterName>>;
+
 impl OrderChain {
     /// A change of an engine that holds this, if it has accepted that many orders.
     ///
-    /// Without a count the engine is asked first.
+    /// Without a count the engine is asked first. `load_ms` is the time that the
+    /// load at the end of the change should take.
     pub fn new(
+        spec: Arc<EngineSpec>,
         steps: Vec<Order>,
-        held: BTreeMap<ModelName, BTreeSet<AdapterName>>,
+        held: Held,
         order_count: Option<u64>,
+        load_ms: u64,
     ) -> Self {
-        Self {
+        let mut chain = Self {
+            spec,
             steps,
             at: 0,
             held,
-            must_look: order_count.is_none(),
-            order_count,
+            order_count: order_count.unwrap_or_default(),
+            is_counted: order_count.is_some(),
             is_settling: false,
+            load_ms,
+            accepted_ms: 0,
             unanswered: 0,
+            conflicts: 0,
             not_before_ms: 0,
             failure: None,
+        };
+        if chain.is_counted {
+            chain.check_room();
         }
+        chain
     }
 
     /// What to do, and not before when.
     pub fn next(&self) -> (Next, u64) {
-        let next = match (self.failure, self.steps.get(self.at), self.order_count) {
-            (Some(failure), ..) => Next::Failed(failure),
-            (None, None, Some(_)) if !self.is_settling && !self.must_look => Next::Done,
-            (None, Some(step), Some(count)) if !self.must_look && !self.is_settling => {
-                Next::Send(step.clone(), count)
-            }
-            _ => Next::Report,
+        let step = if self.is_settling { self.at.checked_sub(1) } else { Some(self.at) };
+        let step = step.and_then(|at| self.steps.get(at));
+        let next = match (self.failure, step) {
+            (Some(failure), _) => Next::Failed(failure),
+            (None, _) if !self.is_counted => Next::Report,
+            (None, None) => Next::Done,
+            (None, Some(step)) => Next::Send(step.clone(), self.order_count),
         };
         (next, self.not_before_ms)
     }
 
     /// Takes the answer to the order that was sent last.
     pub fn answered(&mut self, answer: OrderAnswer, now_ms: u64) {
+        if answer != OrderAnswer::Unknown {
+            self.unanswered = 0;
+        }
         match answer {
-            OrderAnswer::Accepted => {
-                self.accept(now_ms);
-                // A model takes its time to arrive; what it displaces is refused by the
-                // engine until then, so only the last step needs to be seen.
-                let is_model = matches!(self.steps.get(self.at - 1), Some(Order::LoadModel(_)));
-                self.is_settling = is_model && self.at == self.steps.len();
-            }
-            OrderAnswer::Fulfilled => self.accept(now_ms),
-            OrderAnswer::Conflict => {
-                self.unanswered = 0;
-                self.must_look = true;
-                self.not_before_ms = now_ms;
-            }
+            OrderAnswer::Accepted => self.accepted(now_ms),
+            OrderAnswer::Fulfilled => self.fulfilled(now_ms),
+            OrderAnswer::Conflict => self.refused(now_ms),
             OrderAnswer::Unknown => {
-                self.unanswered += 1;
                 self.not_before_ms = now_ms + UNANSWERED_PAUSE_MS;
-                if self.unanswered >= MOST_UNANSWERED {
-                    self.failure = Some(Failure::Silent);
-                }
+                self.count_unanswered();
             }
             OrderAnswer::Fenced => self.failure = Some(Failure::Fenced),
             OrderAnswer::Replaced => self.failure = Some(Failure::Replaced),
@@ -163,51 +187,37 @@
     pub fn reported(&mut self, report: Option<&EngineReport>, now_ms: u64) {
         self.not_before_ms = now_ms + REPORT_PAUSE_MS;
         let Some(report) = report else {
-            self.unanswered += 1;
-            if self.unanswered >= MOST_UNANSWERED {
-                self.failure = Some(Failure::Silent);
-            }
+            self.count_unanswered();
             return;
         };
         self.unanswered = 0;
-        let is_stale = self.order_count.is_some_and(|count| report.order_count < count);
-        if is_stale {
+        let may_be_old = now_ms < self.accepted_ms + REPORT_AGE_MS && self.accepted_ms > 0;
+        if (may_be_old && report.order_count < self.order_count) || report.is_busy {
             return;
         }
-        if self.is_settling {
-            let is_settled = self.at > 0 && holds(&self.steps[self.at - 1], &report.held);
-            self.is_settling = !is_settled;
-            if !is_settled && !report.is_busy {
-                self.failure = Some(Failure::Changed);
-            }
-            return;
-        }
-        let is_first = self.order_count.is_none();
-        self.order_count = Some(report.order_count);
-        if report.is_busy {
-            self.not_before_ms = now_ms + BUSY_PAUSE_MS;
-            self.must_look = true;
-            return;
-        }
-        self.must_look = false;
         self.not_before_ms = now_ms;
+        self.is_counted = true;
+        self.is_settling = false;
+        self.conflicts = 0;
+        self.order_count = report.order_count;
         self.held.clone_from(&report.held);
-        while self.steps.get(self.at).is_some_and(|step| holds(step, &report.held)) {
+        while self.steps.get(self.at).is_some_and(|step| holds(step, &self.held)) {
             self.at += 1;
         }
-        if is_first && !self.fits() {
+        if self.steps[..self.at].iter().any(|step| !holds(step, &self.held)) {
             self.failure = Some(Failure::Changed);
         }
+        self.check_room();
     }
 
     /// What the engine holds once everything accepted so far is carried out.
-    pub fn held(&self) -> &BTreeMap<ModelName, BTreeSet<AdapterName>> {
+    pub fn held(&self) -> &Held {
         &self.held
     }
 
     /// Orders that the engine has accepted, if that is certain.
     pub fn order_count(&self) -> Option<u64> {
-        self.order_count.filter(|_| self.unanswered == 0 && !self.must_look)
+        (self.is_counted && self.unanswered == 0 && self.conflicts == 0).then_some(self.order_count)
     }
 
     /// Whether everything is in place.
@@ -215,30 +225,87 @@
         self.next().0 == Next::Done
     }
 
-    fn accept(&mut self, now_ms: u64) {
-        self.unanswered = 0;
+    fn accepted(&mut self, now_ms: u64) {
+        self.order_count += 1;
+        self.accepted_ms = now_ms;
+        self.conflicts = 0;
+        if self.is_settling {
+            // It was not there after all; the engine has begun again.
+            self.not_before_ms = now_ms + self.load_ms;
+            return;
+        }
+        let step = &self.steps[self.at];
+        apply(step, &mut self.held);
+        self.not_before_ms = match step {
+            Order::LoadModel(_) => now_ms + self.load_ms,
+            Order::UnloadModel(_) => now_ms + BUSY_PAUSE_MS,
+            Order::LoadAdapter(..) | Order::UnloadAdapter(..) => now_ms,
+        };
+        self.is_settling = matches!(step, Order::LoadModel(_));
+        self.at += 1;
+        self.check_room();
+    }
+
+    fn fulfilled(&mut self, now_ms: u64) {
+        self.conflicts = 0;
         self.not_before_ms = now_ms;
-        self.order_count = self.order_count.map(|count| count + 1);
-        apply(&self.steps[self.at], &mut self.held);
-        let was_unload = matches!(self.steps[self.at], Order::UnloadModel(_));
+        if self.is_settling {
+            self.is_settling = false;
+            return;
+        }
+        let Some(step) = self.steps.get(self.at) else { return };
+        apply(step, &mut self.held);
+        // An adapter that nobody uses goes at once, and that counts as an order.
+        if matches!(step, Order::UnloadAdapter(..)) {
+            self.order_count += 1;
+            self.accepted_ms = now_ms;
+        }
         self.at += 1;
-        if was_unload {
-            self.not_before_ms = now_ms + BUSY_PAUSE_MS;
+        self.check_room();
+    }
+
+    fn refused(&mut self, now_ms: u64) {
+        self.conflicts += 1;
+        let is_waiting = self.is_settling || self.at > 0;
+        if !is_waiting || self.conflicts.is_multiple_of(CONFLICTS_BEFORE_LOOK) {
+            self.is_counted = false;
+            self.not_before_ms = now_ms;
+            return;
         }
+        let pause_ms = if self.is_settling { SETTLE_PAUSE_MS } else { BUSY_PAUSE_MS };
+        self.not_before_ms = now_ms + pause_ms;
     }
 
-    /// Whether what is to go is there, and what is to come is not.
-    fn fits(&self) -> bool {
-        self.steps[self.at..].iter().all(|step| match step {
-            Order::UnloadModel(model) => self.held.contains_key(model),
-            Order::LoadAdapter(model, _) => self.held.contains_key(model),
-            Order::LoadModel(_) | Order::UnloadAdapter(..) => true,
-        })
+    fn count_unanswered(&mut self) {
+        self.unanswered += 1;
+        if self.unanswered >= MOST_UNANSWERED {
+            self.failure = Some(Failure::Silent);
+        }
+    }
+
+    /// Gives the change up if the next step does not fit what the engine holds.
+    fn check_room(&mut self) {
+        let Some(step) = self.steps.get(self.at) else { return };
+        let adapters: usize = self.held.values().map(BTreeSet::len).sum();
+        let fits = match step {
+            Order::LoadModel(model) => {
+                self.spec.held_mb(&self.held) + self.spec.weights_mb(model) <= self.spec.memory_mb
+            }
+            Order::LoadAdapter(model, _) => {
+                let has_slot = (adapters as u64) < u64::from(self.spec.adapter_slots);
+                let needed_mb = self.spec.held_mb(&self.held) + self.spec.adapter_mb(model);
+                has_slot && needed_mb <= self.spec.memory_mb && self.held.contains_key(model)
+            }
+            Order::UnloadModel(_) | Order::UnloadAdapter(..) => true,
+        };
+        if !fits {
+            self.failure = Some(Failure::Changed);
+        }
     }
 }
 
 /// Whether an order's effect is there.
-fn holds(order: &Order, held: &BTreeMap<ModelName, BTreeSet<AdapterName>>) -> bool {
+fn holds(order: &Order, held: &Held) -> bool {
     let has = |model: &ModelName, adapter: &AdapterName| {
         held.get(model).is_some_and(|adapters| adapters.contains(adapter))
     };
@@ -250,7 +317,7 @@
     }
 }
 
-fn apply(order: &Order, held: &mut BTreeMap<ModelName, BTreeSet<AdapterName>>) {
+fn apply(order: &Order, held: &mut Held) {
     match order {
         Order::LoadModel(model) => {
             held.entry(model.clone()).or_default();
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -9,7 +9,7 @@
     catalog::{EngineSpec, ModelSpec},
     demand::Demand,
     endpoint::Endpoint,
-    orders::Order,
+    orders::{Held, Order},
 };
 use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{AdapterName, EndpointName, ModelName};
@@ -40,7 +40,7 @@
     /// Its entry.
     pub endpoint: &'a Endpoint,
     /// What it holds once everything accepted is carried out.
-    pub held: &'a BTreeMap<ModelName, BTreeSet<AdapterName>>,
+    pub held: &'a Held,
     /// When models have arrived there.
     pub arrived_ms: &'a BTreeMap<ModelName, u64>,
     /// The change that is under way.
@@ -62,6 +62,8 @@
     pub evicted_adapter: Option<(ModelName, AdapterName)>,
     /// Whether the weights come from the weight store.
     pub is_remote: bool,
+    /// Time that the load itself should take.
+    pub load_ms: u64,
     /// When it should be done.
     pub done_at_ms: u64,
 }
@@ -202,6 +204,7 @@
             adapter: None,
             evicted_adapter: None,
             is_remote,
+            load_ms,
             done_at_ms: self.now_ms + ready_in_ms,
         };
         let change = under_way.is_none().then_some(change);
@@ -215,8 +218,7 @@
         state: &EngineState<'_>,
         waited_for: &BTreeSet<&ModelName>,
     ) -> Option<Eviction> {
-        let used_mb: u64 = state.held.keys().map(|model| self.held_mb(model, state)).sum();
-        let mut free_mb = self.spec.memory_mb.saturating_sub(used_mb);
+        let mut free_mb = self.spec.memory_mb.saturating_sub(self.spec.held_mb(state.held));
         let mut candidates: Vec<(f64, f64, &ModelName)> = state
             .held
             .keys()
@@ -231,7 +233,7 @@
             if free_mb >= needed_mb {
                 break;
             }
-            free_mb += self.held_mb(model, state);
+            free_mb += self.model_mb(model, state);
             eviction.models.push(model.clone());
             eviction.miss_ms += miss_ms;
             eviction.run_wait_ms = eviction.run_wait_ms.max(run_wait_ms);
@@ -266,12 +268,9 @@
         Some((miss_ms, run_wait_ms))
     }
 
-    fn held_mb(&self, model: &ModelName, state: &EngineState<'_>) -> u64 {
-        // A model that left the configuration counts as if it filled the engine, so
-        // that nothing is loaded beside it.
-        let Some(spec) = self.spec.models.get(model) else { return self.spec.memory_mb };
+    fn model_mb(&self, model: &ModelName, state: &EngineState<'_>) -> u64 {
         let adapters = state.held.get(model).map_or(0, BTreeSet::len) as u64;
-        spec.weights_mb + adapters * spec.adapter_mb
+        self.spec.weights_mb(model) + adapters * self.spec.adapter_mb(model)
     }
 
     fn remote_loads(&self) -> usize {
@@ -322,13 +321,15 @@
     fn want_adapter(&mut self, model: &ModelName, adapter: &AdapterName) {
         let Some(spec) = self.spec.models.get(model) else { return };
         let key = (model.clone(), adapter.clone());
-        let is_under_way = self
-            .engines
-            .values()
-            .filter_map(|state| state.change)
-            .chain(&self.plan.changes)
+        let under_way = self.engines.values().filter_map(|state| state.change);
+        let mut changes = under_way.chain(&self.plan.changes);
+        let comes = changes
             .any(|change| change.model == *model && change.adapter.as_ref() == Some(adapter));
-        if is_under_way {
+        let is_there = self.engines.values().any(|state| {
+            state.held.get(model).is_some_and(|adapters| adapters.contains(adapter))
+                && !state.change.is_some_and(|change| change.evicted.contains(model))
+        });
+        if comes || is_there {
             return;
         }
         let hosts = self.engines.values().filter(|state| {
@@ -343,7 +344,7 @@
         let Some(state) = ranked else { return };
         let loaded: usize = state.held.values().map(BTreeSet::len).sum();
         let is_full = loaded as u64 >= u64::from(self.spec.adapter_slots);
-        let used_mb: u64 = state.held.keys().map(|model| self.held_mb(model, state)).sum();
+        let used_mb = self.spec.held_mb(state.held);
         let is_tight = used_mb + spec.adapter_mb > self.spec.memory_mb;
         let evicted_adapter =
             if is_full || is_tight { self.idle_adapter(state, &key) } else { None };
@@ -357,6 +358,7 @@
             adapter: Some(adapter.clone()),
             evicted_adapter,
             is_remote: false,
+            load_ms: 0,
             done_at_ms: self.now_ms + UNLOAD_MS,
         };
         self.plan.changes.push(change);
--- a/crates/trestle-entry/src/control/book.rs
+++ b/crates/trestle-entry/src/control/book.rs
@@ -1,13 +1,13 @@
 //! What the giver of orders knows of one service's engines.
 
-use std::collections::{BTreeMap, BTreeSet};
-use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
+use std::{collections::BTreeMap, sync::Arc};
+use trestle_core::names::{EndpointName, ModelName, ServiceName};
 use trestle_dispatch::{
     catalog::EngineSpec,
     demand::Demand,
     directory::Directory,
     endpoint::Endpoint,
-    orders::OrderChain,
+    orders::{Held, OrderChain},
     placing::{Change, EngineState, Planner},
     replicas::{EngineNote, ReplicaView},
 };
@@ -15,6 +15,9 @@
 /// Time for which an engine gets no orders after a change there failed.
 const FAILED_PAUSE_MS: u64 = 1_000;
 
+/// Time after a change within which an engine's entry may still show the state before.
+const ENTRY_AGE_MS: u64 = 3_000;
+
 /// What the giver of orders knows of one service's engines.
 #[derive(Debug, Default)]
 pub(crate) struct Book {
@@ -29,9 +32,11 @@
 
 #[derive(Debug, Default)]
 struct EngineBook {
-    held: BTreeMap<ModelName, BTreeSet<AdapterName>>,
+    held: Held,
     /// Orders that it has accepted, if that is certain.
     order_count: Option<u64>,
+    /// When its last change ended.
+    changed_ms: Option<u64>,
     arrived_ms: BTreeMap<ModelName, u64>,
     change: Option<Change>,
     paused_until_ms: u64,
@@ -41,13 +46,13 @@
     /// What to change now, if orders may be given.
     pub(crate) fn plan(
         &mut self,
-        spec: &EngineSpec,
+        spec: &Arc<EngineSpec>,
         directory: &BTreeMap<EndpointName, Endpoint>,
         may_order: bool,
         now_ms: u64,
     ) -> Vec<Begun> {
         self.demand.tick(now_ms);
-        self.follow(directory);
+        self.follow(directory, now_ms);
         let engines = &self.engines;
         let states = directory.values().filter_map(|endpoint| {
             let book = engines.get(&endpoint.name)?;
@@ -64,7 +69,7 @@
             return Vec::new();
         }
         let changes = plan.changes.into_iter();
-        changes.filter_map(|change| self.begin(change, directory)).collect()
+        changes.filter_map(|change| self.begin(spec, change, directory)).collect()
     }
 
     /// Takes the end of a change.
@@ -78,11 +83,11 @@
         let Some(change) = book.change.take() else { return };
         book.held.clone_from(chain.held());
         book.order_count = chain.order_count();
+        book.changed_ms = Some(now_ms);
         book.arrived_ms.retain(|model, _| chain.held().contains_key(model));
         if chain.is_done() {
             book.arrived_ms.insert(change.model, now_ms);
-        } else {
-            book.order_count = None;
+        } else if book.order_count.is_none() {
             book.paused_until_ms = now_ms + FAILED_PAUSE_MS;
         }
     }
@@ -126,27 +131,47 @@
     }
 
     /// Takes over what engines say of themselves, where nothing newer is known.
-    fn follow(&mut self, directory: &BTreeMap<EndpointName, Endpoint>) {
+    fn follow(&mut self, directory: &BTreeMap<EndpointName, Endpoint>, now_ms: u64) {
         self.engines.retain(|name, _| directory.contains_key(name));
         for endpoint in directory.values() {
             let book = self.engines.entry(endpoint.name.clone()).or_default();
-            let is_newer = book.order_count.is_none_or(|count| endpoint.order_count > count);
-            if book.change.is_none() && is_newer {
+            if book.change.is_none() && book.may_follow(endpoint, now_ms) {
                 book.held.clone_from(&endpoint.held);
                 book.order_count = None;
+                book.changed_ms = Some(now_ms);
             }
         }
     }
 
     fn begin(
         &mut self,
+        spec: &Arc<EngineSpec>,
         change: Change,
         directory: &BTreeMap<EndpointName, Endpoint>,
     ) -> Option<Begun> {
         let endpoint = directory.get(&change.endpoint)?.clone();
         let book = self.engines.get_mut(&change.endpoint)?;
-        let chain = OrderChain::new(change.orders(), book.held.clone(), book.order_count);
+        let chain = OrderChain::new(
+            Arc::clone(spec),
+            change.orders(),
+            book.held.clone(),
+            book.order_count,
+            change.load_ms,
+        );
         book.change = Some(change.clone());
         Some((endpoint, change, chain))
     }
 }
+
+impl EngineBook {
+    /// Whether the engine's entry tells something newer than this book.
+    fn may_follow(&self, endpoint: &Endpoint, now_ms: u64) -> bool {
+        match self.changed_ms {
+            None => true,
+            Some(changed_ms) => {
+                let differs = endpoint.held.keys().ne(self.held.keys());
+                differs && now_ms > changed_ms + ENTRY_AGE_MS
+            }
+        }
+    }
+}
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -19,7 +19,11 @@
 use smol::Timer;
 use std::{collections::BTreeMap, io, sync::Arc, thread, time::Duration};
 use trestle_core::names::{EndpointName, ServiceName, VmName};
-use trestle_dispatch::{catalog::Catalog, demand::DemandDigest, orders::OrderChain};
+use trestle_dispatch::{
+    catalog::{Catalog, EngineSpec},
+    demand::DemandDigest,
+    orders::OrderChain,
+};
 use trestle_wire::replicas::{WireSynced, WireView};
 
 /// Longest time between two looks at what is due, while holding the lease.
@@ -173,9 +177,6 @@
     }
 }
 
-fn engine_spec<'a>(
-    catalog: &'a Catalog,
-    service: &ServiceName,
-) -> Option<&'a trestle_dispatch::catalog::EngineSpec> {
+fn engine_spec<'a>(catalog: &'a Catalog, service: &ServiceName) -> Option<&'a Arc<EngineSpec>> {
     catalog.services.get(service)?.engine.as_ref()
 }
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -120,7 +120,7 @@
     }
     if known.is_some_and(|known| known.held.keys().ne(now.held.keys())) {
         let held: Vec<&str> = now.held.keys().map(AsRef::as_ref).collect();
-        let (endpoint, orders) = (&now.name, now.order_count);
-        tracing::debug!(%endpoint, ?held, orders, version, "endpoint: Holds other models.");
+        let endpoint = &now.name;
+        tracing::debug!(%endpoint, ?held, version, "endpoint: Holds other models.");
     }
 }
