Keep the quiet time of the lease over lost answers and restarts

Change: the quiet time counts from the moment the takeover is sent, whatever its answer; the row says whether the quiet time is over.

--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -42,6 +42,9 @@
     pub token: u64,
     /// Renewals of this holder.
     pub renewals: u64,
+    /// Whether the quiet time after the holder before is over. A daemon that is
+    /// started anew on the holder's machine may go on at once only then.
+    pub has_begun: bool,
     /// Whether the holder has given the lease up.
     pub is_released: bool,
 }
@@ -126,11 +129,18 @@
         let row = match &seen.row {
             Some(row) if self.is_mine(row) && row.is_released => return None,
             Some(row) if self.is_mine(row) => {
-                LeaseRow { renewals: row.renewals + 1, is_released: self.is_leaving, ..row.clone() }
+                let has_begun = row.has_begun || now_ms >= self.quiet_until_ms;
+                let is_released = self.is_leaving;
+                LeaseRow { renewals: row.renewals + 1, has_begun, is_released, ..row.clone() }
             }
             _ if self.is_leaving => return None,
             Some(row) if !self.may_replace(row, &seen, now_ms) => return None,
-            other => self.first_row(other.as_ref().map_or(0, |row| row.token) + 1),
+            other => {
+                // Whatever becomes of the answer, this may be the write that takes the lease.
+                self.quiet_until_ms = self.quiet_until_ms.max(self.quiet_end_ms(now_ms));
+                let has_begun = self.quiet_until_ms <= now_ms;
+                self.first_row(other.as_ref().map_or(0, |row| row.token) + 1, has_begun)
+            }
         };
         self.is_writing = true;
         Some(LeaseWrite { expected: seen.version, row })
@@ -145,9 +155,6 @@
             return;
         };
         self.next_write_ms = sent_ms + self.timing.renew_ms;
-        if write.row.renewals == 0 {
-            self.quiet_until_ms = self.quiet_end_ms(now_ms);
-        }
         self.held_until_ms = sent_ms + self.timing.hold_ms;
         if write.row.is_released {
             self.held_until_ms = 0;
@@ -210,13 +217,14 @@
             || now_ms >= seen.since_ms + self.timing.hold_ms + MARGIN_MS
     }
 
-    fn first_row(&self, token: u64) -> LeaseRow {
+    fn first_row(&self, token: u64, has_begun: bool) -> LeaseRow {
         LeaseRow {
             holder: self.me.machine.clone(),
             address: self.me.address,
             incarnation: self.me.incarnation,
             token,
             renewals: 0,
+            has_begun,
             is_released: false,
         }
     }
@@ -226,7 +234,8 @@
         let Some(seen) = &self.seen else { return now_ms };
         let Some(row) = &seen.row else { return now_ms };
         if self.is_same_machine(row) {
-            return now_ms;
+            let quiet_ms = if row.has_begun { 0 } else { self.timing.quiet_ms + MARGIN_MS };
+            return now_ms + quiet_ms;
         }
         let last_order_ms = match row.is_released {
             true => seen.since_ms,
--- /dev/null
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -0,0 +1,221 @@
+//! The lease on giving orders, with several daemons, freezes, outages, lost answers
+//! and late writes in virtual time.
+
+use std::net::SocketAddr;
+use trestle_dispatch::lease::{Identity, Lease, LeaseRow, LeaseTiming, LeaseWrite};
+
+const TIMING: LeaseTiming = LeaseTiming { renew_ms: 600, hold_ms: 2_000, quiet_ms: 3_000 };
+const STEP_MS: u64 = 20;
+
+fn lease(machine: &str, incarnation: u64) -> Lease {
+    let address: SocketAddr = "127.0.0.1:7000".parse().expect("an address");
+    Lease::new(Identity { machine: machine.to_owned(), address, incarnation }, TIMING)
+}
+
+/// The store's row, changed only under a condition.
+#[derive(Default)]
+struct Store {
+    row: Option<LeaseRow>,
+    version: u64,
+    late: Vec<(u64, LeaseWrite)>,
+}
+
+impl Store {
+    fn write(&mut self, write: &LeaseWrite) -> Option<u64> {
+        if write.expected != self.version {
+            return None;
+        }
+        self.row = Some(write.row.clone());
+        // Versions grow unevenly: other rows of the store have them too.
+        self.version += 3;
+        Some(self.version)
+    }
+
+    fn carry_out_late(&mut self, now_ms: u64) {
+        let due: Vec<_> = self.late.extract_if(.., |(at_ms, _)| *at_ms <= now_ms).collect();
+        for (_, write) in due {
+            self.write(&write);
+        }
+    }
+}
+
+struct World {
+    lots: fastrand::Rng,
+    store: Store,
+    daemons: Vec<Daemon>,
+    orders: Vec<(u64, usize, u64)>,
+    now_ms: u64,
+    store_down_until_ms: u64,
+}
+
+struct Daemon {
+    lease: Lease,
+    frozen_until_ms: u64,
+    cut_until_ms: u64,
+    next_read_ms: u64,
+    incarnation: u64,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let daemons = (0..4).map(|number| Daemon {
+            lease: lease(&format!("vm-{number}"), 1),
+            frozen_until_ms: 0,
+            cut_until_ms: 0,
+            next_read_ms: 0,
+            incarnation: 1,
+        });
+        Self {
+            lots: fastrand::Rng::with_seed(seed),
+            store: Store::default(),
+            daemons: daemons.collect(),
+            orders: Vec::new(),
+            now_ms: 100,
+            store_down_until_ms: 0,
+        }
+    }
+
+    fn run(&mut self, for_ms: u64, has_trouble: bool) {
+        let end_ms = self.now_ms + for_ms;
+        while self.now_ms < end_ms {
+            self.now_ms += STEP_MS;
+            self.store.carry_out_late(self.now_ms);
+            if has_trouble {
+                self.trouble();
+            }
+            for number in 0..self.daemons.len() {
+                self.step(number);
+            }
+        }
+    }
+
+    fn trouble(&mut self) {
+        let number = self.lots.usize(0..self.daemons.len());
+        let until_ms = self.now_ms + self.lots.u64(500..9_000);
+        match self.lots.u32(0..1_200) {
+            0 => self.daemons[number].frozen_until_ms = until_ms,
+            1 => self.daemons[number].cut_until_ms = until_ms,
+            2 => self.store_down_until_ms = until_ms,
+            3 => {
+                let daemon = &mut self.daemons[number];
+                daemon.incarnation += 1;
+                daemon.lease = lease(&format!("vm-{number}"), daemon.incarnation);
+                daemon.next_read_ms = 0;
+            }
+            _ => {}
+        }
+    }
+
+    fn step(&mut self, number: usize) {
+        let now_ms = self.now_ms;
+        let daemon = &mut self.daemons[number];
+        if now_ms < daemon.frozen_until_ms {
+            return;
+        }
+        let reaches_store = now_ms >= daemon.cut_until_ms && now_ms >= self.store_down_until_ms;
+        if reaches_store && now_ms >= daemon.next_read_ms {
+            daemon.next_read_ms = now_ms + self.lots.u64(300..1_500);
+            daemon.lease.observed(self.store.row.clone(), self.store.version, now_ms);
+        }
+        if let Some(write) = daemon.lease.due_write(now_ms) {
+            let sent_ms = now_ms;
+            let version = match self.lots.u32(0..20) {
+                _ if !reaches_store => None,
+                0 => {
+                    // Carried out now, and the answer is lost.
+                    self.store.write(&write);
+                    None
+                }
+                1 => {
+                    let at_ms = now_ms + self.lots.u64(500..6_000);
+                    self.store.late.push((at_ms, write.clone()));
+                    None
+                }
+                _ => self.store.write(&write),
+            };
+            daemon.lease.written(write, version, sent_ms, now_ms);
+        }
+        if let Some(token) = daemon.lease.may_order(now_ms) {
+            self.orders.push((now_ms, number, token));
+        }
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => { $(#[test] fn $name() $body)+ };
+}
+
+cases! {
+    one_daemon_begins_at_once_where_there_is_no_row => {
+        let mut world = World::new(1);
+        world.run(1_000, false);
+        assert!(world.orders.iter().any(|(at_ms, ..)| *at_ms < 300));
+        let givers: std::collections::BTreeSet<usize> =
+            world.orders.iter().map(|(_, giver, _)| *giver).collect();
+        assert_eq!(givers.len(), 1);
+    }
+
+    a_frozen_holder_is_replaced_and_gives_no_order_when_it_wakes => {
+        let mut world = World::new(2);
+        world.run(2_000, false);
+        let (_, holder, _) = *world.orders.last().expect("somebody holds it");
+        world.daemons[holder].frozen_until_ms = world.now_ms + 12_000;
+        world.run(20_000, false);
+        let (_, next, token) = *world.orders.last().expect("somebody holds it");
+        assert_ne!(next, holder);
+        assert_eq!(token, 2);
+        let woken = world.orders.iter().filter(|(at_ms, giver, _)| *at_ms > 14_000 && *giver == holder);
+        assert_eq!(woken.count(), 0);
+    }
+
+    a_released_lease_is_taken_before_it_would_run_out => {
+        let mut world = World::new(3);
+        world.run(2_000, false);
+        let (left_ms, holder, _) = *world.orders.last().expect("somebody holds it");
+        world.daemons[holder].lease.leave();
+        world.run(8_000, false);
+        assert!(world.daemons[holder].lease.has_left());
+        let first = world.orders.iter().find(|(_, giver, _)| *giver != holder);
+        let (first_ms, ..) = *first.expect("another takes it");
+        assert!(first_ms >= left_ms + TIMING.quiet_ms);
+        assert!(first_ms < left_ms + TIMING.quiet_ms + 2_000, "{first_ms} after {left_ms}");
+    }
+
+    an_outage_of_the_store_stops_orders_and_replaces_nobody => {
+        let mut world = World::new(4);
+        world.run(2_000, false);
+        let (_, holder, token) = *world.orders.last().expect("somebody holds it");
+        world.store_down_until_ms = world.now_ms + 5_000;
+        world.run(12_000, false);
+        let (_, after, token_after) = *world.orders.last().expect("somebody holds it");
+        assert!(token_after == token && after == holder || token_after == token + 1);
+    }
+
+    // Two machines never give orders within the quiet time of each other, and fencing
+    // numbers never fall, whatever freezes, is cut, is lost or comes late.
+    no_two_machines_take_turns => {
+        for seed in 0..400 {
+            let mut world = World::new(seed);
+            world.run(60_000, true);
+            for pair in world.orders.windows(2) {
+                let ((before_ms, giver, token), (at_ms, next, next_token)) = (pair[0], pair[1]);
+                assert!(next_token >= token, "seed {seed}: token {token} then {next_token}");
+                if giver != next {
+                    let gap_ms = at_ms - before_ms;
+                    assert!(gap_ms >= TIMING.quiet_ms, "seed {seed}: {gap_ms} ms at {at_ms}");
+                    assert!(next_token > token, "seed {seed}: one token, two machines");
+                }
+            }
+        }
+    }
+
+    orders_go_on_once_trouble_is_over => {
+        for seed in 0..100 {
+            let mut world = World::new(seed);
+            world.run(20_000, true);
+            world.run(25_000, false);
+            let (last_ms, ..) = *world.orders.last().expect("somebody holds it");
+            assert!(last_ms + 1_000 > world.now_ms, "seed {seed}: the last order was at {last_ms}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestle-dispatch/tests/orders.rs
@@ -0,0 +1,249 @@
+//! The orders of one change at one engine, against a fake engine whose answers
+//! get lost, come late or are refused.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+use trestle_core::names::{AdapterName, ModelName};
+use trestle_dispatch::{
+    catalog::{EngineSpec, ModelSpec},
+    endpoint::EngineReport,
+    orders::{Failure, Held, Next, Order, OrderAnswer, OrderChain},
+};
+
+const LOAD_MS: u64 = 800;
+
+fn spec() -> Arc<EngineSpec> {
+    let model = ModelSpec {
+        weights_mb: 70,
+        adapter_mb: 1,
+        adapters: 4,
+        remote_load_ms: 6_000,
+        disk_load_ms: LOAD_MS,
+        memory_load_ms: 400,
+    };
+    let names = ["a", "b", "c", "d"].map(ModelName::from);
+    Arc::new(EngineSpec {
+        slots: 8,
+        memory_mb: 220,
+        adapter_slots: 2,
+        loads_per_1000_s: 3_000,
+        models: names.into_iter().map(|name| (name, model)).collect(),
+    })
+}
+
+fn held(models: &[(&str, &[&str])]) -> Held {
+    let held = models.iter().map(|(model, adapters)| {
+        let adapters = adapters.iter().map(|adapter| AdapterName::from(*adapter)).collect();
+        (ModelName::from(*model), adapters)
+    });
+    held.collect()
+}
+
+fn swap(old: &str, new: &str) -> Vec<Order> {
+    vec![Order::UnloadModel(old.into()), Order::LoadModel(new.into())]
+}
+
+fn load_adapter(model: &str, adapter: &str) -> Vec<Order> {
+    vec![Order::LoadAdapter(model.into(), adapter.into())]
+}
+
+/// An engine as the users' pages describe it, in virtual time.
+struct Engine {
+    held: Held,
+    order_count: u64,
+    busy_until_ms: u64,
+    /// Orders that will be carried out later, if their count still holds.
+    late: Vec<(u64, Order, u64)>,
+    most_mb: u64,
+}
+
+impl Engine {
+    fn new(held: Held, order_count: u64) -> Self {
+        Self { held, order_count, busy_until_ms: 0, late: Vec::new(), most_mb: 0 }
+    }
+
+    fn take(&mut self, order: &Order, count: u64, now_ms: u64) -> OrderAnswer {
+        self.carry_out_late(now_ms);
+        let has = |model: &ModelName, adapter: &AdapterName, held: &Held| {
+            held.get(model).is_some_and(|adapters| adapters.contains(adapter))
+        };
+        if now_ms < self.busy_until_ms || count != self.order_count {
+            return OrderAnswer::Conflict;
+        }
+        match order {
+            Order::LoadModel(model) if self.held.contains_key(model) => OrderAnswer::Fulfilled,
+            Order::LoadModel(model) => {
+                self.held.insert(model.clone(), BTreeSet::new());
+                self.accept(now_ms + LOAD_MS)
+            }
+            Order::UnloadModel(model) => {
+                self.held.remove(model);
+                self.accept(now_ms + 150)
+            }
+            Order::LoadAdapter(model, adapter) if has(model, adapter, &self.held) => {
+                OrderAnswer::Fulfilled
+            }
+            Order::LoadAdapter(model, adapter) => {
+                self.held.get_mut(model).expect("its model is there").insert(adapter.clone());
+                self.accept(now_ms)
+            }
+            Order::UnloadAdapter(model, adapter) => {
+                self.held.get_mut(model).expect("its model is there").remove(adapter);
+                self.accept(now_ms);
+                OrderAnswer::Fulfilled
+            }
+        }
+    }
+
+    fn accept(&mut self, busy_until_ms: u64) -> OrderAnswer {
+        self.busy_until_ms = busy_until_ms;
+        self.order_count += 1;
+        self.most_mb = self.most_mb.max(spec().held_mb(&self.held));
+        OrderAnswer::Accepted
+    }
+
+    fn carry_out_late(&mut self, now_ms: u64) {
+        let due: Vec<_> = self.late.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms).collect();
+        for (_, order, count) in due {
+            self.take(&order, count, now_ms);
+        }
+    }
+
+    fn report(&mut self, now_ms: u64) -> EngineReport {
+        self.carry_out_late(now_ms);
+        EngineReport {
+            held: self.held.clone(),
+            is_busy: now_ms < self.busy_until_ms,
+            order_count: self.order_count,
+            waiting: 0,
+            running: 0,
+        }
+    }
+}
+
+/// Plays a chain against an engine; `fate` says what becomes of the n-th order.
+fn play(chain: &mut OrderChain, engine: &mut Engine, fate: impl Fn(usize) -> Fate) -> Next {
+    let mut now_ms = 1_000;
+    for number in 0..400 {
+        let (next, not_before_ms) = chain.next();
+        now_ms = now_ms.max(not_before_ms) + 3;
+        match next {
+            Next::Report => chain.reported(Some(&engine.report(now_ms)), now_ms),
+            Next::Send(order, count) => match fate(number) {
+                Fate::Answered => {
+                    let answer = engine.take(&order, count, now_ms);
+                    chain.answered(answer, now_ms);
+                }
+                Fate::AnswerLost => {
+                    engine.take(&order, count, now_ms);
+                    chain.answered(OrderAnswer::Unknown, now_ms + 500);
+                    now_ms += 500;
+                }
+                Fate::Late(by_ms) => {
+                    engine.late.push((now_ms + by_ms, order, count));
+                    chain.answered(OrderAnswer::Unknown, now_ms + 500);
+                    now_ms += 500;
+                }
+            },
+            end => return end,
+        }
+    }
+    panic!("the chain does not end: {chain:?}");
+}
+
+#[derive(Clone, Copy)]
+enum Fate {
+    Answered,
+    AnswerLost,
+    Late(u64),
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => { $(#[test] fn $name() $body)+ };
+}
+
+cases! {
+    a_swap_ends_with_the_model_there => {
+        let before = held(&[("a", &[]), ("b", &[]), ("c", &[])]);
+        let mut engine = Engine::new(before.clone(), 4);
+        let mut chain = OrderChain::new(spec(), swap("a", "d"), before, Some(4), LOAD_MS);
+        assert_eq!(play(&mut chain, &mut engine, |_| Fate::Answered), Next::Done);
+        assert_eq!(engine.held, held(&[("b", &[]), ("c", &[]), ("d", &[])]));
+        assert_eq!(chain.held(), &engine.held);
+        assert_eq!(chain.order_count(), Some(6));
+    }
+
+    // A fulfilled order does not count; taking it for one ended in refusals without end.
+    a_fulfilled_order_does_not_count => {
+        let before = held(&[("a", &["x"])]);
+        let mut engine = Engine::new(before, 7);
+        let stale = held(&[("a", &[])]);
+        let mut chain = OrderChain::new(spec(), load_adapter("a", "x"), stale, Some(7), 0);
+        assert_eq!(play(&mut chain, &mut engine, |_| Fate::Answered), Next::Done);
+        assert_eq!(chain.order_count(), Some(7));
+    }
+
+    // LIMIT: a new giver of orders took the adapters from an old entry.
+    a_change_that_does_not_fit_what_the_engine_holds_is_given_up => {
+        let true_state = held(&[("a", &["x", "y"])]);
+        let mut engine = Engine::new(true_state.clone(), 3);
+        let stale = held(&[("a", &[])]);
+        let mut chain = OrderChain::new(spec(), load_adapter("a", "z"), stale, None, 0);
+        assert_eq!(play(&mut chain, &mut engine, |_| Fate::Answered), Next::Failed(Failure::Changed));
+        assert_eq!(engine.held, true_state);
+        assert_eq!(chain.held(), &true_state);
+    }
+
+    a_load_beside_a_model_that_is_still_there_is_given_up => {
+        let true_state = held(&[("a", &[]), ("b", &[]), ("c", &[])]);
+        let mut engine = Engine::new(true_state.clone(), 3);
+        let stale = held(&[("a", &[]), ("b", &[])]);
+        let steps = vec![Order::LoadModel("d".into())];
+        let mut chain = OrderChain::new(spec(), steps, stale, None, LOAD_MS);
+        assert_eq!(play(&mut chain, &mut engine, |_| Fate::Answered), Next::Failed(Failure::Changed));
+        assert_eq!(engine.held, true_state);
+    }
+
+    a_silent_engine_is_given_up => {
+        let before = held(&[("a", &[])]);
+        let mut engine = Engine::new(before.clone(), 0);
+        let mut chain = OrderChain::new(spec(), swap("a", "b"), before, Some(0), LOAD_MS);
+        let end = play(&mut chain, &mut engine, |_| Fate::Late(1_000_000));
+        assert_eq!(end, Next::Failed(Failure::Silent));
+        assert_eq!(chain.order_count(), None);
+    }
+
+    // Orders without an answer are carried out seconds later or at once, any number of
+    // them: the engine never holds more than it has room for, and a change that ends
+    // well leaves what it meant to.
+    no_fate_of_orders_overfills_an_engine => {
+        for seed in 0..3_000 {
+            let mut lots = fastrand::Rng::with_seed(seed);
+            let fates: Vec<Fate> = (0..400).map(|_| match lots.u32(0..10) {
+                0..=1 => Fate::AnswerLost,
+                2..=4 => Fate::Late(lots.u64(100..6_000)),
+                _ => Fate::Answered,
+            }).collect();
+            let before = held(&[("a", &[]), ("b", &[]), ("c", &["x"])]);
+            let mut engine = Engine::new(before.clone(), 0);
+            let count = lots.bool().then_some(0);
+            let mut chain = OrderChain::new(spec(), swap("a", "d"), before, count, LOAD_MS);
+            let end = play(&mut chain, &mut engine, |number| fates[number]);
+            assert!(engine.most_mb <= 220, "seed {seed}: {} MB", engine.most_mb);
+            if end == Next::Done {
+                let after = held(&[("b", &[]), ("c", &["x"]), ("d", &[])]);
+                assert_eq!(engine.held, after, "seed {seed}");
+            }
+        }
+    }
+}
+
+#[test]
+fn capacity_counts_models_and_adapters() {
+    let held: Held = held(&[("a", &["x", "y"]), ("b", &[])]);
+    assert_eq!(spec().held_mb(&held), 142);
+    let unknown = BTreeMap::from([(ModelName::from("gone"), BTreeSet::new())]);
+    assert_eq!(spec().held_mb(&unknown), 220);
+}
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -39,6 +39,8 @@
     pub token: u64,
     /// Renewals of this holder.
     pub renewals: u64,
+    /// Whether the quiet time after the holder before is over.
+    pub has_begun: bool,
     /// Whether it has been given up.
     pub is_released: bool,
 }
@@ -105,6 +107,7 @@
             incarnation: row.incarnation,
             token: row.token,
             renewals: row.renewals,
+            has_begun: row.has_begun,
             is_released: row.is_released,
         }
     }
@@ -118,6 +121,7 @@
             incarnation: wire.incarnation,
             token: wire.token,
             renewals: wire.renewals,
+            has_begun: wire.has_begun,
             is_released: wire.is_released,
         }
     }
