Refuse what a stopping daemon cannot finish, and believe removals in time

Change: after the balancer's notice only what ends before the stop is taken, the rest is refused as not run; a removal is doubted only within two seconds of the store's return and never for as long as a leaving endpoint may be used.

--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -9,25 +9,39 @@
 use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{EndpointName, ModelName, ServiceName};
 
-/// Time after the store's return in which lapsed entries may come back, less the
-/// time that a request needs on its way. The store's page says about two seconds.
-const COME_BACK_MS: u64 = 1_700;
-/// Time after a failed read for which removals are not believed at once: three
-/// heartbeats and a margin.
-const DOUBT_MS: u64 = 5_000;
+/// Time after the store's return in which lapsed entries come back, if their
+/// endpoints live. The users' letter says about two seconds.
+const COME_BACK_MS: u64 = 2_000;
+/// Time that a request may take from the choice of its endpoint until it gets there.
+const ON_ITS_WAY_MS: u64 = 300;
 
 /// The list of live endpoints.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Directory {
     endpoints: BTreeMap<EndpointName, Endpoint>,
     /// Endpoints that were ever seen leaving.
     leaving: BTreeSet<EndpointName>,
     /// Entries that vanished in a time of doubt, and when they count as gone.
     lapsed_until_ms: BTreeMap<EndpointName, u64>,
-    doubt_until_ms: u64,
+    /// Time for which an endpoint that has left may still get requests.
+    leaving_ms: u64,
+    is_unread: bool,
+    read_again_ms: Option<u64>,
 }
 
 impl Directory {
+    /// An empty list; endpoints that have left may get requests for so long.
+    pub fn new(leaving_ms: u64) -> Self {
+        Self {
+            endpoints: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            lapsed_until_ms: BTreeMap::new(),
+            leaving_ms,
+            is_unread: false,
+            read_again_ms: None,
+        }
+    }
+
     /// Takes an entry that was written.
     pub fn written(&mut self, mut endpoint: Endpoint) {
         self.lapsed_until_ms.remove(&endpoint.name);
@@ -47,11 +61,15 @@
 
     /// Takes the removal of an entry.
     pub fn removed(&mut self, name: &EndpointName, now_ms: u64) {
-        let is_known = self.endpoints.contains_key(name);
-        if is_known && now_ms < self.doubt_until_ms && !self.leaving.contains(name) {
-            self.lapsed_until_ms.entry(name.clone()).or_insert(now_ms + COME_BACK_MS);
+        let come_back_until_ms = self.read_again_ms.map_or(0, |at_ms| at_ms + COME_BACK_MS);
+        let is_doubtful = now_ms < come_back_until_ms && !self.leaving.contains(name);
+        if is_doubtful && self.endpoints.contains_key(name) {
+            let left_until_ms = now_ms + self.leaving_ms.saturating_sub(ON_ITS_WAY_MS);
+            let until_ms = come_back_until_ms.min(left_until_ms);
+            self.lapsed_until_ms.entry(name.clone()).or_insert(until_ms);
         } else {
             self.endpoints.remove(name);
+            self.lapsed_until_ms.remove(name);
         }
     }
 
@@ -69,9 +87,12 @@
         }
     }
 
-    /// Notes that the store could not be read.
-    pub fn unread(&mut self, now_ms: u64) {
-        self.doubt_until_ms = now_ms + DOUBT_MS;
+    /// Notes whether the store could be read.
+    pub fn read(&mut self, was_read: bool, now_ms: u64) {
+        if was_read && self.is_unread {
+            self.read_again_ms = Some(now_ms);
+        }
+        self.is_unread = !was_read;
     }
 
     /// Drops entries that had time to come back and did not.
--- /dev/null
+++ b/crates/trestle-dispatch/tests/directory.rs
@@ -0,0 +1,103 @@
+//! The list of live endpoints: lapses, returns, and endpoints that leave.
+
+mod common;
+
+use common::endpoint;
+use trestle_core::names::{EndpointName, ServiceName};
+use trestle_dispatch::directory::Directory;
+
+const LEAVING_MS: u64 = 2_000;
+
+fn listed(names: &[&str]) -> Directory {
+    let mut directory = Directory::new(LEAVING_MS);
+    directory.read(true, 0);
+    directory.replaced(names.iter().map(|name| endpoint(name, "z", &[])).collect(), 0);
+    directory
+}
+
+fn usable(directory: &Directory) -> Vec<String> {
+    let service = ServiceName::from("s");
+    directory.usable(&service).map(|endpoint| endpoint.name.to_string()).collect()
+}
+
+fn name(text: &str) -> EndpointName {
+    text.into()
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => { $(#[test] fn $name() $body)+ };
+}
+
+cases! {
+    a_removal_is_believed_at_once => {
+        let mut directory = listed(&["x", "y"]);
+        directory.removed(&name("x"), 10_000);
+        assert_eq!(usable(&directory), ["y"]);
+    }
+
+    an_entry_that_lapsed_while_the_store_was_away_may_come_back => {
+        let mut directory = listed(&["x", "y"]);
+        directory.read(false, 5_000);
+        directory.read(true, 9_000);
+        directory.removed(&name("x"), 9_010);
+        directory.tick(10_500);
+        assert_eq!(usable(&directory), ["x", "y"]);
+        directory.written(endpoint("x", "z", &[]));
+        directory.tick(20_000);
+        assert_eq!(usable(&directory), ["x", "y"]);
+    }
+
+    one_that_does_not_come_back_counts_as_gone => {
+        let mut directory = listed(&["x", "y"]);
+        directory.read(false, 5_000);
+        directory.read(true, 9_000);
+        directory.removed(&name("x"), 9_010);
+        assert_eq!(directory.tick(11_000), [name("x")]);
+        assert_eq!(usable(&directory), ["y"]);
+    }
+
+    // DRAIN, hunt-cb96-47: removed 3.4 s after the store's return and kept for 2.2 s more.
+    a_removal_long_after_the_return_is_believed_at_once => {
+        let mut directory = listed(&["x", "y"]);
+        directory.read(false, 5_000);
+        directory.read(true, 11_600);
+        directory.removed(&name("x"), 15_010);
+        assert_eq!(usable(&directory), ["y"]);
+    }
+
+    a_lapsed_entry_is_never_kept_as_long_as_a_leaving_one_may_be_used => {
+        let mut directory = Directory::new(1_000);
+        directory.read(true, 0);
+        directory.replaced(vec![endpoint("x", "z", &[])], 0);
+        directory.read(false, 5_000);
+        directory.read(true, 9_000);
+        directory.removed(&name("x"), 9_010);
+        directory.tick(9_010 + 1_000 - 200);
+        assert!(usable(&directory).is_empty());
+    }
+
+    an_endpoint_that_was_seen_leaving_stays_so => {
+        let mut directory = listed(&["x"]);
+        let mut leaving = endpoint("x", "z", &[]);
+        leaving.is_leaving = true;
+        leaving.entry_number = 5;
+        directory.written(leaving);
+        assert!(usable(&directory).is_empty());
+        let mut late = endpoint("x", "z", &[]);
+        late.entry_number = 6;
+        directory.written(late);
+        assert!(usable(&directory).is_empty());
+    }
+
+    an_older_message_does_not_undo_a_newer_one => {
+        let mut directory = listed(&[]);
+        let mut newer = endpoint("x", "z", &["a"]);
+        newer.entry_number = 9;
+        directory.written(newer);
+        let mut older = endpoint("x", "z", &["b"]);
+        older.entry_number = 8;
+        directory.written(older);
+        let held = &directory.get(&name("x")).expect("listed").held;
+        assert!(held.contains_key("a") && !held.contains_key("b"));
+    }
+}
--- /dev/null
+++ b/crates/trestle-dispatch/tests/traffic.rs
@@ -0,0 +1,198 @@
+//! Decisions on single requests: route, endpoint, patience, and further sends.
+
+mod common;
+
+use common::{endpoint, route, with_adapters};
+use std::collections::BTreeSet;
+use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
+use trestle_dispatch::{
+    choice::{Known, Need, choose},
+    directory::Directory,
+    patience::{self, Patience},
+    record::Records,
+    replicas::{EngineNote, ReplicaView},
+    retry_share::{RetryBounds, RetryShare},
+    route::{RouteKind, RouteTable, Target},
+};
+
+const STREAM: RouteKind = RouteKind::Stream { is_resumable: true };
+
+struct Scene {
+    directory: Directory,
+    replicas: ReplicaView,
+    records: Records,
+    domain: DomainName,
+    tried: BTreeSet<EndpointName>,
+}
+
+impl Scene {
+    fn new(endpoints: Vec<trestle_dispatch::endpoint::Endpoint>) -> Self {
+        let mut directory = Directory::new(2_000);
+        directory.replaced(endpoints, 0);
+        Self {
+            directory,
+            replicas: ReplicaView::default(),
+            records: Records::default(),
+            domain: "z1".into(),
+            tried: BTreeSet::new(),
+        }
+    }
+
+    fn choose(&self, model: Option<&str>, adapter: Option<&str>, lot: u64) -> Option<String> {
+        let (model, adapter) = (model.map(ModelName::from), adapter.map(AdapterName::from));
+        let service = ServiceName::from("s");
+        let known = Known {
+            directory: &self.directory,
+            replicas: &self.replicas,
+            records: &self.records,
+            domain: &self.domain,
+            now_ms: 1_000,
+        };
+        let need = Need {
+            service: &service,
+            model: model.as_ref(),
+            adapter: adapter.as_ref(),
+            tried: &self.tried,
+        };
+        choose(known, need, lot).map(|endpoint| endpoint.name.to_string())
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => { $(#[test] fn $name() $body)+ };
+}
+
+cases! {
+    the_longest_prefix_of_the_host_wins => {
+        let mut other_host = route("/a/b/", STREAM);
+        other_host.host = "other".to_owned();
+        let table = RouteTable::new([
+            route("/", STREAM), route("/a/", STREAM), route("/a/b/c/", STREAM), other_host,
+        ]);
+        let found = |path| table.find("h", path).map(|route| route.prefix.as_str());
+        assert_eq!(found("/a/b/x"), Some("/a/"));
+        assert_eq!(found("/a/b/c/"), Some("/a/b/c/"));
+        assert_eq!(found("/a/b/c"), Some("/a/"));
+        assert_eq!(found("/ab"), Some("/"));
+        assert!(table.find("unknown", "/a/").is_none());
+    }
+
+    a_split_keeps_to_its_weights_and_to_the_request => {
+        let mut split = route("/", STREAM);
+        split.targets = vec![
+            Target { service: "one".into(), weight: 90 },
+            Target { service: "two".into(), weight: 10 },
+        ];
+        let to_two = (0..10_000).filter(|number| {
+            split.target(&format!("id-{number}")) == Some(&ServiceName::from("two"))
+        });
+        assert!((800..1_200).contains(&to_two.count()));
+        assert_eq!(split.target("id-7"), split.target("id-7"));
+    }
+
+    a_route_without_weights_leads_nowhere => {
+        let mut split = route("/", STREAM);
+        split.targets = vec![Target { service: "one".into(), weight: 0 }];
+        assert_eq!(split.target("id"), None);
+    }
+
+    only_an_endpoint_with_the_model_is_chosen => {
+        let scene = Scene::new(vec![endpoint("x", "z1", &["a"]), endpoint("y", "z2", &["b"])]);
+        assert_eq!(scene.choose(Some("b"), None, 1).as_deref(), Some("y"));
+        assert_eq!(scene.choose(Some("c"), None, 1), None);
+    }
+
+    a_model_that_is_going_is_not_used_and_one_that_arrived_is => {
+        let mut scene = Scene::new(vec![endpoint("x", "z1", &["a"])]);
+        let mut note = EngineNote::default();
+        note.retiring.insert("a".into());
+        note.arrived.insert("b".into());
+        scene.replicas.engines.insert("x".into(), note);
+        assert_eq!(scene.choose(Some("a"), None, 1), None);
+        assert_eq!(scene.choose(Some("b"), None, 1).as_deref(), Some("x"));
+    }
+
+    an_adapter_must_be_there_too => {
+        let with = with_adapters(endpoint("x", "z1", &[]), "a", &["n"]);
+        let scene = Scene::new(vec![with, endpoint("y", "z1", &["a"])]);
+        for lot in 0..20 {
+            assert_eq!(scene.choose(Some("a"), Some("n"), lot).as_deref(), Some("x"));
+        }
+        assert_eq!(scene.choose(Some("a"), Some("m"), 1), None);
+    }
+
+    load_is_evened_out_before_domains_are_kept_to => {
+        let mut scene = Scene::new(vec![endpoint("far", "z2", &[]), endpoint("near", "z1", &[])]);
+        assert_eq!(scene.choose(None, None, 1).as_deref(), Some("near"));
+        scene.records.sent(&"near".into());
+        assert_eq!(scene.choose(None, None, 1).as_deref(), Some("far"));
+    }
+
+    what_has_failed_this_request_or_lately_comes_last => {
+        let mut scene = Scene::new(vec![endpoint("x", "z1", &[]), endpoint("y", "z2", &[])]);
+        (0..5).for_each(|_| scene.records.failed(&"x".into(), 900));
+        assert_eq!(scene.choose(None, None, 1).as_deref(), Some("y"));
+        scene.tried.insert("y".into());
+        assert_eq!(scene.choose(None, None, 1).as_deref(), Some("x"));
+        scene.tried.insert("x".into());
+        assert_eq!(scene.choose(None, None, 1), None);
+    }
+
+    a_request_waits_for_a_load_that_ends_within_its_objective => {
+        let route = route("/", STREAM);
+        let waits = patience::decide(&route, 100, 15_000, Some(1_200));
+        assert!(matches!(waits, Patience::Wait { until_ms } if until_ms <= 2_500));
+    }
+
+    one_that_would_be_late_is_told_when_to_come_back => {
+        let route = route("/", STREAM);
+        let told = patience::decide(&route, 100, 15_000, Some(4_000));
+        let Patience::Refuse { retry_after_ms } = told else { panic!("it waits") };
+        assert!((4_000..4_500).contains(&retry_after_ms));
+    }
+
+    nobody_is_told_to_stay_away_longer_than_a_third_of_its_time => {
+        let route = route("/", STREAM);
+        let told = patience::decide(&route, 0, 3_000, Some(60_000));
+        assert_eq!(told, Patience::Refuse { retry_after_ms: 1_000 });
+    }
+
+    callers_stay_for_the_longest_of_their_three_times => {
+        let mut route = route("/", STREAM);
+        assert_eq!(patience::caller_stays_ms(&route, 25_000), 10_000);
+        route.objective_ms = 400;
+        assert_eq!(patience::caller_stays_ms(&route, 25_000), 2_400);
+        route.pause_ms = 10;
+        assert_eq!(patience::caller_stays_ms(&route, 25_000), 2_000);
+        assert_eq!(patience::caller_stays_ms(&route, 1_000), 1_000);
+    }
+
+    // Whatever each daemon sees, all shares together keep to the budget in any window.
+    shares_of_all_daemons_keep_to_the_budget => {
+        let bounds = RetryBounds { ratio: 0.2, window_ms: 10_000, fixed: 52 };
+        for seed in 0..50 {
+            let mut lots = fastrand::Rng::with_seed(seed);
+            let daemons = lots.usize(1..12);
+            let mut shares: Vec<RetryShare> = (0..daemons).map(|_| RetryShare::default()).collect();
+            let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+            for now_ms in (0..60_000).step_by(20) {
+                let share = &mut shares[lots.usize(0..daemons)];
+                if lots.u32(0..3) == 0 {
+                    share.requested(now_ms);
+                    requests.push(now_ms);
+                }
+                if share.take(now_ms, &bounds, daemons) {
+                    repeats.push(now_ms);
+                }
+            }
+            for end_ms in (10_000..60_000).step_by(500) {
+                let count = |times: &[u64], from_ms: u64| {
+                    times.iter().filter(|at| (from_ms..end_ms).contains(*at)).count() as f64
+                };
+                let allowed = 0.2 * count(&requests, end_ms - 10_000) + 52.0;
+                let taken = count(&repeats, end_ms - 10_000);
+                assert!(taken <= allowed, "seed {seed}: {taken} of {allowed} by {end_ms}");
+            }
+        }
+    }
+}
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -5,13 +5,13 @@
     knowledge::Knowledge,
     metrics::Metrics,
     net::pool::Pool,
-    store::client::Store,
+    stop, store::client::Store,
     wire::Wire,
 };
 use async_channel::Sender;
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
 };
 use trestle_config::entry_settings::EntrySettings;
 
@@ -26,7 +26,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) control: Sender<Message>,
     pub(crate) order_permit: OrderPermit,
-    pub(crate) is_stopping: AtomicBool,
+    /// When the daemon was told to stop; 0 before.
+    stopping_since_ms: AtomicU64,
     pub(crate) in_flight: AtomicUsize,
     next_number: AtomicU64,
 }
@@ -46,7 +47,7 @@
             metrics,
             control,
             order_permit: OrderPermit::default(),
-            is_stopping: AtomicBool::new(false),
+            stopping_since_ms: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             next_number: AtomicU64::new(1),
             wire,
@@ -56,11 +57,31 @@
 
     /// Whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        let is_stopping = self.is_stopping.load(Ordering::Relaxed);
-        !is_stopping
+        !self.is_stopping()
             && self.knowledge.with(|beliefs| beliefs.catalog.is_some() && beliefs.is_listed)
     }
 
+    /// Whether the daemon was told to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping_since_ms.load(Ordering::Relaxed) > 0
+    }
+
+    /// Notes that the daemon was told to stop.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping_since_ms.store(self.knowledge.now_ms().max(1), Ordering::Relaxed);
+    }
+
+    /// Whether a request that may take so long can still be taken.
+    ///
+    /// A stopping daemon takes everything while the balancer has not noticed; what
+    /// comes later must be over before the stop is.
+    pub(crate) fn can_take(&self, allowed_ms: u64) -> bool {
+        let since_ms = self.stopping_since_ms.load(Ordering::Relaxed);
+        let now_ms = self.knowledge.now_ms();
+        let is_noticed = since_ms > 0 && now_ms > since_ms + stop::NOTICE_MS;
+        !is_noticed || now_ms + allowed_ms < since_ms + stop::limit_ms(&self.settings)
+    }
+
     /// Where other daemons reach this one.
     pub(crate) fn peers_address(&self) -> SocketAddr {
         SocketAddr::new(self.settings.address, self.settings.peers_port)
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -92,7 +92,7 @@
         let bounds = &settings.bounds;
         let beliefs = Beliefs {
             catalog: None,
-            directory: Directory::default(),
+            directory: Directory::new(bounds.leaving_ms),
             is_listed: false,
             replicas: BTreeMap::new(),
             records: Records::default(),
--- a/crates/trestle-entry/src/stop.rs
+++ b/crates/trestle-entry/src/stop.rs
@@ -13,10 +13,11 @@
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
+use trestle_config::entry_settings::EntrySettings;
 
 /// Time in which the balancer notices: it asks once a second and believes the second
 /// answer.
-const NOTICE_MS: u64 = 2_600;
+pub(crate) const NOTICE_MS: u64 = 2_600;
 /// Time for giving up the lease; the store may be away.
 const LEAVE_MS: u64 = 1_500;
 /// Time between two looks whether everything has ended.
@@ -44,12 +45,12 @@
     }
     let started = Instant::now();
     tracing::info!(in_flight = daemon.in_flight.load(Ordering::Relaxed), "stop: Stopping.");
-    daemon.is_stopping.store(true, Ordering::SeqCst);
+    daemon.begin_stop();
     leave(daemon).await;
     let noticed = Duration::from_millis(NOTICE_MS).saturating_sub(started.elapsed());
     Timer::after(noticed).await;
     closing.close();
-    let limit = Duration::from_millis(daemon.settings.bounds.stop_s * 1_000 - SPARE_MS);
+    let limit = Duration::from_millis(limit_ms(&daemon.settings));
     while closing.open() > 0 && started.elapsed() < limit {
         Timer::after(Duration::from_millis(LOOK_MS)).await;
     }
@@ -57,6 +58,11 @@
     Ok(())
 }
 
+/// Time from the signal until the daemon ends, whatever is left.
+pub(crate) fn limit_ms(settings: &EntrySettings) -> u64 {
+    settings.bounds.stop_s * 1_000 - SPARE_MS
+}
+
 async fn leave(daemon: &Daemon) {
     let (reply, left) = async_channel::bounded(1);
     daemon.tell(Message::Stop(reply));
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -38,7 +38,7 @@
             }
             Err(_) => {
                 let now_ms = daemon.knowledge.now_ms();
-                daemon.knowledge.with(|beliefs| beliefs.directory.unread(now_ms));
+                daemon.knowledge.with(|beliefs| beliefs.directory.read(false, now_ms));
                 FAILED_MS
             }
         };
@@ -59,6 +59,7 @@
         let now_ms = daemon.knowledge.now_ms();
         let count = endpoints.len();
         daemon.knowledge.change(|beliefs| {
+            beliefs.directory.read(true, now_ms);
             beliefs.directory.replaced(endpoints, now_ms);
             beliefs.is_listed = true;
         });
@@ -68,14 +69,10 @@
     match follower.follow(after, WAIT_MS).await? {
         Feed::Forgotten => {
             tracing::info!(after, "endpoint: The store's history is gone; reading anew.");
-            let now_ms = daemon.knowledge.now_ms();
-            daemon.knowledge.with(|beliefs| beliefs.directory.unread(now_ms));
             Ok(None)
         }
         Feed::Changes(changes, version) => {
-            if !changes.is_empty() {
-                take(daemon, changes, version);
-            }
+            take(daemon, changes, version);
             Ok(Some(version))
         }
     }
@@ -83,6 +80,10 @@
 
 fn take(daemon: &Daemon, changes: Vec<RowChange>, version: u64) {
     let now_ms = daemon.knowledge.now_ms();
+    daemon.knowledge.with(|beliefs| beliefs.directory.read(true, now_ms));
+    if changes.is_empty() {
+        return;
+    }
     daemon.knowledge.change(|beliefs| {
         for change in changes {
             match change {
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -5,7 +5,7 @@
     traffic::{
         answer::{Body, Failure},
         plain,
-        report::{self, Ended},
+        report::{self, Ended, StreamSeen},
         stream,
         task::Task,
     },
@@ -25,6 +25,9 @@
 /// When a caller should come back while the daemon knows no configuration yet.
 const UNKNOWN_RETRY_MS: u64 = 500;
 
+/// The same while the daemon is stopping; another daemon takes the next attempt.
+const STOPPING_RETRY_MS: u64 = 100;
+
 /// Answers one request.
 pub(crate) async fn handle(daemon: Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
     let _counted = InFlight::new(&daemon);
@@ -38,7 +41,7 @@
     };
     // Two readings of one body are how a second request is hidden in it; nothing
     // that follows on such a connection is read.
-    if is_ambiguous || daemon.is_stopping.load(Ordering::Relaxed) {
+    if is_ambiguous || daemon.is_stopping() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -82,12 +85,16 @@
     let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
     let route = catalog.routes.find(host, parts.uri.path()).ok_or(Failure::NoRoute)?;
     let service = route.target(&head.id).ok_or(Failure::NoRoute)?.clone();
+    let allowed_ms = route.timeout_ms.min(head.deadline_ms.unwrap_or(u64::MAX));
+    if !daemon.can_take(allowed_ms) {
+        return Err(Failure::NotRun { retry_after_ms: STOPPING_RETRY_MS });
+    }
     let uri = parts.uri.path_and_query().map(|path| path.as_str().parse());
     let Some(Ok(uri)) = uri else { return Err(Failure::BadRequest) };
     Ok(Task {
         daemon: Arc::clone(daemon),
         service,
-        allowed_ms: route.timeout_ms.min(head.deadline_ms.unwrap_or(u64::MAX)),
+        allowed_ms,
         route: route.clone(),
         head,
         method: parts.method,
@@ -124,12 +131,13 @@
     match outcome.response {
         Ok(response) => {
             if !outcome.is_stream {
-                report::ended(&task, Ended::Whole, endpoint, outcome.sends, None);
+                report::ended(&task, Ended::Whole, endpoint, outcome.sends, StreamSeen::default());
             }
             response
         }
         Err(failure) => {
-            report::ended(&task, Ended::Failed(failure), endpoint, outcome.sends, None);
+            let end = Ended::Failed(failure);
+            report::ended(&task, end, endpoint, outcome.sends, StreamSeen::default());
             failure.answer(&task.daemon.wire.head, Some(&task.head.id))
         }
     }
--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -29,13 +29,24 @@
     }
 }
 
+/// What was seen of a stream.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct StreamSeen {
+    /// The last event that was passed on.
+    pub(crate) last_id: Option<u64>,
+    /// Time from the request to the first event.
+    pub(crate) first_ms: Option<u64>,
+    /// Longest time between two events.
+    pub(crate) longest_pause_ms: u64,
+}
+
 /// Notes the end of a request.
 pub(crate) fn ended(
     task: &Task,
     end: Ended,
     endpoint: Option<&str>,
     sends: u32,
-    last_id: Option<u64>,
+    seen: StreamSeen,
 ) {
     let took_ms = task.elapsed_ms();
     let retry_after_ms = match end {
@@ -51,7 +62,9 @@
         end = end.name(),
         endpoint,
         sends,
-        last_id,
+        last_id = seen.last_id,
+        first_ms = seen.first_ms,
+        longest_pause_ms = seen.longest_pause_ms,
         retry_after_ms,
         took_ms,
         allowed_ms = task.allowed_ms,
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -71,6 +71,7 @@
     let lot = daemon.next_number();
     let (model, adapter) = (task.head.model.as_ref(), task.head.adapter.as_ref());
     daemon.knowledge.with(|beliefs| {
+        beliefs.directory.tick(now_ms);
         let replicas = beliefs.replicas_of(&task.service);
         let known = Known {
             directory: &beliefs.directory,
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -10,7 +10,7 @@
     attempt::{self, Attempt, Unanswered, WholeAnswer},
     events::EventBuffer,
     plain::Outcome,
-    report::{self, Ended},
+    report::{self, Ended, StreamSeen},
     select::{self, Taken},
     task::Task,
 };
@@ -38,7 +38,9 @@
     let response = match opened {
         Ok(Opened::Events(parts, first)) => {
             task.daemon.metrics.first(&task.route.name, task.elapsed_ms());
-            let running = Running { flow, first: Some(first), end: None };
+            let seen = StreamSeen { first_ms: Some(task.elapsed_ms()), ..StreamSeen::default() };
+            let event_ms = task.elapsed_ms();
+            let running = Running { flow, first: Some(first), end: None, seen, event_ms };
             let body = StreamBody::new(stream::unfold(running, Running::next)).boxed_unsync();
             Ok(Response::from_parts(*parts, body))
         }
@@ -297,6 +299,9 @@
     flow: Flow,
     first: Option<Bytes>,
     end: Option<Ended>,
+    seen: StreamSeen,
+    /// When the last events came, from the request's arrival.
+    event_ms: u64,
 }
 
 impl Running {
@@ -310,7 +315,10 @@
         }
         loop {
             match self.flow.step(self.flow.next_event_ms()).await {
-                Step::Events(events) => return Some((Ok(Frame::data(events)), self)),
+                Step::Events(events) => {
+                    self.note_events();
+                    return Some((Ok(Frame::data(events)), self));
+                }
                 Step::End => {
                     self.end = Some(Ended::Whole);
                     return None;
@@ -329,10 +337,20 @@
     }
 }
 
+impl Running {
+    fn note_events(&mut self) {
+        let now_ms = self.flow.task.elapsed_ms();
+        let pause_ms = now_ms.saturating_sub(self.event_ms);
+        self.seen.longest_pause_ms = self.seen.longest_pause_ms.max(pause_ms);
+        self.event_ms = now_ms;
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         let flow = &self.flow;
         let end = self.end.unwrap_or(Ended::CallerLeft);
-        report::ended(&flow.task, end, flow.last.as_deref(), flow.sends, flow.buffer.last_id());
+        let seen = StreamSeen { last_id: flow.buffer.last_id(), ..self.seen };
+        report::ended(&flow.task, end, flow.last.as_deref(), flow.sends, seen);
     }
 }
