--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -82,6 +82,13 @@
         !is_noticed || now_ms + allowed_ms < since_ms + stop::limit_ms(&self.settings)
     }
 
+    /// Whether a request that has not been sent to an endpoint can still be.
+    pub(crate) fn can_begin(&self) -> bool {
+        let since_ms = self.stopping_since_ms.load(Ordering::Relaxed);
+        let last_ms = since_ms + stop::limit_ms(&self.settings).saturating_sub(stop::RUN_MS);
+        since_ms == 0 || self.knowledge.now_ms() < last_ms
+    }
+
     /// Where other daemons reach this one.
     pub(crate) fn peers_address(&self) -> SocketAddr {
         SocketAddr::new(self.settings.address, self.settings.peers_port)
--- a/crates/trestle-entry/src/stop.rs
+++ b/crates/trestle-entry/src/stop.rs
@@ -18,6 +18,8 @@
 /// Time in which the balancer notices: it asks once a second and believes the second
 /// answer.
 pub(crate) const NOTICE_MS: u64 = 2_600;
+/// Time that is kept for requests that have been sent: most streams end within it.
+pub(crate) const RUN_MS: u64 = 2_500;
 /// Time for giving up the lease; the store may be away.
 const LEAVE_MS: u64 = 1_500;
 /// Time between two looks whether everything has ended.
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -3,7 +3,7 @@
 use crate::{
     daemon::Daemon,
     knowledge::Wish,
-    traffic::{answer::Failure, task::Task},
+    traffic::{answer::{Failure, RETRY_SOON_MS}, task::Task},
 };
 use futures_lite::FutureExt;
 use smol::Timer;
@@ -17,6 +17,8 @@
 
 /// When a caller should come back if a plain service has no endpoint left to try.
 const PLAIN_RETRY_MS: u64 = 300;
+/// Longest time without a look while waiting; the daemon may be told to stop.
+const LOOK_MS: u64 = 500;
 /// Part of the objective within which a refusal still lets the caller be on time.
 const EARLY_PART: u64 = 4;
 /// Time beyond its return for which a refused caller's model is still kept.
@@ -50,6 +52,9 @@
         if wish.is_none() {
             wish = Some(WishGuard::new(task));
         }
+        if !task.daemon.can_begin() {
+            return Err(Failure::NotRun { retry_after_ms: RETRY_SOON_MS });
+        }
         let until_ms = match how_long(task) {
             Ok(until_ms) => until_ms,
             Err(retry_after_ms) => {
@@ -57,7 +62,7 @@
                 return Err(Failure::NotRun { retry_after_ms });
             }
         };
-        let wait_ms = until_ms.saturating_sub(task.elapsed_ms()).max(1);
+        let wait_ms = until_ms.saturating_sub(task.elapsed_ms()).clamp(1, LOOK_MS);
         let timer = async {
             Timer::after(Duration::from_millis(wait_ms)).await;
         };
