--- a/crates/trestle-dispatch/src/patience.rs
+++ b/crates/trestle-dispatch/src/patience.rs
@@ -14,7 +14,7 @@
 const PATIENCE_PAUSES: u64 = 8;
 /// Time from the moment a model is ready to the first event at the caller: the
 /// news of it, the request's way to the engine, a prompt, and the way back.
-const FIRST_EVENT_MS: u64 = 250;
+const FIRST_EVENT_MS: u64 = 150;
 /// Part of its remaining time after which a caller comes back at the latest.
 const COME_BACK_PART: u64 = 3;
 /// Said to callers where nothing is known of when the model will be ready.
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -20,7 +20,7 @@
 const REPLICA_FILL_PART: u32 = 8;
 /// Time that an unload waits for each model that has requests running; the mean
 /// of what streams of the deployments take.
-const RUN_WAIT_MS: f64 = 1_500.0;
+const RUN_WAIT_MS: f64 = 2_800.0;
 /// What losing a replica counts, in ms of delay, for each request a second.
 const MISS_MS_PER_RATE: f64 = 4_000.0;
 /// What a fully loaded engine counts against one that is idle.
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -68,11 +68,14 @@
         }
     };
     let took_ms = daemon.knowledge.now_ms() - started_ms;
+    let planned_ms = change.done_at_ms.saturating_sub(started_ms);
     let (name, model) = (&endpoint.name, &change.model);
     match &failure {
-        None => tracing::info!(endpoint = %name, %model, took_ms, "order: A change is done."),
+        None => {
+            tracing::info!(endpoint = %name, %model, took_ms, planned_ms, "order: A change is done.")
+        }
         Some(failure) => {
-            tracing::warn!(endpoint = %name, %model, took_ms, failure, "order: A change failed.");
+            tracing::warn!(endpoint = %name, %model, took_ms, planned_ms, failure, "order: A change failed.");
         }
     }
     daemon.metrics.change(failure.is_none(), change.is_remote, took_ms);
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -5,7 +5,8 @@
     knowledge::Knowledge,
     metrics::Metrics,
     net::pool::Pool,
-    stop, store::client::Store,
+    stop,
+    store::client::Store,
     wire::Wire,
 };
 use async_channel::Sender;
--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -41,13 +41,7 @@
 }
 
 /// Notes the end of a request.
-pub(crate) fn ended(
-    task: &Task,
-    end: Ended,
-    endpoint: Option<&str>,
-    sends: u32,
-    seen: StreamSeen,
-) {
+pub(crate) fn ended(task: &Task, end: Ended, endpoint: Option<&str>, sends: u32, seen: StreamSeen) {
     let took_ms = task.elapsed_ms();
     let retry_after_ms = match end {
         Ended::Failed(Failure::NotRun { retry_after_ms }) => Some(retry_after_ms),
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -3,7 +3,10 @@
 use crate::{
     daemon::Daemon,
     knowledge::Wish,
-    traffic::{answer::{Failure, RETRY_SOON_MS}, task::Task},
+    traffic::{
+        answer::{Failure, RETRY_SOON_MS},
+        task::Task,
+    },
 };
 use futures_lite::FutureExt;
 use smol::Timer;
