--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -304,7 +304,8 @@
     fn want_further_replicas(&mut self, waited_for: &BTreeSet<&ModelName>) {
         let lacking = self.spec.models.keys().filter_map(|model| {
             let (needed, there) = (self.needed_replicas(model), self.replicas(model));
-            (there > 0 && needed > there).then_some((needed - there, model))
+            let missing = needed.saturating_sub(there);
+            (there > 0 && missing > 0).then_some((missing, model))
         });
         let Some((_, model)) = lacking.max() else { return };
         let Some(offer) = self.best_offer(model, waited_for) else { return };
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -60,6 +60,7 @@
 impl Control {
     async fn run(mut self, messages: Receiver<Message>) {
         self.leasing.read_soon();
+        self.look();
         loop {
             let tick_ms = self.until_next_look();
             let tick = async {
