Break the daemon's circle, and split what had grown

The circle of 24 files around the own-interface daemon is gone: messages, start and shared state stand in files of their own, and imports run one way. Five small circles of two or three files are left there, none in the new crates. One loop follows a table of the store where config and endpoints had one each; placing is split by matter; what a stopping daemon takes has a file.

--- a/crates/trestle-dispatch/src/catalog.rs
+++ b/crates/trestle-dispatch/src/catalog.rs
@@ -1,6 +1,6 @@
 //! The operators' configuration, as decisions use it.
 
-use crate::{orders::Held, route::RouteTable};
+use crate::{endpoint::Held, route::RouteTable};
 use std::{collections::BTreeMap, sync::Arc};
 use trestle_core::names::{ModelName, ServiceName};
 
--- a/crates/trestle-dispatch/src/endpoint.rs
+++ b/crates/trestle-dispatch/src/endpoint.rs
@@ -6,6 +6,9 @@
 };
 use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
 
+/// Models that an engine holds, with their adapters.
+pub type Held = BTreeMap<ModelName, BTreeSet<AdapterName>>;
+
 /// One live endpoint: one start of an engine, or of a server of a plain service.
 ///
 /// A restart is a new endpoint with a new name, also at the same address.
@@ -26,7 +29,7 @@
     /// Number of the message by which it entered this; later ones are higher.
     pub entry_number: u64,
     /// Models that it holds, with their adapters.
-    pub held: BTreeMap<ModelName, BTreeSet<AdapterName>>,
+    pub held: Held,
     /// Models with a copy in the memory of its host, which load fastest.
     pub in_memory: BTreeSet<ModelName>,
     /// Models with a copy on its disk.
@@ -37,7 +40,7 @@
 #[trestle_macros::plain]
 pub struct EngineReport {
     /// Models that it holds, with their adapters.
-    pub held: BTreeMap<ModelName, BTreeSet<AdapterName>>,
+    pub held: Held,
     /// Whether an order is being carried out.
     pub is_busy: bool,
     /// Orders that it has accepted since its start.
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -10,10 +10,11 @@
 //!   behaved, [`retry_share`] bounds retries, [`patience`] decides between
 //!   waiting and refusing.
 //! - Replicas: [`lease`] says who may give orders, [`demand`] what is asked for,
-//!   [`placing`] what to load and evict, [`orders`] how one engine's orders
+//!   [`placing`] what [`change`] to make where, [`orders`] how one engine's orders
 //!   follow each other.
 
 pub mod catalog;
+pub mod change;
 pub mod choice;
 pub mod demand;
 pub mod directory;
--- a/crates/trestle-dispatch/src/orders.rs
+++ b/crates/trestle-dispatch/src/orders.rs
@@ -9,11 +9,11 @@
 //! the count is not known. Whether a load is done is asked by giving the same
 //! order again: the engine says at once that it is fulfilled.
 
-use crate::{catalog::EngineSpec, endpoint::EngineReport};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
+use crate::{
+    catalog::EngineSpec,
+    endpoint::{EngineReport, Held},
 };
+use std::{collections::BTreeSet, sync::Arc};
 use trestle_core::names::{AdapterName, ModelName};
 
 /// Pause before an order is sent again while the engine carries out an unload.
@@ -115,9 +115,6 @@
     failure: Option<Failure>,
 }
 
-/// Models and adapters that an engine holds.
-pub type Held = BTreeMap<ModelName, BTreeSet<AdapterName>>;
-
 impl OrderChain {
     /// A change of an engine that holds this, if it has accepted that many orders.
     ///
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -5,24 +5,21 @@
 //! what will be missed least. A busy model gets further replicas only where
 //! little is displaced.
 
+mod adapters;
+mod eviction;
+
 use crate::{
     catalog::{EngineSpec, ModelSpec},
+    change::Change,
     demand::Demand,
-    endpoint::Endpoint,
-    orders::{Held, Order},
+    endpoint::{Endpoint, Held},
 };
 use std::collections::{BTreeMap, BTreeSet};
-use trestle_core::names::{AdapterName, EndpointName, ModelName};
-use xxhash_rust::xxh3::xxh3_64;
+use trestle_core::names::{EndpointName, ModelName};
 
 /// Part of an engine's slots that one busy model fills before it is worth a
 /// further replica: at an eighth, steps are hardly slower than alone.
 const REPLICA_FILL_PART: u32 = 8;
-/// Time that an unload waits for each model that has requests running; the mean
-/// of what streams of the deployments take.
-const RUN_WAIT_MS: f64 = 2_800.0;
-/// What losing a replica counts, in ms of delay, for each request a second.
-const MISS_MS_PER_RATE: f64 = 4_000.0;
 /// What a fully loaded engine counts against one that is idle.
 const FULL_ENGINE_MS: f64 = 800.0;
 /// Most that a displaced model may count for the sake of a further replica.
@@ -31,8 +28,6 @@
 pub const REMOTE_LOADS_AT_ONCE: usize = 4;
 /// Time of an unload with nothing running, as engines show it.
 const UNLOAD_MS: u64 = 150;
-/// Time for which a model stays once it has arrived, for those it was loaded for.
-const SETTLE_MS: u64 = 1_500;
 
 /// What the giver of orders knows of one engine.
 #[derive(Debug)]
@@ -47,43 +42,6 @@
     pub change: Option<&'a Change>,
 }
 
-/// One change at one engine.
-#[trestle_macros::plain]
-pub struct Change {
-    /// The engine.
-    pub endpoint: EndpointName,
-    /// Models that go.
-    pub evicted: Vec<ModelName>,
-    /// The model that comes, or whose adapter comes.
-    pub model: ModelName,
-    /// The adapter that comes.
-    pub adapter: Option<AdapterName>,
-    /// The adapter that goes.
-    pub evicted_adapter: Option<(ModelName, AdapterName)>,
-    /// Whether the weights come from the weight store.
-    pub is_remote: bool,
-    /// Time that the load itself should take.
-    pub load_ms: u64,
-    /// When it should be done.
-    pub done_at_ms: u64,
-}
-
-impl Change {
-    /// The orders that make the change.
-    pub fn orders(&self) -> Vec<Order> {
-        let mut orders: Vec<Order> =
-            self.evicted.iter().map(|model| Order::UnloadModel(model.clone())).collect();
-        if let Some((model, adapter)) = &self.evicted_adapter {
-            orders.push(Order::UnloadAdapter(model.clone(), adapter.clone()));
-        }
-        orders.push(match &self.adapter {
-            Some(adapter) => Order::LoadAdapter(self.model.clone(), adapter.clone()),
-            None => Order::LoadModel(self.model.clone()),
-        });
-        orders
-    }
-}
-
 /// What to change now, and when models that are waited for will be ready.
 #[derive(Debug, Default)]
 pub struct Plan {
@@ -211,68 +169,6 @@
         Some(Offer { change, ready_in_ms, cost_ms, miss_ms: eviction.miss_ms })
     }
 
-    /// The models whose going makes room and is missed least.
-    fn eviction(
-        &self,
-        needed_mb: u64,
-        state: &EngineState<'_>,
-        waited_for: &BTreeSet<&ModelName>,
-    ) -> Option<Eviction> {
-        let mut free_mb = self.spec.memory_mb.saturating_sub(self.spec.held_mb(state.held));
-        let mut candidates: Vec<(f64, f64, &ModelName)> = state
-            .held
-            .keys()
-            .filter_map(|model| {
-                let (miss_ms, run_wait_ms) = self.loss(model, state, waited_for)?;
-                Some((miss_ms, run_wait_ms, model))
-            })
-            .collect();
-        candidates.sort_by(|one, other| (one.0 + one.1).total_cmp(&(other.0 + other.1)));
-        let mut eviction = Eviction { models: Vec::new(), miss_ms: 0.0, run_wait_ms: 0.0 };
-        for (miss_ms, run_wait_ms, model) in candidates {
-            if free_mb >= needed_mb {
-                break;
-            }
-            free_mb += self.model_mb(model, state);
-            eviction.models.push(model.clone());
-            eviction.miss_ms += miss_ms;
-            eviction.run_wait_ms = eviction.run_wait_ms.max(run_wait_ms);
-        }
-        (free_mb >= needed_mb).then_some(eviction)
-    }
-
-    /// What the going of a model from an engine costs; `None` if it must stay.
-    fn loss(
-        &self,
-        model: &ModelName,
-        state: &EngineState<'_>,
-        waited_for: &BTreeSet<&ModelName>,
-    ) -> Option<(f64, f64)> {
-        let is_new =
-            state.arrived_ms.get(model).is_some_and(|at_ms| self.now_ms < at_ms + SETTLE_MS);
-        let others = self.replicas(model).saturating_sub(1);
-        if others == 0 && (is_new || waited_for.contains(model)) {
-            return None;
-        }
-        let running = self.demand.running(&state.endpoint.name, model, self.now_ms);
-        let run_wait_ms = if running > 0 { RUN_WAIT_MS } else { 0.0 };
-        let rate = self.demand.rate_per_s(model, self.now_ms);
-        let is_surplus = others >= self.needed_replicas(model);
-        // What was asked for longest ago goes first among equals.
-        let age_ms = self
-            .demand
-            .last_arrival_ms(model)
-            .map_or(u64::MAX, |at_ms| self.now_ms.saturating_sub(at_ms));
-        let recency = 50.0 / (1.0 + age_ms as f64 / 1e3);
-        let miss_ms = if is_surplus { 0.0 } else { rate * MISS_MS_PER_RATE + recency };
-        Some((miss_ms, run_wait_ms))
-    }
-
-    fn model_mb(&self, model: &ModelName, state: &EngineState<'_>) -> u64 {
-        let adapters = state.held.get(model).map_or(0, BTreeSet::len) as u64;
-        self.spec.weights_mb(model) + adapters * self.spec.adapter_mb(model)
-    }
-
     fn remote_loads(&self) -> usize {
         let under_way = self.engines.values().filter_map(|state| state.change);
         under_way.chain(&self.plan.changes).filter(|change| change.is_remote).count()
@@ -317,71 +213,6 @@
             self.plan.changes.push(change);
         }
     }
-
-    /// Brings an adapter in at one of its model's replicas, the same one each time.
-    fn want_adapter(&mut self, model: &ModelName, adapter: &AdapterName) {
-        let Some(spec) = self.spec.models.get(model) else { return };
-        let key = (model.clone(), adapter.clone());
-        let under_way = self.engines.values().filter_map(|state| state.change);
-        let mut changes = under_way.chain(&self.plan.changes);
-        let comes = changes
-            .any(|change| change.model == *model && change.adapter.as_ref() == Some(adapter));
-        let is_there = self.engines.values().any(|state| {
-            state.held.get(model).is_some_and(|adapters| adapters.contains(adapter))
-                && !state.change.is_some_and(|change| change.evicted.contains(model))
-        });
-        if comes || is_there {
-            return;
-        }
-        let hosts = self.engines.values().filter(|state| {
-            let is_free = state.change.is_none()
-                && !self.plan.changes.iter().any(|change| change.endpoint == state.endpoint.name);
-            is_free && state.held.contains_key(model)
-        });
-        let ranked = hosts.max_by_key(|state| {
-            let text = format!("{model}/{adapter}@{}", state.endpoint.name);
-            xxh3_64(text.as_bytes())
-        });
-        let Some(state) = ranked else { return };
-        let loaded: usize = state.held.values().map(BTreeSet::len).sum();
-        let is_full = loaded as u64 >= u64::from(self.spec.adapter_slots);
-        let used_mb = self.spec.held_mb(state.held);
-        let is_tight = used_mb + spec.adapter_mb > self.spec.memory_mb;
-        let evicted_adapter =
-            if is_full || is_tight { self.idle_adapter(state, &key) } else { None };
-        if (is_full || is_tight) && evicted_adapter.is_none() {
-            return;
-        }
-        let change = Change {
-            endpoint: state.endpoint.name.clone(),
-            evicted: Vec::new(),
-            model: model.clone(),
-            adapter: Some(adapter.clone()),
-            evicted_adapter,
-            is_remote: false,
-            load_ms: 0,
-            done_at_ms: self.now_ms + UNLOAD_MS,
-        };
-        self.plan.changes.push(change);
-    }
-
-    /// An adapter at an engine that nobody uses.
-    fn idle_adapter(
-        &self,
-        state: &EngineState<'_>,
-        wanted: &(ModelName, AdapterName),
-    ) -> Option<(ModelName, AdapterName)> {
-        let loaded = state.held.iter().flat_map(|(model, adapters)| {
-            adapters.iter().map(move |adapter| (model.clone(), adapter.clone()))
-        });
-        let idle = loaded.filter(|key| {
-            key != wanted && !self.demand.uses_adapter(&state.endpoint.name, key, self.now_ms)
-        });
-        idle.min_by(|one, other| {
-            let rate = |key: &(ModelName, AdapterName)| self.demand.rate_per_s(&key.0, self.now_ms);
-            rate(one).total_cmp(&rate(other)).then_with(|| one.cmp(other))
-        })
-    }
 }
 
 /// What it would take to bring a model in at one engine.
@@ -393,12 +224,6 @@
     miss_ms: f64,
 }
 
-struct Eviction {
-    models: Vec<ModelName>,
-    miss_ms: f64,
-    run_wait_ms: f64,
-}
-
 /// Time of a load, and whether it comes from the weight store.
 fn load_time(spec: &ModelSpec, endpoint: &Endpoint, model: &ModelName) -> (u64, bool) {
     if endpoint.in_memory.contains(model) {
--- a/crates/trestle-dispatch/tests/orders.rs
+++ b/crates/trestle-dispatch/tests/orders.rs
@@ -8,8 +8,8 @@
 use trestle_core::names::{AdapterName, ModelName};
 use trestle_dispatch::{
     catalog::{EngineSpec, ModelSpec},
-    endpoint::EngineReport,
-    orders::{Failure, Held, Next, Order, OrderAnswer, OrderChain},
+    endpoint::{EngineReport, Held},
+    orders::{Failure, Next, Order, OrderAnswer, OrderChain},
 };
 
 const LOAD_MS: u64 = 800;
--- a/crates/trestle-dispatch/tests/placing.rs
+++ b/crates/trestle-dispatch/tests/placing.rs
@@ -6,9 +6,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{EndpointName, ModelName};
 use trestle_dispatch::{
+    change::Change,
     demand::{Demand, DemandDigest, Waiting},
     endpoint::Endpoint,
-    placing::{Change, EngineState, Plan, Planner},
+    placing::{EngineState, Plan, Planner},
 };
 
 const NOW_MS: u64 = 100_000;
--- a/crates/trestle-entry/src/control/book.rs
+++ b/crates/trestle-entry/src/control/book.rs
@@ -4,11 +4,12 @@
 use trestle_core::names::{EndpointName, ModelName, ServiceName};
 use trestle_dispatch::{
     catalog::EngineSpec,
+    change::Change,
     demand::Demand,
     directory::Directory,
-    endpoint::Endpoint,
-    orders::{Held, OrderChain},
-    placing::{Change, EngineState, Planner},
+    endpoint::{Endpoint, Held},
+    orders::OrderChain,
+    placing::{EngineState, Planner},
     replicas::{EngineNote, ReplicaView},
 };
 
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -5,9 +5,9 @@
 use std::{sync::Arc, time::Duration};
 use trestle_core::names::ServiceName;
 use trestle_dispatch::{
+    change::Change,
     endpoint::{Endpoint, EngineReport},
     orders::{Next, Order, OrderAnswer, OrderChain},
-    placing::Change,
 };
 
 /// Time for an engine to answer an order or a question; it answers at once.
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod net;
 mod peer;
 mod stop;
+mod stopping;
 mod store;
 mod tidy;
 mod traffic;
--- a/crates/trestle-entry/src/stop.rs
+++ b/crates/trestle-entry/src/stop.rs
@@ -4,7 +4,9 @@
 //! nothing new. Meanwhile everything that comes is served. Then connections end as
 //! their requests do, and last the lease on orders is given up.
 
-use crate::{control::message::Message, daemon::Daemon, traffic::serve::Closing};
+use crate::{
+    control::message::Message, daemon::Daemon, stopping::NOTICE_MS, traffic::serve::Closing,
+};
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
 use smol::Timer;
@@ -13,19 +15,11 @@
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
-use trestle_config::entry_settings::EntrySettings;
 
-/// Time in which the balancer notices: it asks once a second and believes the second
-/// answer.
-pub(crate) const NOTICE_MS: u64 = 2_600;
-/// Time that is kept for requests that have been sent: most streams end within it.
-pub(crate) const RUN_MS: u64 = 2_500;
 /// Time for giving up the lease; the store may be away.
 const LEAVE_MS: u64 = 1_500;
 /// Time between two looks whether everything has ended.
 const LOOK_MS: u64 = 20;
-/// Part of the time for a stop that is left unused, so that the end comes by itself.
-const SPARE_MS: u64 = 300;
 
 /// Serves until the daemon is told to stop, and stops.
 ///
@@ -47,13 +41,13 @@
     }
     let started = Instant::now();
     tracing::info!(in_flight = daemon.in_flight.load(Ordering::Relaxed), "stop: Stopping.");
-    daemon.begin_stop();
+    daemon.stopping.begin(daemon.knowledge.now_ms());
     let noticed = Duration::from_millis(NOTICE_MS).saturating_sub(started.elapsed());
     Timer::after(noticed).await;
     closing.close();
     // Orders go on meanwhile, since nobody may give any for a while after the lease is
     // given up, and this daemon's own requests still wait for models.
-    let drained_by = Duration::from_millis(limit_ms(&daemon.settings) - LEAVE_MS);
+    let drained_by = Duration::from_millis(daemon.stopping.limit_ms() - LEAVE_MS);
     let drained = async {
         while closing.open() > 0 && started.elapsed() < drained_by {
             Timer::after(Duration::from_millis(LOOK_MS)).await;
@@ -61,7 +55,7 @@
     };
     drained.await;
     leave(daemon).await;
-    let limit = Duration::from_millis(limit_ms(&daemon.settings));
+    let limit = Duration::from_millis(daemon.stopping.limit_ms());
     while closing.open() > 0 && started.elapsed() < limit {
         Timer::after(Duration::from_millis(LOOK_MS)).await;
     }
@@ -69,11 +63,6 @@
     Ok(())
 }
 
-/// Time from the signal until the daemon ends, whatever is left.
-pub(crate) fn limit_ms(settings: &EntrySettings) -> u64 {
-    settings.bounds.stop_s * 1_000 - SPARE_MS
-}
-
 async fn leave(daemon: &Daemon) {
     let (reply, left) = async_channel::bounded(1);
     daemon.tell(Message::Stop(reply));
--- a/crates/trestle-entry/src/store/config.rs
+++ b/crates/trestle-entry/src/store/config.rs
@@ -1,65 +1,30 @@
 //! Follows the operators' configuration.
 
-use crate::{daemon::Daemon, store::client::Follower};
-use smol::Timer;
-use std::{sync::Arc, time::Duration};
-use trestle_dispatch::store::{Feed, Row, RowChange};
-
-/// Time for which the store holds a wait for changes. A wait that the store will
-/// never answer is noticed soon after, well within the time in which a daemon must
-/// catch up with what it missed.
-const WAIT_MS: u64 = 2_000;
-/// Pause after a call that failed.
-const FAILED_MS: u64 = 250;
+use crate::{
+    daemon::Daemon,
+    store::follow::{self, Followed},
+};
+use std::sync::Arc;
+use trestle_dispatch::store::{Row, RowChange, RowPage};
 
 /// Follows the configuration until the process ends.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
     let (table, _) = daemon.wire.store.config_row;
-    let follower = daemon.store.follower(table);
-    let mut after = None;
-    let mut is_lost = false;
-    loop {
-        let outcome = step(&daemon, &follower, after).await;
-        if is_lost != outcome.is_err() {
-            is_lost = outcome.is_err();
-            match &outcome {
-                Ok(_) => tracing::info!("config: The store is followed again."),
-                Err(error) => tracing::warn!(%error, "config: The store cannot be followed."),
-            }
-        }
-        match outcome {
-            Ok(next) => after = next,
-            Err(_) => {
-                Timer::after(Duration::from_millis(FAILED_MS)).await;
-            }
-        }
-    }
+    let followed = Followed {
+        table,
+        gather_ms: 0,
+        on_read: |page: RowPage| page.rows.iter().for_each(|row| take(&daemon, row)),
+        on_changes: |changes: Vec<RowChange>, _| {
+            changes.iter().for_each(|change| take_change(&daemon, change))
+        },
+        on_failure: || {},
+    };
+    follow::run(&daemon, followed).await;
 }
 
-/// One read or wait; returns where to go on, `None` if everything must be read anew.
-async fn step(
-    daemon: &Daemon,
-    follower: &Follower<'_>,
-    after: Option<u64>,
-) -> Result<Option<u64>, crate::store::client::Error> {
-    let Some(after) = after else {
-        let page = follower.read().await?;
-        page.rows.iter().for_each(|row| take(daemon, row));
-        return Ok(Some(page.version));
-    };
-    match follower.follow(after, WAIT_MS).await? {
-        Feed::Forgotten => {
-            tracing::info!(after, "config: The store's history is gone; reading anew.");
-            Ok(None)
-        }
-        Feed::Changes(changes, version) => {
-            for change in &changes {
-                if let RowChange::Written(row) = change {
-                    take(daemon, row);
-                }
-            }
-            Ok(Some(version))
-        }
+fn take_change(daemon: &Daemon, change: &RowChange) {
+    if let RowChange::Written(row) = change {
+        take(daemon, row);
     }
 }
 
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -2,9 +2,12 @@
 
 use crate::{
     net::pool::{Connection, SendError},
-    traffic::{select::Taken, task::Task},
+    traffic::{
+        outcome::{Unanswered, WholeAnswer},
+        select::Taken,
+        task::Task,
+    },
 };
-use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -25,39 +28,6 @@
     pub(crate) head: AnswerHead,
 }
 
-/// A whole answer of an endpoint.
-#[derive(Debug)]
-pub(crate) struct WholeAnswer {
-    pub(crate) response: Response<Bytes>,
-}
-
-/// Why a send led to no answer that can be passed on.
-#[derive(Debug)]
-pub(crate) enum Unanswered {
-    /// The endpoint could not be connected to; it knows nothing of the request.
-    Unreachable(String),
-    /// The endpoint says that it did not run the request.
-    NotRun(StatusCode),
-    /// It may have run.
-    MayHaveRun(String),
-}
-
-impl Unanswered {
-    /// Whether the request may have run.
-    pub(crate) fn may_have_run(&self) -> bool {
-        matches!(self, Self::MayHaveRun(_))
-    }
-
-    /// A short reason, for logs.
-    pub(crate) fn reason(&self) -> String {
-        match self {
-            Self::Unreachable(reason) => format!("not reached: {reason}"),
-            Self::NotRun(status) => format!("refused with {status}"),
-            Self::MayHaveRun(reason) => reason.clone(),
-        }
-    }
-}
-
 /// Sends a request and waits for the head of the answer.
 ///
 /// # Errors
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -41,7 +41,7 @@
     };
     // Two readings of one body are how a second request is hidden in it; nothing
     // that follows on such a connection is read.
-    if is_ambiguous || daemon.is_stopping() {
+    if is_ambiguous || daemon.stopping.has_begun() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -86,7 +86,7 @@
     let route = catalog.routes.find(host, parts.uri.path()).ok_or(Failure::NoRoute)?;
     let service = route.target(&head.id).ok_or(Failure::NoRoute)?.clone();
     let allowed_ms = route.timeout_ms.min(head.deadline_ms.unwrap_or(u64::MAX));
-    if !daemon.can_take(allowed_ms) {
+    if !daemon.stopping.can_take(arrived_ms, allowed_ms) {
         return Err(Failure::NotRun { retry_after_ms: STOPPING_RETRY_MS });
     }
     let uri = parts.uri.path_and_query().map(|path| path.as_str().parse());
--- a/crates/trestle-entry/src/traffic/mod.rs
+++ b/crates/trestle-entry/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod attempt;
 pub(crate) mod events;
 pub(crate) mod handle;
+pub(crate) mod outcome;
 pub(crate) mod plain;
 pub(crate) mod report;
 pub(crate) mod select;
--- /dev/null
+++ b/crates/trestle-entry/src/traffic/outcome.rs
@@ -0,0 +1,37 @@
+//! What came of one send.
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+
+/// A whole answer of an endpoint.
+#[derive(Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) response: Response<Bytes>,
+}
+
+/// Why a send led to no answer that can be passed on.
+#[derive(Debug)]
+pub(crate) enum Unanswered {
+    /// The endpoint could not be connected to; it knows nothing of the request.
+    Unreachable(String),
+    /// The endpoint says that it did not run the request.
+    NotRun(StatusCode),
+    /// It may have run.
+    MayHaveRun(String),
+}
+
+impl Unanswered {
+    /// Whether the request may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        matches!(self, Self::MayHaveRun(_))
+    }
+
+    /// A short reason, for logs.
+    pub(crate) fn reason(&self) -> String {
+        match self {
+            Self::Unreachable(reason) => format!("not reached: {reason}"),
+            Self::NotRun(status) => format!("refused with {status}"),
+            Self::MayHaveRun(reason) => reason.clone(),
+        }
+    }
+}
--- a/crates/trestle-entry/src/traffic/plain.rs
+++ b/crates/trestle-entry/src/traffic/plain.rs
@@ -2,7 +2,8 @@
 
 use crate::traffic::{
     answer::{Body, Failure, RETRY_SOON_MS, whole},
-    attempt::{self, Unanswered, WholeAnswer},
+    attempt,
+    outcome::{Unanswered, WholeAnswer},
     select::{self, Taken},
     sends::Sends,
     task::Task,
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -53,7 +53,7 @@
         if wish.is_none() {
             wish = Some(WishGuard::new(task));
         }
-        if !task.daemon.can_begin() {
+        if !task.daemon.stopping.can_begin(task.daemon.knowledge.now_ms()) {
             return Err(Failure::NotRun { retry_after_ms: RETRY_SOON_MS });
         }
         let until_ms = match how_long(task) {
--- a/crates/trestle-entry/src/traffic/sends.rs
+++ b/crates/trestle-entry/src/traffic/sends.rs
@@ -1,7 +1,7 @@
 //! The sends of one request so far, and where the next may go.
 
 use crate::traffic::{
-    attempt::{Unanswered, WholeAnswer},
+    outcome::{Unanswered, WholeAnswer},
     task::Task,
 };
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -7,8 +7,9 @@
 
 use crate::traffic::{
     answer::{Broken, Failure, RETRY_SOON_MS, whole},
-    attempt::{self, Attempt, WholeAnswer},
+    attempt::{self, Attempt},
     events::EventBuffer,
+    outcome::WholeAnswer,
     plain::Outcome,
     report::{self, Ended, StreamSeen},
     select::{self, Taken},
--- a/crates/trestled/src/admin.rs
+++ b/crates/trestled/src/admin.rs
@@ -1,6 +1,6 @@
 //! Serves operators and the balancer.
 
-use crate::{control::Message, daemon::Daemon};
+use crate::{daemon::Daemon, message::Message};
 use std::sync::Arc;
 use trillium::{Conn, Method, Status};
 
--- a/crates/trestled/src/asking.rs
+++ b/crates/trestled/src/asking.rs
@@ -6,12 +6,11 @@
 //! ask waits, the owner is asked now and then whether it is still there, so an
 //! owner that has frozen is noticed long before the deadline.
 
-use crate::{control::Message, daemon::Daemon};
+use crate::{daemon::Daemon, message::Message};
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::{
     sync::Arc,
-    sync::atomic::{AtomicBool, Ordering},
     time::{Duration, Instant},
 };
 use trestle_core::{
@@ -27,24 +26,6 @@
 /// Questions without an answer after which an owner counts as lost.
 const LOST_AFTER: u32 = 2;
 
-/// What asking keeps between requests.
-#[derive(Default)]
-pub(crate) struct Asking {
-    has_left: AtomicBool,
-}
-
-impl Asking {
-    /// Notes that this daemon has left its domain.
-    pub(crate) fn left(&self) {
-        self.has_left.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether this daemon has left its domain.
-    pub(crate) fn has_left(&self) -> bool {
-        self.has_left.load(Ordering::Relaxed)
-    }
-}
-
 /// What a request asks for.
 #[derive(Clone, Copy)]
 pub(crate) struct Wish<'a> {
--- a/crates/trestled/src/claims.rs
+++ b/crates/trestled/src/claims.rs
@@ -7,7 +7,7 @@
 
 mod gate;
 mod record;
-mod writer;
+pub(crate) mod writer;
 
 use crate::{
     daemon::Daemon,
@@ -31,7 +31,6 @@
     row::CommitOutcome,
 };
 use trestle_wire::claim::{WireClaim, WireClaimState};
-pub(crate) use writer::ClaimWriter;
 
 /// Time between two looks at a claim that another attempt holds.
 const WAIT_MS: u64 = 100;
--- a/crates/trestled/src/control.rs
+++ b/crates/trestled/src/control.rs
@@ -6,6 +6,7 @@
 use crate::{
     daemon::Daemon,
     error::{Result, ThreadSnafu},
+    message::Message,
     shell, status,
 };
 use async_channel::{Receiver, Sender};
@@ -24,29 +25,14 @@
     membership_row::Member,
     names::{DomainName, EndpointName},
     node::Node,
-    permit::{PermitAnswer, PermitAsk, Ticket},
+    permit::{PermitAnswer, Ticket},
     row::Rows,
     timing::Timing,
 };
-use trestle_wire::admin::Status;
 
 /// Longest time between two looks at what is due.
 const TICK_MS: u64 = 50;
 
-/// What the control thread takes.
-pub(crate) enum Message {
-    /// Something happened at one endpoint, or to the whole daemon.
-    Event(Event),
-    /// Something happened in one failure domain.
-    DomainEvent(DomainName, Event),
-    /// An entry daemon asks for a permit.
-    Ask(PermitAsk, Sender<PermitAnswer>),
-    /// A peer asks whether this daemon owns an endpoint.
-    Owns(EndpointName, Sender<bool>),
-    /// An operator asks for the state of the daemon.
-    Status(Sender<Status>),
-}
-
 /// Everything that the control thread holds.
 struct Control {
     daemon: Arc<Daemon>,
--- a/crates/trestled/src/daemon.rs
+++ b/crates/trestled/src/daemon.rs
@@ -1,9 +1,8 @@
 //! What every part of the daemon shares.
 
 use crate::{
-    admin, asking::Asking, claims::ClaimWriter, clock, config_watch, control::Message,
-    domains_watch, entry, error::Result, metrics::Metrics, peer_server, places::Places,
-    routing::Routing, serve, stop, vms_watch,
+    claims::writer::ClaimWriter, error::Result, message::Message, metrics::Metrics, places::Places,
+    routing::Routing,
 };
 use async_channel::{Receiver, Sender};
 use std::{
@@ -41,7 +40,7 @@
     pub(crate) service_traffic: Client,
     pub(crate) single_traffic: Client,
     pub(crate) metrics: Metrics,
-    pub(crate) asking: Asking,
+    has_left: AtomicBool,
     pub(crate) claim_writer: ClaimWriter,
     pub(crate) is_stopping: AtomicBool,
     pub(crate) in_flight: AtomicUsize,
@@ -83,7 +82,7 @@
             service_traffic: trestle_client::http::pooled_client(),
             single_traffic: trestle_client::http::single_use_client(),
             metrics: Metrics::new()?,
-            asking: Asking::default(),
+            has_left: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
@@ -169,30 +168,18 @@
         is_configured && !self.is_stopping.load(Ordering::Relaxed)
     }
 
+    /// Notes that the daemon has left its failure domain.
+    pub(crate) fn leave(&self) {
+        self.has_left.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the daemon has left its failure domain.
+    pub(crate) fn has_left(&self) -> bool {
+        self.has_left.load(Ordering::Relaxed)
+    }
+
     /// The address at which peers reach this daemon.
     pub(crate) fn peers_address(&self) -> SocketAddr {
         self.settings.peers_address
     }
 }
-
-/// Runs the daemon until it is told to stop.
-pub(crate) async fn run(daemon: Arc<Daemon>) -> Result<()> {
-    let peers = peer_server::listen(&daemon).await?;
-    smol::spawn(peer_server::run(Arc::clone(&daemon), peers)).detach();
-    smol::spawn(config_watch::run(Arc::clone(&daemon))).detach();
-    smol::spawn(domains_watch::run(Arc::clone(&daemon))).detach();
-    smol::spawn(vms_watch::run(Arc::clone(&daemon))).detach();
-    smol::spawn(clock::run(Arc::clone(&daemon))).detach();
-    let callers = serve::start(daemon.settings.callers_address, &daemon.settings.limits, {
-        let daemon = Arc::clone(&daemon);
-        move |conn| entry::handle(Arc::clone(&daemon), conn)
-    })
-    .await?;
-    serve::start(daemon.settings.admin_address, &daemon.settings.limits, {
-        let daemon = Arc::clone(&daemon);
-        move |conn| admin::handle(Arc::clone(&daemon), conn)
-    })
-    .await?;
-    tracing::info!("daemon: Serving callers at {}.", daemon.settings.callers_address);
-    stop::wait(&daemon, callers).await
-}
--- a/crates/trestled/src/main.rs
+++ b/crates/trestled/src/main.rs
@@ -21,10 +21,12 @@
 mod entry;
 mod error;
 mod logs;
+mod message;
 mod metrics;
 mod peer_server;
 mod places;
 mod routing;
+mod run;
 mod serve;
 mod shell;
 mod status;
@@ -42,7 +44,7 @@
 use trestle_config::{SettingsFile, settings::Settings};
 
 fn main() -> ExitCode {
-    match run() {
+    match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("trestled: {error}");
@@ -51,7 +53,7 @@
     }
 }
 
-fn run() -> Result<()> {
+fn start() -> Result<()> {
     let Some(args) = Args::from_env()? else { return Ok(()) };
     let settings = args.settings()?;
     if args.check_only {
@@ -71,5 +73,5 @@
     logs::init(&settings.log)?;
     let (daemon, control) = Daemon::new(settings)?;
     control::start(Arc::clone(&daemon), control)?;
-    smol::block_on(daemon::run(daemon))
+    smol::block_on(run::run(daemon))
 }
--- /dev/null
+++ b/crates/trestled/src/message.rs
@@ -0,0 +1,23 @@
+//! What the control thread takes.
+
+use async_channel::Sender;
+use trestle_core::{
+    event::Event,
+    names::{DomainName, EndpointName},
+    permit::{PermitAnswer, PermitAsk},
+};
+use trestle_wire::admin::Status;
+
+/// What the control thread takes.
+pub(crate) enum Message {
+    /// Something happened at one endpoint, or to the whole daemon.
+    Event(Event),
+    /// Something happened in one failure domain.
+    DomainEvent(DomainName, Event),
+    /// An entry daemon asks for a permit.
+    Ask(PermitAsk, Sender<PermitAnswer>),
+    /// A peer asks whether this daemon owns an endpoint.
+    Owns(EndpointName, Sender<bool>),
+    /// An operator asks for the state of the daemon.
+    Status(Sender<Status>),
+}
--- a/crates/trestled/src/peer_server.rs
+++ b/crates/trestled/src/peer_server.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     asking,
-    control::Message,
     daemon::Daemon,
     error::{ListenSnafu, Result},
+    message::Message,
 };
 use async_compat::{Compat, CompatExt};
 use futures_util::StreamExt;
--- a/crates/trestled/src/shell.rs
+++ b/crates/trestled/src/shell.rs
@@ -45,7 +45,7 @@
         Action::Left => {
             tracing::info!("member: Left {domain}.");
             if domain.as_str() == daemon.settings.domain {
-                daemon.asking.left();
+                daemon.leave();
             }
         }
         Action::Answer(..) => {}
--- a/crates/trestled/src/stop.rs
+++ b/crates/trestled/src/stop.rs
@@ -39,7 +39,7 @@
     Timer::after(Duration::from_millis(NOTICE_MS)).await;
     daemon.tell(Event::Stop);
     let leave_limit = started.elapsed() + Duration::from_millis(LEAVE_MS);
-    while !daemon.asking.has_left() && started.elapsed() < leave_limit {
+    while !daemon.has_left() && started.elapsed() < leave_limit {
         Timer::after(Duration::from_millis(LOOK_MS)).await;
     }
     while daemon.in_flight.load(Ordering::Relaxed) > 0 && started.elapsed() < limit {
