--- a/crates/trestle-core/src/health.rs
+++ b/crates/trestle-core/src/health.rs
@@ -32,6 +32,12 @@
         self.avoided_until_ms = now_ms + pause_ms;
     }
 
+    /// Notes that it cannot be reached, which one failure shows.
+    pub fn unreachable(&mut self, now_ms: u64) {
+        self.failures = self.failures.max(AVOID_AFTER - 1);
+        self.failed(now_ms);
+    }
+
     /// Whether requests should go elsewhere.
     ///
     /// Once the pause is over the next request is the probe.
--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -65,12 +65,15 @@
     })
 }
 
-/// How loaded an endpoint is, as a share of its slots.
+/// How loaded an endpoint is, as a share of its slots, and how often it fails. The share
+/// of failures is squared: a failure now and then moves no load, and an endpoint that
+/// fails half of its requests counts like one that is a quarter full.
 fn cost(known: &Known<'_>, endpoint: &Endpoint) -> f64 {
-    let own = known.records.of(&endpoint.name).in_flight;
-    let running = own.max(known.replicas.running(&endpoint.name));
+    let record = known.records.of(&endpoint.name);
+    let running = record.in_flight.max(known.replicas.running(&endpoint.name));
     let crossing = if endpoint.domain == *known.domain { 0.0 } else { CROSSING_SHARE };
-    f64::from(running) / f64::from(endpoint.slots.max(1)) + crossing
+    let fill = f64::from(running) / f64::from(endpoint.slots.max(1));
+    fill + crossing + record.failed_share(known.now_ms).powi(2)
 }
 
 fn mix(lot: u64, name: &EndpointName) -> u64 {
--- a/crates/trestle-dispatch/src/orders.rs
+++ b/crates/trestle-dispatch/src/orders.rs
@@ -217,6 +217,11 @@
         (self.is_counted && self.unanswered == 0 && self.conflicts == 0).then_some(self.order_count)
     }
 
+    /// Whether the engine does not answer.
+    pub fn is_silent(&self) -> bool {
+        self.failure == Some(Failure::Silent)
+    }
+
     /// Whether everything is in place.
     pub fn is_done(&self) -> bool {
         self.next().0 == Next::Done
--- a/crates/trestle-dispatch/src/record.rs
+++ b/crates/trestle-dispatch/src/record.rs
@@ -3,6 +3,12 @@
 use std::collections::BTreeMap;
 use trestle_core::{health::Health, names::EndpointName};
 
+/// Weight of the newest outcome in the share of failures.
+const NEWEST_WEIGHT: f64 = 0.1;
+/// Time in which a share of failures halves by itself, so that an endpoint which
+/// gets nothing is tried again.
+const HALF_LIFE_MS: f64 = 4_000.0;
+
 /// How endpoints behaved towards this daemon.
 #[derive(Debug, Default)]
 pub struct Records {
@@ -16,6 +22,22 @@
     pub health: Health,
     /// Requests of this daemon that it has now.
     pub in_flight: u32,
+    failed_share: f64,
+    noted_ms: u64,
+}
+
+impl Record {
+    /// The share of its requests that failed lately.
+    pub fn failed_share(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.noted_ms) as f64;
+        self.failed_share * (-age_ms / HALF_LIFE_MS).exp2()
+    }
+
+    fn note(&mut self, failed: f64, now_ms: u64) {
+        let before = self.failed_share(now_ms);
+        self.failed_share = before + (failed - before) * NEWEST_WEIGHT;
+        self.noted_ms = now_ms;
+    }
 }
 
 impl Records {
@@ -36,13 +58,24 @@
     }
 
     /// Notes a whole answer.
-    pub fn succeeded(&mut self, endpoint: &EndpointName) {
-        self.entry(endpoint).health.succeeded();
+    pub fn succeeded(&mut self, endpoint: &EndpointName, now_ms: u64) {
+        let record = self.entry(endpoint);
+        record.health.succeeded();
+        record.note(0.0, now_ms);
     }
 
     /// Notes a failure that speaks against the endpoint.
     pub fn failed(&mut self, endpoint: &EndpointName, now_ms: u64) {
-        self.entry(endpoint).health.failed(now_ms);
+        let record = self.entry(endpoint);
+        record.health.failed(now_ms);
+        record.note(1.0, now_ms);
+    }
+
+    /// Notes that nothing listens at the endpoint's address, or nothing answers there.
+    pub fn unreachable(&mut self, endpoint: &EndpointName, now_ms: u64) {
+        let record = self.entry(endpoint);
+        record.health.unreachable(now_ms);
+        record.note(1.0, now_ms);
     }
 
     /// Forgets endpoints that are gone and have nothing left.
--- a/crates/trestle-dispatch/tests/traffic.rs
+++ b/crates/trestle-dispatch/tests/traffic.rs
@@ -141,6 +141,31 @@
         assert_eq!(scene.choose(None, None, 1), None);
     }
 
+    // A request was sent 1.2 s after its engine's address had refused connections six times.
+    an_endpoint_that_cannot_be_reached_is_avoided_at_once => {
+        let mut scene = Scene::new(vec![endpoint("x", "z1", &[]), endpoint("y", "z2", &[])]);
+        scene.records.unreachable(&"x".into(), 900);
+        assert_eq!(scene.choose(None, None, 1).as_deref(), Some("y"));
+    }
+
+    // An endpoint that fails a part of its requests, its health good, never fails three
+    // times in a row.
+    one_that_fails_more_often_than_others_gets_less => {
+        let mut scene = Scene::new(vec![endpoint("x", "z1", &[]), endpoint("y", "z1", &[])]);
+        for number in 0..40 {
+            match number % 5 {
+                0 | 3 => scene.records.failed(&"x".into(), 900),
+                _ => scene.records.succeeded(&"x".into(), 900),
+            }
+            scene.records.succeeded(&"y".into(), 900);
+        }
+        for lot in 0..20 {
+            assert_eq!(scene.choose(None, None, lot).as_deref(), Some("y"));
+        }
+        (0..3).for_each(|_| scene.records.sent(&"y".into()));
+        assert_eq!(scene.choose(None, None, 1).as_deref(), Some("x"));
+    }
+
     a_request_that_has_been_everywhere_it_may_goes_back_there => {
         let mut scene = Scene::new(vec![endpoint("x", "z1", &[]), endpoint("y", "z2", &[])]);
         scene.only = Some(BTreeSet::from(["y".into()]));
--- a/crates/trestle-entry/src/control/book.rs
+++ b/crates/trestle-entry/src/control/book.rs
@@ -16,6 +16,9 @@
 /// Time for which an engine gets no orders after a change there failed.
 const FAILED_PAUSE_MS: u64 = 1_000;
 
+/// Time for which an engine that did not answer orders counts as gone; the entry of one
+/// that has died is removed by then.
+const SILENT_MS: u64 = 4_000;
 /// Time after a change within which an engine's entry may still show the state before.
 const ENTRY_AGE_MS: u64 = 3_000;
 
@@ -36,11 +39,15 @@
     held: Held,
     /// Orders that it has accepted, if that is certain.
     order_count: Option<u64>,
+    /// The entry that was seen last.
+    entry_number: u64,
     /// When its last change ended.
     changed_ms: Option<u64>,
     arrived_ms: BTreeMap<ModelName, u64>,
     change: Option<Change>,
     paused_until_ms: u64,
+    /// Until when it counts as gone after it fell silent, unless it enters itself anew.
+    silent_until_ms: u64,
 }
 
 impl Book {
@@ -57,7 +64,8 @@
         let engines = &self.engines;
         let states = directory.values().filter_map(|endpoint| {
             let book = engines.get(&endpoint.name)?;
-            (now_ms >= book.paused_until_ms).then_some(EngineState {
+            let can_change = now_ms >= book.paused_until_ms && now_ms >= book.silent_until_ms;
+            can_change.then_some(EngineState {
                 endpoint,
                 held: &book.held,
                 arrived_ms: &book.arrived_ms,
@@ -82,6 +90,9 @@
     ) {
         let Some(book) = self.engines.get_mut(endpoint) else { return };
         let Some(change) = book.change.take() else { return };
+        if chain.is_silent() {
+            book.silent_until_ms = now_ms + SILENT_MS;
+        }
         book.held.clone_from(chain.held());
         book.order_count = chain.order_count();
         book.changed_ms = Some(now_ms);
@@ -112,6 +123,10 @@
     }
 
     fn note(&self, endpoint: &Endpoint, book: &EngineBook, now_ms: u64) -> EngineNote {
+        if now_ms < book.silent_until_ms {
+            let retiring = endpoint.held.keys().cloned().collect();
+            return EngineNote { retiring, ..EngineNote::default() };
+        }
         let change = book.change.as_ref();
         let going = change.map(|change| change.evicted.iter()).into_iter().flatten();
         let gone = endpoint.held.keys().filter(|model| !book.held.contains_key(*model));
@@ -136,6 +151,10 @@
         self.engines.retain(|name, _| directory.contains_key(name));
         for endpoint in directory.values() {
             let book = self.engines.entry(endpoint.name.clone()).or_default();
+            if endpoint.entry_number > book.entry_number {
+                book.entry_number = endpoint.entry_number;
+                book.silent_until_ms = 0;
+            }
             if book.change.is_none() && book.may_follow(endpoint, now_ms) {
                 book.held.clone_from(&endpoint.held);
                 book.order_count = None;
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -155,11 +155,6 @@
         self.is_acting
     }
 
-    /// The fencing number for an order now.
-    pub(crate) fn may_order(&self, now_ms: u64) -> Option<u64> {
-        self.lease.may_order(now_ms)
-    }
-
     /// The row as last seen.
     pub(crate) fn row(&self) -> Option<(WireLease, u64)> {
         self.lease.seen().map(|(row, version)| (WireLease::from(row), version))
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -151,7 +151,7 @@
 
     fn plan(&mut self, now_ms: u64) {
         let Some(catalog) = self.daemon.knowledge.catalog() else { return };
-        let may_order = self.leasing.may_order(now_ms).is_some();
+        let may_order = self.daemon.order_permit.token(now_ms).is_some();
         for (service, book) in &mut self.books {
             let Some(spec) = engine_spec(&catalog, service) else { continue };
             let directory = self.daemon.knowledge.with(|beliefs| {
--- a/crates/trestle-entry/src/logs.rs
+++ b/crates/trestle-entry/src/logs.rs
@@ -48,7 +48,10 @@
             .with_writer(writer);
         match settings.format {
             LogFormat::Text => subscriber.init(),
-            LogFormat::Json => subscriber.json().flatten_event(true).init(),
+            LogFormat::Json => {
+                let json = subscriber.json().flatten_event(true);
+                json.with_current_span(false).with_span_list(false).init();
+            }
         }
         Ok(Self { _worker: worker, dropped })
     }
--- a/crates/trestle-entry/src/net/connect.rs
+++ b/crates/trestle-entry/src/net/connect.rs
@@ -27,6 +27,9 @@
     };
     let stream = TcpStream::connect(address).or(timed_out).await?;
     prepare(&stream)?;
+    // What is given up on must not be delivered later: bytes that a cut link holds back
+    // are dropped when the connection is, not sent when the link is whole again.
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     Ok(stream)
 }
 
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -49,9 +49,11 @@
     match sent {
         Ok((connection, response, head)) => Ok(Attempt { taken, connection, response, head }),
         Err(unanswered) => {
-            if !matches!(unanswered, Unanswered::NotRun(_)) {
-                task.daemon.knowledge.with(|beliefs| beliefs.records.failed(name, now_ms));
-            }
+            task.daemon.knowledge.with(|beliefs| match &unanswered {
+                Unanswered::NotRun(_) => {}
+                Unanswered::Unreachable(_) => beliefs.records.unreachable(name, now_ms),
+                Unanswered::MayHaveRun(_) => beliefs.records.failed(name, now_ms),
+            });
             tracing::info!(
                 id = task.head.id, endpoint = %name, reason = unanswered.reason(),
                 elapsed_ms = task.elapsed_ms(), "request: A send failed."
@@ -129,7 +131,7 @@
                 let is_sound = !parts.status.is_server_error();
                 let now_ms = knowledge.now_ms();
                 knowledge.with(|beliefs| match is_sound {
-                    true => beliefs.records.succeeded(name),
+                    true => beliefs.records.succeeded(name, now_ms),
                     false => beliefs.records.failed(name, now_ms),
                 });
                 task.daemon.pool.keep(name, connection, head.idle_ms);
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -211,7 +211,8 @@
         if let Some(source) = self.source.take() {
             let daemon = &self.task.daemon;
             let name = &source.taken.endpoint.name;
-            daemon.knowledge.with(|beliefs| beliefs.records.succeeded(name));
+            let now_ms = daemon.knowledge.now_ms();
+            daemon.knowledge.with(|beliefs| beliefs.records.succeeded(name, now_ms));
             daemon.pool.keep(name, source.connection, source.idle_ms);
         }
         Step::End
--- a/crates/trestlectl/src/args.rs
+++ b/crates/trestlectl/src/args.rs
@@ -21,6 +21,10 @@
         Show members, owners and replicas, as the daemons see them.
     trestlectl explain MODEL --daemon IP:PORT... [--token TOKEN]
         Show why a model is where it is, and which decisions are unresolved.
+    trestlectl trace ID FILE...
+        Tell one request's story from the logs of daemons, with what was believed.
+    trestlectl report FILE... [--html PAGE]
+        Tables from the logs of daemons; with --html also plots, as one page.
     trestlectl digest TOKEN
         Print the digest of a token, for the configuration file.
 
@@ -43,6 +47,8 @@
     Status { daemons: Vec<String>, token: Option<String> },
     Explain { model: String, daemons: Vec<String>, token: Option<String> },
     Digest { token: String },
+    Trace { id: String, files: Vec<PathBuf> },
+    Report { files: Vec<PathBuf>, page: Option<PathBuf> },
 }
 
 impl Args {
@@ -89,6 +95,14 @@
             token: token(args)?,
             model: args.free_from_str().context(ArgsSnafu)?,
         }),
+        "trace" => Some(Command::Trace {
+            id: args.free_from_str().context(ArgsSnafu)?,
+            files: files(args)?,
+        }),
+        "report" => Some(Command::Report {
+            page: args.opt_value_from_str("--html").context(ArgsSnafu)?,
+            files: files(args)?,
+        }),
         "digest" => Some(Command::Digest { token: args.free_from_str().context(ArgsSnafu)? }),
         _ => None,
     };
@@ -99,6 +113,14 @@
     args.free_from_str::<String>().map(PathBuf::from).context(ArgsSnafu)
 }
 
+fn files(args: &mut Arguments) -> Result<Vec<PathBuf>> {
+    let mut files = vec![path(args)?];
+    while let Some(file) = args.opt_free_from_str::<String>().context(ArgsSnafu)? {
+        files.push(PathBuf::from(file));
+    }
+    Ok(files)
+}
+
 fn platform(args: &mut Arguments) -> Result<String> {
     args.value_from_str("--platform").context(ArgsSnafu)
 }
--- a/crates/trestlectl/src/error.rs
+++ b/crates/trestlectl/src/error.rs
@@ -38,6 +38,12 @@
     Ambiguous { apply_id: String },
     #[snafu(display("no daemon answered; name reachable ones with --daemon IP:PORT"))]
     NoDaemon,
+    #[snafu(display(
+        "no line of {files} files is about request `{id}`; name the logs of all daemons"
+    ))]
+    NoRequest { id: String, files: usize },
+    #[snafu(display("{} cannot be written: {source}", path.display()))]
+    Write { path: PathBuf, source: std::io::Error },
     #[snafu(display("the stored configuration is not text"))]
     NotText,
 }
--- a/crates/trestlectl/src/main.rs
+++ b/crates/trestlectl/src/main.rs
@@ -4,9 +4,13 @@
 mod args;
 mod error;
 mod explain;
+mod log_line;
 mod output;
+mod plot;
+mod report;
 mod show;
 mod status;
+mod trace;
 
 use crate::{
     args::{Args, Command},
@@ -41,5 +45,7 @@
         Command::Explain { model, daemons, token } => {
             explain::print(&model, &daemons, token.as_deref()).await
         }
+        Command::Trace { id, files } => trace::print(&id, &files),
+        Command::Report { files, page } => report::print(&files, page.as_deref()),
     }
 }
