--- a/crates/trestle-dispatch/src/replicas.rs
+++ b/crates/trestle-dispatch/src/replicas.rs
@@ -25,10 +25,10 @@
 pub struct EngineNote {
     /// Models that are going and must get no new requests.
     pub retiring: BTreeSet<ModelName>,
-    /// Models that have arrived.
+    /// Models that have arrived and are not in the engine's entry yet.
     pub arrived: BTreeSet<ModelName>,
-    /// Adapters that are there.
-    pub adapters: BTreeSet<(ModelName, AdapterName)>,
+    /// Adapters that are there, if they differ from those in the engine's entry.
+    pub adapters: Option<BTreeSet<(ModelName, AdapterName)>>,
     /// Requests of all daemons that run there.
     pub running: u32,
 }
@@ -49,8 +49,8 @@
             return false;
         }
         let Some(adapter) = adapter else { return true };
-        match note {
-            Some(note) => note.adapters.contains(&(model.clone(), adapter.clone())),
+        match note.and_then(|note| note.adapters.as_ref()) {
+            Some(adapters) => adapters.contains(&(model.clone(), adapter.clone())),
             None => listed.is_some_and(|adapters| adapters.contains(adapter)),
         }
     }
--- a/crates/trestle-entry/src/control/book.rs
+++ b/crates/trestle-entry/src/control/book.rs
@@ -1,7 +1,10 @@
 //! What the giver of orders knows of one service's engines.
 
-use std::{collections::BTreeMap, sync::Arc};
-use trestle_core::names::{EndpointName, ModelName, ServiceName};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
 use trestle_dispatch::{
     catalog::EngineSpec,
     change::Change,
@@ -113,7 +116,8 @@
     ) -> ReplicaView {
         let engines = directory.usable(service).filter_map(|endpoint| {
             let book = self.engines.get(&endpoint.name)?;
-            Some((endpoint.name.clone(), self.note(endpoint, book, now_ms)))
+            let note = self.note(endpoint, book, now_ms);
+            (note != EngineNote::default()).then(|| (endpoint.name.clone(), note))
         });
         ReplicaView {
             engines: engines.collect(),
@@ -122,27 +126,33 @@
         }
     }
 
+    /// What differs from an engine's own entry.
     fn note(&self, endpoint: &Endpoint, book: &EngineBook, now_ms: u64) -> EngineNote {
+        let running = self.demand.running_at(&endpoint.name, now_ms);
         if now_ms < book.silent_until_ms {
             let retiring = endpoint.held.keys().cloned().collect();
-            return EngineNote { retiring, ..EngineNote::default() };
+            return EngineNote { retiring, running, ..EngineNote::default() };
         }
         let change = book.change.as_ref();
         let going = change.map(|change| change.evicted.iter()).into_iter().flatten();
         let gone = endpoint.held.keys().filter(|model| !book.held.contains_key(*model));
         let coming = change.filter(|change| change.adapter.is_none()).map(|change| &change.model);
-        let arrived = book.held.keys().filter(|model| Some(*model) != coming);
+        let arrived = book
+            .held
+            .keys()
+            .filter(|model| Some(*model) != coming && !endpoint.held.contains_key(*model));
         let coming_adapter = change.and_then(|change| {
             change.adapter.clone().map(|adapter| (change.model.clone(), adapter))
         });
-        let adapters = book.held.iter().flat_map(|(model, adapters)| {
-            adapters.iter().map(move |adapter| (model.clone(), adapter.clone()))
-        });
+        let mut adapters = adapters_of(&book.held);
+        if let Some(coming) = &coming_adapter {
+            adapters.remove(coming);
+        }
         EngineNote {
             retiring: going.chain(gone).cloned().collect(),
             arrived: arrived.cloned().collect(),
-            adapters: adapters.filter(|key| Some(key) != coming_adapter.as_ref()).collect(),
-            running: self.demand.running_at(&endpoint.name, now_ms),
+            adapters: (adapters != adapters_of(&endpoint.held)).then_some(adapters),
+            running,
         }
     }
 
@@ -195,3 +205,10 @@
         }
     }
 }
+
+fn adapters_of(held: &Held) -> BTreeSet<(ModelName, AdapterName)> {
+    let each = held.iter().flat_map(|(model, adapters)| {
+        adapters.iter().map(move |adapter| (model.clone(), adapter.clone()))
+    });
+    each.collect()
+}
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -27,7 +27,7 @@
 /// Time that others leave a free lease to such daemons; the news takes that long.
 const YOUNG_FIRST_MS: u64 = 400;
 /// Between two reads of the row while the giver does not answer.
-const READ_GAP_MS: u64 = 500;
+const READ_GAP_MS: u64 = 800;
 
 /// Keeps the lease on giving orders.
 #[derive(Debug)]
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -3,7 +3,8 @@
 use crate::{
     control::message::{Giver, Message},
     daemon::Daemon,
-    peer::client::GiverClient,
+    knowledge::Beliefs,
+    peer::{client::GiverClient, pace::Pace},
     store::{config, endpoints},
 };
 use futures_lite::FutureExt;
@@ -16,12 +17,6 @@
     replicas::{WireDigest, WireSynced},
 };
 
-/// Between two tellings while nothing waits.
-const CALM_MS: u64 = 300;
-/// The same while requests wait for a model.
-const WAITING_MS: u64 = 60;
-/// Shortest time between two tellings.
-const LEAST_MS: u64 = 20;
 /// Time for which what the giver said is believed after it fell silent. The list
 /// of endpoints has caught up by then.
 const BELIEVED_MS: u64 = 3_000;
@@ -44,18 +39,27 @@
         } else if now_ms > heard_ms + BELIEVED_MS {
             daemon.knowledge.with(|beliefs| beliefs.replicas.clear());
         }
-        Timer::after(Duration::from_millis(LEAST_MS)).await;
-        let is_waiting = daemon
-            .knowledge
-            .with(|beliefs| beliefs.asked.values().any(|asked| !asked.waiting.is_empty()));
-        let pause_ms = if is_waiting { WAITING_MS } else { CALM_MS } - LEAST_MS;
+        let pace = pace(&daemon);
+        let least_ms = pace.least_ms();
+        Timer::after(Duration::from_millis(least_ms)).await;
+        let next_ms = if is_waiting(&daemon) { pace.waiting_ms() } else { pace.calm_ms() };
         let pause = async {
-            Timer::after(Duration::from_millis(pause_ms)).await;
+            Timer::after(Duration::from_millis(next_ms.saturating_sub(least_ms))).await;
         };
         urgent.or(pause).await;
     }
 }
 
+fn pace(daemon: &Daemon) -> Pace {
+    Pace::of(daemon.knowledge.with(|beliefs| beliefs.daemons))
+}
+
+fn is_waiting(daemon: &Daemon) -> bool {
+    let waits =
+        |beliefs: &mut Beliefs| beliefs.asked.values().any(|asked| !asked.waiting.is_empty());
+    daemon.knowledge.with(waits)
+}
+
 /// Tells once; returns whether the giver answered.
 async fn step(daemon: &Arc<Daemon>, client: &mut GiverClient) -> bool {
     let digests = digests(daemon);
@@ -106,7 +110,8 @@
     if let Some(text) = relay.config {
         config::take_text(daemon, &text);
     }
-    let is_fresh = daemon.freshness.relayed(relay.age_ms, daemon.knowledge.now_ms());
+    let next_ms = pace(daemon).calm_ms();
+    let is_fresh = daemon.freshness.relayed(relay.age_ms, next_ms, daemon.knowledge.now_ms());
     if is_fresh {
         endpoints::take(daemon, relay.endpoints.into());
     }
--- a/crates/trestle-entry/src/store/config.rs
+++ b/crates/trestle-entry/src/store/config.rs
@@ -12,7 +12,7 @@
     let (table, _) = daemon.wire.store.config_row;
     let followed = Followed {
         table,
-        gather_ms: 0,
+        gather_ms: || 0,
         after: |last| last,
         on_read: |page: RowPage| {
             note_read(&daemon);
--- a/crates/trestle-entry/src/store/follow.rs
+++ b/crates/trestle-entry/src/store/follow.rs
@@ -12,11 +12,11 @@
 const FAILED_MS: u64 = 250;
 
 /// What following a table leads to.
-pub(crate) struct Followed<A, R, C, F> {
+pub(crate) struct Followed<G, A, R, C, F> {
     /// The table.
     pub(crate) table: &'static str,
     /// Pause after each answer, so that changes that come close together come in one.
-    pub(crate) gather_ms: u64,
+    pub(crate) gather_ms: G,
     /// The transaction to go on from, given where this daemon read last; `None` to read
     /// the whole table.
     pub(crate) after: A,
@@ -29,8 +29,9 @@
 }
 
 /// Follows a table until the process ends.
-pub(crate) async fn run<A, R, C, F>(daemon: &Daemon, followed: Followed<A, R, C, F>)
+pub(crate) async fn run<G, A, R, C, F>(daemon: &Daemon, followed: Followed<G, A, R, C, F>)
 where
+    G: Fn() -> u64,
     A: Fn(Option<u64>) -> Option<u64>,
     R: Fn(RowPage),
     C: Fn(Vec<RowChange>, u64),
@@ -39,8 +40,14 @@
     let follower = daemon.store.follower(followed.table);
     let mut last = None;
     let mut is_lost = false;
+    let mut is_relayed = false;
     loop {
         let relayed_ms = daemon.freshness.relayed_for_ms(daemon.knowledge.now_ms());
+        if is_relayed != (relayed_ms > 0) {
+            is_relayed = relayed_ms > 0;
+            let table = followed.table;
+            tracing::info!(table, relayed = is_relayed, "store: Who follows a table has changed.");
+        }
         if relayed_ms > 0 {
             Timer::after(Duration::from_millis(relayed_ms)).await;
             continue;
@@ -54,7 +61,7 @@
         let pause_ms = match outcome {
             Ok(next) => {
                 last = next;
-                followed.gather_ms
+                (followed.gather_ms)()
             }
             Err(_) => {
                 (followed.on_failure)();
@@ -68,8 +75,8 @@
 }
 
 /// One read or wait; returns where to go on, `None` if everything must be read anew.
-async fn step<A, R, C, F>(
-    followed: &Followed<A, R, C, F>,
+async fn step<G, A, R, C, F>(
+    followed: &Followed<G, A, R, C, F>,
     follower: &Follower<'_>,
     after: Option<u64>,
     wait_ms: u64,
--- a/crates/trestle-entry/src/store/freshness.rs
+++ b/crates/trestle-entry/src/store/freshness.rs
@@ -15,8 +15,8 @@
 const GIVER_WAIT_PART: u64 = 3;
 /// Time beyond its wait after which the giver's last answer is too old.
 const AGE_GRACE_MS: u64 = 450;
-/// Time for which one relay is believed: the next two may be late.
-const RELAYED_MS: u64 = 900;
+/// Relays that may be missing before the store is followed here.
+const MISSING_RELAYS: u64 = 3;
 
 /// How fresh what is known of the store is.
 #[derive(Debug)]
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Whether this daemon gives the orders.
+    pub(crate) fn is_giver(&self) -> bool {
+        self.is_giver.load(Ordering::SeqCst)
+    }
+
     /// Whether the list of endpoints must be read with everything in it; told once.
     pub(crate) fn take_reread(&self) -> bool {
         self.must_reread.swap(false, Ordering::SeqCst)
@@ -59,7 +64,7 @@
 
     /// For how long the store should hold a wait for changes.
     pub(crate) fn wait_ms(&self) -> u64 {
-        if self.is_giver.load(Ordering::SeqCst) { self.giver_wait_ms } else { WAIT_MS }
+        if self.is_giver() { self.giver_wait_ms } else { WAIT_MS }
     }
 
     /// Notes an answer of the store about the list of endpoints.
@@ -78,11 +83,13 @@
         now_ms.saturating_sub(endpoints_ms.min(self.config_read_ms.load(Ordering::SeqCst)))
     }
 
-    /// Takes what the giver says of its age; returns whether that is fresh enough.
-    pub(crate) fn relayed(&self, age_ms: u64, now_ms: u64) -> bool {
+    /// Takes what the giver says of its age, and when the next relay is due; returns
+    /// whether that is fresh enough.
+    pub(crate) fn relayed(&self, age_ms: u64, next_ms: u64, now_ms: u64) -> bool {
         let is_fresh = age_ms <= self.giver_wait_ms + AGE_GRACE_MS;
-        if is_fresh && !self.is_giver.load(Ordering::SeqCst) {
-            self.relayed_until_ms.store(now_ms + RELAYED_MS, Ordering::SeqCst);
+        if is_fresh && !self.is_giver() {
+            let until_ms = now_ms + next_ms * MISSING_RELAYS;
+            self.relayed_until_ms.store(until_ms, Ordering::SeqCst);
         }
         is_fresh
     }
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -94,10 +94,10 @@
 pub struct WireNote {
     /// Models that are going.
     pub retiring: Vec<String>,
-    /// Models that have arrived.
+    /// Models that have arrived and are not in its entry yet.
     pub arrived: Vec<String>,
-    /// Adapters that are there, with their models.
-    pub adapters: Vec<(String, String)>,
+    /// Adapters that are there, with their models, if they differ from its entry.
+    pub adapters: Option<Vec<(String, String)>>,
     /// Requests that run there.
     pub running: u32,
 }
@@ -223,7 +223,7 @@
         Self {
             retiring: note.retiring.iter().map(ToString::to_string).collect(),
             arrived: note.arrived.iter().map(ToString::to_string).collect(),
-            adapters: to_pairs(note.adapters.iter().cloned()),
+            adapters: note.adapters.as_ref().map(|keys| to_pairs(keys.iter().cloned())),
             running: note.running,
         }
     }
@@ -234,7 +234,7 @@
         Self {
             retiring: wire.retiring.into_iter().map(ModelName::from).collect(),
             arrived: wire.arrived.into_iter().map(ModelName::from).collect(),
-            adapters: from_pairs(wire.adapters),
+            adapters: wire.adapters.map(from_pairs),
             running: wire.running,
         }
     }
