--- a/crates/trestle-dispatch/src/patience.rs
+++ b/crates/trestle-dispatch/src/admission.rs
@@ -7,11 +7,11 @@
 use crate::route::Route;
 
 /// Shortest time after which a caller gives up on a stream without events.
-const LEAST_PATIENCE_MS: u64 = 2_000;
+const LEAST_STAY_MS: u64 = 2_000;
 /// The same as a multiple of the objective.
-const PATIENCE_OBJECTIVES: u64 = 4;
+const STAY_OBJECTIVES: u64 = 4;
 /// The same as a multiple of the longest pause that is on time.
-const PATIENCE_PAUSES: u64 = 8;
+const STAY_PAUSES: u64 = 8;
 /// Time from the moment a model is ready to the first event at the caller: the
 /// news of it, the request's way to the engine, a prompt, and the way back.
 const FIRST_EVENT_MS: u64 = 150;
@@ -25,7 +25,7 @@
 /// What becomes of a request whose model is not ready.
 #[trestle_macros::plain]
 #[derive(Copy)]
-pub enum Patience {
+pub enum Admission {
     /// It waits, until this long after its arrival.
     Wait {
         /// When waiting must end, from its arrival.
@@ -43,9 +43,9 @@
     if !route.is_stream() {
         return deadline_ms;
     }
-    let by_objective = PATIENCE_OBJECTIVES * route.objective_ms;
-    let by_pause = PATIENCE_PAUSES * route.pause_ms;
-    LEAST_PATIENCE_MS.max(by_objective).max(by_pause).min(deadline_ms)
+    let by_objective = STAY_OBJECTIVES * route.objective_ms;
+    let by_pause = STAY_PAUSES * route.pause_ms;
+    LEAST_STAY_MS.max(by_objective).max(by_pause).min(deadline_ms)
 }
 
 /// Decides for a request that arrived `elapsed_ms` ago with `deadline_ms` then,
@@ -55,13 +55,13 @@
     elapsed_ms: u64,
     deadline_ms: u64,
     ready_in_ms: Option<u64>,
-) -> Patience {
+) -> Admission {
     let on_time_ms = route.objective_ms.saturating_sub(FIRST_EVENT_MS);
     let is_on_time = ready_in_ms.is_some_and(|ready_ms| elapsed_ms + ready_ms <= on_time_ms);
     if is_on_time {
-        return Patience::Wait { until_ms: on_time_ms.min(deadline_ms) };
+        return Admission::Wait { until_ms: on_time_ms.min(deadline_ms) };
     }
-    Patience::Refuse { retry_after_ms: retry_after_ms(elapsed_ms, deadline_ms, ready_in_ms) }
+    Admission::Refuse { retry_after_ms: retry_after_ms(elapsed_ms, deadline_ms, ready_in_ms) }
 }
 
 /// When a refused caller should come back.
--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -28,7 +28,7 @@
 pub struct Known<'a> {
     /// Live endpoints.
     pub directory: &'a Directory,
-    /// What the giver of orders says.
+    /// What the leader says.
     pub replicas: &'a ReplicaView,
     /// How endpoints behaved.
     pub records: &'a Records,
--- a/crates/trestle-dispatch/src/demand.rs
+++ b/crates/trestle-dispatch/src/demand.rs
@@ -1,4 +1,4 @@
-//! What is asked for, as all daemons tell the giver of orders.
+//! What is asked for, as all daemons tell the leader.
 
 use std::collections::BTreeMap;
 use trestle_core::names::{AdapterName, EndpointName, ModelName, VmName};
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -7,12 +7,13 @@
 //! - What is known: [`catalog`] (the operators' configuration), [`directory`]
 //!   (live endpoints), [`request`] (one request's head).
 //! - Traffic: [`choice`] picks an endpoint, [`record`] remembers how endpoints
-//!   behaved, [`retry_share`] bounds retries, [`patience`] decides between
+//!   behaved, [`retry_share`] bounds retries, [`admission`] decides between
 //!   waiting and refusing.
 //! - Replicas: [`lease`] says who may give orders, [`demand`] what is asked for,
 //!   [`placing`] what [`change`] to make where, [`orders`] how one engine's orders
 //!   follow each other.
 
+pub mod admission;
 pub mod catalog;
 pub mod change;
 pub mod choice;
@@ -22,7 +23,6 @@
 pub mod lease;
 pub mod mirror;
 pub mod orders;
-pub mod patience;
 pub mod placing;
 pub mod record;
 pub mod replicas;
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -29,7 +29,7 @@
 /// Time of an unload with nothing running, as engines show it.
 const UNLOAD_MS: u64 = 150;
 
-/// What the giver of orders knows of one engine.
+/// What the leader knows of one engine.
 #[derive(Debug)]
 pub struct EngineState<'a> {
     /// Its entry.
--- a/crates/trestle-dispatch/src/replicas.rs
+++ b/crates/trestle-dispatch/src/replicas.rs
@@ -1,13 +1,13 @@
 //! Where models can be reached, beyond what endpoints say of themselves.
 //!
-//! Entries of engines come with a delay. The daemon that gives the orders knows
+//! Entries of engines come with a delay. The daemon that leads knows
 //! earlier what is about to go and what has just arrived, and tells the others.
 
 use crate::endpoint::Endpoint;
 use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{AdapterName, EndpointName, ModelName};
 
-/// What the giver of orders knows of all engines of one service.
+/// What the leader knows of all engines of one service.
 #[trestle_macros::plain]
 #[derive(Default)]
 pub struct ReplicaView {
@@ -15,11 +15,11 @@
     pub engines: BTreeMap<EndpointName, EngineNote>,
     /// When a model that is not ready will be, in ms from the view's arrival.
     pub ready_in_ms: BTreeMap<ModelName, u64>,
-    /// Daemons that told the giver something lately.
+    /// Daemons that told the leader something lately.
     pub daemons: usize,
 }
 
-/// What the giver of orders knows of one engine.
+/// What the leader knows of one engine.
 #[trestle_macros::plain]
 #[derive(Default)]
 pub struct EngineNote {
--- a/crates/trestle-dispatch/tests/lease.rs
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -150,9 +150,9 @@
         let mut world = World::new(1);
         world.run(1_000, false);
         assert!(world.orders.iter().any(|(at_ms, ..)| *at_ms < 300));
-        let givers: std::collections::BTreeSet<usize> =
-            world.orders.iter().map(|(_, giver, _)| *giver).collect();
-        assert_eq!(givers.len(), 1);
+        let leaders: std::collections::BTreeSet<usize> =
+            world.orders.iter().map(|(_, leader, _)| *leader).collect();
+        assert_eq!(leaders.len(), 1);
     }
 
     a_frozen_holder_is_replaced_and_gives_no_order_when_it_wakes => {
@@ -164,7 +164,7 @@
         let (_, next, token) = *world.orders.last().expect("somebody holds it");
         assert_ne!(next, holder);
         assert_eq!(token, 2);
-        let woken = world.orders.iter().filter(|(at_ms, giver, _)| *at_ms > 14_000 && *giver == holder);
+        let woken = world.orders.iter().filter(|(at_ms, leader, _)| *at_ms > 14_000 && *leader == holder);
         assert_eq!(woken.count(), 0);
     }
 
@@ -175,7 +175,7 @@
         world.daemons[holder].lease.leave();
         world.run(8_000, false);
         assert!(world.daemons[holder].lease.has_left());
-        let first = world.orders.iter().find(|(_, giver, _)| *giver != holder);
+        let first = world.orders.iter().find(|(_, leader, _)| *leader != holder);
         let (first_ms, ..) = *first.expect("another takes it");
         assert!(first_ms >= left_ms + TIMING.quiet_ms);
         assert!(first_ms < left_ms + TIMING.quiet_ms + 2_000, "{first_ms} after {left_ms}");
@@ -198,9 +198,9 @@
             let mut world = World::new(seed);
             world.run(60_000, true);
             for pair in world.orders.windows(2) {
-                let ((before_ms, giver, token), (at_ms, next, next_token)) = (pair[0], pair[1]);
+                let ((before_ms, leader, token), (at_ms, next, next_token)) = (pair[0], pair[1]);
                 assert!(next_token >= token, "seed {seed}: token {token} then {next_token}");
-                if giver != next {
+                if leader != next {
                     let gap_ms = at_ms - before_ms;
                     assert!(gap_ms >= TIMING.quiet_ms, "seed {seed}: {gap_ms} ms at {at_ms}");
                     assert!(next_token > token, "seed {seed}: one token, two machines");
--- a/crates/trestle-dispatch/tests/orders.rs
+++ b/crates/trestle-dispatch/tests/orders.rs
@@ -185,7 +185,7 @@
         assert_eq!(chain.order_count(), Some(7));
     }
 
-    // LIMIT: a new giver of orders took the adapters from an old entry.
+    // LIMIT: a new leader took the adapters from an old entry.
     a_change_that_does_not_fit_what_the_engine_holds_is_given_up => {
         let true_state = held(&[("a", &["x", "y"])]);
         let mut engine = Engine::new(true_state.clone(), 3);
--- a/crates/trestle-dispatch/tests/traffic.rs
+++ b/crates/trestle-dispatch/tests/traffic.rs
@@ -1,4 +1,4 @@
-//! Decisions on single requests: route, endpoint, patience, and further sends.
+//! Decisions on single requests: route, endpoint, admission, and further sends.
 
 mod common;
 
@@ -6,9 +6,9 @@
 use std::collections::BTreeSet;
 use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
 use trestle_dispatch::{
+    admission::{self, Admission},
     choice::{Known, Need, choose},
     directory::Directory,
-    patience::{self, Patience},
     record::Records,
     replicas::{EngineNote, ReplicaView},
     retry_share::{RetryBounds, RetryShare},
@@ -174,31 +174,31 @@
 
     a_request_waits_for_a_load_that_ends_within_its_objective => {
         let route = route("/", STREAM);
-        let waits = patience::decide(&route, 100, 15_000, Some(1_200));
-        assert!(matches!(waits, Patience::Wait { until_ms } if until_ms <= 2_500));
+        let waits = admission::decide(&route, 100, 15_000, Some(1_200));
+        assert!(matches!(waits, Admission::Wait { until_ms } if until_ms <= 2_500));
     }
 
     one_that_would_be_late_is_told_when_to_come_back => {
         let route = route("/", STREAM);
-        let told = patience::decide(&route, 100, 15_000, Some(4_000));
-        let Patience::Refuse { retry_after_ms } = told else { panic!("it waits") };
+        let told = admission::decide(&route, 100, 15_000, Some(4_000));
+        let Admission::Refuse { retry_after_ms } = told else { panic!("it waits") };
         assert!((4_000..4_500).contains(&retry_after_ms));
     }
 
     nobody_is_told_to_stay_away_longer_than_a_third_of_its_time => {
         let route = route("/", STREAM);
-        let told = patience::decide(&route, 0, 3_000, Some(60_000));
-        assert_eq!(told, Patience::Refuse { retry_after_ms: 1_000 });
+        let told = admission::decide(&route, 0, 3_000, Some(60_000));
+        assert_eq!(told, Admission::Refuse { retry_after_ms: 1_000 });
     }
 
     callers_stay_for_the_longest_of_their_three_times => {
         let mut route = route("/", STREAM);
-        assert_eq!(patience::caller_stays_ms(&route, 25_000), 10_000);
+        assert_eq!(admission::caller_stays_ms(&route, 25_000), 10_000);
         route.objective_ms = 400;
-        assert_eq!(patience::caller_stays_ms(&route, 25_000), 2_400);
+        assert_eq!(admission::caller_stays_ms(&route, 25_000), 2_400);
         route.pause_ms = 10;
-        assert_eq!(patience::caller_stays_ms(&route, 25_000), 2_000);
-        assert_eq!(patience::caller_stays_ms(&route, 1_000), 1_000);
+        assert_eq!(admission::caller_stays_ms(&route, 25_000), 2_000);
+        assert_eq!(admission::caller_stays_ms(&route, 1_000), 1_000);
     }
 
     // Whatever each daemon sees, all shares together keep to the budget in any window.
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -1,6 +1,6 @@
 //! Carries out one change at one engine, order by order.
 
-use crate::{control::message::Message, daemon::Daemon, net::exchange::Line};
+use crate::{control::message::Message, daemon::Daemon, net::exchange::CallClient};
 use smol::Timer;
 use std::{sync::Arc, time::Duration};
 use trestle_core::names::ServiceName;
@@ -39,7 +39,7 @@
     change: Change,
     mut chain: OrderChain,
 ) {
-    let line = Line::new(endpoint.address);
+    let client = CallClient::new(endpoint.address);
     let started_ms = daemon.knowledge.now_ms();
     let limit_ms = change.done_at_ms + OVERTIME_MS;
     let failure = loop {
@@ -56,11 +56,11 @@
             Next::Done => break None,
             Next::Failed(failure) => break Some(format!("{failure:?}")),
             Next::Report => {
-                let report = ask(&daemon, &line, &endpoint).await;
+                let report = ask(&daemon, &client, &endpoint).await;
                 chain.reported(report.as_ref(), daemon.knowledge.now_ms());
             }
             Next::Send(order, count) => {
-                let Some(answer) = give(&daemon, &line, &endpoint, &order, count).await else {
+                let Some(answer) = give(&daemon, &client, &endpoint, &order, count).await else {
                     break Some("the lease has run out".to_owned());
                 };
                 chain.answered(answer, daemon.knowledge.now_ms());
@@ -82,9 +82,9 @@
     daemon.tell(Message::ChangeEnded { service, endpoint: endpoint.name, chain });
 }
 
-async fn ask(daemon: &Daemon, line: &Line, endpoint: &Endpoint) -> Option<EngineReport> {
+async fn ask(daemon: &Daemon, client: &CallClient, endpoint: &Endpoint) -> Option<EngineReport> {
     let call = (daemon.wire.endpoint.report_call)();
-    let answer = match line.exchange(call, CALL_MS).await {
+    let answer = match client.exchange(call, CALL_MS).await {
         Ok(answer) => answer,
         Err(error) => {
             tracing::warn!(endpoint = %endpoint.name, %error, "order: No report.");
@@ -103,15 +103,15 @@
 /// Gives an order, if one may leave now.
 async fn give(
     daemon: &Daemon,
-    line: &Line,
+    client: &CallClient,
     endpoint: &Endpoint,
     order: &Order,
     count: u64,
 ) -> Option<OrderAnswer> {
-    let giver = &daemon.settings.vm;
+    let leader = &daemon.settings.vm;
     let token = daemon.order_permit.token(daemon.knowledge.now_ms())?;
-    let call = (daemon.wire.endpoint.order_call)(&endpoint.name, order, count, giver, token);
-    let answer = match line.exchange(call, CALL_MS).await {
+    let call = (daemon.wire.endpoint.order_call)(&endpoint.name, order, count, leader, token);
+    let answer = match client.exchange(call, CALL_MS).await {
         Ok(answer) => (daemon.wire.endpoint.order_answer)(answer.status),
         Err(error) => {
             tracing::warn!(endpoint = %endpoint.name, %error, "order: No answer.");
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -1,7 +1,7 @@
 //! Keeps the lease on giving orders: reads and writes its row when that is due.
 
 use crate::{
-    control::message::{Giver, Message},
+    control::message::{Leader, Message},
     daemon::Daemon,
 };
 use async_channel::Sender;
@@ -14,7 +14,7 @@
 
 /// Where the row stands.
 const TABLE: &str = "trestle";
-const KEY: &str = "giver";
+const KEY: &str = "leader";
 /// Between two renewals: three fit into the time that one of them holds.
 const RENEW_MS: u64 = 600;
 /// For which a renewal lets its holder give orders. Longer outlasts a slow store,
@@ -26,7 +26,7 @@
 const YOUNG_MS: u64 = 30_000;
 /// Time that others leave a free lease to such daemons; the news takes that long.
 const YOUNG_FIRST_MS: u64 = 400;
-/// Between two reads of the row while the giver does not answer.
+/// Between two reads of the row while the leader does not answer.
 const READ_GAP_MS: u64 = 800;
 
 /// Keeps the lease on giving orders.
@@ -85,8 +85,8 @@
         self.next_read_ms = now_ms + READ_GAP_MS;
     }
 
-    /// Takes that the giver does not answer.
-    pub(crate) fn giver_silent(&mut self, now_ms: u64) {
+    /// Takes that the leader does not answer.
+    pub(crate) fn leader_silent(&mut self, now_ms: u64) {
         if now_ms >= self.next_read_ms {
             self.must_read = true;
         }
@@ -160,16 +160,16 @@
         self.lease.seen().map(|(row, version)| (WireLease::from(row), version))
     }
 
-    /// Where the giver of orders is.
-    pub(crate) fn giver(&self, now_ms: u64) -> Giver {
+    /// Where the leader is.
+    pub(crate) fn leader(&self, now_ms: u64) -> Leader {
         if self.lease.is_holder(now_ms) {
-            return Giver::Here;
+            return Leader::Here;
         }
         match self.lease.seen() {
             Some((row, _)) if !row.is_released && row.address != self.daemon.peers_address() => {
-                Giver::At(row.address)
+                Leader::At(row.address)
             }
-            _ => Giver::Nobody,
+            _ => Leader::Nobody,
         }
     }
 
@@ -189,13 +189,13 @@
             return;
         }
         self.is_acting = is_holder;
-        self.daemon.freshness.set_giver(is_holder);
+        self.daemon.freshness.set_leader(is_holder);
         let (token, version) = self.lease.seen().map_or((0, 0), |(row, v)| (row.token, v));
         if is_holder {
             let quiet_ms = self.lease.order_window().0.saturating_sub(now_ms);
-            tracing::info!(token, version, quiet_ms, "lease: This daemon gives the orders.");
+            tracing::info!(token, version, quiet_ms, "lease: This daemon leads.");
         } else {
-            tracing::info!(token, version, "lease: This daemon gives no more orders.");
+            tracing::info!(token, version, "lease: This daemon leads no more.");
         }
     }
 }
--- a/crates/trestle-entry/src/control/message.rs
+++ b/crates/trestle-entry/src/control/message.rs
@@ -43,10 +43,10 @@
         /// When it was sent.
         sent_ms: u64,
     },
-    /// The giver of orders does not answer.
-    GiverSilent,
-    /// Asks where the giver of orders is.
-    Giver(Sender<Giver>),
+    /// The leader does not answer.
+    LeaderSilent,
+    /// Asks where the leader is.
+    Leader(Sender<Leader>),
     /// A change at an engine has ended.
     ChangeEnded {
         /// The engine's service.
@@ -60,9 +60,9 @@
     Stop(Sender<()>),
 }
 
-/// Where the giver of orders is.
+/// Where the leader is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Giver {
+pub(crate) enum Leader {
     /// This daemon.
     Here,
     /// Another daemon, at this address.
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -1,17 +1,17 @@
 //! The control thread.
 //!
-//! It alone holds the lease and the books of engines. It takes one message after
+//! It alone holds the lease and the states of engines. It takes one message after
 //! another, decides by the functions of `trestle_dispatch`, and leaves what takes
 //! time to tasks that report back by message.
 
-pub(crate) mod book;
 pub(crate) mod change;
 pub(crate) mod leasing;
 pub(crate) mod message;
 pub(crate) mod permit;
+pub(crate) mod service_state;
 
 use crate::{
-    control::{book::Book, leasing::Leasing, message::Message},
+    control::{leasing::Leasing, message::Message, service_state::ServiceState},
     daemon::Daemon,
 };
 use async_channel::Receiver;
@@ -37,7 +37,7 @@
 struct Control {
     daemon: Arc<Daemon>,
     leasing: Leasing,
-    books: BTreeMap<ServiceName, Book>,
+    services: BTreeMap<ServiceName, ServiceState>,
     planned_ms: u64,
     is_plan_due: bool,
 }
@@ -50,7 +50,7 @@
 pub(crate) fn start(daemon: Arc<Daemon>, messages: Receiver<Message>) -> io::Result<()> {
     let leasing = Leasing::new(Arc::clone(&daemon));
     let control =
-        Control { daemon, leasing, books: BTreeMap::new(), planned_ms: 0, is_plan_due: false };
+        Control { daemon, leasing, services: BTreeMap::new(), planned_ms: 0, is_plan_due: false };
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || smol::block_on(control.run(messages)))?;
@@ -97,9 +97,9 @@
             Message::LeaseWritten { write, outcome, sent_ms } => {
                 self.leasing.written(write, outcome, sent_ms, now_ms);
             }
-            Message::GiverSilent => self.leasing.giver_silent(now_ms),
-            Message::Giver(reply) => {
-                let _ = reply.try_send(self.leasing.giver(now_ms));
+            Message::LeaderSilent => self.leasing.leader_silent(now_ms),
+            Message::Leader(reply) => {
+                let _ = reply.try_send(self.leasing.leader(now_ms));
             }
             Message::ChangeEnded { service, endpoint, chain } => {
                 self.change_ended(&service, &endpoint, &chain);
@@ -114,7 +114,7 @@
         let was_holder = self.leasing.is_acting();
         self.leasing.look(now_ms);
         if was_holder && !self.leasing.is_acting() {
-            self.books.clear();
+            self.services.clear();
         }
         let is_time = now_ms >= self.planned_ms + PLAN_GAP_MS;
         if self.is_plan_due && is_time && self.leasing.is_holder(now_ms) {
@@ -127,25 +127,25 @@
 
     fn sync(&mut self, vm: VmName, digests: Vec<(ServiceName, DemandDigest)>) -> WireSynced {
         let now_ms = self.now_ms();
-        let is_giver = self.leasing.is_holder(now_ms);
-        if is_giver {
+        let is_leader = self.leasing.is_holder(now_ms);
+        if is_leader {
             for (service, digest) in digests {
                 self.is_plan_due |= !digest.waiting.is_empty();
-                let book = self.books.entry(service).or_default();
-                book.demand.told(vm.clone(), digest, now_ms);
+                let known = self.services.entry(service).or_default();
+                known.demand.told(vm.clone(), digest, now_ms);
             }
         }
-        let views = self.books.iter().map(|(service, book)| {
+        let views = self.services.iter().map(|(service, known)| {
             let view = self
                 .daemon
                 .knowledge
-                .with(|beliefs| book.view(service, &beliefs.directory, now_ms));
+                .with(|beliefs| known.view(service, &beliefs.directory, now_ms));
             (service.to_string(), WireView::from(&view))
         });
         WireSynced {
-            views: if is_giver { views.collect() } else { BTreeMap::new() },
+            views: if is_leader { views.collect() } else { BTreeMap::new() },
             lease: self.leasing.row(),
-            is_giver,
+            is_leader,
             relay: None,
         }
     }
@@ -153,13 +153,13 @@
     fn plan(&mut self, now_ms: u64) {
         let Some(catalog) = self.daemon.knowledge.catalog() else { return };
         let may_order = self.daemon.order_permit.token(now_ms).is_some();
-        for (service, book) in &mut self.books {
+        for (service, known) in &mut self.services {
             let Some(spec) = engine_spec(&catalog, service) else { continue };
             let directory = self.daemon.knowledge.with(|beliefs| {
                 let engines = beliefs.directory.usable(service).cloned();
                 engines.map(|endpoint| (endpoint.name.clone(), endpoint)).collect()
             });
-            let changes = book.plan(spec, &directory, may_order, now_ms);
+            let changes = known.plan(spec, &directory, may_order, now_ms);
             for (endpoint, change, chain) in changes {
                 change::start(&self.daemon, service.clone(), endpoint, change, chain);
             }
@@ -168,8 +168,8 @@
 
     fn change_ended(&mut self, service: &ServiceName, endpoint: &EndpointName, chain: &OrderChain) {
         let now_ms = self.now_ms();
-        if let Some(book) = self.books.get_mut(service) {
-            book.change_ended(endpoint, chain, now_ms);
+        if let Some(known) = self.services.get_mut(service) {
+            known.change_ended(endpoint, chain, now_ms);
         }
         self.is_plan_due = true;
     }
--- a/crates/trestle-entry/src/control/book.rs
+++ b/crates/trestle-entry/src/control/service_state.rs
@@ -1,4 +1,4 @@
-//! What the giver of orders knows of one service's engines.
+//! What the leader knows of one service's engines.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -25,12 +25,12 @@
 /// Time after a change within which an engine's entry may still show the state before.
 const ENTRY_AGE_MS: u64 = 3_000;
 
-/// What the giver of orders knows of one service's engines.
+/// What the leader knows of one service's engines.
 #[derive(Debug, Default)]
-pub(crate) struct Book {
+pub(crate) struct ServiceState {
     /// What callers of all daemons ask for.
     pub(crate) demand: Demand,
-    engines: BTreeMap<EndpointName, EngineBook>,
+    engines: BTreeMap<EndpointName, KnownEngine>,
     ready_in_ms: BTreeMap<ModelName, u64>,
 }
 
@@ -38,7 +38,7 @@
 pub(crate) type Begun = (Endpoint, Change, OrderChain);
 
 #[derive(Debug, Default)]
-struct EngineBook {
+struct KnownEngine {
     held: Held,
     /// Orders that it has accepted, if that is certain.
     order_count: Option<u64>,
@@ -53,7 +53,7 @@
     silent_until_ms: u64,
 }
 
-impl Book {
+impl ServiceState {
     /// What to change now, if orders may be given.
     pub(crate) fn plan(
         &mut self,
@@ -66,13 +66,13 @@
         self.follow(directory, now_ms);
         let engines = &self.engines;
         let states = directory.values().filter_map(|endpoint| {
-            let book = engines.get(&endpoint.name)?;
-            let can_change = now_ms >= book.paused_until_ms && now_ms >= book.silent_until_ms;
+            let known = engines.get(&endpoint.name)?;
+            let can_change = now_ms >= known.paused_until_ms && now_ms >= known.silent_until_ms;
             can_change.then_some(EngineState {
                 endpoint,
-                held: &book.held,
-                arrived_ms: &book.arrived_ms,
-                change: book.change.as_ref(),
+                held: &known.held,
+                arrived_ms: &known.arrived_ms,
+                change: known.change.as_ref(),
             })
         });
         let plan = Planner::new(spec, &self.demand, states, now_ms).plan();
@@ -91,19 +91,19 @@
         chain: &OrderChain,
         now_ms: u64,
     ) {
-        let Some(book) = self.engines.get_mut(endpoint) else { return };
-        let Some(change) = book.change.take() else { return };
+        let Some(known) = self.engines.get_mut(endpoint) else { return };
+        let Some(change) = known.change.take() else { return };
         if chain.is_silent() {
-            book.silent_until_ms = now_ms + SILENT_MS;
+            known.silent_until_ms = now_ms + SILENT_MS;
         }
-        book.held.clone_from(chain.held());
-        book.order_count = chain.order_count();
-        book.changed_ms = Some(now_ms);
-        book.arrived_ms.retain(|model, _| chain.held().contains_key(model));
+        known.held.clone_from(chain.held());
+        known.order_count = chain.order_count();
+        known.changed_ms = Some(now_ms);
+        known.arrived_ms.retain(|model, _| chain.held().contains_key(model));
         if chain.is_done() {
-            book.arrived_ms.insert(change.model, now_ms);
-        } else if book.order_count.is_none() {
-            book.paused_until_ms = now_ms + FAILED_PAUSE_MS;
+            known.arrived_ms.insert(change.model, now_ms);
+        } else if known.order_count.is_none() {
+            known.paused_until_ms = now_ms + FAILED_PAUSE_MS;
         }
     }
 
@@ -115,8 +115,8 @@
         now_ms: u64,
     ) -> ReplicaView {
         let engines = directory.usable(service).filter_map(|endpoint| {
-            let book = self.engines.get(&endpoint.name)?;
-            let note = self.note(endpoint, book, now_ms);
+            let known = self.engines.get(&endpoint.name)?;
+            let note = self.note(endpoint, known, now_ms);
             (note != EngineNote::default()).then(|| (endpoint.name.clone(), note))
         });
         ReplicaView {
@@ -127,24 +127,24 @@
     }
 
     /// What differs from an engine's own entry.
-    fn note(&self, endpoint: &Endpoint, book: &EngineBook, now_ms: u64) -> EngineNote {
+    fn note(&self, endpoint: &Endpoint, known: &KnownEngine, now_ms: u64) -> EngineNote {
         let running = self.demand.running_at(&endpoint.name, now_ms);
-        if now_ms < book.silent_until_ms {
+        if now_ms < known.silent_until_ms {
             let retiring = endpoint.held.keys().cloned().collect();
             return EngineNote { retiring, running, ..EngineNote::default() };
         }
-        let change = book.change.as_ref();
+        let change = known.change.as_ref();
         let going = change.map(|change| change.evicted.iter()).into_iter().flatten();
-        let gone = endpoint.held.keys().filter(|model| !book.held.contains_key(*model));
+        let gone = endpoint.held.keys().filter(|model| !known.held.contains_key(*model));
         let coming = change.filter(|change| change.adapter.is_none()).map(|change| &change.model);
-        let arrived = book
+        let arrived = known
             .held
             .keys()
             .filter(|model| Some(*model) != coming && !endpoint.held.contains_key(*model));
         let coming_adapter = change.and_then(|change| {
             change.adapter.clone().map(|adapter| (change.model.clone(), adapter))
         });
-        let mut adapters = adapters_of(&book.held);
+        let mut adapters = adapters_of(&known.held);
         if let Some(coming) = &coming_adapter {
             adapters.remove(coming);
         }
@@ -160,15 +160,15 @@
     fn follow(&mut self, directory: &BTreeMap<EndpointName, Endpoint>, now_ms: u64) {
         self.engines.retain(|name, _| directory.contains_key(name));
         for endpoint in directory.values() {
-            let book = self.engines.entry(endpoint.name.clone()).or_default();
-            if endpoint.entry_number > book.entry_number {
-                book.entry_number = endpoint.entry_number;
-                book.silent_until_ms = 0;
+            let known = self.engines.entry(endpoint.name.clone()).or_default();
+            if endpoint.entry_number > known.entry_number {
+                known.entry_number = endpoint.entry_number;
+                known.silent_until_ms = 0;
             }
-            if book.change.is_none() && book.may_follow(endpoint, now_ms) {
-                book.held.clone_from(&endpoint.held);
-                book.order_count = None;
-                book.changed_ms = Some(now_ms);
+            if known.change.is_none() && known.may_follow(endpoint, now_ms) {
+                known.held.clone_from(&endpoint.held);
+                known.order_count = None;
+                known.changed_ms = Some(now_ms);
             }
         }
     }
@@ -180,21 +180,21 @@
         directory: &BTreeMap<EndpointName, Endpoint>,
     ) -> Option<Begun> {
         let endpoint = directory.get(&change.endpoint)?.clone();
-        let book = self.engines.get_mut(&change.endpoint)?;
+        let known = self.engines.get_mut(&change.endpoint)?;
         let chain = OrderChain::new(
             Arc::clone(spec),
             change.orders(),
-            book.held.clone(),
-            book.order_count,
+            known.held.clone(),
+            known.order_count,
             change.load_ms,
         );
-        book.change = Some(change.clone());
+        known.change = Some(change.clone());
         Some((endpoint, change, chain))
     }
 }
 
-impl EngineBook {
-    /// Whether the engine's entry tells something newer than this book.
+impl KnownEngine {
+    /// Whether the engine's entry tells something newer than this known.
     fn may_follow(&self, endpoint: &Endpoint, now_ms: u64) -> bool {
         match self.changed_ms {
             None => true,
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -22,7 +22,7 @@
     retry_share::{RetryBounds, RetryShare},
 };
 
-/// Daemons assumed to share budgets until the giver of orders has counted them.
+/// Daemons assumed to share budgets until the leader has counted them.
 const ASSUMED_DAEMONS: usize = 12;
 
 /// What this daemon believes.
@@ -47,13 +47,13 @@
     pub(crate) config_text: Option<Arc<Vec<u8>>>,
     /// Whether the list of endpoints was ever read.
     pub(crate) is_listed: bool,
-    /// What the giver of orders says, by service.
+    /// What the leader says, by service.
     pub(crate) replicas: BTreeMap<ServiceName, ReplicaView>,
     /// How endpoints behaved.
     pub(crate) records: Records,
     /// Shares of the retry budgets.
     pub(crate) retries: BTreeMap<ServiceName, RetryShare>,
-    /// What this daemon will tell the giver of orders, by service.
+    /// What this daemon will tell the leader, by service.
     pub(crate) asked: BTreeMap<ServiceName, Asked>,
     /// Daemons that share budgets.
     pub(crate) daemons: usize,
@@ -160,7 +160,7 @@
 }
 
 impl Beliefs {
-    /// What the giver of orders says of a service.
+    /// What the leader says of a service.
     pub(crate) fn replicas_of(&self, service: &ServiceName) -> ReplicaView {
         self.replicas.get(service).cloned().unwrap_or_default()
     }
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! - [`traffic`] carries requests. It looks at [`knowledge`] and changes only the
 //!   records in it.
-//! - [`store`] follows the store, [`peer`] the giver of orders; both change
+//! - [`store`] follows the store, [`peer`] the leader; both change
 //!   [`knowledge`].
 //! - [`control`] is one thread that holds the lease and plans changes at engines.
 //! - [`wire`] is what the daemon has to be told about its surroundings.
--- a/crates/trestle-entry/src/net/exchange.rs
+++ b/crates/trestle-entry/src/net/exchange.rs
@@ -31,7 +31,7 @@
 
 /// One kept connection to an address, used by one exchange at a time.
 #[derive(Debug)]
-pub(crate) struct Line {
+pub(crate) struct CallClient {
     address: SocketAddr,
     kept: Mutex<Option<SendRequest<Full<Bytes>>>>,
 }
@@ -43,8 +43,8 @@
     pub(crate) body: Bytes,
 }
 
-impl Line {
-    /// A line that is not connected yet.
+impl CallClient {
+    /// A client that is not connected yet.
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self { address, kept: Mutex::new(None) }
     }
--- a/crates/trestle-entry/src/peer/client.rs
+++ b/crates/trestle-entry/src/peer/client.rs
@@ -1,4 +1,4 @@
-//! The connection to the giver of orders.
+//! The connection to the leader.
 
 use crate::net::connect;
 use async_compat::{Compat, CompatExt};
@@ -33,14 +33,14 @@
     Rpc { address: SocketAddr, source: RpcError },
 }
 
-/// The connection to the giver of orders.
+/// The connection to the leader.
 #[derive(Debug, Default)]
-pub(crate) struct GiverClient {
+pub(crate) struct LeaderClient {
     open: Option<(SocketAddr, ReplicasClient)>,
 }
 
-impl GiverClient {
-    /// Tells the giver at an address what callers ask for.
+impl LeaderClient {
+    /// Tells the leader at an address what callers ask for.
     ///
     /// # Errors
     ///
--- a/crates/trestle-entry/src/peer/pace.rs
+++ b/crates/trestle-entry/src/peer/pace.rs
@@ -1,6 +1,6 @@
-//! How often daemons tell the giver of orders what callers ask for.
+//! How often daemons tell the leader what callers ask for.
 //!
-//! The giver may run on the smallest VM, and an answer takes it some 0.1 ms of a
+//! The leader may run on the smallest VM, and an answer takes it some 0.1 ms of a
 //! core. So that it answers some 300 times a second at most, the times grow with
 //! the number of daemons.
 
@@ -17,7 +17,7 @@
 /// What each two daemons add to the shortest time.
 const TWO_DAEMONS_LEAST_MS: u64 = 3;
 
-/// How often daemons tell the giver of orders what callers ask for.
+/// How often daemons tell the leader what callers ask for.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Pace {
     daemons: u64,
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -55,9 +55,9 @@
         let digests = digests.into_iter().map(Into::into).collect();
         self.0.tell(Message::Sync { vm: vm.into(), digests, reply });
         let nothing =
-            WireSynced { lease: None, is_giver: false, views: BTreeMap::new(), relay: None };
+            WireSynced { lease: None, is_leader: false, views: BTreeMap::new(), relay: None };
         let mut synced = answer.recv().await.unwrap_or(nothing);
-        if synced.is_giver {
+        if synced.is_leader {
             synced.relay = Some(relay(&self.0, have));
         }
         synced
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -1,10 +1,10 @@
-//! Tells the giver of orders what callers ask for, and learns where models are.
+//! Tells the leader what callers ask for, and learns where models are.
 
 use crate::{
-    control::message::{Giver, Message},
+    control::message::{Leader, Message},
     daemon::Daemon,
     knowledge::Beliefs,
-    peer::{client::GiverClient, pace::Pace},
+    peer::{client::LeaderClient, pace::Pace},
     store::{config, endpoints},
 };
 use futures_lite::FutureExt;
@@ -17,13 +17,13 @@
     replicas::{WireDigest, WireSynced},
 };
 
-/// Time for which what the giver said is believed after it fell silent. The list
+/// Time for which what the leader said is believed after it fell silent. The list
 /// of endpoints has caught up by then.
 const BELIEVED_MS: u64 = 3_000;
 
 /// Tells and learns until the process ends.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
-    let mut client = GiverClient::default();
+    let mut client = LeaderClient::default();
     let mut heard_ms = 0;
     let mut is_heard = false;
     loop {
@@ -32,7 +32,7 @@
         let now_ms = daemon.knowledge.now_ms();
         if synced != is_heard {
             is_heard = synced;
-            tracing::info!(heard = is_heard, "sync: The giver of orders was found or lost.");
+            tracing::info!(heard = is_heard, "sync: The leader was found or lost.");
         }
         if synced {
             heard_ms = now_ms;
@@ -60,32 +60,32 @@
     daemon.knowledge.with(waits)
 }
 
-/// Tells once; returns whether the giver answered.
-async fn step(daemon: &Arc<Daemon>, client: &mut GiverClient) -> bool {
+/// Tells once; returns whether the leader answered.
+async fn step(daemon: &Arc<Daemon>, client: &mut LeaderClient) -> bool {
     let digests = digests(daemon);
-    let answer = match giver(daemon).await {
-        Giver::Here => tell_here(daemon, digests).await,
-        Giver::At(address) => {
+    let answer = match leader(daemon).await {
+        Leader::Here => tell_here(daemon, digests).await,
+        Leader::At(address) => {
             let wire = digests.into_iter().map(|(service, told)| WireDigest::new(&service, told));
             match client.sync(address, &daemon.settings.vm, wire.collect(), have(daemon)).await {
                 Ok(answer) => Some(answer),
                 Err(error) => {
-                    tracing::debug!(%error, "sync: The giver of orders does not answer.");
+                    tracing::debug!(%error, "sync: The leader does not answer.");
                     None
                 }
             }
         }
-        Giver::Nobody => None,
+        Leader::Nobody => None,
     };
     let Some(answer) = answer else {
-        daemon.tell(Message::GiverSilent);
+        daemon.tell(Message::LeaderSilent);
         return false;
     };
     if let Some((lease, version)) = answer.lease {
         daemon.tell(Message::LeaseSeen { row: Some(lease.into()), version });
     }
-    if !answer.is_giver {
-        daemon.tell(Message::GiverSilent);
+    if !answer.is_leader {
+        daemon.tell(Message::LeaderSilent);
         return false;
     }
     let views = answer.views.into_iter().map(|(service, view)| (service.into(), view.into()));
@@ -104,7 +104,7 @@
     })
 }
 
-/// Takes what the giver passes on of the store. News are taken whatever their age;
+/// Takes what the leader passes on of the store. News are taken whatever their age;
 /// whether the store must be followed here depends on it.
 fn take_relay(daemon: &Daemon, relay: WireRelay) {
     if let Some(text) = relay.config {
@@ -141,10 +141,10 @@
     })
 }
 
-async fn giver(daemon: &Daemon) -> Giver {
+async fn leader(daemon: &Daemon) -> Leader {
     let (reply, answer) = async_channel::bounded(1);
-    daemon.tell(Message::Giver(reply));
-    answer.recv().await.unwrap_or(Giver::Nobody)
+    daemon.tell(Message::Leader(reply));
+    answer.recv().await.unwrap_or(Leader::Nobody)
 }
 
 async fn tell_here(
--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -1,7 +1,7 @@
 //! The one client of the store.
 
 use crate::{
-    net::exchange::{self, Line},
+    net::exchange::{self, CallClient},
     wire::{StoreWire, Unreadable},
 };
 use snafu::{ResultExt, Snafu};
@@ -30,7 +30,7 @@
 pub(crate) struct Store {
     wire: StoreWire,
     address: SocketAddr,
-    calls: Line,
+    calls: CallClient,
     count: AtomicU64,
 }
 
@@ -38,14 +38,14 @@
 #[derive(Debug)]
 pub(crate) struct Follower<'a> {
     store: &'a Store,
-    line: Line,
+    client: CallClient,
     table: &'static str,
 }
 
 impl Store {
     /// The store at an address.
     pub(crate) fn new(address: SocketAddr, wire: StoreWire) -> Self {
-        Self { wire, address, calls: Line::new(address), count: AtomicU64::new(0) }
+        Self { wire, address, calls: CallClient::new(address), count: AtomicU64::new(0) }
     }
 
     /// Reads a whole table, or what lies behind a key.
@@ -68,7 +68,7 @@
 
     /// A connection for following a table.
     pub(crate) fn follower(&self, table: &'static str) -> Follower<'_> {
-        Follower { store: self, line: Line::new(self.address), table }
+        Follower { store: self, client: CallClient::new(self.address), table }
     }
 
     /// Calls made since the start.
@@ -76,13 +76,13 @@
         self.count.load(Ordering::Relaxed)
     }
 
-    async fn read_over(&self, line: &Line, table: &str) -> Result<RowPage, Error> {
+    async fn read_over(&self, client: &CallClient, table: &str) -> Result<RowPage, Error> {
         let mut all = RowPage { rows: Vec::new(), has_more: true, version: u64::MAX };
         while all.has_more {
             self.count.fetch_add(1, Ordering::Relaxed);
             let from = all.rows.last().map(|row| format!("{}%00", row.key.key));
             let call = (self.wire.read_call)(table, from.as_deref());
-            let answer = line.exchange(call, CALL_MS).await.context(ExchangeSnafu)?;
+            let answer = client.exchange(call, CALL_MS).await.context(ExchangeSnafu)?;
             let page = (self.wire.read_answer)(answer.status, &answer.body);
             let page = page.context(UnreadableSnafu)?;
             all.has_more = page.has_more && !page.rows.is_empty();
@@ -97,14 +97,14 @@
 impl Follower<'_> {
     /// Reads the whole table.
     pub(crate) async fn read(&self) -> Result<RowPage, Error> {
-        self.store.read_over(&self.line, self.table).await
+        self.store.read_over(&self.client, self.table).await
     }
 
     /// Waits for changes after a transaction.
     pub(crate) async fn follow(&self, after: u64, wait_ms: u64) -> Result<Feed, Error> {
         self.store.count.fetch_add(1, Ordering::Relaxed);
         let call = (self.store.wire.follow_call)(self.table, after, wait_ms);
-        let answer = self.line.exchange(call, wait_ms + FOLLOW_GRACE_MS).await;
+        let answer = self.client.exchange(call, wait_ms + FOLLOW_GRACE_MS).await;
         let answer = answer.context(ExchangeSnafu)?;
         (self.store.wire.follow_answer)(answer.status, &answer.body).context(UnreadableSnafu)
     }
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -13,10 +13,10 @@
     store::{Row, RowChange, RowPage},
 };
 
-/// Pause of the giver of orders after each answer; far below the time in which a leaving
+/// Pause of the leader after each answer; far below the time in which a leaving
 /// endpoint must get no more work.
 const GATHER_MS: u64 = 120;
-/// The same for a daemon that follows the list only until it hears from a giver again:
+/// The same for a daemon that follows the list only until it hears from a leader again:
 /// all daemons do so at once then, and the store's calls are shared by all.
 const ALONE_GATHER_MS: u64 = 450;
 
@@ -24,7 +24,7 @@
 pub(crate) async fn run(daemon: Arc<Daemon>) {
     let followed = Followed {
         table: daemon.wire.store.endpoint_table,
-        gather_ms: || if daemon.freshness.is_giver() { GATHER_MS } else { ALONE_GATHER_MS },
+        gather_ms: || if daemon.freshness.is_leader() { GATHER_MS } else { ALONE_GATHER_MS },
         after: |_| {
             let version = daemon.knowledge.with(|beliefs| beliefs.mirror.version());
             (version > 0 && !daemon.freshness.take_reread()).then_some(version)
--- a/crates/trestle-entry/src/store/freshness.rs
+++ b/crates/trestle-entry/src/store/freshness.rs
@@ -1,6 +1,6 @@
 //! How fresh what is known of the store is, and from whom it comes.
 //!
-//! Only the giver of orders follows the store all the time. It passes on what
+//! Only the leader follows the store all the time. It passes on what
 //! changes, with the time since the store last answered it; others follow the store
 //! themselves whenever that is missing or too old.
 
@@ -9,11 +9,11 @@
 
 /// Longest time for which the store holds a wait for changes.
 const WAIT_MS: u64 = 2_000;
-/// Part of the shortest bound on what must be known for which it holds the giver's: an
-/// outage that only the giver has must be noticed, and others must have read the store
+/// Part of the shortest bound on what must be known for which it holds the leader's: an
+/// outage that only the leader has must be noticed, and others must have read the store
 /// themselves, within that bound.
-const GIVER_WAIT_PART: u64 = 3;
-/// Time beyond its wait after which the giver's last answer is too old.
+const LEADER_WAIT_PART: u64 = 3;
+/// Time beyond its wait after which the leader's last answer is too old.
 const AGE_GRACE_MS: u64 = 450;
 /// Relays that may be missing before the store is followed here.
 const MISSING_RELAYS: u64 = 3;
@@ -21,12 +21,12 @@
 /// How fresh what is known of the store is.
 #[derive(Debug)]
 pub(crate) struct Freshness {
-    is_giver: AtomicBool,
+    is_leader: AtomicBool,
     must_reread: AtomicBool,
     relayed_until_ms: AtomicU64,
     endpoints_read_ms: AtomicU64,
     config_read_ms: AtomicU64,
-    giver_wait_ms: u64,
+    leader_wait_ms: u64,
 }
 
 impl Freshness {
@@ -34,27 +34,27 @@
     pub(crate) fn new(bounds: &Bounds) -> Self {
         let shortest_ms = bounds.config_ms.min(bounds.leaving_ms);
         Self {
-            is_giver: AtomicBool::new(false),
+            is_leader: AtomicBool::new(false),
             must_reread: AtomicBool::new(false),
             relayed_until_ms: AtomicU64::new(0),
             endpoints_read_ms: AtomicU64::new(0),
             config_read_ms: AtomicU64::new(0),
-            giver_wait_ms: (shortest_ms / GIVER_WAIT_PART).min(WAIT_MS),
+            leader_wait_ms: (shortest_ms / LEADER_WAIT_PART).min(WAIT_MS),
         }
     }
 
-    /// Notes whether this daemon gives the orders.
-    pub(crate) fn set_giver(&self, is_giver: bool) {
-        self.is_giver.store(is_giver, Ordering::SeqCst);
-        if is_giver {
+    /// Notes whether this daemon leads.
+    pub(crate) fn set_leader(&self, is_leader: bool) {
+        self.is_leader.store(is_leader, Ordering::SeqCst);
+        if is_leader {
             self.relayed_until_ms.store(0, Ordering::SeqCst);
             self.must_reread.store(true, Ordering::SeqCst);
         }
     }
 
-    /// Whether this daemon gives the orders.
-    pub(crate) fn is_giver(&self) -> bool {
-        self.is_giver.load(Ordering::SeqCst)
+    /// Whether this daemon leads.
+    pub(crate) fn is_leader(&self) -> bool {
+        self.is_leader.load(Ordering::SeqCst)
     }
 
     /// Whether the list of endpoints must be read with everything in it; told once.
@@ -64,7 +64,7 @@
 
     /// For how long the store should hold a wait for changes.
     pub(crate) fn wait_ms(&self) -> u64 {
-        if self.is_giver() { self.giver_wait_ms } else { WAIT_MS }
+        if self.is_leader() { self.leader_wait_ms } else { WAIT_MS }
     }
 
     /// Notes an answer of the store about the list of endpoints.
@@ -83,11 +83,11 @@
         now_ms.saturating_sub(endpoints_ms.min(self.config_read_ms.load(Ordering::SeqCst)))
     }
 
-    /// Takes what the giver says of its age, and when the next relay is due; returns
+    /// Takes what the leader says of its age, and when the next relay is due; returns
     /// whether that is fresh enough.
     pub(crate) fn relayed(&self, age_ms: u64, next_ms: u64, now_ms: u64) -> bool {
-        let is_fresh = age_ms <= self.giver_wait_ms + AGE_GRACE_MS;
-        if is_fresh && !self.is_giver() {
+        let is_fresh = age_ms <= self.leader_wait_ms + AGE_GRACE_MS;
+        if is_fresh && !self.is_leader() {
             let until_ms = now_ms + next_ms * MISSING_RELAYS;
             self.relayed_until_ms.store(until_ms, Ordering::SeqCst);
         }
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -13,9 +13,9 @@
 use smol::Timer;
 use std::{sync::Arc, time::Duration};
 use trestle_dispatch::{
+    admission::{self, Admission},
     choice::{self, Known, Need},
     endpoint::Endpoint,
-    patience::{self, Patience},
 };
 
 /// When a caller should come back if a plain service has no endpoint left to try.
@@ -114,12 +114,12 @@
         view.ready_in_ms.get(model?).copied()
     });
     let early_ms = task.route.objective_ms / EARLY_PART;
-    let decided = patience::decide(&task.route, elapsed_ms, task.allowed_ms, ready_in_ms);
+    let decided = admission::decide(&task.route, elapsed_ms, task.allowed_ms, ready_in_ms);
     match decided {
-        Patience::Wait { until_ms } if elapsed_ms < until_ms => Ok(until_ms),
-        // The giver of orders may not have answered yet.
-        Patience::Refuse { .. } if ready_in_ms.is_none() && elapsed_ms < early_ms => Ok(early_ms),
-        Patience::Refuse { retry_after_ms } if elapsed_ms <= early_ms => Err(retry_after_ms),
+        Admission::Wait { until_ms } if elapsed_ms < until_ms => Ok(until_ms),
+        // The leader may not have answered yet.
+        Admission::Refuse { .. } if ready_in_ms.is_none() && elapsed_ms < early_ms => Ok(early_ms),
+        Admission::Refuse { retry_after_ms } if elapsed_ms <= early_ms => Err(retry_after_ms),
         _ => wait_late(task, elapsed_ms, ready_in_ms),
     }
 }
@@ -127,10 +127,10 @@
 /// For a request that has already waited too long to be refused early: it goes on
 /// waiting as long as its caller is likely to stay until the model is ready.
 fn wait_late(task: &Task, elapsed_ms: u64, ready_in_ms: Option<u64>) -> Result<u64, u64> {
-    let stays_ms = patience::caller_stays_ms(&task.route, task.allowed_ms);
+    let stays_ms = admission::caller_stays_ms(&task.route, task.allowed_ms);
     match ready_in_ms {
         Some(ready_ms) if elapsed_ms + ready_ms < stays_ms && elapsed_ms < stays_ms => Ok(stays_ms),
-        _ => Err(patience::retry_after_ms(elapsed_ms, task.allowed_ms, ready_in_ms)),
+        _ => Err(admission::retry_after_ms(elapsed_ms, task.allowed_ms, ready_in_ms)),
     }
 }
 
@@ -165,7 +165,7 @@
     }
 }
 
-/// What a request waits for; told to the giver of orders until this is dropped.
+/// What a request waits for; told to the leader until this is dropped.
 struct WishGuard {
     daemon: Arc<Daemon>,
     service: trestle_core::names::ServiceName,
--- a/crates/trestle-entry/src/wire.rs
+++ b/crates/trestle-entry/src/wire.rs
@@ -65,7 +65,7 @@
     pub report_call: fn() -> Call,
     /// The answer to that.
     pub report_answer: fn(u16, &[u8]) -> Result<EngineReport, Unreadable>,
-    /// Gives an order: endpoint, order, expected count, giver, fencing number.
+    /// Gives an order: endpoint, order, expected count, leader, fencing number.
     pub order_call: fn(&EndpointName, &Order, u64, &str, u64) -> Call,
     /// The answer to that.
     pub order_answer: fn(u16) -> OrderAnswer,
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -7,8 +7,8 @@
 //! - [`table`] and [`row`]: the platform's table.
 //! - [`order`]: orders to engines, and their reports.
 //! - [`peer`]: what daemons ask each other.
-//! - [`replicas`]: what daemons and the giver of orders tell each other.
-//! - [`relay`]: what the giver of orders passes on of the store.
+//! - [`replicas`]: what daemons and the leader tell each other.
+//! - [`relay`]: what the leader passes on of the store.
 //! - [`claim`]: calls that may not be repeated.
 //! - [`admin`]: what operators ask a daemon.
 //! - [`habits`]: what is kept of the times at which models are used.
--- a/crates/trestle-wire/src/relay.rs
+++ b/crates/trestle-wire/src/relay.rs
@@ -1,4 +1,4 @@
-//! What the giver of orders passes on of the store, so that others need not follow it.
+//! What the leader passes on of the store, so that others need not follow it.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 use trestle_core::names::{AdapterName, ModelName};
@@ -38,7 +38,7 @@
     pub version: u64,
 }
 
-/// One live endpoint, without the copies of weights near it: only the giver of orders
+/// One live endpoint, without the copies of weights near it: only the leader
 /// needs those, and it reads them from the store.
 #[trestle_macros::wire]
 pub struct WireEndpoint {
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -1,4 +1,4 @@
-//! What daemons and the giver of orders tell each other.
+//! What daemons and the leader tell each other.
 
 use crate::relay::{WireHave, WireRelay};
 use std::{collections::BTreeMap, net::SocketAddr};
@@ -9,20 +9,20 @@
     replicas::{EngineNote, ReplicaView},
 };
 
-/// The service between daemons and the giver of orders.
+/// The service between daemons and the leader.
 #[tarpc::service]
 pub trait Replicas {
     /// Tells what callers ask for, and learns where models are.
     async fn sync(vm: String, digests: Vec<WireDigest>, have: WireHave) -> WireSynced;
 }
 
-/// What the giver of orders answers.
+/// What the leader answers.
 #[trestle_macros::wire]
 pub struct WireSynced {
     /// The lease as it last wrote it, with the version of the row.
     pub lease: Option<(WireLease, u64)>,
     /// Whether it holds the lease.
-    pub is_giver: bool,
+    pub is_leader: bool,
     /// What it knows, by service.
     pub views: BTreeMap<String, WireView>,
     /// What has changed in the store since what the asker has.
@@ -78,7 +78,7 @@
     pub count: u32,
 }
 
-/// What the giver of orders knows of one service.
+/// What the leader knows of one service.
 #[trestle_macros::wire]
 pub struct WireView {
     /// By engine.
@@ -89,7 +89,7 @@
     pub daemons: usize,
 }
 
-/// What the giver of orders knows of one engine.
+/// What the leader knows of one engine.
 #[trestle_macros::wire]
 pub struct WireNote {
     /// Models that are going.
--- a/crates/trestlectl/src/trace.rs
+++ b/crates/trestlectl/src/trace.rs
@@ -1,7 +1,7 @@
 //! One request's story, from the logs of several daemons.
 //!
 //! Shown are the lines of the request itself, and what its daemon believed when
-//! it came: its configuration, the list of endpoints, the giver of orders. Lines
+//! it came: its configuration, the list of endpoints, the leader. Lines
 //! about the request's model and endpoint shortly before and during it follow.
 
 use crate::{
@@ -18,8 +18,8 @@
 const BELIEFS: [(&str, &[&str]); 4] = [
     ("configuration", &["config:"]),
     ("list and store", &["endpoint: The list was read", "store: A table"]),
-    ("giver of orders", &["sync:"]),
-    ("orders given here", &["lease: This daemon"]),
+    ("leader", &["sync:"]),
+    ("leads itself", &["lease: This daemon"]),
 ];
 
 /// Prints the story of a request.
