--- a/crates/trestle-config/src/entry_settings.rs
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -38,8 +38,6 @@
     pub leaving_ms: u64,
     /// Between the acceptance of a configuration and its being in force.
     pub config_ms: u64,
-    /// After trouble, until everything must work again.
-    pub contact_ms: u64,
     /// For a planned stop.
     pub stop_s: u64,
     /// Between orders of two VMs to the same engine.
@@ -50,10 +48,6 @@
     pub retry_window_s: u64,
     /// Further sends beyond the ratio in a window.
     pub retry_fixed: u32,
-    /// The window over which loads from the weight store are counted.
-    pub load_window_s: u64,
-    /// By what factor loads may exceed the weight store's rate in a window.
-    pub load_factor: f64,
 }
 
 impl EntrySettings {
--- a/crates/trestle-config/tests/files.rs
+++ b/crates/trestle-config/tests/files.rs
@@ -1,6 +1,7 @@
 //! What is wrong with a file is told with its place.
 
-use trestle_config::{Category, from_str};
+use std::path::Path;
+use trestle_config::{Category, SettingsFile, from_str, read_settings};
 
 const FLEET: &str = include_str!("../../../examples/fleet.jsonc");
 const HERBARIUM: &str = include_str!("../../../examples/herbarium.jsonc");
@@ -76,3 +77,13 @@
         assert!(error.to_string().contains(message), "{error}");
     }
 }
+
+#[test]
+fn example_settings_tell_the_two_kinds_of_daemons_from_each_other() {
+    let read = |name: &str| {
+        let path = Path::new("../../examples").join(name);
+        read_settings(&path).unwrap_or_else(|error| panic!("{error}"))
+    };
+    assert!(matches!(read("trestled.jsonc"), SettingsFile::Own(_)));
+    assert!(matches!(read("entry.jsonc"), SettingsFile::Entry(_)));
+}
--- a/crates/trestle-dispatch/src/catalog.rs
+++ b/crates/trestle-dispatch/src/catalog.rs
@@ -49,8 +49,6 @@
     pub memory_mb: u64,
     /// Adapters that an engine can hold.
     pub adapter_slots: u32,
-    /// Loads from the weight store a second that it is built for, in thousandths.
-    pub loads_per_1000_s: u64,
     /// The models of the service.
     pub models: BTreeMap<ModelName, ModelSpec>,
 }
--- a/crates/trestle-dispatch/tests/orders.rs
+++ b/crates/trestle-dispatch/tests/orders.rs
@@ -28,7 +28,6 @@
         slots: 8,
         memory_mb: 220,
         adapter_slots: 2,
-        loads_per_1000_s: 3_000,
         models: names.into_iter().map(|name| (name, model)).collect(),
     })
 }
