--- a/crates/trestle-dispatch/tests/mirror.rs
+++ b/crates/trestle-dispatch/tests/mirror.rs
@@ -42,6 +42,15 @@
         assert_eq!(content(&mirror), BTreeMap::from([("a".to_owned(), 1), ("b".to_owned(), 1)]));
     }
 
+    nor_does_it_bring_back_what_was_removed => {
+        let mut mirror = Mirror::default();
+        mirror.take(whole(&Table::from([("a".to_owned(), (1, 5))]), 6));
+        let removed = vec![("a".to_owned(), 8)];
+        mirror.take(News { is_whole: false, written: vec![], removed, version: 8 });
+        mirror.take(whole(&Table::from([("a".to_owned(), (1, 5))]), 6));
+        assert!(content(&mirror).is_empty());
+    }
+
     who_is_behind_the_known_removals_gets_everything => {
         let mut mirror = Mirror::default();
         mirror.take(whole(&Table::from([("a".to_owned(), (1, 5))]), 10));
