Wait for the adapter that makes way before the next one is loaded

Ruled out by reading: late orders of models (each names the count it expects), old reports, two changes at one engine.

Change: after an accepted unload of an adapter the engine's report decides. Test an_adapter_waits_for_the_one_that_makes_way: three adapters in two places before, two after.

--- a/crates/trestle-dispatch/src/orders.rs
+++ b/crates/trestle-dispatch/src/orders.rs
@@ -27,6 +27,8 @@
 /// Age that a report may have; one that came this long after the last accepted
 /// order tells the count truly.
 const REPORT_AGE_MS: u64 = 600;
+/// Time until a report shows what became of an adapter that was to go.
+const ADAPTER_REPORT_MS: u64 = 300;
 /// Sends of one order without an answer after which the change is given up.
 const MOST_UNANSWERED: u32 = 6;
 /// Refusals in a row after which the engine's report is looked at.
@@ -241,9 +243,13 @@
         self.not_before_ms = match step {
             Order::LoadModel(_) => now_ms + self.load_ms,
             Order::UnloadModel(_) => now_ms + BUSY_PAUSE_MS,
-            Order::LoadAdapter(..) | Order::UnloadAdapter(..) => now_ms,
+            Order::LoadAdapter(..) => now_ms,
+            Order::UnloadAdapter(..) => now_ms + ADAPTER_REPORT_MS,
         };
         self.is_settling = matches!(step, Order::LoadModel(_));
+        // An adapter in use goes when its requests have ended, and the engine is not busy
+        // meanwhile: only its report tells whether there is room.
+        self.is_counted &= !matches!(step, Order::UnloadAdapter(..));
         self.at += 1;
         self.check_room();
     }
--- a/crates/trestle-dispatch/tests/orders.rs
+++ b/crates/trestle-dispatch/tests/orders.rs
@@ -55,12 +55,25 @@
     busy_until_ms: u64,
     /// Orders that will be carried out later, if their count still holds.
     late: Vec<(u64, Order, u64)>,
+    /// Adapters that requests use until a time, and that are then unloaded if ordered.
+    used_until_ms: u64,
+    unloading: Vec<(ModelName, AdapterName)>,
     most_mb: u64,
+    most_adapters: usize,
 }
 
 impl Engine {
     fn new(held: Held, order_count: u64) -> Self {
-        Self { held, order_count, busy_until_ms: 0, late: Vec::new(), most_mb: 0 }
+        Self {
+            held,
+            order_count,
+            busy_until_ms: 0,
+            late: Vec::new(),
+            used_until_ms: 0,
+            unloading: Vec::new(),
+            most_mb: 0,
+            most_adapters: 0,
+        }
     }
 
     fn take(&mut self, order: &Order, count: u64, now_ms: u64) -> OrderAnswer {
@@ -88,6 +101,10 @@
                 self.held.get_mut(model).expect("its model is there").insert(adapter.clone());
                 self.accept(now_ms)
             }
+            Order::UnloadAdapter(model, adapter) if now_ms < self.used_until_ms => {
+                self.unloading.push((model.clone(), adapter.clone()));
+                self.accept(now_ms)
+            }
             Order::UnloadAdapter(model, adapter) => {
                 self.held.get_mut(model).expect("its model is there").remove(adapter);
                 self.accept(now_ms);
@@ -100,10 +117,17 @@
         self.busy_until_ms = busy_until_ms;
         self.order_count += 1;
         self.most_mb = self.most_mb.max(spec().held_mb(&self.held));
+        let adapters = self.held.values().map(BTreeSet::len).sum();
+        self.most_adapters = self.most_adapters.max(adapters);
         OrderAnswer::Accepted
     }
 
     fn carry_out_late(&mut self, now_ms: u64) {
+        if now_ms >= self.used_until_ms {
+            for (model, adapter) in self.unloading.drain(..) {
+                self.held.get_mut(&model).expect("its model is there").remove(&adapter);
+            }
+        }
         let due: Vec<_> = self.late.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms).collect();
         for (_, order, count) in due {
             self.take(&order, count, now_ms);
@@ -195,6 +219,22 @@
         assert_eq!(chain.held(), &true_state);
     }
 
+    // LIMIT on a day with late orders: an adapter that a request still uses goes only when
+    // the request has ended, and the engine is not busy meanwhile.
+    an_adapter_waits_for_the_one_that_makes_way => {
+        let before = held(&[("a", &["x", "y"])]);
+        let mut engine = Engine::new(before.clone(), 5);
+        engine.used_until_ms = 1_700;
+        let steps = vec![
+            Order::UnloadAdapter("a".into(), "x".into()),
+            Order::LoadAdapter("a".into(), "z".into()),
+        ];
+        let mut chain = OrderChain::new(spec(), steps, before, Some(5), 0);
+        let end = play(&mut chain, &mut engine, |_| Fate::Answered);
+        assert_eq!(engine.most_adapters, 2);
+        assert!(matches!(end, Next::Failed(Failure::Changed)), "{end:?}");
+    }
+
     a_load_beside_a_model_that_is_still_there_is_given_up => {
         let true_state = held(&[("a", &[]), ("b", &[]), ("c", &[])]);
         let mut engine = Engine::new(true_state.clone(), 3);
