Say that the deadline is too close where it ends before an owner is asked

A deadline of 1 ms can be over before the owner is asked; then every owner was passed over and the caller was told that none could be reached. Change: a deadline that is over by then is named as such.

--- a/crates/trestled/src/asking.rs
+++ b/crates/trestled/src/asking.rs
@@ -19,10 +19,13 @@
     node::CHAIN_LENGTH,
     permit::{PERMIT_USE_MS, Ticket},
 };
-use trestle_wire::peer::{WireAnswer, WireAsk};
+use trestle_wire::peer::{WireAnswer, WireAsk, WireRefusal};
 
 /// Time between two questions to an owner whether it is still there.
 const ALIVE_INTERVAL_MS: u64 = 500;
+/// When a caller should come back, with more time, if its own was over before an owner
+/// could be asked.
+const TOO_CLOSE_RETRY_MS: u64 = 1_000;
 /// Questions without an answer after which an owner counts as lost.
 const LOST_AFTER: u32 = 2;
 
@@ -87,6 +90,11 @@
             Some(answer) => return Asked::Answered(answer),
         }
     }
+    if wish.deadline <= Instant::now() {
+        // Nobody could be asked in time, which says nothing of the owners.
+        let reason = WireRefusal::DeadlineTooClose;
+        return Asked::Answered(WireAnswer::Refused { reason, retry_after_ms: TOO_CLOSE_RETRY_MS });
+    }
     Asked::NoOwner
 }
 
