Look at the leader's view in place, and drop what nothing calls

Found on reading the whole change once more: the view of all engines was copied at each choice of an endpoint and at each wake of a waiting request; two public functions had no caller; the bounds on retries were put together in two places. Behaviour is as before. Linter clean; tests of dispatch, platform and config green.

--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -7,7 +7,7 @@
 
 use crate::endpoint::Endpoint;
 use std::collections::{BTreeMap, BTreeSet};
-use trestle_core::names::{EndpointName, ModelName, ServiceName};
+use trestle_core::names::{EndpointName, ServiceName};
 
 /// Time after the store's return in which lapsed entries come back, if their
 /// endpoints live. The users' letter says about two seconds.
@@ -124,9 +124,4 @@
     pub fn usable<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Endpoint> {
         self.iter().filter(move |endpoint| endpoint.service == *service && !endpoint.is_leaving)
     }
-
-    /// Whether an endpoint that may get new work holds a model, by its own entry.
-    pub fn holds(&self, service: &ServiceName, model: &ModelName) -> bool {
-        self.usable(service).any(|endpoint| endpoint.held.contains_key(model))
-    }
 }
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -9,7 +9,7 @@
     sync::{Arc, Mutex, PoisonError},
     time::Instant,
 };
-use trestle_config::entry_settings::EntrySettings;
+use trestle_config::entry_settings::{Bounds, EntrySettings};
 use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
 use trestle_dispatch::{
     catalog::Catalog,
@@ -107,11 +107,7 @@
             asked: BTreeMap::new(),
             daemons: ASSUMED_DAEMONS,
             domain: settings.domain.as_str().into(),
-            retry_bounds: RetryBounds {
-                ratio: bounds.retry_ratio,
-                window_ms: bounds.retry_window_s * 1_000,
-                fixed: bounds.retry_fixed,
-            },
+            retry_bounds: retry_bounds(bounds),
         };
         Self {
             beliefs: Mutex::new(beliefs),
@@ -160,11 +156,6 @@
 }
 
 impl Beliefs {
-    /// What the leader says of a service.
-    pub(crate) fn replicas_of(&self, service: &ServiceName) -> ReplicaView {
-        self.replicas.get(service).cloned().unwrap_or_default()
-    }
-
     /// What callers ask of a service's engines.
     pub(crate) fn asked_of(&mut self, service: &ServiceName) -> &mut Asked {
         self.asked.entry(service.clone()).or_default()
@@ -251,6 +242,15 @@
     }
 }
 
+/// What bounds further sends, by the settings.
+pub(crate) fn retry_bounds(bounds: &Bounds) -> RetryBounds {
+    RetryBounds {
+        ratio: bounds.retry_ratio,
+        window_ms: bounds.retry_window_s * 1_000,
+        fixed: bounds.retry_fixed,
+    }
+}
+
 fn count_down<K: Ord>(
     counts: &mut BTreeMap<EndpointName, BTreeMap<K, u32>>,
     endpoint: &EndpointName,
--- a/crates/trestle-entry/src/tidy.rs
+++ b/crates/trestle-entry/src/tidy.rs
@@ -1,11 +1,10 @@
 //! What is done from time to time.
 
-use crate::daemon::Daemon;
+use crate::{daemon::Daemon, knowledge};
 use smol::Timer;
 use std::{collections::BTreeSet, path::Path, sync::Arc, time::Duration};
 use trestle_config::SettingsFile;
 use trestle_core::names::EndpointName;
-use trestle_dispatch::retry_share::RetryBounds;
 
 /// Between two rounds.
 const EVERY_MS: u64 = 500;
@@ -39,12 +38,7 @@
             return;
         }
     };
-    let bounds = &settings.bounds;
-    let retry_bounds = RetryBounds {
-        ratio: bounds.retry_ratio,
-        window_ms: bounds.retry_window_s * 1_000,
-        fixed: bounds.retry_fixed,
-    };
+    let retry_bounds = knowledge::retry_bounds(&settings.bounds);
     daemon.knowledge.with(|beliefs| beliefs.retry_bounds = retry_bounds);
     let is_same = settings == daemon.settings;
     tracing::info!(is_same, "settings: Read again; bounds on retries are in force.");
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -16,6 +16,7 @@
     admission::{self, Admission},
     choice::{self, Known, Need},
     endpoint::Endpoint,
+    replicas::ReplicaView,
 };
 
 /// When a caller should come back if a plain service has no endpoint left to try.
@@ -84,10 +85,11 @@
     let (model, adapter) = (task.head.model.as_ref(), task.head.adapter.as_ref());
     daemon.knowledge.with(|beliefs| {
         beliefs.directory.tick(now_ms);
-        let replicas = beliefs.replicas_of(&task.service);
+        let nothing = ReplicaView::default();
+        let replicas = beliefs.replicas.get(&task.service).unwrap_or(&nothing);
         let known = Known {
             directory: &beliefs.directory,
-            replicas: &replicas,
+            replicas,
             records: &beliefs.records,
             domain: &beliefs.domain,
             now_ms,
@@ -152,7 +154,8 @@
 fn is_model_there(task: &Task) -> bool {
     let Some(model) = task.head.model.as_ref() else { return false };
     task.daemon.knowledge.with(|beliefs| {
-        let replicas = beliefs.replicas_of(&task.service);
+        let nothing = ReplicaView::default();
+        let replicas = beliefs.replicas.get(&task.service).unwrap_or(&nothing);
         let mut usable = beliefs.directory.usable(&task.service);
         usable.any(|endpoint| replicas.can_run(endpoint, model, None))
     })
