Look at the settings file without a signal, and take all bounds over

Cause: the settings file may change without a signal; the daemon read it again on SIGHUP only, and took over nothing but the bounds on retries. Change: a look at the file once a second, by its text; all bounds are in force at once (retries, stop, leaving, configuration; the quiet time at the next takeover). Addresses, names and logs need a restart, and the log says whether one is needed. A failing model_at of the ownership sessions now prints what it saw.

--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Sets the time for which an endpoint that has left may still get requests.
+    pub fn set_leaving_ms(&mut self, leaving_ms: u64) {
+        self.leaving_ms = leaving_ms;
+    }
+
     /// Takes an entry that was written.
     pub fn written(&mut self, mut endpoint: Endpoint) {
         self.lapsed_until_ms.remove(&endpoint.name);
--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Sets the quiet time that the next takeover keeps.
+    pub fn set_quiet_ms(&mut self, quiet_ms: u64) {
+        self.timing.quiet_ms = quiet_ms;
+    }
+
     /// Takes the row as it was read, or as its holder tells it; version 0 if there is none.
     pub fn observed(&mut self, row: Option<LeaseRow>, version: u64, now_ms: u64) {
         if self.seen.as_ref().is_some_and(|seen| seen.version >= version && version > 0) {
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Sets the quiet time that the next takeover keeps.
+    pub(crate) fn set_quiet_ms(&mut self, quiet_ms: u64) {
+        self.lease.set_quiet_ms(quiet_ms);
+    }
+
     /// Has the row read.
     pub(crate) fn read_soon(&mut self) {
         self.must_read = true;
--- a/crates/trestle-entry/src/control/message.rs
+++ b/crates/trestle-entry/src/control/message.rs
@@ -56,6 +56,8 @@
         /// Its orders, as far as they came.
         chain: OrderChain,
     },
+    /// The quiet time between orders of two VMs is now this long, in ms.
+    QuietTime(u64),
     /// The daemon is about to stop; answered once the lease is given up.
     Stop(Sender<()>),
 }
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -104,6 +104,7 @@
             Message::ChangeEnded { service, endpoint, chain } => {
                 self.change_ended(&service, &endpoint, &chain);
             }
+            Message::QuietTime(quiet_ms) => self.leasing.set_quiet_ms(quiet_ms),
             Message::Stop(reply) => self.leasing.leave(reply),
         }
     }
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -14,7 +14,7 @@
     net::SocketAddr,
     sync::atomic::{AtomicU64, AtomicUsize, Ordering},
 };
-use trestle_config::entry_settings::EntrySettings;
+use trestle_config::entry_settings::{Bounds, EntrySettings};
 
 /// What the parts of the daemon share.
 #[derive(Debug)]
@@ -63,6 +63,14 @@
             && self.knowledge.with(|beliefs| beliefs.catalog.is_some() && beliefs.is_listed)
     }
 
+    /// Puts changed bounds in force.
+    pub(crate) fn take_bounds(&self, bounds: &Bounds) {
+        self.knowledge.take_bounds(bounds);
+        self.freshness.take_bounds(bounds);
+        self.stopping.take_bounds(bounds);
+        self.tell(Message::QuietTime(bounds.order_quiet_ms));
+    }
+
     /// Where other daemons reach this one.
     pub(crate) fn peers_address(&self) -> SocketAddr {
         SocketAddr::new(self.settings.address, self.settings.peers_port)
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Puts changed bounds in force.
+    pub(crate) fn take_bounds(&self, bounds: &Bounds) {
+        self.with(|beliefs| {
+            beliefs.retry_bounds = retry_bounds(bounds);
+            beliefs.directory.set_leaving_ms(bounds.leaving_ms);
+        });
+    }
+
     /// Time on this daemon's monotonic clock.
     pub(crate) fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
@@ -243,7 +251,7 @@
 }
 
 /// What bounds further sends, by the settings.
-pub(crate) fn retry_bounds(bounds: &Bounds) -> RetryBounds {
+fn retry_bounds(bounds: &Bounds) -> RetryBounds {
     RetryBounds {
         ratio: bounds.retry_ratio,
         window_ms: bounds.retry_window_s * 1_000,
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod net;
 mod peer;
+mod settings_watch;
 mod stop;
 mod stopping;
 mod store;
@@ -33,6 +34,7 @@
     daemon::Daemon,
     logs::Logs,
     metrics::Metrics,
+    settings_watch::SettingsWatch,
     traffic::{
         answer::{self, Body},
         serve::{self, Closing, Limits},
@@ -119,7 +121,9 @@
     serve_readiness(&daemon, readiness);
     serve_metrics(&daemon, logs, metrics);
     let closing = serve_callers(&daemon, callers);
-    let reread = || tidy::reread(&daemon, &settings_path);
+    let watch = Arc::new(SettingsWatch::new(settings_path));
+    smol::spawn(Arc::clone(&watch).run(Arc::clone(&daemon))).detach();
+    let reread = || watch.reread(&daemon);
     stop::wait(&daemon, &closing, reread).await.context(SystemSnafu { what: "signals" })
 }
 
--- /dev/null
+++ b/crates/trestle-entry/src/settings_watch.rs
@@ -0,0 +1,85 @@
+//! Settings that change while the daemon runs.
+//!
+//! The file is read again on a signal, and looked at from time to time, since it
+//! may change without one. Bounds are taken over at once; names, addresses, ports
+//! and logs stay as they were at the start.
+
+use crate::daemon::Daemon;
+use smol::Timer;
+use std::{
+    fs, io,
+    path::PathBuf,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+use trestle_config::SettingsFile;
+
+/// Between two looks at the file. A look takes some 20 us; operators expect a change
+/// within seconds.
+const LOOK_MS: u64 = 1_000;
+
+/// The settings file of a running daemon.
+#[derive(Debug)]
+pub(crate) struct SettingsWatch {
+    path: PathBuf,
+    /// The text at the last look; none if it could not be read.
+    text: Mutex<Option<String>>,
+}
+
+impl SettingsWatch {
+    /// The file that the daemon was started with.
+    pub(crate) fn new(path: PathBuf) -> Self {
+        let text = fs::read_to_string(&path).ok();
+        Self { path, text: Mutex::new(text) }
+    }
+
+    /// Looks at the file until the process ends.
+    pub(crate) async fn run(self: Arc<Self>, daemon: Arc<Daemon>) {
+        loop {
+            Timer::after(Duration::from_millis(LOOK_MS)).await;
+            if self.has_changed() {
+                self.reread(&daemon);
+            }
+        }
+    }
+
+    /// Reads the settings again; what can change while the daemon runs is taken over.
+    pub(crate) fn reread(&self, daemon: &Daemon) {
+        // A look that comes at the same time need not read them once more.
+        self.has_changed();
+        let settings = match trestle_config::read_settings(&self.path) {
+            Ok(SettingsFile::Entry(settings)) => settings,
+            Ok(SettingsFile::Own(_)) => {
+                tracing::error!(
+                    "settings: The file is for another kind of daemon; nothing changes."
+                );
+                return;
+            }
+            Err(error) => {
+                tracing::error!(%error, "settings: The file is not in order; nothing changes.");
+                return;
+            }
+        };
+        daemon.take_bounds(&settings.bounds);
+        let started_with = &daemon.settings;
+        let mut rest = settings.clone();
+        rest.bounds = started_with.bounds.clone();
+        let needs_restart = rest != *started_with;
+        let bounds = &settings.bounds;
+        tracing::info!(?bounds, needs_restart, "settings: Read again; bounds are in force.");
+    }
+
+    /// Whether the file differs from the last look; small enough to be read in place.
+    fn has_changed(&self) -> bool {
+        let now = match fs::read_to_string(&self.path) {
+            Ok(text) => Some(text),
+            // It may be missing for a moment while it is replaced.
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return false,
+            Err(_) => None,
+        };
+        let mut text = self.text.lock().unwrap_or_else(PoisonError::into_inner);
+        let has_changed = *text != now;
+        *text = now;
+        has_changed
+    }
+}
--- a/crates/trestle-entry/src/stopping.rs
+++ b/crates/trestle-entry/src/stopping.rs
@@ -16,14 +16,18 @@
 pub(crate) struct Stopping {
     /// 0 before.
     since_ms: AtomicU64,
-    limit_ms: u64,
+    limit_ms: AtomicU64,
 }
 
 impl Stopping {
     /// The daemon has not been told to stop.
     pub(crate) fn new(bounds: &Bounds) -> Self {
-        let limit_ms = (bounds.stop_s * 1_000).saturating_sub(SPARE_MS);
-        Self { since_ms: AtomicU64::new(0), limit_ms }
+        Self { since_ms: AtomicU64::new(0), limit_ms: AtomicU64::new(limit_ms(bounds)) }
+    }
+
+    /// Puts changed bounds in force.
+    pub(crate) fn take_bounds(&self, bounds: &Bounds) {
+        self.limit_ms.store(limit_ms(bounds), Ordering::SeqCst);
     }
 
     /// Notes that the daemon was told to stop.
@@ -38,7 +42,7 @@
 
     /// Time from the signal until the daemon ends, whatever is left.
     pub(crate) fn limit_ms(&self) -> u64 {
-        self.limit_ms
+        self.limit_ms.load(Ordering::SeqCst)
     }
 
     /// Whether a request that may take so long can still be taken.
@@ -48,16 +52,20 @@
     pub(crate) fn can_take(&self, now_ms: u64, allowed_ms: u64) -> bool {
         let since_ms = self.since_ms();
         let is_noticed = since_ms > 0 && now_ms > since_ms + NOTICE_MS;
-        !is_noticed || now_ms + allowed_ms < since_ms + self.limit_ms
+        !is_noticed || now_ms + allowed_ms < since_ms + self.limit_ms()
     }
 
     /// Whether a request that has not been sent to an endpoint can still be.
     pub(crate) fn can_begin(&self, now_ms: u64) -> bool {
         let since_ms = self.since_ms();
-        since_ms == 0 || now_ms < since_ms + self.limit_ms.saturating_sub(RUN_MS)
+        since_ms == 0 || now_ms < since_ms + self.limit_ms().saturating_sub(RUN_MS)
     }
 
     fn since_ms(&self) -> u64 {
         self.since_ms.load(Ordering::SeqCst)
     }
 }
+
+fn limit_ms(bounds: &Bounds) -> u64 {
+    (bounds.stop_s * 1_000).saturating_sub(SPARE_MS)
+}
--- a/crates/trestle-entry/src/store/freshness.rs
+++ b/crates/trestle-entry/src/store/freshness.rs
@@ -26,23 +26,27 @@
     relayed_until_ms: AtomicU64,
     endpoints_read_ms: AtomicU64,
     config_read_ms: AtomicU64,
-    leader_wait_ms: u64,
+    leader_wait_ms: AtomicU64,
 }
 
 impl Freshness {
     /// Nothing was read yet.
     pub(crate) fn new(bounds: &Bounds) -> Self {
-        let shortest_ms = bounds.config_ms.min(bounds.leaving_ms);
         Self {
             is_leader: AtomicBool::new(false),
             must_reread: AtomicBool::new(false),
             relayed_until_ms: AtomicU64::new(0),
             endpoints_read_ms: AtomicU64::new(0),
             config_read_ms: AtomicU64::new(0),
-            leader_wait_ms: (shortest_ms / LEADER_WAIT_PART).min(WAIT_MS),
+            leader_wait_ms: AtomicU64::new(leader_wait_ms(bounds)),
         }
     }
 
+    /// Puts changed bounds in force.
+    pub(crate) fn take_bounds(&self, bounds: &Bounds) {
+        self.leader_wait_ms.store(leader_wait_ms(bounds), Ordering::SeqCst);
+    }
+
     /// Notes whether this daemon leads.
     pub(crate) fn set_leader(&self, is_leader: bool) {
         self.is_leader.store(is_leader, Ordering::SeqCst);
@@ -64,7 +68,7 @@
 
     /// For how long the store should hold a wait for changes.
     pub(crate) fn wait_ms(&self) -> u64 {
-        if self.is_leader() { self.leader_wait_ms } else { WAIT_MS }
+        if self.is_leader() { self.leader_wait_ms() } else { WAIT_MS }
     }
 
     /// Notes an answer of the store about the list of endpoints.
@@ -86,7 +90,7 @@
     /// Takes what the leader says of its age, and when the next relay is due; returns
     /// whether that is fresh enough.
     pub(crate) fn relayed(&self, age_ms: u64, next_ms: u64, now_ms: u64) -> bool {
-        let is_fresh = age_ms <= self.leader_wait_ms + AGE_GRACE_MS;
+        let is_fresh = age_ms <= self.leader_wait_ms() + AGE_GRACE_MS;
         if is_fresh && !self.is_leader() {
             let until_ms = now_ms + next_ms * MISSING_RELAYS;
             self.relayed_until_ms.store(until_ms, Ordering::SeqCst);
@@ -98,4 +102,14 @@
     pub(crate) fn relayed_for_ms(&self, now_ms: u64) -> u64 {
         self.relayed_until_ms.load(Ordering::SeqCst).saturating_sub(now_ms)
     }
+
+    fn leader_wait_ms(&self) -> u64 {
+        self.leader_wait_ms.load(Ordering::SeqCst)
+    }
+}
+
+/// For how long the store should hold a leader's wait for changes.
+fn leader_wait_ms(bounds: &Bounds) -> u64 {
+    let shortest_ms = bounds.config_ms.min(bounds.leaving_ms);
+    (shortest_ms / LEADER_WAIT_PART).min(WAIT_MS)
 }
--- a/crates/trestle-session/tests/ownership.rs
+++ b/crates/trestle-session/tests/ownership.rs
@@ -234,7 +234,8 @@
             }
         }
     }
-    panic!("no model with one replica at an engine {engine_suffix}");
+    let seen: Vec<_> = session.daemons.keys().map(|vm| (vm, session.status(vm))).collect();
+    panic!("no model with one replica at an engine {engine_suffix}: {seen:#?}");
 }
 
 /// A daemon of another failure domain than the VM.
