Plan by sums made once, and let the stronger VM lead

For each question of a daemon it summed the running requests of all daemons for each of 90 engines, and the same for each engine, model and offer of a plan; and any VM could lead. Change: usage is summed once a plan, replicas are counted once, what daemons are told is made once in 30 ms, planning takes at most a tenth of the leader's time; of candidates the strongest VM goes first (the row of the lease holds the last holder's processor). Tests: candidate::*.

--- a/crates/trestle-config/src/entry_settings.rs
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -13,6 +13,9 @@
     pub address: IpAddr,
     /// The VM's failure domain.
     pub domain: String,
+    /// Processor of the VM, as a share of one core. Of several VMs the strongest should lead.
+    #[serde(default = "one_core")]
+    pub processor_cores: f64,
     /// Where callers reach the daemon.
     pub callers_address: SocketAddr,
     /// Where the balancer asks whether the daemon is ready.
@@ -51,6 +54,11 @@
 }
 
 impl EntrySettings {
+    /// Processor of the VM, in thousandths of a core.
+    pub fn millicores(&self) -> u32 {
+        (self.processor_cores * 1e3).round() as u32
+    }
+
     /// Values that cannot work, with the path that leads to each.
     pub(crate) fn findings(&self) -> Vec<(Vec<&'static str>, String)> {
         let mut found = Vec::new();
@@ -63,9 +71,15 @@
         check(!self.domain.is_empty(), &["domain"], "must not be empty");
         let differ = self.peers_port != self.metrics_port;
         check(differ, &["metrics_port"], "must differ from `peers_port`");
+        let has_processor = self.processor_cores > 0.0;
+        check(has_processor, &["processor_cores"], "must be above 0");
         let is_ratio = self.bounds.retry_ratio >= 0.0;
         check(is_ratio, &["bounds", "retry_ratio"], "must not be negative");
         check(self.bounds.stop_s >= 1, &["bounds", "stop_s"], "must be at least 1");
         found
     }
 }
+
+fn one_core() -> f64 {
+    1.0
+}
--- a/crates/trestle-dispatch/src/demand.rs
+++ b/crates/trestle-dispatch/src/demand.rs
@@ -1,5 +1,6 @@
 //! What is asked for, as all daemons tell the leader.
 
+use crate::usage::Usage;
 use std::collections::BTreeMap;
 use trestle_core::names::{AdapterName, EndpointName, ModelName, VmName};
 
@@ -101,22 +102,17 @@
         waiting
     }
 
-    /// Requests for a model that run at an engine.
-    pub fn running(&self, endpoint: &EndpointName, model: &ModelName, now_ms: u64) -> u32 {
-        let of_engine = self.live(now_ms).filter_map(|digest| digest.running.get(endpoint));
-        of_engine.filter_map(|running| running.get(model)).sum()
-    }
-
-    /// All requests that run at an engine.
-    pub fn running_at(&self, endpoint: &EndpointName, now_ms: u64) -> u32 {
-        let of_engine = self.live(now_ms).filter_map(|digest| digest.running.get(endpoint));
-        of_engine.flat_map(BTreeMap::values).sum()
-    }
-
-    /// All requests for a model that run anywhere.
-    pub fn running_everywhere(&self, model: &ModelName, now_ms: u64) -> u32 {
-        let all = self.live(now_ms).flat_map(|digest| digest.running.values());
-        all.filter_map(|running| running.get(model)).sum()
+    /// Requests that run now.
+    pub fn usage(&self, now_ms: u64) -> Usage<'_> {
+        let mut usage = Usage::default();
+        for digest in self.live(now_ms) {
+            for (endpoint, running) in &digest.running {
+                for (model, count) in running {
+                    usage.add(endpoint, model, *count);
+                }
+            }
+        }
+        usage
     }
 
     /// Whether a request with an adapter runs at an engine.
--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -36,6 +36,8 @@
     pub holder: String,
     /// Where its daemon answers others.
     pub address: SocketAddr,
+    /// Processor of that machine, in thousandths of a core.
+    pub millicores: u32,
     /// The start of that daemon, as a random number.
     pub incarnation: u64,
     /// Fencing number; grows with each holder.
@@ -80,6 +82,8 @@
     pub machine: String,
     /// Where the daemon answers others.
     pub address: SocketAddr,
+    /// Processor of the machine, in thousandths of a core.
+    pub millicores: u32,
     /// This start of the daemon.
     pub incarnation: u64,
 }
@@ -139,7 +143,7 @@
                 LeaseRow { renewals: row.renewals + 1, has_begun, is_released, ..row.clone() }
             }
             _ if self.is_leaving => return None,
-            Some(row) if !self.may_replace(row, &seen, now_ms) => return None,
+            Some(_) if self.free_from_ms().is_none_or(|from_ms| now_ms < from_ms) => return None,
             other => {
                 // Whatever becomes of the answer, this may be the write that takes the lease.
                 self.quiet_until_ms = self.quiet_until_ms.max(self.quiet_end_ms(now_ms));
@@ -191,11 +195,15 @@
         Some((seen.row.as_ref()?, seen.version))
     }
 
-    /// Since when it is known that another daemon has given the lease up.
-    pub fn released_since_ms(&self) -> Option<u64> {
+    /// Since when, or from when on, this daemon may take the lease from whoever had it last.
+    pub fn free_from_ms(&self) -> Option<u64> {
         let seen = self.seen.as_ref()?;
-        let row = seen.row.as_ref()?;
-        (row.is_released && !self.is_mine(row)).then_some(seen.since_ms)
+        Some(match &seen.row {
+            Some(row) if !row.is_released && !self.is_same_machine(row) => {
+                seen.since_ms + self.timing.hold_ms + MARGIN_MS
+            }
+            _ => seen.since_ms,
+        })
     }
 
     /// Gives the lease up with the next write, and takes it no more.
@@ -218,16 +226,11 @@
         row.holder == self.me.machine
     }
 
-    fn may_replace(&self, row: &LeaseRow, seen: &Seen, now_ms: u64) -> bool {
-        row.is_released
-            || self.is_same_machine(row)
-            || now_ms >= seen.since_ms + self.timing.hold_ms + MARGIN_MS
-    }
-
     fn first_row(&self, token: u64, has_begun: bool) -> LeaseRow {
         LeaseRow {
             holder: self.me.machine.clone(),
             address: self.me.address,
+            millicores: self.me.millicores,
             incarnation: self.me.incarnation,
             token,
             renewals: 0,
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -9,11 +9,12 @@
 //! - Traffic: [`choice`] picks an endpoint, [`record`] remembers how endpoints
 //!   behaved, [`retry_share`] bounds retries, [`admission`] decides between
 //!   waiting and refusing.
-//! - Replicas: [`lease`] says who may give orders, [`demand`] what is asked for,
+//! - Replicas: [`lease`] says who may give orders, [`candidate`] who should rather, [`demand`] what is asked for,
 //!   [`placing`] what [`change`] to make where, [`orders`] how one engine's orders
 //!   follow each other.
 
 pub mod admission;
+pub mod candidate;
 pub mod catalog;
 pub mod change;
 pub mod choice;
@@ -30,3 +31,4 @@
 pub mod retry_share;
 pub mod route;
 pub mod store;
+pub mod usage;
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -13,6 +13,7 @@
     change::Change,
     demand::Demand,
     endpoint::{Endpoint, Held},
+    usage::Usage,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{EndpointName, ModelName};
@@ -42,6 +43,17 @@
     pub change: Option<&'a Change>,
 }
 
+impl EngineState<'_> {
+    /// Models that it holds and will go on holding, or that are on their way.
+    fn kept(&self) -> BTreeSet<&ModelName> {
+        let goes =
+            |model: &&ModelName| self.change.is_some_and(|change| change.evicted.contains(*model));
+        let comes = self.change.filter(|change| change.adapter.is_none());
+        let held = self.held.keys().filter(|model| !goes(model));
+        held.chain(comes.map(|change| &change.model)).collect()
+    }
+}
+
 /// What to change now, and when models that are waited for will be ready.
 #[derive(Debug, Default)]
 pub struct Plan {
@@ -56,8 +68,11 @@
 pub struct Planner<'a> {
     spec: &'a EngineSpec,
     demand: &'a Demand,
+    usage: Usage<'a>,
     engines: BTreeMap<&'a EndpointName, EngineState<'a>>,
     now_ms: u64,
+    /// Engines that hold a model and will go on holding it, or are about to.
+    replicas: BTreeMap<ModelName, u32>,
     plan: Plan,
 }
 
@@ -69,8 +84,14 @@
         engines: impl IntoIterator<Item = EngineState<'a>>,
         now_ms: u64,
     ) -> Self {
-        let engines = engines.into_iter().map(|state| (&state.endpoint.name, state)).collect();
-        Self { spec, demand, engines, now_ms, plan: Plan::default() }
+        let engines: BTreeMap<_, _> =
+            engines.into_iter().map(|state| (&state.endpoint.name, state)).collect();
+        let mut replicas = BTreeMap::new();
+        for model in engines.values().flat_map(EngineState::kept) {
+            *replicas.entry(model.clone()).or_default() += 1;
+        }
+        let usage = demand.usage(now_ms);
+        Self { spec, demand, usage, engines, now_ms, replicas, plan: Plan::default() }
     }
 
     /// Plans.
@@ -99,8 +120,20 @@
         let Some(offer) = self.best_offer(model, waited_for) else { return };
         self.plan.ready_in_ms.insert(model.clone(), offer.ready_in_ms);
         if let Some(change) = offer.change {
-            self.plan.changes.push(change);
+            self.begin(change);
+        }
+    }
+
+    fn begin(&mut self, change: Change) {
+        for model in &change.evicted {
+            if let Some(count) = self.replicas.get_mut(model) {
+                *count = count.saturating_sub(1);
+            }
         }
+        if change.adapter.is_none() {
+            *self.replicas.entry(change.model.clone()).or_default() += 1;
+        }
+        self.plan.changes.push(change);
     }
 
     /// Time until the model is ready somewhere by what is there or under way.
@@ -152,8 +185,7 @@
         let eviction = self.eviction(spec.weights_mb, state, waited_for)?;
         let unload_ms = if eviction.models.is_empty() { 0 } else { UNLOAD_MS };
         let ready_in_ms = busy_ms + unload_ms + eviction.run_wait_ms as u64 + load_ms;
-        let fill = f64::from(self.demand.running_at(&endpoint.name, self.now_ms))
-            / f64::from(self.spec.slots.max(1));
+        let fill = f64::from(self.usage.at(&endpoint.name)) / f64::from(self.spec.slots.max(1));
         let cost_ms = ready_in_ms as f64 + eviction.miss_ms + fill * FULL_ENGINE_MS;
         let change = Change {
             endpoint: endpoint.name.clone(),
@@ -176,20 +208,12 @@
 
     /// Engines that hold the model and will go on holding it, or are about to.
     fn replicas(&self, model: &ModelName) -> u32 {
-        let has = |state: &&EngineState<'_>| {
-            let planned =
-                self.plan.changes.iter().find(|change| change.endpoint == state.endpoint.name);
-            let changes = || state.change.into_iter().chain(planned);
-            let comes = changes().any(|change| change.model == *model && change.adapter.is_none());
-            let goes = changes().any(|change| change.evicted.contains(model));
-            comes || (state.held.contains_key(model) && !goes)
-        };
-        self.engines.values().filter(has).count() as u32
+        self.replicas.get(model).copied().unwrap_or_default()
     }
 
     /// Replicas that the present use of a model is worth.
     fn needed_replicas(&self, model: &ModelName) -> u32 {
-        let running = self.demand.running_everywhere(model, self.now_ms);
+        let running = self.usage.of_model(model);
         let per_replica = (self.spec.slots / REPLICA_FILL_PART).max(1);
         let by_use = running.div_ceil(per_replica);
         let is_wanted = self.demand.rate_per_s(model, self.now_ms) > 0.0;
@@ -198,7 +222,7 @@
 
     /// Brings in one more replica of the busiest model that has too few.
     fn want_further_replicas(&mut self, waited_for: &BTreeSet<&ModelName>) {
-        let lacking = self.spec.models.keys().filter_map(|model| {
+        let lacking = self.usage.models().filter_map(|model| {
             let (needed, there) = (self.needed_replicas(model), self.replicas(model));
             let missing = needed.saturating_sub(there);
             (there > 0 && missing > 0).then_some((missing, model))
@@ -210,7 +234,7 @@
             && is_cheap
             && !change.is_remote
         {
-            self.plan.changes.push(change);
+            self.begin(change);
         }
     }
 }
--- a/crates/trestle-dispatch/src/placing/adapters.rs
+++ b/crates/trestle-dispatch/src/placing/adapters.rs
@@ -51,7 +51,7 @@
             load_ms: 0,
             done_at_ms: self.now_ms + UNLOAD_MS,
         };
-        self.plan.changes.push(change);
+        self.begin(change);
     }
 
     /// An adapter at an engine that nobody uses.
--- a/crates/trestle-dispatch/src/placing/eviction.rs
+++ b/crates/trestle-dispatch/src/placing/eviction.rs
@@ -65,7 +65,7 @@
         if others == 0 && (is_new || waited_for.contains(model)) {
             return None;
         }
-        let running = self.demand.running(&state.endpoint.name, model, self.now_ms);
+        let running = self.usage.of_model_at(&state.endpoint.name, model);
         let run_wait_ms = if running > 0 { RUN_WAIT_MS } else { 0.0 };
         let rate = self.demand.rate_per_s(model, self.now_ms);
         let is_surplus = others >= self.needed_replicas(model);
--- /dev/null
+++ b/crates/trestle-dispatch/tests/candidate.rs
@@ -0,0 +1,51 @@
+//! Who takes a free lease first.
+
+use trestle_dispatch::{candidate::Candidate, lease::LeaseRow};
+
+fn row(millicores: u32, is_released: bool) -> LeaseRow {
+    LeaseRow {
+        holder: "vm-0".to_owned(),
+        address: "127.0.0.1:7000".parse().expect("an address"),
+        millicores,
+        incarnation: 1,
+        token: 1,
+        renewals: 5,
+        has_begun: true,
+        is_released,
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: ($one:expr, $one_ms:expr) before ($other:expr, $other_ms:expr), $last:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let last: Option<LeaseRow> = $last;
+                let wait_ms = |millicores, age_ms| {
+                    Candidate { millicores, age_ms }.others_first_ms(last.as_ref())
+                };
+                assert!(wait_ms($one, $one_ms) < wait_ms($other, $other_ms));
+            }
+        )+
+    };
+}
+
+cases! {
+    the_strongest_leads_first: (500, 300) before (120, 100), None;
+    one_as_strong_as_the_last_goes_first: (500, 60_000) before (120, 60_000), Some(row(500, false));
+    one_that_started_lately_goes_first: (500, 5_000) before (500, 60_000), Some(row(500, true));
+}
+
+#[test]
+fn nobody_waits_where_all_are_alike() {
+    let candidate = Candidate { millicores: 250, age_ms: 60_000 };
+    assert_eq!(candidate.others_first_ms(Some(&row(250, false))), 0);
+}
+
+#[test]
+fn the_weakest_takes_it_in_the_end() {
+    for last in [None, Some(row(4_000, false)), Some(row(4_000, true))] {
+        let candidate = Candidate { millicores: 1, age_ms: 60_000 };
+        assert!(candidate.others_first_ms(last.as_ref()) <= 1_000);
+    }
+}
--- a/crates/trestle-dispatch/tests/lease.rs
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -9,7 +9,10 @@
 
 fn lease(machine: &str, incarnation: u64) -> Lease {
     let address: SocketAddr = "127.0.0.1:7000".parse().expect("an address");
-    Lease::new(Identity { machine: machine.to_owned(), address, incarnation }, TIMING)
+    Lease::new(
+        Identity { machine: machine.to_owned(), address, millicores: 500, incarnation },
+        TIMING,
+    )
 }
 
 /// The store's row, changed only under a condition.
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -7,6 +7,7 @@
 use async_channel::Sender;
 use std::sync::Arc;
 use trestle_dispatch::{
+    candidate::Candidate,
     lease::{Identity, Lease, LeaseRow, LeaseTiming, LeaseWrite},
     store::{ConditionalWrite, RowKey, WriteOutcome},
 };
@@ -22,10 +23,6 @@
 const HOLD_MS: u64 = 2_000;
 /// Time that an order may be on its way; none leaves when less than that is left.
 const FLIGHT_MS: u64 = 500;
-/// Age up to which a daemon counts as started lately.
-const YOUNG_MS: u64 = 30_000;
-/// Time that others leave a free lease to such daemons; the news takes that long.
-const YOUNG_FIRST_MS: u64 = 400;
 /// Between two reads of the row while the leader does not answer.
 const READ_GAP_MS: u64 = 800;
 
@@ -48,6 +45,7 @@
         let identity = Identity {
             machine: format!("{}@{}", settings.vm, settings.address),
             address: daemon.peers_address(),
+            millicores: settings.millicores(),
             incarnation: fastrand::u64(1..),
         };
         let timing = LeaseTiming {
@@ -178,14 +176,13 @@
         }
     }
 
-    /// Whether this daemon should take the lease if it is free. Daemons that started
-    /// lately go first: while VMs are restarted one after the other, the others are
-    /// about to stop.
+    /// Whether this daemon should take the lease now if it is free.
     fn may_take(&self, now_ms: u64) -> bool {
-        let is_young = now_ms < YOUNG_MS;
-        let since_ms = self.lease.released_since_ms();
-        let has_waited = since_ms.is_none_or(|since_ms| now_ms >= since_ms + YOUNG_FIRST_MS);
-        self.daemon.is_ready() && (is_young || has_waited)
+        let Some(free_from_ms) = self.lease.free_from_ms() else { return false };
+        let millicores = self.daemon.settings.millicores();
+        let candidate = Candidate { millicores, age_ms: now_ms };
+        let last = self.lease.seen().map(|(row, _)| row);
+        self.daemon.is_ready() && now_ms >= free_from_ms + candidate.others_first_ms(last)
     }
 
     fn note_change(&mut self, now_ms: u64) {
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -32,6 +32,9 @@
 const STANDBY_TICK_MS: u64 = 250;
 /// Shortest time between two plans.
 const PLAN_GAP_MS: u64 = 15;
+/// The same as a multiple of the time that the last plan took: planning may take a tenth
+/// of the leader's time, whatever its VM and however many engines there are.
+const PLAN_GAPS: u64 = 10;
 
 /// Everything that the control thread holds.
 struct Control {
@@ -39,6 +42,7 @@
     leasing: Leasing,
     services: BTreeMap<ServiceName, ServiceState>,
     planned_ms: u64,
+    plan_gap_ms: u64,
     is_plan_due: bool,
 }
 
@@ -49,8 +53,14 @@
 /// Fails if the system gives no thread.
 pub(crate) fn start(daemon: Arc<Daemon>, messages: Receiver<Message>) -> io::Result<()> {
     let leasing = Leasing::new(Arc::clone(&daemon));
-    let control =
-        Control { daemon, leasing, services: BTreeMap::new(), planned_ms: 0, is_plan_due: false };
+    let control = Control {
+        daemon,
+        leasing,
+        services: BTreeMap::new(),
+        planned_ms: 0,
+        plan_gap_ms: PLAN_GAP_MS,
+        is_plan_due: false,
+    };
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || smol::block_on(control.run(messages)))?;
@@ -78,7 +88,7 @@
     fn until_next_look(&self) -> u64 {
         let now_ms = self.now_ms();
         if self.is_plan_due {
-            return (self.planned_ms + PLAN_GAP_MS).saturating_sub(now_ms);
+            return (self.planned_ms + self.plan_gap_ms).saturating_sub(now_ms);
         }
         if self.leasing.is_holder(now_ms) { HOLDER_TICK_MS } else { STANDBY_TICK_MS }
     }
@@ -117,11 +127,13 @@
         if was_holder && !self.leasing.is_acting() {
             self.services.clear();
         }
-        let is_time = now_ms >= self.planned_ms + PLAN_GAP_MS;
+        let is_time = now_ms >= self.planned_ms + self.plan_gap_ms;
         if self.is_plan_due && is_time && self.leasing.is_holder(now_ms) {
             self.is_plan_due = false;
             self.planned_ms = now_ms;
             self.plan(now_ms);
+            let took_ms = self.now_ms() - now_ms;
+            self.plan_gap_ms = PLAN_GAP_MS.max(took_ms * PLAN_GAPS);
         }
         self.is_plan_due &= self.leasing.is_holder(now_ms);
     }
@@ -136,19 +148,22 @@
                 known.demand.told(vm.clone(), digest, now_ms);
             }
         }
-        let views = self.services.iter().map(|(service, known)| {
-            let view = self
-                .daemon
-                .knowledge
-                .with(|beliefs| known.view(service, &beliefs.directory, now_ms));
-            (service.to_string(), WireView::from(&view))
-        });
-        WireSynced {
-            views: if is_leader { views.collect() } else { BTreeMap::new() },
-            lease: self.leasing.row(),
-            is_leader,
-            relay: None,
-        }
+        let views = match is_leader {
+            true => self.views(now_ms),
+            false => BTreeMap::new(),
+        };
+        WireSynced { views, lease: self.leasing.row(), is_leader, relay: None }
+    }
+
+    /// What is known of all services, as daemons are told it.
+    fn views(&mut self, now_ms: u64) -> BTreeMap<String, WireView> {
+        let services = &mut self.services;
+        self.daemon.knowledge.with(|beliefs| {
+            let each = services.iter_mut().map(|(service, known)| {
+                (service.to_string(), known.told(service, &beliefs.directory, now_ms))
+            });
+            each.collect()
+        })
     }
 
     fn plan(&mut self, now_ms: u64) {
--- a/crates/trestle-entry/src/control/service_state.rs
+++ b/crates/trestle-entry/src/control/service_state.rs
@@ -14,7 +14,9 @@
     orders::OrderChain,
     placing::{EngineState, Planner},
     replicas::{EngineNote, ReplicaView},
+    usage::Usage,
 };
+use trestle_wire::replicas::WireView;
 
 /// Time for which an engine gets no orders after a change there failed.
 const FAILED_PAUSE_MS: u64 = 1_000;
@@ -25,6 +27,10 @@
 /// Time after a change within which an engine's entry may still show the state before.
 const ENTRY_AGE_MS: u64 = 3_000;
 
+/// Age up to which what was told to one daemon is told to the next; it grows old by that
+/// much less than by its way and the pause between two questions.
+const TOLD_MS: u64 = 30;
+
 /// What the leader knows of one service's engines.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceState {
@@ -32,6 +38,8 @@
     pub(crate) demand: Demand,
     engines: BTreeMap<EndpointName, KnownEngine>,
     ready_in_ms: BTreeMap<ModelName, u64>,
+    /// What daemons were told last, and when.
+    told: Option<(u64, WireView)>,
 }
 
 /// A change to begin, with the orders that make it.
@@ -80,6 +88,9 @@
         if !may_order {
             return Vec::new();
         }
+        if !plan.changes.is_empty() {
+            self.told = None;
+        }
         let changes = plan.changes.into_iter();
         changes.filter_map(|change| self.begin(spec, change, directory)).collect()
     }
@@ -93,6 +104,7 @@
     ) {
         let Some(known) = self.engines.get_mut(endpoint) else { return };
         let Some(change) = known.change.take() else { return };
+        self.told = None;
         if chain.is_silent() {
             known.silent_until_ms = now_ms + SILENT_MS;
         }
@@ -107,16 +119,28 @@
         }
     }
 
-    /// What daemons are told.
-    pub(crate) fn view(
-        &self,
+    /// What daemons are told; made anew when something has changed, or some time has passed.
+    pub(crate) fn told(
+        &mut self,
         service: &ServiceName,
         directory: &Directory,
         now_ms: u64,
-    ) -> ReplicaView {
+    ) -> WireView {
+        match &self.told {
+            Some((at_ms, view)) if now_ms < at_ms + TOLD_MS => view.clone(),
+            _ => {
+                let view = WireView::from(&self.view(service, directory, now_ms));
+                self.told = Some((now_ms, view.clone()));
+                view
+            }
+        }
+    }
+
+    fn view(&self, service: &ServiceName, directory: &Directory, now_ms: u64) -> ReplicaView {
+        let usage = self.demand.usage(now_ms);
         let engines = directory.usable(service).filter_map(|endpoint| {
             let known = self.engines.get(&endpoint.name)?;
-            let note = self.note(endpoint, known, now_ms);
+            let note = note(endpoint, known, &usage, now_ms);
             (note != EngineNote::default()).then(|| (endpoint.name.clone(), note))
         });
         ReplicaView {
@@ -126,36 +150,6 @@
         }
     }
 
-    /// What differs from an engine's own entry.
-    fn note(&self, endpoint: &Endpoint, known: &KnownEngine, now_ms: u64) -> EngineNote {
-        let running = self.demand.running_at(&endpoint.name, now_ms);
-        if now_ms < known.silent_until_ms {
-            let retiring = endpoint.held.keys().cloned().collect();
-            return EngineNote { retiring, running, ..EngineNote::default() };
-        }
-        let change = known.change.as_ref();
-        let going = change.map(|change| change.evicted.iter()).into_iter().flatten();
-        let gone = endpoint.held.keys().filter(|model| !known.held.contains_key(*model));
-        let coming = change.filter(|change| change.adapter.is_none()).map(|change| &change.model);
-        let arrived = known
-            .held
-            .keys()
-            .filter(|model| Some(*model) != coming && !endpoint.held.contains_key(*model));
-        let coming_adapter = change.and_then(|change| {
-            change.adapter.clone().map(|adapter| (change.model.clone(), adapter))
-        });
-        let mut adapters = adapters_of(&known.held);
-        if let Some(coming) = &coming_adapter {
-            adapters.remove(coming);
-        }
-        EngineNote {
-            retiring: going.chain(gone).cloned().collect(),
-            arrived: arrived.cloned().collect(),
-            adapters: (adapters != adapters_of(&endpoint.held)).then_some(adapters),
-            running,
-        }
-    }
-
     /// Takes over what engines say of themselves, where nothing newer is known.
     fn follow(&mut self, directory: &BTreeMap<EndpointName, Endpoint>, now_ms: u64) {
         self.engines.retain(|name, _| directory.contains_key(name));
@@ -206,6 +200,35 @@
     }
 }
 
+/// What differs from an engine's own entry.
+fn note(endpoint: &Endpoint, known: &KnownEngine, usage: &Usage<'_>, now_ms: u64) -> EngineNote {
+    let running = usage.at(&endpoint.name);
+    if now_ms < known.silent_until_ms {
+        let retiring = endpoint.held.keys().cloned().collect();
+        return EngineNote { retiring, running, ..EngineNote::default() };
+    }
+    let change = known.change.as_ref();
+    let going = change.map(|change| change.evicted.iter()).into_iter().flatten();
+    let gone = endpoint.held.keys().filter(|model| !known.held.contains_key(*model));
+    let coming = change.filter(|change| change.adapter.is_none()).map(|change| &change.model);
+    let arrived = known
+        .held
+        .keys()
+        .filter(|model| Some(*model) != coming && !endpoint.held.contains_key(*model));
+    let coming_adapter = change
+        .and_then(|change| change.adapter.clone().map(|adapter| (change.model.clone(), adapter)));
+    let mut adapters = adapters_of(&known.held);
+    if let Some(coming) = &coming_adapter {
+        adapters.remove(coming);
+    }
+    EngineNote {
+        retiring: going.chain(gone).cloned().collect(),
+        arrived: arrived.cloned().collect(),
+        adapters: (adapters != adapters_of(&endpoint.held)).then_some(adapters),
+        running,
+    }
+}
+
 fn adapters_of(held: &Held) -> BTreeSet<(ModelName, AdapterName)> {
     let each = held.iter().flat_map(|(model, adapters)| {
         adapters.iter().map(move |adapter| (model.clone(), adapter.clone()))
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -36,6 +36,9 @@
     pub holder: String,
     /// Where its daemon answers others.
     pub address: SocketAddr,
+    /// Processor of that machine, in thousandths of a core.
+    #[serde(default)]
+    pub millicores: u32,
     /// The start of that daemon.
     pub incarnation: u64,
     /// The fencing number.
@@ -107,6 +110,7 @@
         Self {
             holder: row.holder.clone(),
             address: row.address,
+            millicores: row.millicores,
             incarnation: row.incarnation,
             token: row.token,
             renewals: row.renewals,
@@ -121,6 +125,7 @@
         Self {
             holder: wire.holder,
             address: wire.address,
+            millicores: wire.millicores,
             incarnation: wire.incarnation,
             token: wire.token,
             renewals: wire.renewals,
