--- a/crates/trestle-dispatch/src/demand.rs
+++ b/crates/trestle-dispatch/src/demand.rs
@@ -1,19 +1,16 @@
 //! What is asked for, as all daemons tell the leader.
 
-use crate::usage::Usage;
+use crate::{
+    rates::{PastArrivals, Rates},
+    usage::Usage,
+};
 use std::collections::BTreeMap;
 use trestle_core::names::{AdapterName, EndpointName, ModelName, VmName};
 
-/// Time in which an arrival's weight in a rate falls to 1/e. Long enough that a
-/// rarely used model which came twice is told from one that came once, short
-/// enough that a model out of demand gives way within some ten seconds.
-const RATE_MEMORY_MS: f64 = 8_000.0;
 /// What a request counts against one that is more urgent by a step. Operators of the
 /// deployments credit their most urgent class with 7 to 9 times the next, and the classes
 /// below it about alike.
 const URGENCY_STEP: f64 = 0.3;
-/// Arrivals of a model below which it is forgotten; a single one is, after 32 s.
-const FORGOTTEN: f64 = 0.018;
 /// Time after which a daemon that tells nothing no longer counts.
 const SILENT_MS: u64 = 2_000;
 /// Time for which a daemon counts among those that share budgets.
@@ -25,6 +22,8 @@
 pub struct DemandDigest {
     /// Requests that arrived since the last digest.
     pub arrivals: BTreeMap<ModelName, u32>,
+    /// All that arrived until now, for a leader that has not heard of it.
+    pub past: Option<Vec<PastArrivals>>,
     /// Requests that wait for a model.
     pub waiting: Vec<Waiting>,
     /// Requests that run, by engine and model.
@@ -63,38 +62,37 @@
 #[derive(Debug, Default)]
 pub struct Demand {
     daemons: BTreeMap<VmName, Told>,
-    rates: BTreeMap<ModelName, Rate>,
+    rates: Rates,
 }
 
 #[derive(Debug)]
 struct Told {
     at_ms: u64,
+    /// Whether it has told what it remembers.
+    has_remembered: bool,
     digest: DemandDigest,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct Rate {
-    weight: f64,
-    at_ms: u64,
-    last_arrival_ms: u64,
-}
-
 impl Demand {
     /// Takes what a daemon tells.
     pub fn told(&mut self, daemon: VmName, digest: DemandDigest, now_ms: u64) {
-        for (model, count) in &digest.arrivals {
-            let rate = self.rates.entry(model.clone()).or_default();
-            rate.weight = rate.decayed(now_ms) + f64::from(*count);
-            rate.at_ms = now_ms;
-            rate.last_arrival_ms = now_ms;
+        let before = self.daemons.get(&daemon).is_some_and(|told| told.has_remembered);
+        match &digest.past {
+            Some(past) if !before => self.rates.remembered(past, now_ms),
+            _ => {
+                for (model, count) in &digest.arrivals {
+                    self.rates.arrived(model, *count, now_ms);
+                }
+            }
         }
-        self.daemons.insert(daemon, Told { at_ms: now_ms, digest });
+        let has_remembered = before || digest.past.is_some();
+        self.daemons.insert(daemon, Told { at_ms: now_ms, has_remembered, digest });
     }
 
     /// Forgets daemons that have been silent for long.
     pub fn tick(&mut self, now_ms: u64) {
         self.daemons.retain(|_, told| now_ms < told.at_ms + COUNTED_MS);
-        self.rates.retain(|_, rate| rate.decayed(now_ms) > FORGOTTEN);
+        self.rates.forget(now_ms);
     }
 
     /// Daemons that told something lately.
@@ -102,14 +100,9 @@
         self.daemons.len()
     }
 
-    /// Arrivals a second for a model.
-    pub fn rate_per_s(&self, model: &ModelName, now_ms: u64) -> f64 {
-        self.rates.get(model).map_or(0.0, |rate| rate.decayed(now_ms) * 1e3 / RATE_MEMORY_MS)
-    }
-
-    /// When a model was last asked for.
-    pub fn last_arrival_ms(&self, model: &ModelName) -> Option<u64> {
-        self.rates.get(model).map(|rate| rate.last_arrival_ms)
+    /// How often models are asked for.
+    pub fn rates(&self) -> &Rates {
+        &self.rates
     }
 
     /// Everything that waits, added up over all daemons; what is worth most goes first.
@@ -127,12 +120,6 @@
         wants
     }
 
-    /// Models that were asked for lately, with arrivals a second.
-    pub fn asked_lately(&self, now_ms: u64) -> impl Iterator<Item = (&ModelName, f64)> {
-        let per_s = move |rate: &Rate| rate.decayed(now_ms) * 1e3 / RATE_MEMORY_MS;
-        self.rates.iter().map(move |(model, rate)| (model, per_s(rate)))
-    }
-
     /// Requests that run now.
     pub fn usage(&self, now_ms: u64) -> Usage<'_> {
         let mut usage = Usage::default();
@@ -162,10 +149,3 @@
         self.daemons.values().filter(is_live).map(|told| &told.digest)
     }
 }
-
-impl Rate {
-    fn decayed(&self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        self.weight * (-age_ms / RATE_MEMORY_MS).exp()
-    }
-}
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod mirror;
 pub mod orders;
 pub mod placing;
+pub mod rates;
 pub mod record;
 pub mod replicas;
 pub mod request;
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -217,7 +217,7 @@
         let running = self.usage.of_model(model);
         let per_replica = (self.spec.slots / REPLICA_FILL_PART).max(1);
         let by_use = running.div_ceil(per_replica);
-        let is_wanted = self.demand.rate_per_s(model, self.now_ms) > 0.0;
+        let is_wanted = self.demand.rates().per_s(model, self.now_ms) > 0.0;
         by_use.max(u32::from(is_wanted))
     }
 
--- a/crates/trestle-dispatch/src/placing/adapters.rs
+++ b/crates/trestle-dispatch/src/placing/adapters.rs
@@ -67,7 +67,8 @@
             key != wanted && !self.demand.uses_adapter(&state.endpoint.name, key, self.now_ms)
         });
         idle.min_by(|one, other| {
-            let rate = |key: &(ModelName, AdapterName)| self.demand.rate_per_s(&key.0, self.now_ms);
+            let rate =
+                |key: &(ModelName, AdapterName)| self.demand.rates().per_s(&key.0, self.now_ms);
             rate(one).total_cmp(&rate(other)).then_with(|| one.cmp(other))
         })
     }
--- a/crates/trestle-dispatch/src/placing/eviction.rs
+++ b/crates/trestle-dispatch/src/placing/eviction.rs
@@ -67,11 +67,12 @@
         }
         let running = self.usage.of_model_at(&state.endpoint.name, model);
         let run_wait_ms = if running > 0 { RUN_WAIT_MS } else { 0.0 };
-        let rate = self.demand.rate_per_s(model, self.now_ms);
+        let rate = self.demand.rates().per_s(model, self.now_ms);
         let is_surplus = others >= self.needed_replicas(model);
         // What was asked for longest ago goes first among equals.
         let age_ms = self
             .demand
+            .rates()
             .last_arrival_ms(model)
             .map_or(u64::MAX, |at_ms| self.now_ms.saturating_sub(at_ms));
         let recency = 50.0 / (1.0 + age_ms as f64 / 1e3);
--- a/crates/trestle-dispatch/src/placing/prefetch.rs
+++ b/crates/trestle-dispatch/src/placing/prefetch.rs
@@ -21,7 +21,8 @@
         }
         let mut lacking: Vec<(&ModelName, f64)> = self
             .demand
-            .asked_lately(self.now_ms)
+            .rates()
+            .iter(self.now_ms)
             .filter(|(model, _)| self.replicas(model) < self.needed_replicas(model))
             .collect();
         lacking.sort_by(|one, other| other.1.total_cmp(&one.1));
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -165,12 +165,10 @@
 
     /// Where the leader is.
     pub(crate) fn leader(&self, now_ms: u64) -> Leader {
-        if self.lease.is_holder(now_ms) {
-            return Leader::Here;
-        }
         match self.lease.seen() {
+            Some((row, _)) if self.lease.is_holder(now_ms) => Leader::Here { token: row.token },
             Some((row, _)) if !row.is_released && row.address != self.daemon.peers_address() => {
-                Leader::At(row.address)
+                Leader::At { address: row.address, token: row.token }
             }
             _ => Leader::Nobody,
         }
--- a/crates/trestle-entry/src/control/message.rs
+++ b/crates/trestle-entry/src/control/message.rs
@@ -66,9 +66,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Leader {
     /// This daemon.
-    Here,
-    /// Another daemon, at this address.
-    At(SocketAddr),
+    Here {
+        /// Its fencing number.
+        token: u64,
+    },
+    /// Another daemon.
+    At {
+        /// Where it answers.
+        address: SocketAddr,
+        /// Its fencing number.
+        token: u64,
+    },
     /// Not known, or nobody at the moment.
     Nobody,
 }
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -17,6 +17,7 @@
     directory::Directory,
     endpoint::Endpoint,
     mirror::Mirror,
+    rates::Rates,
     record::Records,
     replicas::ReplicaView,
     retry_share::{RetryBounds, RetryShare},
@@ -68,6 +69,8 @@
 pub(crate) struct Asked {
     /// Requests that arrived since this was last told.
     pub(crate) arrivals: BTreeMap<ModelName, u32>,
+    /// All that arrived, for leaders that have not heard of it.
+    pub(crate) rates: Rates,
     /// Requests that wait, by a number of their own.
     pub(crate) waiting: BTreeMap<u64, Wish>,
     /// Requests that were refused and may be back, by a number of their own.
@@ -180,6 +183,18 @@
         self.retries.entry(service.clone()).or_default().requested(now_ms);
     }
 
+    /// Notes a request of a caller for a model.
+    pub(crate) fn model_requested(
+        &mut self,
+        service: &ServiceName,
+        model: &ModelName,
+        now_ms: u64,
+    ) {
+        let asked = self.asked_of(service);
+        *asked.arrivals.entry(model.clone()).or_default() += 1;
+        asked.rates.arrived(model, 1, now_ms);
+    }
+
     /// Notes that a request was sent to an endpoint.
     pub(crate) fn sent(
         &mut self,
@@ -223,9 +238,11 @@
 }
 
 impl Asked {
-    /// What is to be told now; arrivals are told once.
-    pub(crate) fn digest(&mut self, now_ms: u64) -> DemandDigest {
+    /// What is to be told now; arrivals are told once. A leader that has heard nothing yet
+    /// is also told what is remembered.
+    pub(crate) fn digest(&mut self, is_first: bool, now_ms: u64) -> DemandDigest {
         self.returning.retain(|_, wish| now_ms < wish.due_ms);
+        self.rates.forget(now_ms);
         let mut counts: BTreeMap<_, (u32, u8, u64)> = BTreeMap::new();
         for wish in self.waiting.values().chain(self.returning.values()) {
             let due_in_ms = wish.due_ms.saturating_sub(now_ms);
@@ -241,6 +258,7 @@
         let adapters_in_use = self.adapters.iter();
         DemandDigest {
             arrivals: std::mem::take(&mut self.arrivals),
+            past: is_first.then(|| self.rates.past(now_ms)),
             waiting: waiting.collect(),
             running: self.running.clone(),
             adapters_in_use: adapters_in_use
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -24,11 +24,12 @@
 /// Tells and learns until the process ends.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
     let mut client = LeaderClient::default();
+    let mut told_token = None;
     let mut heard_ms = 0;
     let mut is_heard = false;
     loop {
         let urgent = daemon.knowledge.wished();
-        let synced = step(&daemon, &mut client).await;
+        let synced = step(&daemon, &mut client, &mut told_token).await;
         let now_ms = daemon.knowledge.now_ms();
         if synced != is_heard {
             is_heard = synced;
@@ -60,12 +61,19 @@
     daemon.knowledge.with(waits)
 }
 
-/// Tells once; returns whether the leader answered.
-async fn step(daemon: &Arc<Daemon>, client: &mut LeaderClient) -> bool {
-    let digests = digests(daemon);
+/// Tells once; returns whether the leader answered. `told_token` is the fencing number of
+/// the leader that has heard what this daemon remembers.
+async fn step(
+    daemon: &Arc<Daemon>,
+    client: &mut LeaderClient,
+    told_token: &mut Option<u64>,
+) -> bool {
     let answer = match leader(daemon).await {
-        Leader::Here => tell_here(daemon, digests).await,
-        Leader::At(address) => {
+        Leader::Here { token } => {
+            tell_here(daemon, digests(daemon, *told_token != Some(token))).await
+        }
+        Leader::At { address, token } => {
+            let digests = digests(daemon, *told_token != Some(token));
             let wire = digests.into_iter().map(|(service, told)| WireDigest::new(&service, told));
             match client.sync(address, &daemon.settings.vm, wire.collect(), have(daemon)).await {
                 Ok(answer) => Some(answer),
@@ -82,6 +90,9 @@
         return false;
     };
     if let Some((lease, version)) = answer.lease {
+        if answer.is_leader {
+            *told_token = Some(lease.token);
+        }
         daemon.tell(Message::LeaseSeen { row: Some(lease.into()), version });
     }
     if !answer.is_leader {
@@ -132,12 +143,13 @@
     });
 }
 
-fn digests(daemon: &Daemon) -> Vec<(ServiceName, DemandDigest)> {
+fn digests(daemon: &Daemon, is_first: bool) -> Vec<(ServiceName, DemandDigest)> {
     let now_ms = daemon.knowledge.now_ms();
     let Some(catalog) = daemon.knowledge.catalog() else { return Vec::new() };
     let engines = catalog.services.iter().filter(|(_, service)| service.engine.is_some());
     daemon.knowledge.with(|beliefs| {
-        engines.map(|(name, _)| (name.clone(), beliefs.asked_of(name).digest(now_ms))).collect()
+        let mut digest = |name| beliefs.asked_of(name).digest(is_first, now_ms);
+        engines.map(|(name, _)| (name.clone(), digest(name))).collect()
     })
 }
 
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -147,8 +147,7 @@
     task.daemon.knowledge.with(|beliefs| {
         beliefs.requested(&task.service, task.arrived_ms);
         if let Some(model) = &task.head.model {
-            let arrivals = &mut beliefs.asked_of(&task.service).arrivals;
-            *arrivals.entry(model.clone()).or_default() += 1;
+            beliefs.model_requested(&task.service, model, task.arrived_ms);
         }
     });
 }
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -6,6 +6,7 @@
 use trestle_dispatch::{
     demand::{DemandDigest, Waiting},
     lease::LeaseRow,
+    rates::PastArrivals,
     replicas::{EngineNote, ReplicaView},
 };
 
@@ -58,6 +59,9 @@
     pub service: String,
     /// Requests that arrived, by model.
     pub arrivals: Vec<(String, u32)>,
+    /// All that arrived until now, for a leader that has not heard of it: model, weight in
+    /// thousandths, time since the last in ms.
+    pub past: Option<Vec<(String, u32, u64)>>,
     /// Requests that wait.
     pub waiting: Vec<WireWaiting>,
     /// Requests that run, by engine and model.
@@ -148,6 +152,7 @@
         Self {
             service: service.to_string(),
             arrivals: digest.arrivals.into_iter().map(|(m, n)| (m.to_string(), n)).collect(),
+            past: digest.past.map(|past| past.into_iter().map(to_past).collect()),
             waiting: digest.waiting.into_iter().map(WireWaiting::from).collect(),
             running: running.collect(),
             adapters: adapters.collect(),
@@ -167,6 +172,7 @@
             .map(|(endpoint, keys)| (EndpointName::from(endpoint), from_pairs(keys)));
         let digest = DemandDigest {
             arrivals: wire.arrivals.into_iter().map(|(m, n)| (ModelName::from(m), n)).collect(),
+            past: wire.past.map(|past| past.into_iter().map(from_past).collect()),
             waiting: wire.waiting.into_iter().map(Waiting::from).collect(),
             running: running.collect(),
             adapters_in_use: adapters.collect(),
@@ -245,6 +251,14 @@
     }
 }
 
+fn to_past(past: PastArrivals) -> (String, u32, u64) {
+    (past.model.to_string(), past.weight_milli, past.age_ms)
+}
+
+fn from_past((model, weight_milli, age_ms): (String, u32, u64)) -> PastArrivals {
+    PastArrivals { model: model.into(), weight_milli, age_ms }
+}
+
 fn to_pairs(keys: impl IntoIterator<Item = (ModelName, AdapterName)>) -> Vec<(String, String)> {
     keys.into_iter().map(|(model, adapter)| (model.to_string(), adapter.to_string())).collect()
 }
