--- a/crates/trestle-dispatch/src/demand.rs
+++ b/crates/trestle-dispatch/src/demand.rs
@@ -54,10 +54,33 @@
     pub model: &'a ModelName,
     /// The adapter, if it is one that is missing.
     pub adapter: Option<&'a AdapterName>,
+    /// Urgency of the most urgent request; 0 goes first.
+    pub priority: u8,
+    /// Time until the first of them is no longer on time.
+    pub due_in_ms: u64,
     /// Requests that wait for it, each by its urgency.
     pub value: f64,
 }
 
+impl<'a> Want<'a> {
+    fn nothing_of(waiting: &'a Waiting) -> Self {
+        Self {
+            model: &waiting.model,
+            adapter: waiting.adapter.as_ref(),
+            priority: waiting.priority,
+            due_in_ms: waiting.due_in_ms,
+            value: 0.0,
+        }
+    }
+
+    fn add(&mut self, waiting: &Waiting) {
+        self.priority = self.priority.min(waiting.priority);
+        self.due_in_ms = self.due_in_ms.min(waiting.due_in_ms);
+        let urgency = URGENCY_STEP.powi(i32::from(waiting.priority));
+        self.value += f64::from(waiting.count) * urgency;
+    }
+}
+
 /// What all daemons ask for, of one service.
 #[derive(Debug, Default)]
 pub struct Demand {
@@ -105,18 +128,17 @@
         &self.rates
     }
 
-    /// Everything that waits, added up over all daemons; what is worth most goes first.
+    /// Everything that waits, added up over all daemons, the most urgent first.
     pub fn wants(&self, now_ms: u64) -> Vec<Want<'_>> {
-        let mut values: BTreeMap<_, f64> = BTreeMap::new();
+        let mut wants: BTreeMap<_, Want<'_>> = BTreeMap::new();
         for waiting in self.live(now_ms).flat_map(|digest| &digest.waiting) {
-            let key = (&waiting.model, waiting.adapter.as_ref());
-            let urgency = URGENCY_STEP.powi(i32::from(waiting.priority));
-            *values.entry(key).or_default() += f64::from(waiting.count) * urgency;
+            let want = wants
+                .entry((&waiting.model, waiting.adapter.as_ref()))
+                .or_insert_with(|| Want::nothing_of(waiting));
+            want.add(waiting);
         }
-        let wants =
-            values.into_iter().map(|((model, adapter), value)| Want { model, adapter, value });
-        let mut wants: Vec<Want<'_>> = wants.collect();
-        wants.sort_by(|one, other| other.value.total_cmp(&one.value));
+        let mut wants: Vec<Want<'_>> = wants.into_values().collect();
+        wants.sort_by_key(|want| (want.priority, want.due_in_ms));
         wants
     }
 
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -99,30 +99,48 @@
     pub fn plan(mut self) -> Plan {
         let wants = self.demand.wants(self.now_ms);
         let waited_for: BTreeSet<&ModelName> = wants.iter().map(|want| want.model).collect();
+        let mut far = Vec::new();
         for want in &wants {
             match want.adapter {
                 Some(adapter) => self.want_adapter(want.model, adapter),
-                None => self.want_model(want.model, &waited_for),
+                None if self.want_model(want.model, &waited_for, Reach::Near) => {}
+                None => far.push(want),
             }
         }
+        // Few loads of the weight store go on at once, and each takes long: they go to
+        // what most wait for.
+        far.sort_by(|one, other| other.value.total_cmp(&one.value));
+        for want in far {
+            self.want_model(want.model, &waited_for, Reach::Far);
+        }
         self.want_further_replicas(&waited_for);
         self.fill_free_room();
         self.plan
     }
 
-    fn want_model(&mut self, model: &ModelName, waited_for: &BTreeSet<&ModelName>) {
+    /// Sees to a model that somebody waits for; returns whether that was possible.
+    fn want_model(
+        &mut self,
+        model: &ModelName,
+        waited_for: &BTreeSet<&ModelName>,
+        reach: Reach,
+    ) -> bool {
         if self.plan.ready_in_ms.contains_key(model) {
-            return;
+            return true;
         }
         if let Some(ready_in_ms) = self.ready_in_ms(model) {
             self.plan.ready_in_ms.insert(model.clone(), ready_in_ms);
-            return;
+            return true;
+        }
+        let Some(offer) = self.best_offer(model, waited_for) else { return false };
+        if offer.is_remote && reach == Reach::Near {
+            return false;
         }
-        let Some(offer) = self.best_offer(model, waited_for) else { return };
         self.plan.ready_in_ms.insert(model.clone(), offer.ready_in_ms);
         if let Some(change) = offer.change {
             self.begin(change);
         }
+        true
     }
 
     fn begin(&mut self, change: Change) {
@@ -199,7 +217,7 @@
             done_at_ms: self.now_ms + ready_in_ms,
         };
         let change = under_way.is_none().then_some(change);
-        Some(Offer { change, ready_in_ms, cost_ms, miss_ms: eviction.miss_ms })
+        Some(Offer { is_remote, change, ready_in_ms, cost_ms, miss_ms: eviction.miss_ms })
     }
 
     fn remote_loads(&self) -> usize {
@@ -240,8 +258,18 @@
     }
 }
 
+/// From where weights may come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    /// From a copy near the engine.
+    Near,
+    /// Also from the weight store.
+    Far,
+}
+
 /// What it would take to bring a model in at one engine.
 struct Offer {
+    is_remote: bool,
     /// The change; none while another is under way there.
     change: Option<Change>,
     ready_in_ms: u64,
