Break a late stream off only for an engine that can take it over

Change: at that time the daemon looks for an endpoint that can take the request over and did not fail lately; without one it goes on waiting. One type for it, patience::Patience.

--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -43,16 +43,7 @@
 /// Endpoints that failed lately are taken only if there is no other. Ties are
 /// broken by `lot`, which should differ from request to request.
 pub fn choose<'a>(known: Known<'a>, need: Need<'_>, lot: u64) -> Option<&'a Endpoint> {
-    let able = known
-        .directory
-        .iter()
-        .filter(|endpoint| endpoint.service == *need.service && !endpoint.is_leaving)
-        .filter(|endpoint| !need.excluded.contains(&endpoint.name))
-        .filter(|endpoint| need.only.is_none_or(|only| only.contains(&endpoint.name)))
-        .filter(|endpoint| match need.model {
-            Some(model) => known.replicas.can_run(endpoint, model, need.adapter),
-            None => true,
-        });
+    let able = known.directory.iter().filter(|endpoint| is_able(&known, &need, endpoint));
     let rank = |endpoint: &&Endpoint| {
         let record = known.records.of(&endpoint.name);
         let is_avoided = record.health.is_avoided(known.now_ms);
@@ -65,6 +56,20 @@
     })
 }
 
+/// Whether there is an endpoint for a request that did not fail lately.
+pub fn has_sound(known: Known<'_>, need: Need<'_>) -> bool {
+    let mut able = known.directory.iter().filter(|endpoint| is_able(&known, &need, endpoint));
+    able.any(|endpoint| !known.records.of(&endpoint.name).health.is_avoided(known.now_ms))
+}
+
+fn is_able(known: &Known<'_>, need: &Need<'_>, endpoint: &Endpoint) -> bool {
+    let is_listed = endpoint.service == *need.service && !endpoint.is_leaving;
+    is_listed
+        && !need.excluded.contains(&endpoint.name)
+        && need.only.is_none_or(|only| only.contains(&endpoint.name))
+        && need.model.is_none_or(|model| known.replicas.can_run(endpoint, model, need.adapter))
+}
+
 /// How loaded an endpoint is, as a share of its slots, and how often it fails. The share
 /// of failures is squared: a failure now and then moves no load, and an endpoint that
 /// fails half of its requests counts like one that is a quarter full.
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -4,6 +4,7 @@
     net::pool::{Connection, SendError},
     traffic::{
         outcome::{Unanswered, WholeAnswer},
+        patience::Patience,
         select::Taken,
         task::Task,
     },
@@ -37,13 +38,11 @@
     task: &Arc<Task>,
     taken: Taken,
     last_event_id: Option<u64>,
-    timeout_ms: u64,
+    patience: Patience<'_>,
 ) -> Result<Attempt, Unanswered> {
-    let timed_out = async {
-        Timer::after(Duration::from_millis(timeout_ms)).await;
-        Err(Unanswered::TimedOut(timeout_ms))
-    };
-    let sent = exchange(task, &taken, last_event_id).or(timed_out).await;
+    let sent_ms = task.elapsed_ms();
+    let waited = patience.wait(exchange(task, &taken, last_event_id)).await;
+    let sent = waited.unwrap_or_else(|| Err(Unanswered::TimedOut(task.elapsed_ms() - sent_ms)));
     let now_ms = task.daemon.knowledge.now_ms();
     let name = &taken.endpoint.name;
     match sent {
--- a/crates/trestle-entry/src/traffic/plain.rs
+++ b/crates/trestle-entry/src/traffic/plain.rs
@@ -4,6 +4,7 @@
     answer::{Body, Failure, RETRY_SOON_MS, whole},
     attempt,
     outcome::{Unanswered, WholeAnswer},
+    patience::Patience,
     select::{self, Taken},
     sends::Sends,
     task::Task,
@@ -63,10 +64,7 @@
     task.daemon.metrics.send(sends.count == 0);
     sends.sent(&taken.endpoint.name);
     // While another send is left, one that is no longer on time makes way for it.
-    let timeout_ms = match task.route.is_idempotent() && sends.has_more(task) {
-        true => task.route.objective_ms.min(task.left_ms()),
-        false => task.left_ms(),
-    };
-    let attempt = attempt::send(task, taken, None, timeout_ms).await?;
+    let patience = Patience { task, sends, slice_ms: task.route.objective_ms };
+    let attempt = attempt::send(task, taken, None, patience).await?;
     attempt.whole(task, task.left_ms()).await
 }
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -78,32 +78,43 @@
     chosen.or_else(|| choose(task, &sends.allowed_again(task)?))
 }
 
+/// Whether another endpoint than the last could take the request over now.
+pub(crate) fn has_other(task: &Task, sends: &Sends) -> bool {
+    let mut allowed = sends.allowed(task, task.daemon.knowledge.now_ms());
+    allowed.excluded.extend(sends.last.clone());
+    look(task, &allowed, choice::has_sound)
+}
+
 fn choose(task: &Task, allowed: &Allowed) -> Option<Endpoint> {
+    let lot = task.daemon.next_number();
+    let endpoint = look(task, allowed, |known, need| choice::choose(known, need, lot).cloned())?;
+    let (model, adapter) = (task.head.model.as_ref(), task.head.adapter.as_ref());
+    task.daemon.knowledge.with(|beliefs| beliefs.sent(&endpoint, model, adapter));
+    Some(endpoint)
+}
+
+/// Looks for endpoints by what is known now.
+fn look<R>(task: &Task, allowed: &Allowed, look: impl FnOnce(Known<'_>, Need<'_>) -> R) -> R {
     let daemon = &task.daemon;
     let now_ms = daemon.knowledge.now_ms();
-    let lot = daemon.next_number();
-    let (model, adapter) = (task.head.model.as_ref(), task.head.adapter.as_ref());
+    let need = Need {
+        service: &task.service,
+        model: task.head.model.as_ref(),
+        adapter: task.head.adapter.as_ref(),
+        excluded: &allowed.excluded,
+        only: allowed.only.as_ref(),
+    };
     daemon.knowledge.with(|beliefs| {
         beliefs.directory.tick(now_ms);
         let nothing = ReplicaView::default();
-        let replicas = beliefs.replicas.get(&task.service).unwrap_or(&nothing);
         let known = Known {
             directory: &beliefs.directory,
-            replicas,
+            replicas: beliefs.replicas.get(&task.service).unwrap_or(&nothing),
             records: &beliefs.records,
             domain: &beliefs.domain,
             now_ms,
         };
-        let need = Need {
-            service: &task.service,
-            model,
-            adapter,
-            excluded: &allowed.excluded,
-            only: allowed.only.as_ref(),
-        };
-        let endpoint = choice::choose(known, need, lot)?.clone();
-        beliefs.sent(&endpoint, model, adapter);
-        Some(endpoint)
+        look(known, need)
     })
 }
 
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -10,6 +10,7 @@
     attempt::{self, Attempt},
     events::EventBuffer,
     outcome::WholeAnswer,
+    patience::Patience,
     plain::Outcome,
     report::{self, Ended, StreamSeen},
     select::{self, Taken},
@@ -17,13 +18,12 @@
     task::Task,
 };
 use bytes::Bytes;
-use futures_lite::{FutureExt, stream};
+use futures_lite::stream;
 use http::{Response, StatusCode, header, response::Parts};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
-use smol::Timer;
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 /// Objectives within which the first event must come before another endpoint is tried.
 const FIRST_EVENT_OBJECTIVES: u64 = 2;
@@ -150,8 +150,9 @@
         }
         self.task.daemon.metrics.send(self.sends.count == 0);
         self.sends.sent(&taken.endpoint.name);
-        let (last_event_id, timeout_ms) = (self.buffer.last_id(), self.first_event_ms());
-        match attempt::send(&self.task, taken, last_event_id, timeout_ms).await {
+        let last_event_id = self.buffer.last_id();
+        let patience = self.patience(self.first_event_ms());
+        match attempt::send(&self.task, taken, last_event_id, patience).await {
             Ok(attempt) => Ok(attempt),
             Err(unanswered) => {
                 self.sends.unanswered(&unanswered, self.task.daemon.knowledge.now_ms());
@@ -175,8 +176,8 @@
         parts
     }
 
-    /// The next whole events, within a time.
-    async fn step(&mut self, timeout_ms: u64) -> Step {
+    /// The next whole events; after this time another endpoint is tried, if there is one.
+    async fn step(&mut self, slice_ms: u64) -> Step {
         loop {
             if let Some(events) = self.buffer.take_whole() {
                 return Step::Events(events);
@@ -184,21 +185,17 @@
             let Some(source) = &mut self.source else {
                 return Step::Broken("there is no source".to_owned());
             };
-            let timed_out = async {
-                Timer::after(Duration::from_millis(timeout_ms)).await;
-                Some(Err(format!("no event within {timeout_ms} ms")))
+            let patience = Patience { task: &self.task, sends: &self.sends, slice_ms };
+            let Some(frame) = patience.wait(source.body.frame()).await else {
+                return Step::Broken("no event came for too long".to_owned());
             };
-            let frame = async {
-                let frame = source.body.frame().await?;
-                Some(frame.map_err(|error| error.to_string()))
-            };
-            match frame.or(timed_out).await {
+            match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.buffer.push(&data);
                     }
                 }
-                Some(Err(reason)) => return Step::Broken(reason),
+                Some(Err(error)) => return Step::Broken(error.to_string()),
                 None if self.buffer.is_torn() => {
                     return Step::Broken("it ended in the middle of an event".to_owned());
                 }
@@ -250,20 +247,16 @@
         self.task.route.is_idempotent()
     }
 
+    fn patience(&self, slice_ms: u64) -> Patience<'_> {
+        Patience { task: &self.task, sends: &self.sends, slice_ms }
+    }
+
     fn first_event_ms(&self) -> u64 {
-        let left_ms = self.task.left_ms();
-        match self.is_resumable() && self.sends.has_more(&self.task) {
-            true => (FIRST_EVENT_OBJECTIVES * self.task.route.objective_ms).min(left_ms),
-            false => left_ms,
-        }
+        FIRST_EVENT_OBJECTIVES * self.task.route.objective_ms
     }
 
     fn next_event_ms(&self) -> u64 {
-        let left_ms = self.task.left_ms();
-        match self.is_resumable() && self.sends.has_more(&self.task) {
-            true => (STALLED_PAUSES * self.task.route.pause_ms).min(left_ms),
-            false => left_ms,
-        }
+        STALLED_PAUSES * self.task.route.pause_ms
     }
 }
 
