Try a store that is away once at a time, and less and less often

In an outage each of 79 daemons called every 250 ms for the configuration, for the endpoints and to take the lease, and read the lease's row every 800 ms. Change: one try at a time a daemon, whatever it would read or write; pauses double from 250 ms up to a third of the shortest bound; the first answer wakes all that wait. A holder still renews whenever that is due. Tests: outage::* (the count of tries in 10 s is the regression test).

--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod lease;
 pub mod mirror;
 pub mod orders;
+pub mod outage;
 pub mod placing;
 pub mod rates;
 pub mod record;
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -120,13 +120,17 @@
 
     /// Does what is due.
     pub(crate) fn look(&mut self, now_ms: u64) {
-        if self.must_read && !self.is_reading && now_ms >= self.next_read_ms {
+        if self.must_read
+            && !self.is_reading
+            && now_ms >= self.next_read_ms
+            && self.daemon.store.may_try()
+        {
             self.is_reading = true;
             self.next_read_ms = now_ms + READ_GAP_MS;
             smol::spawn(read(Arc::clone(&self.daemon))).detach();
         }
         let may_write = self.lease.is_holder(now_ms) || self.left.is_some();
-        if (may_write || self.may_take(now_ms))
+        if (may_write || (self.may_take(now_ms) && self.daemon.store.may_try()))
             && let Some(write) = self.lease.due_write(now_ms)
         {
             smol::spawn(send(Arc::clone(&self.daemon), write, now_ms)).detach();
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -43,7 +43,7 @@
     ) -> Self {
         Self {
             knowledge: Knowledge::new(&settings),
-            store: Store::new(settings.store_address, wire.store),
+            store: Store::new(settings.store_address, wire.store, &settings.bounds),
             pool: Pool::default(),
             metrics,
             control,
@@ -67,6 +67,7 @@
     pub(crate) fn take_bounds(&self, bounds: &Bounds) {
         self.knowledge.take_bounds(bounds);
         self.freshness.take_bounds(bounds);
+        self.store.take_bounds(bounds);
         self.stopping.take_bounds(bounds);
         self.tell(Message::QuietTime(bounds.order_quiet_ms));
     }
--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -4,15 +4,29 @@
     net::exchange::{self, CallClient},
     wire::{StoreWire, Unreadable},
 };
+use event_listener::Event;
+use futures_lite::FutureExt;
+use smol::Timer;
 use snafu::{ResultExt, Snafu};
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use trestle_config::entry_settings::Bounds;
+use trestle_dispatch::{
+    outage::Outage,
+    store::{ConditionalWrite, Feed, RowPage, WriteOutcome},
 };
-use trestle_dispatch::store::{ConditionalWrite, Feed, RowPage, WriteOutcome};
 
 /// Time for a read or a write. A slow store takes some 600 ms for a transaction.
 const CALL_MS: u64 = 1_500;
+/// Part of the shortest bound on what must be known after which a store that was away is
+/// tried again at the latest.
+const RETRY_PART: u64 = 3;
 /// Time beyond its waiting time that a wait for changes may take.
 const FOLLOW_GRACE_MS: u64 = 700;
 
@@ -32,6 +46,9 @@
     address: SocketAddr,
     calls: CallClient,
     count: AtomicU64,
+    started: Instant,
+    outage: Mutex<Outage>,
+    answered: Event,
 }
 
 /// A connection for following one table.
@@ -44,26 +61,78 @@
 
 impl Store {
     /// The store at an address.
-    pub(crate) fn new(address: SocketAddr, wire: StoreWire) -> Self {
-        Self { wire, address, calls: CallClient::new(address), count: AtomicU64::new(0) }
+    pub(crate) fn new(address: SocketAddr, wire: StoreWire, bounds: &Bounds) -> Self {
+        Self {
+            wire,
+            address,
+            calls: CallClient::new(address),
+            count: AtomicU64::new(0),
+            started: Instant::now(),
+            outage: Mutex::new(Outage::new(longest_pause_ms(bounds))),
+            answered: Event::new(),
+        }
+    }
+
+    /// Puts changed bounds in force.
+    pub(crate) fn take_bounds(&self, bounds: &Bounds) {
+        self.outage(|outage, _| outage.set_longest_pause_ms(longest_pause_ms(bounds)));
+    }
+
+    /// Whether a call may be made now; always, while the store answers.
+    pub(crate) fn may_try(&self) -> bool {
+        self.outage(|outage, now_ms| outage.may_try(now_ms))
+    }
+
+    /// Waits until a call may be made.
+    pub(crate) async fn next_try(&self) {
+        loop {
+            let answered = self.answered.listen();
+            let Err(wait_ms) = self.outage(|outage, now_ms| outage.try_now(now_ms)) else { return };
+            let timer = async {
+                Timer::after(Duration::from_millis(wait_ms)).await;
+            };
+            answered.or(timer).await;
+        }
+    }
+
+    fn note(&self, has_answered: bool) {
+        let is_back = self.outage(|outage, now_ms| match has_answered {
+            true => outage.answered(),
+            false => {
+                outage.failed(now_ms);
+                false
+            }
+        });
+        if is_back {
+            self.answered.notify(usize::MAX);
+        }
+    }
+
+    fn outage<R>(&self, look: impl FnOnce(&mut Outage, u64) -> R) -> R {
+        let now_ms = self.started.elapsed().as_millis() as u64;
+        look(&mut self.outage.lock().unwrap_or_else(PoisonError::into_inner), now_ms)
     }
 
     /// Reads a whole table, or what lies behind a key.
     pub(crate) async fn read(&self, table: &str) -> Result<RowPage, Error> {
-        self.read_over(&self.calls, table).await
+        let read = self.read_over(&self.calls, table).await;
+        self.note(read.is_ok());
+        read
     }
 
     /// Makes a conditional write.
     pub(crate) async fn write(&self, write: &ConditionalWrite) -> WriteOutcome {
         self.count.fetch_add(1, Ordering::Relaxed);
         let call = (self.wire.write_call)(write);
-        match self.calls.exchange(call, CALL_MS).await {
+        let outcome = match self.calls.exchange(call, CALL_MS).await {
             Ok(answer) => (self.wire.write_answer)(answer.status, &answer.body),
             Err(error) => {
                 tracing::warn!(%error, "store: The outcome of a write is not known.");
                 WriteOutcome::Unknown
             }
-        }
+        };
+        self.note(!matches!(outcome, WriteOutcome::Refused | WriteOutcome::Unknown));
+        outcome
     }
 
     /// A connection for following a table.
@@ -97,11 +166,19 @@
 impl Follower<'_> {
     /// Reads the whole table.
     pub(crate) async fn read(&self) -> Result<RowPage, Error> {
-        self.store.read_over(&self.client, self.table).await
+        let read = self.store.read_over(&self.client, self.table).await;
+        self.store.note(read.is_ok());
+        read
     }
 
     /// Waits for changes after a transaction.
     pub(crate) async fn follow(&self, after: u64, wait_ms: u64) -> Result<Feed, Error> {
+        let followed = self.wait(after, wait_ms).await;
+        self.store.note(followed.is_ok());
+        followed
+    }
+
+    async fn wait(&self, after: u64, wait_ms: u64) -> Result<Feed, Error> {
         self.store.count.fetch_add(1, Ordering::Relaxed);
         let call = (self.store.wire.follow_call)(self.table, after, wait_ms);
         let answer = self.client.exchange(call, wait_ms + FOLLOW_GRACE_MS).await;
@@ -109,3 +186,7 @@
         (self.store.wire.follow_answer)(answer.status, &answer.body).context(UnreadableSnafu)
     }
 }
+
+fn longest_pause_ms(bounds: &Bounds) -> u64 {
+    bounds.config_ms.min(bounds.leaving_ms) / RETRY_PART
+}
--- a/crates/trestle-entry/src/store/follow.rs
+++ b/crates/trestle-entry/src/store/follow.rs
@@ -8,9 +8,6 @@
 use std::time::Duration;
 use trestle_dispatch::store::{Feed, RowChange, RowPage};
 
-/// Pause after a call that failed.
-const FAILED_MS: u64 = 250;
-
 /// What following a table leads to.
 pub(crate) struct Followed<G, A, R, C, F> {
     /// The table.
@@ -58,18 +55,18 @@
             is_lost = outcome.is_err();
             note(followed.table, &outcome);
         }
-        let pause_ms = match outcome {
+        match outcome {
             Ok(next) => {
                 last = next;
-                (followed.gather_ms)()
+                let gather_ms = (followed.gather_ms)();
+                if gather_ms > 0 {
+                    Timer::after(Duration::from_millis(gather_ms)).await;
+                }
             }
             Err(_) => {
                 (followed.on_failure)();
-                FAILED_MS
+                daemon.store.next_try().await;
             }
-        };
-        if pause_ms > 0 {
-            Timer::after(Duration::from_millis(pause_ms)).await;
         }
     }
 }
