Bound the volume of logs, by one module for both daemons

Cause: a slow reader blocked nothing already (a bounded queue), but a quick one got as many lines as there was traffic; and the daemon before its own interface logged by another module, to standard error and blocking. Change: at most 500 lines a second (setting log.lines_per_s, twice as many at once; by the governor library), drops counted in trestle_log_drops; trestled's own module is gone. Tests: operation::{a_reader_of_logs_that_stops_holds_nothing_up (6,000 requests answered with a pipe that nobody reads), the_volume_of_logs_is_bounded_at_any_traffic}.

--- a/crates/trestle-config/src/settings.rs
+++ b/crates/trestle-config/src/settings.rs
@@ -1,6 +1,10 @@
 //! Settings of a daemon.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, num::NonZeroU32};
+
+/// Lines of log a second where the settings do not say: some 200 kB, and ten times what a
+/// daemon writes at the size of two years from now (16 requests a second).
+const DEFAULT_LINES_PER_S: NonZeroU32 = NonZeroU32::new(500).expect("it is above 0");
 
 /// Settings of a daemon.
 #[trestle_macros::wire]
@@ -82,6 +86,8 @@
     pub format: LogFormat,
     /// Which messages to write, as `info` or `trestled=debug`.
     pub filter: String,
+    /// Lines a second; twice as many may come at once. What is beyond is dropped and counted.
+    pub lines_per_s: NonZeroU32,
 }
 
 /// The form of log lines.
@@ -126,7 +132,11 @@
 
 impl Default for LogSettings {
     fn default() -> Self {
-        Self { format: LogFormat::Text, filter: "info".to_owned() }
+        Self {
+            format: LogFormat::Text,
+            filter: "info".to_owned(),
+            lines_per_s: DEFAULT_LINES_PER_S,
+        }
     }
 }
 
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -18,7 +18,7 @@
 mod control;
 mod daemon;
 mod knowledge;
-mod logs;
+pub mod logs;
 mod metrics;
 mod net;
 mod peer;
--- a/crates/trestle-entry/src/logs.rs
+++ b/crates/trestle-entry/src/logs.rs
@@ -1,16 +1,35 @@
-//! Logs: JSON lines on standard output, bounded, never blocking.
+//! Logs: lines on standard output, bounded, never blocking.
 //!
 //! Lines go through a bounded queue to a thread that writes them. Where the
-//! reader of standard output is slow, lines are dropped and counted.
+//! reader of standard output is slow, or more lines come than the settings allow
+//! in a second, lines are dropped and counted.
 
+use governor::{DefaultDirectRateLimiter, Quota, RateLimiter};
 use snafu::{ResultExt, Snafu};
+use std::{
+    num::NonZeroU32,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+use tracing::{Event, Metadata, Subscriber};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
-use tracing_subscriber::{EnvFilter, filter::ParseError};
+use tracing_subscriber::{
+    EnvFilter, Layer,
+    filter::ParseError,
+    fmt,
+    layer::{Context, Filter, SubscriberExt},
+    util::SubscriberInitExt,
+};
 use trestle_config::settings::{LogFormat, LogSettings};
 
 /// Lines that may wait to be written; some seconds of a busy daemon, and below
 /// 2 MB of memory.
 const QUEUED_LINES: usize = 4_096;
+/// Lines that may come at once, as a multiple of those a second: all that a daemon says when
+/// it starts, or when many endpoints change together.
+const BURST_S: u32 = 2;
 
 /// The filter of the settings is not understood.
 #[derive(Debug, Snafu)]
@@ -22,9 +41,10 @@
 
 /// What keeps logs going: lines are written as long as it lives.
 #[derive(Debug)]
-pub(crate) struct Logs {
+pub struct Logs {
     _worker: WorkerGuard,
-    dropped: ErrorCounter,
+    unread: ErrorCounter,
+    beyond: Arc<AtomicUsize>,
 }
 
 impl Logs {
@@ -33,31 +53,60 @@
     /// # Errors
     ///
     /// Fails if the filter is not understood.
-    pub(crate) fn start(settings: &LogSettings) -> Result<Self, FilterError> {
+    pub fn start(settings: &LogSettings) -> Result<Self, FilterError> {
         let filter = &settings.filter;
         let filter = EnvFilter::try_new(filter).context(FilterSnafu { filter })?;
         let (writer, worker) = NonBlockingBuilder::default()
             .lossy(true)
             .buffered_lines_limit(QUEUED_LINES)
             .finish(std::io::stdout());
-        let dropped = writer.error_counter();
-        let subscriber = tracing_subscriber::fmt()
-            .with_env_filter(filter)
-            .with_ansi(false)
-            .with_target(false)
-            .with_writer(writer);
+        let unread = writer.error_counter();
+        let volume = Volume::new(settings.lines_per_s);
+        let beyond = Arc::clone(&volume.beyond);
+        let lines = fmt::layer().with_ansi(false).with_target(false).with_writer(writer);
+        let registry = tracing_subscriber::registry().with(filter);
         match settings.format {
-            LogFormat::Text => subscriber.init(),
+            LogFormat::Text => registry.with(lines.with_filter(volume)).init(),
             LogFormat::Json => {
-                let json = subscriber.json().flatten_event(true);
-                json.with_current_span(false).with_span_list(false).init();
+                let json = lines.json().flatten_event(true);
+                let json = json.with_current_span(false).with_span_list(false);
+                registry.with(json.with_filter(volume)).init();
             }
         }
-        Ok(Self { _worker: worker, dropped })
+        Ok(Self { _worker: worker, unread, beyond })
     }
 
     /// Lines that were dropped since the start.
-    pub(crate) fn dropped(&self) -> usize {
-        self.dropped.dropped_lines()
+    pub fn dropped(&self) -> usize {
+        self.unread.dropped_lines() + self.beyond.load(Ordering::Relaxed)
+    }
+}
+
+/// Bounds how many lines are written in a second.
+struct Volume {
+    limiter: DefaultDirectRateLimiter,
+    /// Lines that were beyond the bound.
+    beyond: Arc<AtomicUsize>,
+}
+
+impl Volume {
+    fn new(lines_per_s: NonZeroU32) -> Self {
+        let burst = lines_per_s.saturating_mul(NonZeroU32::new(BURST_S).unwrap_or(lines_per_s));
+        let quota = Quota::per_second(lines_per_s).allow_burst(burst);
+        Self { limiter: RateLimiter::direct(quota), beyond: Arc::default() }
+    }
+}
+
+impl<S: Subscriber> Filter<S> for Volume {
+    fn enabled(&self, _: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        true
+    }
+
+    fn event_enabled(&self, _: &Event<'_>, _: &Context<'_, S>) -> bool {
+        let is_within = self.limiter.check().is_ok();
+        if !is_within {
+            self.beyond.fetch_add(1, Ordering::Relaxed);
+        }
+        is_within
     }
 }
--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -131,7 +131,12 @@
                 WriteOutcome::Unknown
             }
         };
-        self.note(!matches!(outcome, WriteOutcome::Refused | WriteOutcome::Unknown));
+        match outcome {
+            WriteOutcome::Refused => self.note(false),
+            // It is settled by reading the row back, at once; that tells whether the store is away.
+            WriteOutcome::Unknown => {}
+            WriteOutcome::Written(_) | WriteOutcome::Conflict(_) => self.note(true),
+        }
         outcome
     }
 
--- a/crates/trestled/src/error.rs
+++ b/crates/trestled/src/error.rs
@@ -14,8 +14,8 @@
     Args { source: pico_args::Error },
     #[snafu(display("{source}"))]
     Config { source: trestle_config::Error },
-    #[snafu(display("log filter `{filter}` is not understood: {source}"))]
-    LogFilter { filter: String, source: tracing_subscriber::filter::ParseError },
+    #[snafu(display("{source}"))]
+    Logs { source: trestle_entry::logs::FilterError },
     #[snafu(display("address {address} cannot be used: {source}"))]
     Listen { address: SocketAddr, source: io::Error },
     #[snafu(display("the control thread cannot start: {source}"))]
--- a/crates/trestled/src/main.rs
+++ b/crates/trestled/src/main.rs
@@ -20,7 +20,6 @@
 mod domains_watch;
 mod entry;
 mod error;
-mod logs;
 mod message;
 mod metrics;
 mod peer_server;
@@ -37,11 +36,12 @@
 use crate::{
     args::Args,
     daemon::Daemon,
-    error::{EntrySnafu, Result},
+    error::{EntrySnafu, LogsSnafu, Result},
 };
 use snafu::ResultExt;
 use std::{process::ExitCode, sync::Arc};
 use trestle_config::{SettingsFile, settings::Settings};
+use trestle_entry::logs::Logs;
 
 fn main() -> ExitCode {
     match start() {
@@ -70,7 +70,7 @@
 }
 
 fn run_own(settings: Settings) -> Result<()> {
-    logs::init(&settings.log)?;
+    let _logs = Logs::start(&settings.log).context(LogsSnafu)?;
     let (daemon, control) = Daemon::new(settings)?;
     control::start(Arc::clone(&daemon), control)?;
     smol::block_on(run::run(daemon))
