Choose the better of two endpoints picked at random

Change: of two endpoints picked by a lot the less loaded is taken (Mitzenmacher's two choices under old news). Test: traffic::daemons_with_the_same_news_do_not_all_choose_the_same (red before: all 2,000 took the idle one).

--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -8,6 +8,11 @@
 /// slots: half a request on an engine of 64, so that load is evened out first.
 const CROSSING_SHARE: f64 = 0.01;
 
+/// Endpoints of which the better one gets a request. All daemons know the same of the others'
+/// requests, some 100 ms old: if each took the least loaded of all, they would all take the
+/// same one until the next news, and its streams would pause behind the prompts.
+const PICKED: usize = 2;
+
 /// What a request needs.
 #[derive(Debug, Clone, Copy)]
 pub struct Need<'a> {
@@ -38,28 +43,27 @@
     pub now_ms: u64,
 }
 
-/// The endpoint for a request: of those that can run it, the least loaded.
+/// The endpoint for a request: of two that can run it, picked by `lot`, the less loaded.
 ///
-/// Endpoints that failed lately are taken only if there is no other. Ties are
-/// broken by `lot`, which should differ from request to request.
+/// Endpoints that failed lately are taken only if there is no other. The lot must differ
+/// from request to request and from daemon to daemon.
 pub fn choose<'a>(known: Known<'a>, need: Need<'_>, lot: u64) -> Option<&'a Endpoint> {
     let able = known.directory.iter().filter(|endpoint| is_able(&known, &need, endpoint));
-    let rank = |endpoint: &&Endpoint| {
-        let record = known.records.of(&endpoint.name);
-        let is_avoided = record.health.is_avoided(known.now_ms);
-        (is_avoided, cost(&known, endpoint), mix(lot, &endpoint.name))
-    };
-    able.min_by(|one, other| {
-        let ((avoided, cost, tie), (other_avoided, other_cost, other_tie)) =
-            (rank(one), rank(other));
-        avoided.cmp(&other_avoided).then(cost.total_cmp(&other_cost)).then(tie.cmp(&other_tie))
-    })
+    let (sound, avoided): (Vec<_>, Vec<_>) = able.partition(|endpoint| is_sound(&known, endpoint));
+    let mut picked = if sound.is_empty() { avoided } else { sound };
+    picked.sort_by_key(|endpoint| mix(lot, &endpoint.name));
+    picked.truncate(PICKED);
+    picked.into_iter().min_by(|one, other| cost(&known, one).total_cmp(&cost(&known, other)))
 }
 
 /// Whether there is an endpoint for a request that did not fail lately.
 pub fn has_sound(known: Known<'_>, need: Need<'_>) -> bool {
     let mut able = known.directory.iter().filter(|endpoint| is_able(&known, &need, endpoint));
-    able.any(|endpoint| !known.records.of(&endpoint.name).health.is_avoided(known.now_ms))
+    able.any(|endpoint| is_sound(&known, endpoint))
+}
+
+fn is_sound(known: &Known<'_>, endpoint: &Endpoint) -> bool {
+    !known.records.of(&endpoint.name).health.is_avoided(known.now_ms)
 }
 
 fn is_able(known: &Known<'_>, need: &Need<'_>, endpoint: &Endpoint) -> bool {
--- a/crates/trestle-dispatch/tests/traffic.rs
+++ b/crates/trestle-dispatch/tests/traffic.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{endpoint, route, with_adapters};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
 use trestle_dispatch::{
     admission::{self, Admission},
@@ -166,6 +166,23 @@
         assert_eq!(scene.choose(None, None, 1).as_deref(), Some("x"));
     }
 
+    // Wrong once: all daemons took the engine that the leader had last called the least loaded.
+    daemons_with_the_same_news_do_not_all_choose_the_same => {
+        let names: Vec<String> = (0..10).map(|number| format!("e{number}")).collect();
+        let mut scene = Scene::new(names.iter().map(|name| endpoint(name, "z1", &["a"])).collect());
+        for (running, name) in names.iter().enumerate() {
+            let note = EngineNote { running: running as u32, ..EngineNote::default() };
+            scene.replicas.engines.insert(name.as_str().into(), note);
+        }
+        let mut chosen: BTreeMap<String, u32> = BTreeMap::new();
+        for lot in 0..2_000 {
+            *chosen.entry(scene.choose(Some("a"), None, lot).expect("one")).or_default() += 1;
+        }
+        assert!(chosen["e0"] < 500, "{chosen:?}");
+        assert!(chosen["e0"] > chosen["e5"] && chosen["e5"] > chosen["e8"], "{chosen:?}");
+        assert_eq!(chosen.get("e9"), None, "the most loaded");
+    }
+
     a_request_that_has_been_everywhere_it_may_goes_back_there => {
         let mut scene = Scene::new(vec![endpoint("x", "z1", &[]), endpoint("y", "z2", &[])]);
         scene.only = Some(BTreeSet::from(["y".into()]));
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -86,7 +86,7 @@
 }
 
 fn choose(task: &Task, allowed: &Allowed) -> Option<Endpoint> {
-    let lot = task.daemon.next_number();
+    let lot = fastrand::u64(..);
     let endpoint = look(task, allowed, |known, need| choice::choose(known, need, lot).cloned())?;
     let (model, adapter) = (task.head.model.as_ref(), task.head.adapter.as_ref());
     task.daemon.knowledge.with(|beliefs| beliefs.sent(&endpoint, model, adapter));
