Bring a further replica of a very busy model from the weight store

Cause: on the grown sites the busiest models stand on 4 to 6 of 90 engines though their streams would fill more; further replicas came only where a copy was near, which is on 4 % of engines, while the weight store's four loads were mostly idle. Change: a model that fills a quarter of its replicas' slots may also come from the weight store, while two of its loads are left to those who wait. Test: placing::a_very_busy_model_gets_a_replica_from_the_weight_store.

--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -22,6 +22,11 @@
 /// Part of an engine's slots that one busy model fills before it is worth a
 /// further replica: at an eighth, steps are hardly slower than alone.
 const REPLICA_FILL_PART: u32 = 8;
+/// The same before it is worth a load from the weight store, which takes 6 s while demand
+/// moves on in some 10 s.
+const FAR_REPLICA_FILL_PART: u32 = 4;
+/// Loads from the weight store that further replicas leave to models that somebody waits for.
+const REMOTE_LOADS_LEFT: usize = 2;
 /// What a fully loaded engine counts against one that is idle.
 const FULL_ENGINE_MS: f64 = 800.0;
 /// Most that a displaced model may count for the sake of a further replica.
@@ -251,11 +256,18 @@
         let is_cheap = offer.miss_ms <= FURTHER_REPLICA_MS;
         if let Some(change) = offer.change
             && is_cheap
-            && !change.is_remote
+            && (!change.is_remote || self.is_worth_a_far_load(model))
         {
             self.begin(change);
         }
     }
+
+    /// Whether a model is so busy that a further replica may come from the weight store.
+    fn is_worth_a_far_load(&self, model: &ModelName) -> bool {
+        let filled = self.usage.of_model(model) * FAR_REPLICA_FILL_PART;
+        let slots = self.replicas(model) * self.spec.slots;
+        filled > slots && self.remote_loads() + REMOTE_LOADS_LEFT < REMOTE_LOADS_AT_ONCE
+    }
 }
 
 /// From where weights may come.
--- a/crates/trestle-dispatch/tests/placing.rs
+++ b/crates/trestle-dispatch/tests/placing.rs
@@ -219,6 +219,26 @@
         assert_eq!((&plan.changes[0].model, &plan.changes[0].endpoint), (&"a".into(), &"y".into()));
     }
 
+    // Only a few engines have a copy of a model near them.
+    a_very_busy_model_gets_a_replica_from_the_weight_store => {
+        let engines = vec![
+            all_on_disk(endpoint("x", "z", &["a", "b", "c"])),
+            endpoint("y", "z", &["e", "f", "g"]),
+        ];
+        for (running, begun) in [(2, 0), (6, 1)] {
+            let mut scene = Scene::new(engines.clone());
+            let running = BTreeMap::from([(ModelName::from("a"), running)]);
+            scene.tell(DemandDigest {
+                arrivals: arrivals(&[("a", 20)]),
+                running: BTreeMap::from([(EndpointName::from("x"), running)]),
+                ..DemandDigest::default()
+            });
+            let plan = scene.plan();
+            assert_eq!(plan.changes.len(), begun);
+            assert!(plan.changes.iter().all(|change| change.is_remote));
+        }
+    }
+
     an_adapter_goes_where_its_model_is_and_an_idle_one_makes_way => {
         let full = with_adapters(endpoint("x", "z", &["b"]), "a", &["1", "2"]);
         let mut scene = Scene::new(vec![full, endpoint("y", "z", &["b"])]);
