Spell the key behind which a table is read in platform/ alone

The product's store client put the platform's query syntax together (a key with %00 behind it), and a key with letters that a query gives a meaning would have split it. Tests: translation::*.

--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -154,8 +154,8 @@
         let mut all = RowPage { rows: Vec::new(), has_more: true, version: u64::MAX };
         while all.has_more {
             self.count.fetch_add(1, Ordering::Relaxed);
-            let from = all.rows.last().map(|row| format!("{}%00", row.key.key));
-            let call = (self.wire.read_call)(table, from.as_deref());
+            let last = all.rows.last().map(|row| row.key.key.as_str());
+            let call = (self.wire.read_call)(table, last);
             let answer = client.exchange(call, CALL_MS).await.context(ExchangeSnafu)?;
             let page = (self.wire.read_answer)(answer.status, &answer.body);
             let page = page.context(UnreadableSnafu)?;
