Step down where the lease cannot be renewed, and tell the others what was ordered

Weighed: a shorter lease (does not outlast a slow store); reports of engines (they do not say when the last order came); the quiet time kept only where the leader before has ordered. Change: a holder that cannot order any more because its lease runs out steps down for good under that token, and says so to every daemon that asks, with the time for which each engine must be left alone and, where it does not know (it took over from a daemon on its own VM, or was quiet itself), for which all must. Who hears it may take the lease at once. An engine that must be left alone counts as it is and gets no orders. A lease that was given up by a stop, and a leader that falls silent, are followed as before.

--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -7,6 +7,10 @@
 //! replace it. Engines may judge orders of two machines that come close after
 //! each other, so a new holder also lets a quiet time pass.
 //!
+//! A holder that cannot renew steps down before its time is over and tells the
+//! others. It gives no order under that token again, so they need not wait until
+//! the lease has run out, and need to be quiet only where it has ordered lately.
+//!
 //! No clocks are compared, and nobody takes over without the store.
 
 use std::net::SocketAddr;
@@ -21,11 +25,15 @@
     pub hold_ms: u64,
     /// Between the last order of one machine and the first of another.
     pub quiet_ms: u64,
+    /// For which an order may be on its way.
+    pub flight_ms: u64,
 }
 
 /// Added where one machine waits for another's time to pass, for differences in
 /// the pace of clocks and orders that are on their way.
 const MARGIN_MS: u64 = 300;
+/// Time that a holder which stepped down leaves the lease to others.
+const STEPPED_DOWN_MS: u64 = 600;
 /// Pause after a write whose outcome is not known, or that the store refused.
 const RETRY_MS: u64 = 250;
 
@@ -60,6 +68,27 @@
     pub row: LeaseRow,
 }
 
+/// What a holder says once it has stepped down.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub struct Resignation {
+    /// The token under which it gives no order any more.
+    pub token: u64,
+    /// Time for which nobody may give any order, because of holders before it.
+    pub quiet_for_ms: u64,
+    /// Time after which its orders and those before it no longer matter anywhere.
+    pub settled_for_ms: u64,
+}
+
+/// A resignation that was heard.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    token: u64,
+    at_ms: u64,
+    quiet_until_ms: u64,
+    settled_ms: u64,
+}
+
 /// One daemon's view of the lease.
 #[derive(Debug)]
 pub struct Lease {
@@ -70,6 +99,14 @@
     held_until_ms: u64,
     /// Orders may be given from then on.
     quiet_until_ms: u64,
+    /// Nothing of the holders before matters from then on.
+    settled_ms: u64,
+    /// Until when other machines must be quiet because of orders that a daemon which ran here
+    /// before may have given: this one does not know them.
+    unknown_until_ms: u64,
+    /// The token under which this daemon gives no order any more.
+    resigned_token: Option<u64>,
+    heard: Option<Heard>,
     next_write_ms: u64,
     is_writing: bool,
     is_leaving: bool,
@@ -104,12 +141,21 @@
             seen: None,
             held_until_ms: 0,
             quiet_until_ms: 0,
+            settled_ms: 0,
+            unknown_until_ms: 0,
+            resigned_token: None,
+            heard: None,
             next_write_ms: 0,
             is_writing: false,
             is_leaving: false,
         }
     }
 
+    /// The quiet time between orders of two machines.
+    pub fn quiet_ms(&self) -> u64 {
+        self.timing.quiet_ms
+    }
+
     /// Sets the quiet time that the next takeover keeps.
     pub fn set_quiet_ms(&mut self, quiet_ms: u64) {
         self.timing.quiet_ms = quiet_ms;
@@ -137,8 +183,8 @@
         let seen = self.seen.clone()?;
         let row = match &seen.row {
             Some(row) if self.is_mine(row) && row.is_released => return None,
-            Some(row) if self.is_mine(row) => {
-                let has_begun = row.has_begun || now_ms >= self.quiet_until_ms;
+            Some(row) if self.is_mine(row) && (self.is_leaving || !self.has_resigned(row)) => {
+                let has_begun = row.has_begun || now_ms >= self.settled_ms;
                 let is_released = self.is_leaving;
                 LeaseRow { renewals: row.renewals + 1, has_begun, is_released, ..row.clone() }
             }
@@ -147,7 +193,13 @@
             other => {
                 // Whatever becomes of the answer, this may be the write that takes the lease.
                 self.quiet_until_ms = self.quiet_until_ms.max(self.quiet_end_ms(now_ms));
-                let has_begun = self.quiet_until_ms <= now_ms;
+                let heard_ms = self.heard_of(&seen).map_or(0, |heard| heard.settled_ms);
+                self.settled_ms = self.settled_ms.max(self.quiet_until_ms).max(heard_ms);
+                if other.as_ref().is_some_and(|row| self.is_same_machine(row)) {
+                    let quiet_ms = self.timing.flight_ms + self.timing.quiet_ms + MARGIN_MS;
+                    self.unknown_until_ms = now_ms + quiet_ms;
+                }
+                let has_begun = self.settled_ms <= now_ms;
                 self.first_row(other.as_ref().map_or(0, |row| row.token) + 1, has_begun)
             }
         };
@@ -165,7 +217,7 @@
         };
         self.next_write_ms = sent_ms + self.timing.renew_ms;
         self.held_until_ms = sent_ms + self.timing.hold_ms;
-        if write.row.is_released {
+        if write.row.is_released || self.has_resigned(&write.row) {
             self.held_until_ms = 0;
         }
         self.seen = Some(Seen { row: Some(write.row), version, since_ms: now_ms });
@@ -198,6 +250,9 @@
     /// Since when, or from when on, this daemon may take the lease from whoever had it last.
     pub fn free_from_ms(&self) -> Option<u64> {
         let seen = self.seen.as_ref()?;
+        if let Some(heard) = self.heard_of(seen) {
+            return Some(heard.at_ms);
+        }
         Some(match &seen.row {
             Some(row) if !row.is_released && !self.is_same_machine(row) => {
                 seen.since_ms + self.timing.hold_ms + MARGIN_MS
@@ -206,6 +261,43 @@
         })
     }
 
+    /// Whether this daemon holds the lease, but for no longer than an order may be on its way
+    /// unless it can renew it.
+    pub fn is_running_out(&self, now_ms: u64) -> bool {
+        self.is_holder(now_ms) && now_ms + self.timing.flight_ms >= self.held_until_ms
+    }
+
+    /// Gives no order any more under the present token.
+    pub fn resign(&mut self, now_ms: u64) {
+        self.resigned_token = self.seen().map(|(row, _)| row.token);
+        self.held_until_ms = 0;
+        self.next_write_ms = now_ms + STEPPED_DOWN_MS;
+    }
+
+    /// What others are told as long as nobody else has taken the lease. `settled_for_ms` is
+    /// the time after which this machine's orders no longer matter.
+    pub fn resignation(&self, settled_for_ms: u64, now_ms: u64) -> Option<Resignation> {
+        let (row, _) = self.seen()?;
+        (self.is_mine(row) && self.has_resigned(row)).then(|| Resignation {
+            token: row.token,
+            quiet_for_ms: self.quiet_until_ms.max(self.unknown_until_ms).saturating_sub(now_ms),
+            settled_for_ms: settled_for_ms.max(self.settled_ms.saturating_sub(now_ms)),
+        })
+    }
+
+    /// Takes what a holder says that has stepped down.
+    pub fn heard(&mut self, resignation: Resignation, now_ms: u64) {
+        if self.heard.is_some_and(|heard| heard.token >= resignation.token) {
+            return;
+        }
+        self.heard = Some(Heard {
+            token: resignation.token,
+            at_ms: now_ms,
+            quiet_until_ms: now_ms + resignation.quiet_for_ms,
+            settled_ms: now_ms + resignation.settled_for_ms,
+        });
+    }
+
     /// Gives the lease up with the next write, and takes it no more.
     pub fn leave(&mut self) {
         self.is_leaving = true;
@@ -222,6 +314,16 @@
         row.holder == self.me.machine && row.incarnation == self.me.incarnation
     }
 
+    fn has_resigned(&self, row: &LeaseRow) -> bool {
+        self.resigned_token == Some(row.token)
+    }
+
+    /// What its holder said of the lease that was seen, if it has stepped down.
+    fn heard_of(&self, seen: &Seen) -> Option<Heard> {
+        let row = seen.row.as_ref()?;
+        self.heard.filter(|heard| heard.token == row.token && !self.is_mine(row))
+    }
+
     fn is_same_machine(&self, row: &LeaseRow) -> bool {
         row.holder == self.me.machine
     }
@@ -243,6 +345,9 @@
     fn quiet_end_ms(&self, now_ms: u64) -> u64 {
         let Some(seen) = &self.seen else { return now_ms };
         let Some(row) = &seen.row else { return now_ms };
+        if let Some(heard) = self.heard_of(seen) {
+            return heard.quiet_until_ms.max(now_ms);
+        }
         if self.is_same_machine(row) {
             let quiet_ms = if row.has_begun { 0 } else { self.timing.quiet_ms + MARGIN_MS };
             return now_ms + quiet_ms;
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod endpoint;
 pub mod lease;
 pub mod mirror;
+pub mod order_log;
 pub mod orders;
 pub mod outage;
 pub mod placing;
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -47,6 +47,8 @@
     pub arrived_ms: &'a BTreeMap<ModelName, u64>,
     /// The change that is under way.
     pub change: Option<&'a Change>,
+    /// Whether a change may begin there now.
+    pub may_change: bool,
 }
 
 impl EngineState<'_> {
@@ -196,7 +198,7 @@
         waited_for: &BTreeSet<&ModelName>,
     ) -> Option<Offer> {
         let endpoint = state.endpoint;
-        if state.held.contains_key(model) {
+        if state.held.contains_key(model) || !state.may_change {
             return None;
         }
         let planned = self.plan.changes.iter().find(|change| change.endpoint == endpoint.name);
--- a/crates/trestle-dispatch/src/placing/adapters.rs
+++ b/crates/trestle-dispatch/src/placing/adapters.rs
@@ -23,7 +23,8 @@
             return;
         }
         let hosts = self.engines.values().filter(|state| {
-            let is_free = state.change.is_none()
+            let is_free = state.may_change
+                && state.change.is_none()
                 && !self.plan.changes.iter().any(|change| change.endpoint == state.endpoint.name);
             is_free && state.held.contains_key(model)
         });
--- a/crates/trestle-dispatch/src/placing/prefetch.rs
+++ b/crates/trestle-dispatch/src/placing/prefetch.rs
@@ -56,7 +56,8 @@
 
     /// Whether an engine has nothing under way, and so much room beside what it holds.
     fn has_room(&self, state: &EngineState<'_>, needed_mb: u64) -> bool {
-        let is_free = state.change.is_none()
+        let is_free = state.may_change
+            && state.change.is_none()
             && !self.plan.changes.iter().any(|change| change.endpoint == state.endpoint.name);
         let used_mb = self.spec.held_mb(state.held);
         is_free && used_mb.saturating_add(needed_mb) <= self.spec.memory_mb
--- a/crates/trestle-dispatch/tests/placing.rs
+++ b/crates/trestle-dispatch/tests/placing.rs
@@ -19,6 +19,7 @@
     engines: Vec<Endpoint>,
     arrived_ms: BTreeMap<ModelName, u64>,
     changes: BTreeMap<EndpointName, Change>,
+    left_alone: BTreeSet<EndpointName>,
     demand: Demand,
 }
 
@@ -37,6 +38,7 @@
             held: &endpoint.held,
             arrived_ms: &self.arrived_ms,
             change: self.changes.get(&endpoint.name),
+            may_change: !self.left_alone.contains(&endpoint.name),
         });
         Planner::new(&spec(), &self.demand, states, NOW_MS).plan()
     }
@@ -128,6 +130,22 @@
         assert!(ready("e") > ready("d"));
     }
 
+    an_engine_that_must_be_left_alone_counts_but_gets_no_orders => {
+        let engines = vec![
+            all_on_disk(endpoint("x", "z", &["a"])),
+            all_on_disk(endpoint("y", "z", &["b", "c", "e"])),
+        ];
+        let mut scene = Scene::new(engines);
+        scene.left_alone.insert("x".into());
+        let mut digest = wish("d");
+        digest.waiting.push(waiting("a", None));
+        scene.tell(digest);
+        let plan = scene.plan();
+        let changed: Vec<_> = plan.changes.iter().map(|change| &change.endpoint).collect();
+        assert_eq!(changed, [&EndpointName::from("y")]);
+        assert_eq!(plan.ready_in_ms.get("a"), Some(&0));
+    }
+
     a_model_on_its_way_is_not_loaded_again => {
         let engines = vec![
             all_on_disk(endpoint("x", "z", &["a", "b", "c"])),
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -109,7 +109,12 @@
     count: u64,
 ) -> Option<OrderAnswer> {
     let leader = &daemon.settings.vm;
-    let token = daemon.order_permit.token(daemon.knowledge.now_ms())?;
+    let now_ms = daemon.knowledge.now_ms();
+    let token = daemon.order_permit.token(now_ms)?;
+    if !daemon.with_order_log(|log| log.may_order(&endpoint.name, now_ms)) {
+        return None;
+    }
+    daemon.with_order_log(|log| log.sent(&endpoint.name, now_ms + CALL_MS));
     let call = (daemon.wire.endpoint.order_call)(&endpoint.name, order, count, leader, token);
     let answer = match client.exchange(call, CALL_MS).await {
         Ok(answer) => (daemon.wire.endpoint.order_answer)(answer.status),
@@ -118,6 +123,8 @@
             OrderAnswer::Unknown
         }
     };
+    let now_ms = daemon.knowledge.now_ms();
+    daemon.with_order_log(|log| log.ended(&endpoint.name, now_ms));
     tracing::debug!(endpoint = %endpoint.name, ?order, count, token, ?answer, "order: Given.");
     Some(answer)
 }
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -8,10 +8,10 @@
 use std::sync::Arc;
 use trestle_dispatch::{
     candidate::Candidate,
-    lease::{Identity, Lease, LeaseRow, LeaseTiming, LeaseWrite},
+    lease::{Identity, Lease, LeaseRow, LeaseTiming, LeaseWrite, Resignation},
     store::{ConditionalWrite, RowKey, WriteOutcome},
 };
-use trestle_wire::replicas::WireLease;
+use trestle_wire::replicas::{WireLease, WireResigned};
 
 /// Where the row stands.
 const TABLE: &str = "trestle";
@@ -52,6 +52,7 @@
             renew_ms: RENEW_MS,
             hold_ms: HOLD_MS,
             quiet_ms: settings.bounds.order_quiet_ms,
+            flight_ms: FLIGHT_MS,
         };
         let lease = Lease::new(identity, timing);
         Self {
@@ -129,6 +130,10 @@
             self.next_read_ms = now_ms + READ_GAP_MS;
             smol::spawn(read(Arc::clone(&self.daemon))).detach();
         }
+        if self.lease.is_running_out(now_ms) && self.left.is_none() {
+            self.lease.resign(now_ms);
+            tracing::info!("lease: It cannot be renewed; this daemon steps down.");
+        }
         let may_write = self.lease.is_holder(now_ms) || self.left.is_some();
         if (may_write || (self.may_take(now_ms) && self.daemon.store.may_try()))
             && let Some(write) = self.lease.due_write(now_ms)
@@ -146,6 +151,20 @@
         }
     }
 
+    /// What others are told once this daemon has stepped down.
+    pub(crate) fn resignation(&self, now_ms: u64) -> Option<WireResigned> {
+        let quiet_ms = self.lease.quiet_ms();
+        let engines = self.daemon.with_order_log(|log| log.quiet_for_ms(quiet_ms, now_ms));
+        let settled_for_ms = engines.values().copied().max().unwrap_or_default();
+        let resignation = self.lease.resignation(settled_for_ms, now_ms)?;
+        Some(WireResigned::new(resignation, engines))
+    }
+
+    /// Takes what a leader says that has stepped down.
+    pub(crate) fn heard(&mut self, resignation: Resignation, now_ms: u64) {
+        self.lease.heard(resignation, now_ms);
+    }
+
     /// Gives the lease up, and says when that is done.
     pub(crate) fn leave(&mut self, reply: Sender<()>) {
         self.lease.leave();
--- a/crates/trestle-entry/src/control/message.rs
+++ b/crates/trestle-entry/src/control/message.rs
@@ -1,11 +1,11 @@
 //! What the control thread takes.
 
 use async_channel::Sender;
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 use trestle_core::names::{EndpointName, ServiceName, VmName};
 use trestle_dispatch::{
     demand::DemandDigest,
-    lease::{LeaseRow, LeaseWrite},
+    lease::{LeaseRow, LeaseWrite, Resignation},
     orders::OrderChain,
     store::WriteOutcome,
 };
@@ -43,6 +43,13 @@
         /// When it was sent.
         sent_ms: u64,
     },
+    /// The leader has stepped down.
+    Resigned {
+        /// What it says of the lease.
+        resignation: Resignation,
+        /// For how long each engine must be left alone, in ms.
+        engines: BTreeMap<EndpointName, u64>,
+    },
     /// The leader does not answer.
     LeaderSilent,
     /// Asks where the leader is.
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -107,6 +107,10 @@
             Message::LeaseWritten { write, outcome, sent_ms } => {
                 self.leasing.written(write, outcome, sent_ms, now_ms);
             }
+            Message::Resigned { resignation, engines } => {
+                self.daemon.with_order_log(|log| log.heard(&engines, now_ms));
+                self.leasing.heard(resignation, now_ms);
+            }
             Message::LeaderSilent => self.leasing.leader_silent(now_ms),
             Message::Leader(reply) => {
                 let _ = reply.try_send(self.leasing.leader(now_ms));
@@ -152,7 +156,13 @@
             true => self.views(now_ms),
             false => BTreeMap::new(),
         };
-        WireSynced { views, lease: self.leasing.row(), is_leader, relay: None }
+        WireSynced {
+            views,
+            lease: self.leasing.row(),
+            resigned: self.leasing.resignation(now_ms),
+            is_leader,
+            relay: None,
+        }
     }
 
     /// What is known of all services, as daemons are told it.
@@ -175,7 +185,10 @@
                 let engines = beliefs.directory.usable(service).cloned();
                 engines.map(|endpoint| (endpoint.name.clone(), endpoint)).collect()
             });
-            let changes = known.plan(spec, &directory, may_order, now_ms);
+            let may_order_at = |endpoint: &EndpointName| {
+                self.daemon.with_order_log(|log| log.may_order(endpoint, now_ms))
+            };
+            let changes = known.plan(spec, &directory, may_order, may_order_at, now_ms);
             for (endpoint, change, chain) in changes {
                 change::start(&self.daemon, service.clone(), endpoint, change, chain);
             }
--- a/crates/trestle-entry/src/control/service_state.rs
+++ b/crates/trestle-entry/src/control/service_state.rs
@@ -68,6 +68,7 @@
         spec: &Arc<EngineSpec>,
         directory: &BTreeMap<EndpointName, Endpoint>,
         may_order: bool,
+        may_order_at: impl Fn(&EndpointName) -> bool,
         now_ms: u64,
     ) -> Vec<Begun> {
         self.demand.tick(now_ms);
@@ -81,6 +82,7 @@
                 held: &known.held,
                 arrived_ms: &known.arrived_ms,
                 change: known.change.as_ref(),
+                may_change: may_order_at(&endpoint.name),
             })
         });
         let plan = Planner::new(spec, &self.demand, states, now_ms).plan();
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -12,9 +12,13 @@
 use async_channel::Sender;
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
 };
 use trestle_config::entry_settings::{Bounds, EntrySettings};
+use trestle_dispatch::order_log::OrderLog;
 
 /// What the parts of the daemon share.
 #[derive(Debug)]
@@ -27,6 +31,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) control: Sender<Message>,
     pub(crate) order_permit: OrderPermit,
+    order_log: Mutex<OrderLog>,
     pub(crate) freshness: Freshness,
     pub(crate) stopping: Stopping,
     pub(crate) in_flight: AtomicUsize,
@@ -48,6 +53,7 @@
             metrics,
             control,
             order_permit: OrderPermit::default(),
+            order_log: Mutex::default(),
             freshness: Freshness::new(&settings.bounds),
             stopping: Stopping::new(&settings.bounds),
             in_flight: AtomicUsize::new(0),
@@ -77,6 +83,11 @@
         SocketAddr::new(self.settings.address, self.settings.peers_port)
     }
 
+    /// Looks at, or notes, when engines last got orders.
+    pub(crate) fn with_order_log<R>(&self, look: impl FnOnce(&mut OrderLog) -> R) -> R {
+        look(&mut self.order_log.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// A number that nothing else in this process has.
     pub(crate) fn next_number(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -54,8 +54,13 @@
         let (reply, answer) = async_channel::bounded(1);
         let digests = digests.into_iter().map(Into::into).collect();
         self.0.tell(Message::Sync { vm: vm.into(), digests, reply });
-        let nothing =
-            WireSynced { lease: None, is_leader: false, views: BTreeMap::new(), relay: None };
+        let nothing = WireSynced {
+            lease: None,
+            is_leader: false,
+            resigned: None,
+            views: BTreeMap::new(),
+            relay: None,
+        };
         let mut synced = answer.recv().await.unwrap_or(nothing);
         if synced.is_leader {
             synced.relay = Some(relay(&self.0, have));
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -95,6 +95,10 @@
         }
         daemon.tell(Message::LeaseSeen { row: Some(lease.into()), version });
     }
+    if let Some(resigned) = answer.resigned {
+        let (resignation, engines) = resigned.into();
+        daemon.tell(Message::Resigned { resignation, engines });
+    }
     if !answer.is_leader {
         daemon.tell(Message::LeaderSilent);
         return false;
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -5,7 +5,7 @@
 use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
 use trestle_dispatch::{
     demand::{DemandDigest, Waiting},
-    lease::LeaseRow,
+    lease::{LeaseRow, Resignation},
     rates::PastArrivals,
     replicas::{EngineNote, ReplicaView},
 };
@@ -24,12 +24,27 @@
     pub lease: Option<(WireLease, u64)>,
     /// Whether it holds the lease.
     pub is_leader: bool,
+    /// Said once it has stepped down.
+    pub resigned: Option<WireResigned>,
     /// What it knows, by service.
     pub views: BTreeMap<String, WireView>,
     /// What has changed in the store since what the asker has.
     pub relay: Option<WireRelay>,
 }
 
+/// What a leader says that has stepped down.
+#[trestle_macros::wire]
+pub struct WireResigned {
+    /// The fencing number under which it gives no order any more.
+    pub token: u64,
+    /// Time for which nobody may give any order.
+    pub quiet_for_ms: u64,
+    /// Time after which its orders no longer matter anywhere.
+    pub settled_for_ms: u64,
+    /// For how long each engine must be left alone, in ms.
+    pub engines: BTreeMap<String, u64>,
+}
+
 /// The lease on giving orders, as the store's row holds it.
 #[trestle_macros::wire]
 pub struct WireLease {
@@ -109,6 +124,30 @@
     pub running: u32,
 }
 
+impl WireResigned {
+    /// The wire form of what a leader says that has stepped down.
+    pub fn new(resignation: Resignation, engines: BTreeMap<EndpointName, u64>) -> Self {
+        Self {
+            token: resignation.token,
+            quiet_for_ms: resignation.quiet_for_ms,
+            settled_for_ms: resignation.settled_for_ms,
+            engines: engines.into_iter().map(|(name, ms)| (name.to_string(), ms)).collect(),
+        }
+    }
+}
+
+impl From<WireResigned> for (Resignation, BTreeMap<EndpointName, u64>) {
+    fn from(wire: WireResigned) -> Self {
+        let resignation = Resignation {
+            token: wire.token,
+            quiet_for_ms: wire.quiet_for_ms,
+            settled_for_ms: wire.settled_for_ms,
+        };
+        let engines = wire.engines.into_iter().map(|(name, ms)| (name.into(), ms));
+        (resignation, engines.collect())
+    }
+}
+
 impl From<&LeaseRow> for WireLease {
     fn from(row: &LeaseRow) -> Self {
         Self {
