Keep the pace of questions to the leader within the bounds at any number of daemons

Change: a daemon asks twice in the shortest bound at least, again soon after a failure, and follows the store itself before that bound is over. The shortest bound has one definition.

--- a/crates/trestle-config/src/entry_settings.rs
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -53,6 +53,13 @@
     pub retry_fixed: u32,
 }
 
+impl Bounds {
+    /// The shortest bound on what every daemon must know.
+    pub fn shortest_ms(&self) -> u64 {
+        self.config_ms.min(self.leaving_ms)
+    }
+}
+
 impl EntrySettings {
     /// Processor of the VM, in thousandths of a core.
     pub fn millicores(&self) -> u32 {
--- a/crates/trestle-dispatch/tests/lease.rs
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -165,7 +165,7 @@
         }
     }
 
-    fn order(&mut self, number: usize, token: u64) {
+    fn order(&mut self, number: usize) {
         let now_ms = self.now_ms;
         let engine = ENGINES[self.lots.usize(0..ENGINES.len())];
         let daemon = &mut self.daemons[number];
@@ -212,8 +212,8 @@
             self.orders.push((now_ms, number, token));
         }
         // No order leaves in the last time of a lease.
-        if let Some(token) = may_order.filter(|_| !daemon.lease.is_running_out(now_ms)) {
-            self.order(number, token);
+        if may_order.is_some() && !daemon.lease.is_running_out(now_ms) {
+            self.order(number);
         }
         self.step_down(number);
     }
--- a/crates/trestle-entry/src/peer/pace.rs
+++ b/crates/trestle-entry/src/peer/pace.rs
@@ -17,30 +17,39 @@
 /// What each two daemons add to the shortest time.
 const TWO_DAEMONS_LEAST_MS: u64 = 3;
 
+/// Part of the shortest bound on what must be known within which a daemon asks, however many
+/// there are: what the leader passes on must come in time, also after one question failed.
+const BOUND_PART: u64 = 2;
+
 /// How often daemons tell the leader what callers ask for.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Pace {
     daemons: u64,
+    bound_ms: u64,
 }
 
 impl Pace {
-    /// The pace of so many daemons.
-    pub(crate) fn of(daemons: usize) -> Self {
-        Self { daemons: daemons as u64 }
+    /// The pace of so many daemons that must know everything within a bound.
+    pub(crate) fn of(daemons: usize, bound_ms: u64) -> Self {
+        Self { daemons: daemons as u64, bound_ms }
     }
 
-    /// Shortest time between two tellings.
+    /// Shortest time between two tellings, also after one that failed.
     pub(crate) fn least_ms(self) -> u64 {
-        LEAST_MS.max(self.daemons / 2 * TWO_DAEMONS_LEAST_MS)
+        LEAST_MS.max(self.daemons / 2 * TWO_DAEMONS_LEAST_MS).min(self.longest_ms())
     }
 
     /// Time until the next telling while requests wait for a model.
     pub(crate) fn waiting_ms(self) -> u64 {
-        WAITING_MS.max(self.daemons * DAEMON_WAITING_MS)
+        WAITING_MS.max(self.daemons * DAEMON_WAITING_MS).min(self.longest_ms())
     }
 
     /// Time until the next telling while nothing waits.
     pub(crate) fn calm_ms(self) -> u64 {
-        CALM_MS.max(self.daemons * DAEMON_CALM_MS)
+        CALM_MS.max(self.daemons * DAEMON_CALM_MS).min(self.longest_ms())
+    }
+
+    fn longest_ms(self) -> u64 {
+        self.bound_ms / BOUND_PART
     }
 }
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -43,7 +43,12 @@
         let pace = pace(&daemon);
         let least_ms = pace.least_ms();
         Timer::after(Duration::from_millis(least_ms)).await;
-        let next_ms = if is_waiting(&daemon) { pace.waiting_ms() } else { pace.calm_ms() };
+        let next_ms = match synced {
+            true if is_waiting(&daemon) => pace.waiting_ms(),
+            true => pace.calm_ms(),
+            // The leader may only have been slow, and what it has to say is due.
+            false => pace.waiting_ms(),
+        };
         let pause = async {
             Timer::after(Duration::from_millis(next_ms.saturating_sub(least_ms))).await;
         };
@@ -52,7 +57,8 @@
 }
 
 fn pace(daemon: &Daemon) -> Pace {
-    Pace::of(daemon.knowledge.with(|beliefs| beliefs.daemons))
+    let daemons = daemon.knowledge.with(|beliefs| beliefs.daemons);
+    Pace::of(daemons, daemon.freshness.shortest_bound_ms())
 }
 
 fn is_waiting(daemon: &Daemon) -> bool {
--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -193,5 +193,5 @@
 }
 
 fn longest_pause_ms(bounds: &Bounds) -> u64 {
-    bounds.config_ms.min(bounds.leaving_ms) / RETRY_PART
+    bounds.shortest_ms() / RETRY_PART
 }
--- a/crates/trestle-entry/src/store/freshness.rs
+++ b/crates/trestle-entry/src/store/freshness.rs
@@ -15,6 +15,8 @@
 const LEADER_WAIT_PART: u64 = 3;
 /// Time beyond its wait after which the leader's last answer is too old.
 const AGE_GRACE_MS: u64 = 450;
+/// Time that is kept of the shortest bound for reading the store here.
+const READ_MS: u64 = 500;
 /// Relays that may be missing before the store is followed here.
 const MISSING_RELAYS: u64 = 3;
 
@@ -26,7 +28,7 @@
     relayed_until_ms: AtomicU64,
     endpoints_read_ms: AtomicU64,
     config_read_ms: AtomicU64,
-    leader_wait_ms: AtomicU64,
+    shortest_bound_ms: AtomicU64,
 }
 
 impl Freshness {
@@ -38,13 +40,13 @@
             relayed_until_ms: AtomicU64::new(0),
             endpoints_read_ms: AtomicU64::new(0),
             config_read_ms: AtomicU64::new(0),
-            leader_wait_ms: AtomicU64::new(leader_wait_ms(bounds)),
+            shortest_bound_ms: AtomicU64::new(bounds.shortest_ms()),
         }
     }
 
     /// Puts changed bounds in force.
     pub(crate) fn take_bounds(&self, bounds: &Bounds) {
-        self.leader_wait_ms.store(leader_wait_ms(bounds), Ordering::SeqCst);
+        self.shortest_bound_ms.store(bounds.shortest_ms(), Ordering::SeqCst);
     }
 
     /// Notes whether this daemon leads.
@@ -92,7 +94,9 @@
     pub(crate) fn relayed(&self, age_ms: u64, next_ms: u64, now_ms: u64) -> bool {
         let is_fresh = age_ms <= self.leader_wait_ms() + AGE_GRACE_MS;
         if is_fresh && !self.is_leader() {
-            let until_ms = now_ms + next_ms * MISSING_RELAYS;
+            let missing_ms = next_ms * MISSING_RELAYS;
+            let known_ms = self.shortest_bound_ms().saturating_sub(age_ms + READ_MS);
+            let until_ms = now_ms + missing_ms.min(known_ms);
             self.relayed_until_ms.store(until_ms, Ordering::SeqCst);
         }
         is_fresh
@@ -103,13 +107,12 @@
         self.relayed_until_ms.load(Ordering::SeqCst).saturating_sub(now_ms)
     }
 
-    fn leader_wait_ms(&self) -> u64 {
-        self.leader_wait_ms.load(Ordering::SeqCst)
+    /// The shortest bound on what must be known.
+    pub(crate) fn shortest_bound_ms(&self) -> u64 {
+        self.shortest_bound_ms.load(Ordering::SeqCst)
     }
-}
 
-/// For how long the store should hold a leader's wait for changes.
-fn leader_wait_ms(bounds: &Bounds) -> u64 {
-    let shortest_ms = bounds.config_ms.min(bounds.leaving_ms);
-    (shortest_ms / LEADER_WAIT_PART).min(WAIT_MS)
+    fn leader_wait_ms(&self) -> u64 {
+        (self.shortest_bound_ms() / LEADER_WAIT_PART).min(WAIT_MS)
+    }
 }
