--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -7,9 +7,9 @@
 //! replace it. Engines may judge orders of two machines that come close after
 //! each other, so a new holder also lets a quiet time pass.
 //!
-//! A holder that cannot renew steps down before its time is over and tells the
-//! others. It gives no order under that token again, so they need not wait until
-//! the lease has run out, and need to be quiet only where it has ordered lately.
+//! A holder whose lease has run out steps down and tells the others. It gives no
+//! order under that token again, so they need to be quiet only where it has
+//! ordered lately.
 //!
 //! No clocks are compared, and nobody takes over without the store.
 
@@ -261,10 +261,12 @@
         })
     }
 
-    /// Whether this daemon holds the lease, but for no longer than an order may be on its way
-    /// unless it can renew it.
-    pub fn is_running_out(&self, now_ms: u64) -> bool {
-        self.is_holder(now_ms) && now_ms + self.timing.flight_ms >= self.held_until_ms
+    /// Whether this daemon's lease has run out without its having stepped down.
+    ///
+    /// Not sooner: while the store is slow a renewal may still come in time.
+    pub fn has_run_out(&self, now_ms: u64) -> bool {
+        let is_mine = self.seen().is_some_and(|(row, _)| self.is_mine(row));
+        is_mine && self.held_until_ms > 0 && now_ms >= self.held_until_ms
     }
 
     /// Gives no order any more under the present token.
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -130,9 +130,9 @@
             self.next_read_ms = now_ms + READ_GAP_MS;
             smol::spawn(read(Arc::clone(&self.daemon))).detach();
         }
-        if self.lease.is_running_out(now_ms) && self.left.is_none() {
+        if self.lease.has_run_out(now_ms) && self.left.is_none() {
             self.lease.resign(now_ms);
-            tracing::info!("lease: It cannot be renewed; this daemon steps down.");
+            tracing::info!("lease: It has run out; this daemon steps down.");
         }
         let may_write = self.lease.is_holder(now_ms) || self.left.is_some();
         if (may_write || (self.may_take(now_ms) && self.daemon.store.may_try()))
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -178,7 +178,8 @@
 
     fn plan(&mut self, now_ms: u64) {
         let Some(catalog) = self.daemon.knowledge.catalog() else { return };
-        let may_order = self.daemon.order_permit.token(now_ms).is_some();
+        let may_order =
+            self.daemon.order_permit.token(now_ms).is_some() && self.daemon.freshness.is_informed();
         for (service, known) in &mut self.services {
             let Some(spec) = engine_spec(&catalog, service) else { continue };
             let directory = self.daemon.knowledge.with(|beliefs| {
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -30,7 +30,8 @@
             (version > 0 && !daemon.freshness.take_reread()).then_some(version)
         },
         on_read: |page: RowPage| {
-            read(&daemon, to_news(&daemon, page.rows.into_iter(), page.version))
+            read(&daemon, to_news(&daemon, page.rows.into_iter(), page.version));
+            daemon.freshness.whole_list_read();
         },
         on_changes: |changes, version| read(&daemon, changed(&daemon, changes, version)),
         on_failure: || {
--- a/crates/trestle-entry/src/store/follow.rs
+++ b/crates/trestle-entry/src/store/follow.rs
@@ -4,6 +4,7 @@
     daemon::Daemon,
     store::client::{Error, Follower},
 };
+use futures_lite::FutureExt;
 use smol::Timer;
 use std::time::Duration;
 use trestle_dispatch::store::{Feed, RowChange, RowPage};
@@ -39,6 +40,7 @@
     let mut is_lost = false;
     let mut is_relayed = false;
     loop {
+        let began_to_lead = daemon.freshness.began_to_lead();
         let relayed_ms = daemon.freshness.relayed_for_ms(daemon.knowledge.now_ms());
         if is_relayed != (relayed_ms > 0) {
             is_relayed = relayed_ms > 0;
@@ -46,7 +48,10 @@
             tracing::info!(table, relayed = is_relayed, "store: Who follows a table has changed.");
         }
         if relayed_ms > 0 {
-            Timer::after(Duration::from_millis(relayed_ms)).await;
+            let relayed = async {
+                Timer::after(Duration::from_millis(relayed_ms)).await;
+            };
+            began_to_lead.or(relayed).await;
             continue;
         }
         let (after, wait_ms) = ((followed.after)(last), daemon.freshness.wait_ms());
--- a/crates/trestle-entry/src/store/freshness.rs
+++ b/crates/trestle-entry/src/store/freshness.rs
@@ -4,6 +4,7 @@
 //! changes, with the time since the store last answered it; others follow the store
 //! themselves whenever that is missing or too old.
 
+use event_listener::{Event, EventListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use trestle_config::entry_settings::Bounds;
 
@@ -25,6 +26,10 @@
 pub(crate) struct Freshness {
     is_leader: AtomicBool,
     must_reread: AtomicBool,
+    /// Whether a leader has read the list of endpoints since it leads, with the copies of
+    /// weights that are not passed on.
+    is_informed: AtomicBool,
+    began_to_lead: Event,
     relayed_until_ms: AtomicU64,
     endpoints_read_ms: AtomicU64,
     config_read_ms: AtomicU64,
@@ -37,6 +42,8 @@
         Self {
             is_leader: AtomicBool::new(false),
             must_reread: AtomicBool::new(false),
+            is_informed: AtomicBool::new(false),
+            began_to_lead: Event::new(),
             relayed_until_ms: AtomicU64::new(0),
             endpoints_read_ms: AtomicU64::new(0),
             config_read_ms: AtomicU64::new(0),
@@ -55,6 +62,8 @@
         if is_leader {
             self.relayed_until_ms.store(0, Ordering::SeqCst);
             self.must_reread.store(true, Ordering::SeqCst);
+            self.is_informed.store(false, Ordering::SeqCst);
+            self.began_to_lead.notify(usize::MAX);
         }
     }
 
@@ -63,6 +72,21 @@
         self.is_leader.load(Ordering::SeqCst)
     }
 
+    /// Hears that this daemon begins to lead.
+    pub(crate) fn began_to_lead(&self) -> EventListener {
+        self.began_to_lead.listen()
+    }
+
+    /// Notes that the whole list of endpoints was read.
+    pub(crate) fn whole_list_read(&self) {
+        self.is_informed.store(self.is_leader(), Ordering::SeqCst);
+    }
+
+    /// Whether this leader knows enough of the engines to order them.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.is_informed.load(Ordering::SeqCst)
+    }
+
     /// Whether the list of endpoints must be read with everything in it; told once.
     pub(crate) fn take_reread(&self) -> bool {
         self.must_reread.swap(false, Ordering::SeqCst)
