--- a/crates/trestle-entry/src/store/follow.rs
+++ b/crates/trestle-entry/src/store/follow.rs
@@ -48,14 +48,17 @@
             tracing::info!(table, relayed = is_relayed, "store: Who follows a table has changed.");
         }
         if relayed_ms > 0 {
-            let relayed = async {
-                Timer::after(Duration::from_millis(relayed_ms)).await;
-            };
-            began_to_lead.or(relayed).await;
+            began_to_lead.or(pause(relayed_ms)).await;
             continue;
         }
         let (after, wait_ms) = ((followed.after)(last), daemon.freshness.wait_ms());
-        let outcome = step(&followed, &follower, after, wait_ms).await;
+        let step = async { Some(step(&followed, &follower, after, wait_ms).await) };
+        let interrupted = async {
+            began_to_lead.await;
+            None
+        };
+        // A new leader has more to read than what it waits for.
+        let Some(outcome) = step.or(interrupted).await else { continue };
         if is_lost != outcome.is_err() {
             is_lost = outcome.is_err();
             note(followed.table, &outcome);
@@ -65,7 +68,7 @@
                 last = next;
                 let gather_ms = (followed.gather_ms)();
                 if gather_ms > 0 {
-                    Timer::after(Duration::from_millis(gather_ms)).await;
+                    daemon.freshness.began_to_lead().or(pause(gather_ms)).await;
                 }
             }
             Err(_) => {
@@ -76,6 +79,10 @@
     }
 }
 
+async fn pause(time_ms: u64) {
+    Timer::after(Duration::from_millis(time_ms)).await;
+}
+
 /// One read or wait; returns where to go on, `None` if everything must be read anew.
 async fn step<G, A, R, C, F>(
     followed: &Followed<G, A, R, C, F>,
