Read the engines again until it succeeds when a daemon begins to lead

Cause, found on reading the change once more: the wish for a whole reading was taken back before the reading had succeeded, so one failed read kept a new leader from ordering for its whole term, since it orders only once it has read the engines. Test: operation::a_new_leader_orders_also_if_its_first_read_of_the_engines_fails (red before).

--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -27,7 +27,7 @@
         gather_ms: || if daemon.freshness.is_leader() { GATHER_MS } else { ALONE_GATHER_MS },
         after: |_| {
             let version = daemon.knowledge.with(|beliefs| beliefs.mirror.version());
-            (version > 0 && !daemon.freshness.take_reread()).then_some(version)
+            (version > 0 && !daemon.freshness.must_reread()).then_some(version)
         },
         on_read: |page: RowPage| {
             read(&daemon, to_news(&daemon, page.rows.into_iter(), page.version));
--- a/crates/trestle-entry/src/store/freshness.rs
+++ b/crates/trestle-entry/src/store/freshness.rs
@@ -79,6 +79,7 @@
 
     /// Notes that the whole list of endpoints was read.
     pub(crate) fn whole_list_read(&self) {
+        self.must_reread.store(false, Ordering::SeqCst);
         self.is_informed.store(self.is_leader(), Ordering::SeqCst);
     }
 
@@ -87,9 +88,9 @@
         self.is_informed.load(Ordering::SeqCst)
     }
 
-    /// Whether the list of endpoints must be read with everything in it; told once.
-    pub(crate) fn take_reread(&self) -> bool {
-        self.must_reread.swap(false, Ordering::SeqCst)
+    /// Whether the list of endpoints must be read with everything in it.
+    pub(crate) fn must_reread(&self) -> bool {
+        self.must_reread.load(Ordering::SeqCst)
     }
 
     /// For how long the store should hold a wait for changes.
