--- /dev/null
+++ b/crates/trestle-core/tests/overload.rs
@@ -0,0 +1,131 @@
+//! A load far above what an engine can serve, in virtual time.
+//!
+//! What is admitted must end in time and what cannot is refused, so that ten times the
+//! load brings as many answers as the load at capacity, and urgent requests all of theirs.
+
+mod world;
+
+use std::collections::BTreeMap;
+use trestle_core::{
+    catalog::{Catalog, EngineSpec, Fencing, ModelSpec},
+    permit::{PermitAsk, Ticket},
+};
+use world::World;
+
+const DAEMONS: [(&str, &str); 2] = [("a-1", "a"), ("a-2", "a")];
+/// Requests that the engine runs at once, each for as long as declared.
+const SLOTS: usize = 8;
+const SERVICE_MS: u64 = 100;
+/// Requests a second that the engine can serve.
+const CAPACITY: u64 = SLOTS as u64 * 1_000 / SERVICE_MS;
+/// One request in so many of those at capacity is urgent, whatever the load.
+const URGENT_PART: u64 = 8;
+const DEADLINE_MS: u64 = 2_000;
+/// Longest time of the two messages around a run, to the engine and to the owner, of which
+/// the owner's estimate knows nothing.
+const MESSAGES_MS: u64 = 20;
+const LOAD_MS: u64 = 20_000;
+
+/// How many requests ended in time.
+struct Goodput {
+    in_time: u64,
+    late: u64,
+    urgent_in_time: u64,
+}
+
+fn one_engine() -> Catalog {
+    let engine = EngineSpec {
+        domain: "a".into(),
+        memory_bytes: 100,
+        slots: SLOTS,
+        fencing: Fencing::Checked,
+    };
+    let model = ModelSpec {
+        memory_bytes: 60,
+        max_replicas: 1,
+        load_ms: 500,
+        service_ms: SERVICE_MS,
+        keep_ms: 3_600_000,
+        windows: Vec::new(),
+    };
+    let catalog = Catalog {
+        idle_per_wait: 1,
+        full_speed_loads: 4,
+        engines: BTreeMap::from([("x".into(), engine)]),
+        models: BTreeMap::from([("m".into(), model)]),
+        ..Catalog::default()
+    };
+    catalog.at_version(1, &Catalog::default())
+}
+
+fn ask(world: &mut World, owner: &str, urgency: u8) {
+    let ask = PermitAsk {
+        ticket: Ticket(0),
+        entry: "entry".into(),
+        endpoint: "x".into(),
+        model: "m".into(),
+        tenant: if urgency == 0 { "urgent".into() } else { "patient".into() },
+        urgency,
+        deadline_ms: world.now_ms + DEADLINE_MS,
+        ranks_lost: 0,
+        patience_ms: None,
+        cold: false,
+        parked_until_ms: 0,
+    };
+    world.ask_for(owner, ask);
+}
+
+/// Asks at a multiple of the capacity, the urgent class always at the same rate.
+fn load(seed: u64, factor: u64) -> Goodput {
+    let mut world = World::new(seed, one_engine(), &DAEMONS);
+    world.faults.run_ms = Some(SERVICE_MS);
+    world.faults.is_network_calm = true;
+    world.late_after_ms = MESSAGES_MS;
+    world.run_for(8_000);
+    let owner = world.owner_of("x").expect("the engine has an owner");
+    // The model is loaded and has served before the load begins.
+    ask(&mut world, owner.as_str(), 0);
+    world.run_for(4_000);
+    world.ended.clear();
+    let per_s = CAPACITY * factor;
+    let urgent_every = factor * URGENT_PART;
+    for number in 0..per_s * LOAD_MS / 1_000 {
+        let urgency = if number % urgent_every == 0 { 0 } else { 2 };
+        ask(&mut world, owner.as_str(), urgency);
+        let due_ms = 12_000 + number * 1_000 / per_s;
+        world.run_for(due_ms.saturating_sub(world.now_ms));
+    }
+    world.run_for(2 * DEADLINE_MS);
+    let ended = |urgency: u8| world.ended.get(&urgency).copied().unwrap_or_default();
+    Goodput {
+        in_time: ended(0).in_time + ended(2).in_time,
+        late: ended(0).late + ended(2).late,
+        urgent_in_time: ended(0).in_time,
+    }
+}
+
+macro_rules! ten_times_the_load {
+    ($($name:ident: $seed:literal;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                goodput_holds($seed);
+            }
+        )+
+    };
+}
+
+ten_times_the_load! {
+    ten_times_the_load_with_one_seed: 1;
+    ten_times_the_load_with_another_seed: 2;
+    ten_times_the_load_with_a_third_seed: 3;
+}
+
+fn goodput_holds(seed: u64) {
+    let (at_capacity, at_ten_times) = (load(seed, 1), load(seed, 10));
+    let urgent = CAPACITY * LOAD_MS / 1_000 / URGENT_PART;
+    let ratio = at_ten_times.in_time as f64 / at_capacity.in_time as f64;
+    assert!(ratio >= 0.95, "{} in time, {} at capacity", at_ten_times.in_time, at_capacity.in_time);
+    assert_eq!(at_ten_times.urgent_in_time, urgent, "urgent requests were lost");
+    assert_eq!((at_capacity.late, at_ten_times.late), (0, 0), "answers came after their deadline");
+}
--- a/crates/trestle-core/tests/world/deliver.rs
+++ b/crates/trestle-core/tests/world/deliver.rs
@@ -37,11 +37,21 @@
             }
             Happening::End { endpoint, model, owner, ticket } => {
                 self.engine(&endpoint).end(&model);
+                self.note_end(ticket);
                 self.release(&owner, endpoint, ticket);
             }
         }
     }
 
+    fn note_end(&mut self, ticket: Ticket) {
+        let Some((urgency, deadline_ms)) = self.running.remove(&ticket) else { return };
+        let ended = self.ended.entry(urgency).or_default();
+        match self.now_ms <= deadline_ms + self.late_after_ms {
+            true => ended.in_time += 1,
+            false => ended.late += 1,
+        }
+    }
+
     fn tick(&mut self, name: VmName) {
         self.queue.push(self.now_ms + TICK_MS, Happening::Tick(name.clone()));
         let vm = &self.vms[&name];
@@ -195,6 +205,7 @@
             return;
         }
         self.granted += 1;
+        self.running.insert(ticket, (ask.urgency, ask.deadline_ms));
         let at_ms = self.now_ms + self.hop_ms().max(self.faults.permit_use_ms);
         self.queue.push(
             at_ms,
@@ -220,7 +231,11 @@
             self.release(&owner, endpoint, ticket);
             return;
         }
-        let ends_ms = self.now_ms + 100 + self.random(4_000);
+        let run_ms = match self.faults.run_ms {
+            Some(run_ms) => run_ms,
+            None => 100 + self.random(4_000),
+        };
+        let ends_ms = self.now_ms + run_ms;
         self.queue.push(ends_ms, Happening::End { endpoint, model, owner, ticket });
     }
 
@@ -235,7 +250,8 @@
     }
 
     fn hop_ms(&mut self) -> u64 {
-        let longest_ms = if self.rng.u8(..10) == 0 { 300 } else { 10 };
+        let is_slow = self.rng.u8(..10) == 0 && !self.faults.is_network_calm;
+        let longest_ms = if is_slow { 300 } else { 10 };
         self.random(longest_ms)
     }
 
--- a/crates/trestle-core/tests/world/faults.rs
+++ b/crates/trestle-core/tests/world/faults.rs
@@ -23,6 +23,10 @@
     pub(crate) list_unread: BTreeSet<VmName>,
     pub(crate) engine_cut: BTreeSet<(VmName, EndpointName)>,
     pub(crate) peers_cut: BTreeSet<(VmName, VmName)>,
+    /// Time that every request runs, where it is not drawn.
+    pub(crate) run_ms: Option<u64>,
+    /// Whether no message is delayed for long.
+    pub(crate) is_network_calm: bool,
 }
 
 impl Faults {
--- a/crates/trestle-core/tests/world/mod.rs
+++ b/crates/trestle-core/tests/world/mod.rs
@@ -78,6 +78,13 @@
     frozen_until_ms: u64,
 }
 
+/// Requests of one urgency that have run.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Ended {
+    pub(crate) in_time: u64,
+    pub(crate) late: u64,
+}
+
 /// A small world around real nodes.
 pub(crate) struct World {
     pub(crate) faults: Faults,
@@ -88,6 +95,12 @@
     pub(crate) refused: u64,
     pub(crate) loads: u64,
     pub(crate) now_ms: u64,
+    /// Time after its deadline from which an end counts as late.
+    pub(crate) late_after_ms: u64,
+    /// Requests that have run, by urgency.
+    pub(crate) ended: BTreeMap<u8, Ended>,
+    /// Urgency and deadline of each request that was granted and has not ended.
+    running: BTreeMap<Ticket, (u8, u64)>,
     vms: BTreeMap<VmName, Vm>,
     queue: Queue<Happening>,
     rng: fastrand::Rng,
@@ -113,6 +126,9 @@
             refused: 0,
             loads: 0,
             now_ms: 0,
+            late_after_ms: 0,
+            ended: BTreeMap::new(),
+            running: BTreeMap::new(),
             vms: BTreeMap::new(),
             queue: Queue::default(),
             rng: fastrand::Rng::with_seed(seed),
@@ -220,10 +236,8 @@
 
     /// Asks a daemon for a permit, as an entry daemon would.
     pub(crate) fn ask(&mut self, vm: &str, endpoint: &str, model: &str, ranks_lost: u8) -> Ticket {
-        self.next_ticket += 1;
-        let ticket = Ticket(self.next_ticket);
         let ask = PermitAsk {
-            ticket,
+            ticket: Ticket(0),
             entry: "entry".into(),
             endpoint: endpoint.into(),
             model: model.into(),
@@ -235,6 +249,14 @@
             cold: false,
             parked_until_ms: 0,
         };
+        self.ask_for(vm, ask)
+    }
+
+    /// Asks a daemon for a permit; the ask gets a ticket of its own.
+    pub(crate) fn ask_for(&mut self, vm: &str, mut ask: PermitAsk) -> Ticket {
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        ask.ticket = ticket;
         self.asks.insert(ticket, ask.clone());
         let name = VmName::from(vm);
         let run = self.vms[&name].run;
--- a/crates/trestle-session/tests/common/mod.rs
+++ b/crates/trestle-session/tests/common/mod.rs
@@ -16,9 +16,29 @@
     let session = Session::start(&plan).expect("the session starts");
     session.apply().expect("the configuration is accepted");
     session.wait_for("every model placed", all_placed).expect("every model is placed");
+    session.wait_for("settled ownership", is_settled).expect("ownership settles");
     session
 }
 
+/// Whether every daemon is a member of its domain in the same epoch, and every endpoint has
+/// one owner whose orders it accepts. Models are placed as soon as each domain has a first
+/// daemon; endpoints change hands while the others join.
+pub(crate) fn is_settled(session: &Session) -> bool {
+    let statuses: Vec<_> = session.daemons.keys().map(|vm| session.status(vm)).collect();
+    let Ok(statuses) = statuses.into_iter().collect::<Result<Vec<_>, _>>() else { return false };
+    let all_joined = statuses.iter().all(|status| {
+        let of_domain = statuses.iter().filter(|other| other.domain == status.domain);
+        of_domain.clone().count() == status.members.len()
+            && of_domain.clone().all(|other| other.epoch == status.epoch)
+    });
+    let mut owners: BTreeMap<&str, Vec<bool>> = BTreeMap::new();
+    for (endpoint, state) in statuses.iter().flat_map(|status| &status.endpoints) {
+        let owners = owners.entry(endpoint).or_default();
+        owners.extend((state.role == "owner").then_some(state.confirmed));
+    }
+    all_joined && owners.values().all(|confirmed| confirmed == &[true])
+}
+
 /// Intervals that let a test see in seconds what takes longer in operation.
 pub(crate) fn short_intervals() -> Value {
     json!({
--- a/crates/trestle-session/tests/input.rs
+++ b/crates/trestle-session/tests/input.rs
@@ -142,38 +142,60 @@
     assert_eq!((answered.status, content.as_str()), (200, Some("still there")));
 }
 
+/// Bodies of the flood, 100 MiB in all.
+const FLOOD_BODIES: usize = 100;
+/// Announced size of each body of the flood; what is sent is at least one byte short, so
+/// that the daemon goes on holding it.
+const FLOOD_BODY_BYTES: usize = 1 << 20;
+/// What is held in addition at a time until nothing more fits.
+const TOP_UP_BYTES: usize = 16 << 10;
+/// Size of the request that is refused in the end. A body that is refused gives back what
+/// was held of it, so a flood that was read in parallel leaves room at its end; top-ups
+/// leave less room than this.
+const PROBE_BYTES: usize = 32 << 10;
+/// Top-ups after which the daemon should have refused: room for more than four whole bodies.
+const MOST_TOP_UPS: usize = 256;
+
 /// Many large bodies at once are refused beyond a limit, and memory stays bounded.
 #[test]
 fn a_flood_of_large_bodies_is_refused_beyond_a_limit() {
     let session = fleet(20.0);
-    let address = session.daemons["caxias-1"].callers.clone();
-    // Each body is one byte short, so the daemon holds them all.
-    let body = "x".repeat((1 << 20) - 1);
-    let mut open: Vec<TcpStream> = Vec::new();
-    for _ in 0..100 {
-        let mut stream = TcpStream::connect(&address).expect("the daemon listens");
-        let head = format!(
-            "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {TOKEN}\r\n\
-             content-length: {}\r\n\r\n",
-            1 << 20,
-        );
-        stream.write_all(head.as_bytes()).expect("the head is sent");
-        // The daemon may refuse before it has read everything.
-        let _ = stream.write_all(body.as_bytes());
-        open.push(stream);
-    }
-    thread::sleep(Duration::from_millis(500));
+    let mut open: Vec<TcpStream> =
+        (0..FLOOD_BODIES).map(|_| hold_body(&session, FLOOD_BODY_BYTES - 1)).collect();
+    let text = "x".repeat(PROBE_BYTES);
+    let refused = (0..MOST_TOP_UPS).find_map(|_| {
+        let answered = session.complete("caxias-1", TOKEN, "unlock-help-1", &text, 20_000);
+        let answered = answered.expect("the daemon answers");
+        if answered.status != 200 {
+            return Some(answered);
+        }
+        open.push(hold_body(&session, TOP_UP_BYTES));
+        None
+    });
+    let refused = refused.expect("bodies are held without a limit");
+    assert_eq!(refused.body["error"]["code"], "too_many_bytes", "{}", refused.body);
     let pid = session.daemons["caxias-1"].pid();
     let resident = trestle_session::bench::memory_kib(pid);
     assert!(resident < 200 << 10, "the daemon holds {resident} KiB");
-    let answered = session.complete("caxias-1", TOKEN, "unlock-help-1", "now", 20_000);
-    let answered = answered.expect("the daemon answers");
-    assert_eq!(answered.body["error"]["code"], "too_many_bytes", "{}", answered.body);
     drop(open);
     session
         .wait_for("room for bodies again", |session| {
-            let answered = session.complete("caxias-1", TOKEN, "unlock-help-1", "then", 20_000);
+            let answered = session.complete("caxias-1", TOKEN, "unlock-help-1", &text, 20_000);
             answered.is_ok_and(|answered| answered.status == 200)
         })
         .expect("the daemon serves again");
 }
+
+/// Sends the beginning of a body, which the daemon holds until the connection is dropped.
+fn hold_body(session: &Session, sent_bytes: usize) -> TcpStream {
+    let address = &session.daemons["caxias-1"].callers;
+    let mut stream = TcpStream::connect(address).expect("the daemon listens");
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {TOKEN}\r\n\
+         content-length: {FLOOD_BODY_BYTES}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    // The daemon may refuse before it has read everything.
+    let _ = stream.write_all("x".repeat(sent_bytes).as_bytes());
+    stream
+}
--- a/crates/trestle-session/tests/ownership.rs
+++ b/crates/trestle-session/tests/ownership.rs
@@ -39,8 +39,7 @@
 
 /// A request to a model that is not loaded is answered, though its owner is lost during the load.
 fn cold_request_survives(engine: &str, blow: Blow, platform_down: bool) {
-    let mut session = fleet(2.0);
-    let (model, owner) = model_at(&session, engine);
+    let (mut session, model, owner) = fleet_with_model_at(2.0, engine);
     let entry = elsewhere(&owner);
     if platform_down {
         session.faults(&json!({"platform": {"down": true}})).expect("faults are switched");
@@ -106,9 +105,8 @@
 
 #[test]
 fn domain_that_lost_all_its_daemons_is_adopted() {
-    let mut session = fleet(20.0);
+    let (mut session, model, _) = fleet_with_model_at(20.0, "e1");
     let caxias = ["caxias-1", "caxias-2"];
-    let (model, _) = model_at(&session, "e1");
     for vm in caxias {
         session.daemon(vm).kill();
     }
@@ -151,8 +149,7 @@
 
 #[test]
 fn leaving_endpoint_gets_no_new_work() {
-    let session = fleet(20.0);
-    let (model, _) = model_at(&session, "e1");
+    let (session, model, _) = fleet_with_model_at(20.0, "e1");
     let endpoint = session.owners_of(&model)[0].0.clone();
     assert_eq!(ask(&session, "caxias-2", &model).status, 200);
     session.vms(&json!({endpoint.as_str(): "leaving"})).expect("the list is changed");
@@ -219,17 +216,22 @@
     config.catalog.models.keys().map(ToString::to_string).collect()
 }
 
-/// A model with one replica at an engine whose name ends so, and the VM of the owner.
+/// Fleets that are started until one has a model at the wanted engine.
+const MOST_STARTS: usize = 6;
+
+/// A fleet, a model with one replica at an engine whose name ends so, and the VM of the owner.
 ///
-/// Waits until there is one: ownership may still be moving when the last placement is read.
-fn model_at(session: &Session, engine_suffix: &str) -> (String, String) {
-    let what = format!("a model with one replica at an engine {engine_suffix}");
-    let found = session.wait_for(&what, |session| find_model_at(session, engine_suffix).is_some());
-    let found = found.ok().and_then(|()| find_model_at(session, engine_suffix));
-    found.unwrap_or_else(|| {
-        let seen: Vec<_> = session.daemons.keys().map(|vm| (vm, session.status(vm))).collect();
-        panic!("there is never {what}: {seen:#?}");
-    })
+/// Models are placed for good as owners come to it at the start, at the next candidate where
+/// the best one's owner is slow: of 24 fleets started beside 20 busy loops, two had no such
+/// model at any engine `e1`. Such a fleet is started anew.
+fn fleet_with_model_at(speed: f64, engine_suffix: &str) -> (Session, String, String) {
+    for _ in 0..MOST_STARTS {
+        let session = fleet(speed);
+        if let Some((model, vm)) = find_model_at(&session, engine_suffix) {
+            return (session, model, vm);
+        }
+    }
+    panic!("{MOST_STARTS} fleets have no model with one replica at an engine {engine_suffix}");
 }
 
 fn find_model_at(session: &Session, engine_suffix: &str) -> Option<(String, String)> {
--- a/crates/trestle-session/tests/under_load.rs
+++ b/crates/trestle-session/tests/under_load.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{assert_all_done, assert_no_breach, assert_no_violation, fleet, verdicts};
+use common::{assert_no_breach, assert_no_violation, fleet, verdicts};
 use serde_json::{Value, json};
 use std::{thread, time::Duration};
 use trestle_session::{Session, bench};
@@ -116,13 +116,32 @@
     session.faults(&faults).expect("faults are switched");
 }
 
-/// The ratio is measured in one run, and its bound leaves a wide margin.
+/// Requests of the flood, ten times what the engine can serve while they are sent.
+const FLOOD: u64 = 4_000;
+/// Urgent requests beside it.
+const URGENT: u64 = 50;
+
+/// At ten times the load every request ends once, with its own whole answer or a refusal,
+/// and every urgent one is answered. How many answers that leaves is checked in virtual
+/// time (`overload` of `trestle-core`), since a busy machine serves fewer.
 #[test]
-fn goodput_holds_at_ten_times_the_load() {
+fn every_request_ends_as_it_must_at_ten_times_the_load() {
     let session = bench::start().expect("the session starts");
-    let goodput = bench::goodput_ratio(&session, 5).expect("the load tool runs");
-    assert!(goodput.ratio >= 0.6, "{goodput:?}");
-    assert_eq!(goodput.violations, 0, "{goodput:?}");
-    assert_all_done(&goodput.urgent_only, goodput.urgent_requests);
+    let stream = |class: &str, requests: u64, deadline_ms: u64| {
+        json!({
+            "tenant": class, "token": format!("{class}-token"), "class": class,
+            "requests": requests, "over_ms": 5_000, "deadline_ms": deadline_ms,
+            "work": {"models": {"names": ["steady"], "stream": false}},
+        })
+    };
+    let streams = json!([stream("patient", FLOOD, 60_000), stream("urgent", URGENT, 60_000)]);
+    let report = session.load(&streams).expect("the load tool runs");
+    assert_no_violation(&report);
     assert_no_breach(&session);
+    let ended = verdicts(&report, "done") + verdicts(&report, "not_run");
+    assert_eq!(ended, FLOOD + URGENT, "{:#}", report["groups"]);
+    let groups = report["groups"].as_array().expect("groups").iter();
+    let urgent = groups.filter(|group| group["class"] == "urgent").collect::<Vec<_>>();
+    assert_eq!(urgent[0]["verdicts"]["done"], URGENT, "{:#}", report["groups"]);
+    assert!(verdicts(&report, "not_run") > 0, "nothing was refused: {:#}", report["groups"]);
 }
--- a/crates/trestled/src/entry/body.rs
+++ b/crates/trestled/src/entry/body.rs
@@ -2,7 +2,7 @@
 
 use super::Failure;
 use crate::daemon::Daemon;
-use futures_lite::{AsyncReadExt, FutureExt};
+use futures_lite::{AsyncRead, AsyncReadExt, FutureExt};
 use smol::Timer;
 use std::{
     io,
@@ -11,9 +11,11 @@
 };
 use trillium::Conn;
 
-/// Bytes of a body past the limit that are still read, so that the caller gets
-/// the refusal instead of a broken connection.
+/// Bytes of a refused body that are still read, so that the caller gets the refusal
+/// instead of a broken connection.
 const MAX_DRAINED_BYTES: usize = 8 << 20;
+/// Time for which they are read after the refusal of a body that does not fit in.
+const DRAIN_MS: u64 = 1_000;
 /// Bytes that are read at once.
 const CHUNK_BYTES: usize = 16 << 10;
 
@@ -66,8 +68,13 @@
             if count == 0 || total > limits.body_bytes + MAX_DRAINED_BYTES {
                 break;
             }
-            if total <= limits.body_bytes {
-                body.push(&chunk[..count])?;
+            if total > limits.body_bytes {
+                continue;
+            }
+            if let Err(failure) = body.push(&chunk[..count]) {
+                drop(body);
+                drain(&mut reader, &mut chunk).await;
+                return Err(failure);
             }
         }
         if total > limits.body_bytes {
@@ -83,6 +90,23 @@
     reading.or(timed_out).await
 }
 
+/// Reads on for a while and keeps nothing.
+async fn drain(reader: &mut (impl AsyncRead + Unpin), chunk: &mut [u8]) {
+    let reading = async {
+        let mut total = 0;
+        while total <= MAX_DRAINED_BYTES {
+            match reader.read(chunk).await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => total += count,
+            }
+        }
+    };
+    let timed_out = async {
+        Timer::after(Duration::from_millis(DRAIN_MS)).await;
+    };
+    reading.or(timed_out).await;
+}
+
 fn broken(error: &io::Error) -> Failure {
     let message = format!("the body did not arrive whole: {error}");
     Failure::not_run(400, "broken_body", message)
