Move what decides on requests and engines out of the daemon's shell

What a daemon believes, what its callers ask for, what becomes of a request, where its next send may go, and what the leader knows of engines were spread over traffic and control beside input and output. They are plain state and functions in trestle-dispatch now (beliefs, asked, selection, sends, service_state), so that they can be played without a daemon.

No decision changed.

--- /dev/null
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -0,0 +1,131 @@
+//! Everything that one daemon believes, as decisions look at it.
+
+use crate::{
+    asked::Asked,
+    catalog::Catalog,
+    directory::Directory,
+    endpoint::Endpoint,
+    mirror::Mirror,
+    record::Records,
+    replicas::ReplicaView,
+    retry_share::{RetryBounds, RetryShare},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
+
+/// Daemons assumed to share budgets until the leader has counted them.
+const ASSUMED_DAEMONS: usize = 12;
+
+/// Everything that one daemon believes.
+#[derive(Debug)]
+pub struct Beliefs {
+    /// The configuration in force.
+    pub catalog: Option<Arc<Catalog>>,
+    /// Live endpoints.
+    pub directory: Directory,
+    /// The list of endpoints as the store has it.
+    pub mirror: Mirror<Endpoint>,
+    /// The configuration in force as the store has it.
+    pub config_text: Option<Arc<Vec<u8>>>,
+    /// Whether the list of endpoints was ever read.
+    pub is_listed: bool,
+    /// What the leader says, by service.
+    pub replicas: BTreeMap<ServiceName, ReplicaView>,
+    /// How endpoints behaved.
+    pub records: Records,
+    /// Shares of the retry budgets.
+    pub retries: BTreeMap<ServiceName, RetryShare>,
+    /// What this daemon will tell the leader, by service.
+    pub asked: BTreeMap<ServiceName, Asked>,
+    /// Daemons that share budgets.
+    pub daemons: usize,
+    /// The failure domain of this daemon.
+    pub domain: DomainName,
+    /// What bounds further sends.
+    pub retry_bounds: RetryBounds,
+}
+
+impl Beliefs {
+    /// Nothing is believed yet. Endpoints that have left may get requests for `leaving_ms`.
+    pub fn new(domain: DomainName, leaving_ms: u64, retry_bounds: RetryBounds) -> Self {
+        Self {
+            catalog: None,
+            directory: Directory::new(leaving_ms),
+            mirror: Mirror::default(),
+            config_text: None,
+            is_listed: false,
+            replicas: BTreeMap::new(),
+            records: Records::default(),
+            retries: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            daemons: ASSUMED_DAEMONS,
+            domain,
+            retry_bounds,
+        }
+    }
+
+    /// What callers ask of a service's engines.
+    pub fn asked_of(&mut self, service: &ServiceName) -> &mut Asked {
+        self.asked.entry(service.clone()).or_default()
+    }
+
+    /// Takes a further send for a service, if the budget allows it.
+    pub fn take_retry(&mut self, service: &ServiceName, now_ms: u64) -> bool {
+        let share = self.retries.entry(service.clone()).or_default();
+        share.take(now_ms, &self.retry_bounds, self.daemons)
+    }
+
+    /// Notes a request of a caller to a service.
+    pub fn requested(&mut self, service: &ServiceName, now_ms: u64) {
+        self.retries.entry(service.clone()).or_default().requested(now_ms);
+    }
+
+    /// Notes a request of a caller for a model.
+    pub fn model_requested(&mut self, service: &ServiceName, model: &ModelName, now_ms: u64) {
+        let asked = self.asked_of(service);
+        *asked.arrivals.entry(model.clone()).or_default() += 1;
+        asked.rates.arrived(model, 1, now_ms);
+    }
+
+    /// Notes that a request was sent to an endpoint.
+    pub fn sent(
+        &mut self,
+        endpoint: &Endpoint,
+        model: Option<&ModelName>,
+        adapter: Option<&AdapterName>,
+    ) {
+        self.records.sent(&endpoint.name);
+        if let Some(model) = model {
+            self.asked_of(&endpoint.service).sent(&endpoint.name, model, adapter);
+        }
+    }
+
+    /// Notes that a request to an endpoint has ended, however it ended.
+    pub fn ended(
+        &mut self,
+        endpoint: &Endpoint,
+        model: Option<&ModelName>,
+        adapter: Option<&AdapterName>,
+    ) {
+        self.records.ended(&endpoint.name);
+        if let Some(model) = model {
+            self.asked_of(&endpoint.service).ended(&endpoint.name, model, adapter);
+        }
+    }
+
+    /// Takes what the leader says of a service.
+    pub fn learn(&mut self, service: ServiceName, view: ReplicaView) {
+        self.daemons = view.daemons.max(1);
+        self.replicas.insert(service, view);
+    }
+
+    /// Forgets endpoints that are no longer listed.
+    pub fn forget_gone(&mut self) {
+        let live: BTreeSet<EndpointName> =
+            self.directory.iter().map(|endpoint| endpoint.name.clone()).collect();
+        self.records.retain(|name| live.contains(name));
+    }
+}
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -4,16 +4,20 @@
 //! clock, no randomness of its own. The daemon feeds in what it observes, with
 //! the time on its monotonic clock, and carries out what comes back.
 //!
-//! - What is known: [`catalog`] (the operators' configuration), [`directory`]
-//!   (live endpoints), [`request`] (one request's head).
-//! - Traffic: [`choice`] picks an endpoint, [`record`] remembers how endpoints
-//!   behaved, [`retry_share`] bounds retries, [`admission`] decides between
-//!   waiting and refusing.
-//! - Replicas: [`lease`] says who may give orders, [`candidate`] who should rather, [`demand`] what is asked for,
-//!   [`placing`] what [`change`] to make where, [`orders`] how one engine's orders
-//!   follow each other.
+//! - What one daemon knows: [`beliefs`], made up of [`catalog`] (the operators'
+//!   configuration), [`directory`] (live endpoints), [`replicas`] (what the leader says),
+//!   [`record`] (how endpoints behaved), [`asked`] (what its own callers ask for).
+//! - Traffic: [`selection`] says what becomes of a request now. It asks [`choice`] for an
+//!   endpoint and [`admission`] whether to wait or refuse; [`sends`] says where the next send
+//!   may go, and [`retry_share`] bounds them.
+//! - Replicas: [`lease`] says who may give orders, [`candidate`] who should rather, [`demand`]
+//!   what all daemons ask for, [`service_state`] what the leader knows of the engines,
+//!   [`placing`] what [`change`] to make where, [`orders`] how one engine's orders follow
+//!   each other.
 
 pub mod admission;
+pub mod asked;
+pub mod beliefs;
 pub mod candidate;
 pub mod catalog;
 pub mod change;
@@ -33,5 +37,8 @@
 pub mod request;
 pub mod retry_share;
 pub mod route;
+pub mod selection;
+pub mod sends;
+pub mod service_state;
 pub mod store;
 pub mod usage;
--- a/crates/trestle-entry/src/control/service_state.rs
+++ b/crates/trestle-dispatch/src/service_state.rs
@@ -1,11 +1,6 @@
 //! What the leader knows of one service's engines.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
-use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
-use trestle_dispatch::{
+use crate::{
     catalog::EngineSpec,
     change::Change,
     demand::Demand,
@@ -16,7 +11,11 @@
     replicas::{EngineNote, ReplicaView},
     usage::Usage,
 };
-use trestle_wire::replicas::WireView;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
 
 /// Time for which an engine gets no orders after a change there failed.
 const FAILED_PAUSE_MS: u64 = 1_000;
@@ -27,23 +26,19 @@
 /// Time after a change within which an engine's entry may still show the state before.
 const ENTRY_AGE_MS: u64 = 3_000;
 
-/// Age up to which what was told to one daemon is told to the next; it grows old by that
-/// much less than by its way and the pause between two questions.
-const TOLD_MS: u64 = 30;
-
 /// What the leader knows of one service's engines.
 #[derive(Debug, Default)]
-pub(crate) struct ServiceState {
+pub struct ServiceState {
     /// What callers of all daemons ask for.
-    pub(crate) demand: Demand,
+    pub demand: Demand,
     engines: BTreeMap<EndpointName, KnownEngine>,
     ready_in_ms: BTreeMap<ModelName, u64>,
-    /// What daemons were told last, and when.
-    told: Option<(u64, WireView)>,
+    /// Grows with each change that daemons should hear of at once.
+    news: u64,
 }
 
 /// A change to begin, with the orders that make it.
-pub(crate) type Begun = (Endpoint, Change, OrderChain);
+pub type Begun = (Endpoint, Change, OrderChain);
 
 #[derive(Debug, Default)]
 struct KnownEngine {
@@ -63,7 +58,7 @@
 
 impl ServiceState {
     /// What to change now, if orders may be given.
-    pub(crate) fn plan(
+    pub fn plan(
         &mut self,
         spec: &Arc<EngineSpec>,
         directory: &BTreeMap<EndpointName, Endpoint>,
@@ -91,22 +86,17 @@
             return Vec::new();
         }
         if !plan.changes.is_empty() {
-            self.told = None;
+            self.news += 1;
         }
         let changes = plan.changes.into_iter();
         changes.filter_map(|change| self.begin(spec, change, directory)).collect()
     }
 
     /// Takes the end of a change.
-    pub(crate) fn change_ended(
-        &mut self,
-        endpoint: &EndpointName,
-        chain: &OrderChain,
-        now_ms: u64,
-    ) {
+    pub fn change_ended(&mut self, endpoint: &EndpointName, chain: &OrderChain, now_ms: u64) {
         let Some(known) = self.engines.get_mut(endpoint) else { return };
         let Some(change) = known.change.take() else { return };
-        self.told = None;
+        self.news += 1;
         if chain.is_silent() {
             known.silent_until_ms = now_ms + SILENT_MS;
         }
@@ -121,24 +111,13 @@
         }
     }
 
-    /// What daemons are told; made anew when something has changed, or some time has passed.
-    pub(crate) fn told(
-        &mut self,
-        service: &ServiceName,
-        directory: &Directory,
-        now_ms: u64,
-    ) -> WireView {
-        match &self.told {
-            Some((at_ms, view)) if now_ms < at_ms + TOLD_MS => view.clone(),
-            _ => {
-                let view = WireView::from(&self.view(service, directory, now_ms));
-                self.told = Some((now_ms, view.clone()));
-                view
-            }
-        }
+    /// Grows with each change that daemons should hear of at once.
+    pub fn news(&self) -> u64 {
+        self.news
     }
 
-    fn view(&self, service: &ServiceName, directory: &Directory, now_ms: u64) -> ReplicaView {
+    /// What daemons are told.
+    pub fn view(&self, service: &ServiceName, directory: &Directory, now_ms: u64) -> ReplicaView {
         let usage = self.demand.usage(now_ms);
         let engines = directory.usable(service).filter_map(|endpoint| {
             let known = self.engines.get(&endpoint.name)?;
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -8,10 +8,10 @@
 pub(crate) mod leasing;
 pub(crate) mod message;
 pub(crate) mod permit;
-pub(crate) mod service_state;
+mod told;
 
 use crate::{
-    control::{leasing::Leasing, message::Message, service_state::ServiceState},
+    control::{leasing::Leasing, message::Message, told::Told},
     daemon::Daemon,
 };
 use async_channel::Receiver;
@@ -23,6 +23,7 @@
     catalog::{Catalog, EngineSpec},
     demand::DemandDigest,
     orders::OrderChain,
+    service_state::ServiceState,
 };
 use trestle_wire::replicas::{WireSynced, WireView};
 
@@ -41,6 +42,7 @@
     daemon: Arc<Daemon>,
     leasing: Leasing,
     services: BTreeMap<ServiceName, ServiceState>,
+    told: BTreeMap<ServiceName, Option<Told>>,
     planned_ms: u64,
     plan_gap_ms: u64,
     is_plan_due: bool,
@@ -57,6 +59,7 @@
         daemon,
         leasing,
         services: BTreeMap::new(),
+        told: BTreeMap::new(),
         planned_ms: 0,
         plan_gap_ms: PLAN_GAP_MS,
         is_plan_due: false,
@@ -130,6 +133,7 @@
         self.leasing.look(now_ms);
         if was_holder && !self.leasing.is_acting() {
             self.services.clear();
+            self.told.clear();
         }
         let is_time = now_ms >= self.planned_ms + self.plan_gap_ms;
         if self.is_plan_due && is_time && self.leasing.is_holder(now_ms) {
@@ -167,10 +171,12 @@
 
     /// What is known of all services, as daemons are told it.
     fn views(&mut self, now_ms: u64) -> BTreeMap<String, WireView> {
-        let services = &mut self.services;
+        let (services, all_told) = (&self.services, &mut self.told);
         self.daemon.knowledge.with(|beliefs| {
-            let each = services.iter_mut().map(|(service, known)| {
-                (service.to_string(), known.told(service, &beliefs.directory, now_ms))
+            let each = services.iter().map(|(service, state)| {
+                let told = all_told.entry(service.clone()).or_default();
+                let view = Told::now(told, state, service, &beliefs.directory, now_ms);
+                (service.to_string(), view.clone())
             });
             each.collect()
         })
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -3,7 +3,6 @@
 use crate::{
     control::message::{Leader, Message},
     daemon::Daemon,
-    knowledge::Beliefs,
     peer::{client::LeaderClient, pace::Pace},
     store::{config, endpoints},
 };
@@ -11,7 +10,7 @@
 use smol::Timer;
 use std::{sync::Arc, time::Duration};
 use trestle_core::names::ServiceName;
-use trestle_dispatch::{demand::DemandDigest, replicas::ReplicaView};
+use trestle_dispatch::{beliefs::Beliefs, demand::DemandDigest, replicas::ReplicaView};
 use trestle_wire::{
     relay::{WireHave, WireRelay},
     replicas::{WireDigest, WireSynced},
@@ -147,8 +146,7 @@
     }
     daemon.knowledge.change(|beliefs| {
         for (service, view) in views {
-            beliefs.daemons = view.daemons.max(1);
-            beliefs.replicas.insert(service, view);
+            beliefs.learn(service, view);
         }
     });
 }
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     daemon::Daemon,
-    knowledge::Beliefs,
     store::follow::{self, Followed},
 };
 use std::sync::Arc;
 use trestle_core::names::EndpointName;
 use trestle_dispatch::{
+    beliefs::Beliefs,
     endpoint::Endpoint,
     mirror::News,
     store::{Row, RowChange, RowPage},
--- a/crates/trestle-entry/src/traffic/mod.rs
+++ b/crates/trestle-entry/src/traffic/mod.rs
@@ -14,7 +14,6 @@
 mod plain;
 pub(crate) mod report;
 pub(crate) mod select;
-pub(crate) mod sends;
 pub(crate) mod serve;
 pub(crate) mod stream;
 pub(crate) mod task;
--- a/crates/trestle-entry/src/traffic/outcome.rs
+++ b/crates/trestle-entry/src/traffic/outcome.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
+use trestle_dispatch::sends::SendEnd;
 
 /// A whole answer of an endpoint.
 #[derive(Debug)]
@@ -23,9 +24,14 @@
 }
 
 impl Unanswered {
-    /// Whether the request may have run.
-    pub(crate) fn may_have_run(&self) -> bool {
-        matches!(self, Self::MayHaveRun(_) | Self::TimedOut(_))
+    /// What that says of the request.
+    pub(crate) fn end(&self) -> SendEnd {
+        match self {
+            Self::Unreachable(_) => SendEnd::Unreachable,
+            Self::NotRun(_) => SendEnd::NotRun,
+            Self::MayHaveRun(_) => SendEnd::MayHaveRun,
+            Self::TimedOut(_) => SendEnd::TimedOut,
+        }
     }
 
     /// A short reason, for logs.
--- a/crates/trestle-entry/src/traffic/patience.rs
+++ b/crates/trestle-entry/src/traffic/patience.rs
@@ -4,10 +4,11 @@
 //! Breaking off a request that nobody else can run would only lose what was done
 //! for it.
 
-use crate::traffic::{select, sends::Sends, task::Task};
+use crate::traffic::{select, task::Task};
 use futures_lite::{FutureExt, pin};
 use smol::Timer;
 use std::{future::Future, time::Duration};
+use trestle_dispatch::sends::Sends;
 
 /// Least time after which another endpoint is tried, where a route has no objective.
 const LEAST_SLICE_MS: u64 = 100;
@@ -45,7 +46,7 @@
 
     /// Whether the request could go to another endpoint at all.
     fn may_move(&self) -> bool {
-        self.task.route.is_idempotent() && self.sends.has_more(self.task)
+        self.task.route.is_idempotent() && self.sends.has_more(&self.task.route)
     }
 
     fn has_other(&self) -> bool {
--- a/crates/trestle-entry/src/traffic/plain.rs
+++ b/crates/trestle-entry/src/traffic/plain.rs
@@ -6,11 +6,11 @@
     outcome::{Unanswered, WholeAnswer},
     patience::Patience,
     select::{self, Taken},
-    sends::Sends,
     task::Task,
 };
 use http::Response;
 use std::sync::Arc;
+use trestle_dispatch::sends::{SendEnd, Sends};
 
 /// What became of a request.
 pub(crate) struct Outcome {
@@ -24,27 +24,29 @@
 /// Sees a call through.
 pub(crate) async fn run(task: &Arc<Task>) -> Outcome {
     let mut sends = Sends::default();
+    let mut failed_answer = None;
     let is_repeatable = task.route.is_idempotent();
     let ended = loop {
         let taken = match select::select(task, &sends).await {
             Ok(taken) => taken,
             Err(failure) => break Err(failure),
         };
-        if !sends.may_send(task) {
+        if !task.take_next(&sends) {
             break Err(Failure::NotRun { retry_after_ms: RETRY_SOON_MS });
         }
         match send(task, taken, &mut sends).await {
             Ok(answer) if answer.response.status().is_server_error() && is_repeatable => {
-                sends.failed(Some(answer));
+                sends.ended(SendEnd::Failed, task.daemon.knowledge.now_ms());
+                failed_answer = Some(answer);
             }
             Ok(answer) => break Ok(answer),
-            Err(unanswered) => sends.unanswered(&unanswered, task.daemon.knowledge.now_ms()),
+            Err(unanswered) => sends.ended(unanswered.end(), task.daemon.knowledge.now_ms()),
         }
         if task.is_over() || (sends.may_have_run && !is_repeatable) {
             break Err(Failure::MayHaveRun);
         }
     };
-    let response = match (ended, sends.failed_answer.take()) {
+    let response = match (ended, failed_answer) {
         // An endpoint's own failure says more than one of ours.
         (Err(_), Some(answer)) | (Ok(answer), _) => Ok(answer.response.map(whole)),
         (Err(_), None) if sends.may_have_run && task.is_over() => Err(Failure::OutOfTime),
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -14,7 +14,6 @@
     plain::Outcome,
     report::{self, Ended, StreamSeen},
     select::{self, Taken},
-    sends::Sends,
     task::Task,
 };
 use bytes::Bytes;
@@ -24,6 +23,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use std::sync::Arc;
+use trestle_dispatch::sends::{SendEnd, Sends};
 
 /// Objectives within which the first event must come before another endpoint is tried.
 const FIRST_EVENT_OBJECTIVES: u64 = 2;
@@ -70,6 +70,8 @@
 struct Flow {
     task: Arc<Task>,
     sends: Sends,
+    /// A failure of an endpoint's own, passed on if nothing better comes.
+    failed_answer: Option<WholeAnswer>,
     buffer: EventBuffer,
     source: Option<Source>,
 }
@@ -87,6 +89,7 @@
         Self {
             task: Arc::clone(task),
             sends: Sends::default(),
+            failed_answer: None,
             buffer: EventBuffer::after(task.head.last_event_id),
             source: None,
         }
@@ -103,9 +106,10 @@
             if attempt.response.status() != StatusCode::OK {
                 match attempt.whole(&self.task, self.task.left_ms()).await {
                     Ok(answer) if !self.is_resumable() => return Ok(Opened::Whole(answer)),
-                    Ok(answer) => self.sends.failed(Some(answer)),
-                    Err(_) => self.sends.failed(None),
+                    Ok(answer) => self.failed_answer = Some(answer),
+                    Err(_) => {}
                 }
+                self.note_failed();
                 if !self.is_resumable() {
                     return self.give_up(Failure::MayHaveRun);
                 }
@@ -145,7 +149,7 @@
             return Err(Some(Failure::OutOfTime));
         }
         let taken = select::select(&self.task, &self.sends).await.map_err(Some)?;
-        if !self.sends.may_send(&self.task) {
+        if !self.task.take_next(&self.sends) {
             return Err(Some(Failure::NotRun { retry_after_ms: RETRY_SOON_MS }));
         }
         self.task.daemon.metrics.send(self.sends.count == 0);
@@ -155,8 +159,8 @@
         match attempt::send(&self.task, taken, last_event_id, patience).await {
             Ok(attempt) => Ok(attempt),
             Err(unanswered) => {
-                self.sends.unanswered(&unanswered, self.task.daemon.knowledge.now_ms());
-                let is_final = unanswered.may_have_run() && !self.is_resumable();
+                self.sends.ended(unanswered.end(), self.task.daemon.knowledge.now_ms());
+                let is_final = unanswered.end().may_have_run() && !self.is_resumable();
                 Err(is_final.then_some(Failure::MayHaveRun))
             }
         }
@@ -215,8 +219,12 @@
         Step::End
     }
 
+    fn note_failed(&mut self) {
+        self.sends.ended(SendEnd::Failed, self.task.daemon.knowledge.now_ms());
+    }
+
     fn note_broken(&mut self, reason: &str) {
-        self.sends.failed(None);
+        self.note_failed();
         self.buffer.drop_torn();
         let Some(source) = self.source.take() else { return };
         let name = &source.taken.endpoint.name;
@@ -231,7 +239,7 @@
 
     /// What the caller gets where no more sends follow.
     fn give_up(&mut self, failure: Failure) -> Result<Opened, Failure> {
-        match self.sends.failed_answer.take() {
+        match self.failed_answer.take() {
             // An endpoint's own failure says more than one of ours.
             Some(answer) => Ok(Opened::Whole(answer)),
             None if self.sends.may_have_run && self.task.is_over() => Err(Failure::OutOfTime),
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -10,6 +10,8 @@
     endpoint::Endpoint,
     request::{Forwarded, RequestHead},
     route::Route,
+    selection::Asking,
+    sends::Sends,
 };
 
 /// Most urgent and least urgent value that an endpoint takes.
@@ -34,6 +36,24 @@
 }
 
 impl Task {
+    /// The request as selection looks at it.
+    pub(crate) fn asking(&self) -> Asking<'_> {
+        Asking {
+            route: &self.route,
+            service: &self.service,
+            head: &self.head,
+            allowed_ms: self.allowed_ms,
+            elapsed_ms: self.elapsed_ms(),
+        }
+    }
+
+    /// Takes a further send from the budget, if the request may go out once more.
+    pub(crate) fn take_next(&self, sends: &Sends) -> bool {
+        let knowledge = &self.daemon.knowledge;
+        let now_ms = knowledge.now_ms();
+        knowledge.with(|beliefs| sends.take_next(&self.route, &self.service, beliefs, now_ms))
+    }
+
     /// Time since its arrival.
     pub(crate) fn elapsed_ms(&self) -> u64 {
         self.daemon.knowledge.now_ms().saturating_sub(self.arrived_ms)
