Count full engines, surges and requests that wait for a slot; let settings leave mechanisms out

Demand that rises within 2 s counts at once. Without a leader a request waits for an engine that has its model, instead of being refused. The setting `without` names mechanisms to leave out.

--- a/crates/trestle-config/src/entry_settings.rs
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -31,6 +31,9 @@
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
+    /// Mechanisms of deciding that are left out, to measure what they are worth.
+    #[serde(default)]
+    pub without: Vec<String>,
 }
 
 /// What the operators have agreed with their users.
--- a/crates/trestle-dispatch/src/admission.rs
+++ b/crates/trestle-dispatch/src/admission.rs
@@ -133,7 +133,7 @@
     };
     match outlook {
         Outlook::Here { for_ms } if for_ms > DISAGREEMENT_MS => {
-            refuse(Some(0), Reason::Disagreement)
+            refuse(Some(DISAGREEMENT_MS), Reason::Disagreement)
         }
         Outlook::Here { .. } if wait.elapsed_ms < until_ms => Admission::Wait { until_ms },
         Outlook::Here { .. } => refuse(Some(0), Reason::ReadyTooLate),
--- a/crates/trestle-dispatch/src/asked.rs
+++ b/crates/trestle-dispatch/src/asked.rs
@@ -24,6 +24,8 @@
     pub returning: BTreeMap<u64, Wish>,
     /// Requests that run.
     pub running: BTreeMap<EndpointName, BTreeMap<ModelName, u32>>,
+    /// How many of them the leader has been told, by engine.
+    pub told_running: BTreeMap<EndpointName, u32>,
     /// Requests that run with an adapter.
     pub adapters: BTreeMap<EndpointName, BTreeMap<(ModelName, AdapterName), u32>>,
 }
@@ -68,6 +70,9 @@
             Waiting { priority, due_in_ms, model, adapter, count }
         });
         let adapters_in_use = self.adapters.iter();
+        let running = self.running.iter();
+        self.told_running =
+            running.map(|(endpoint, models)| (endpoint.clone(), models.values().sum())).collect();
         DemandDigest {
             number: self.number,
             arrivals: std::mem::take(&mut self.arrivals),
--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -127,6 +127,17 @@
         }
     }
 
+    /// Requests of all daemons that run at an endpoint: what the leader has counted, and what
+    /// has changed here since this daemon told it.
+    pub fn running(&self, endpoint: &Endpoint) -> u32 {
+        let own = self.records.of(&endpoint.name).in_flight;
+        let view = self.replicas.get(&endpoint.service);
+        let counted = view.map_or(0, |view| view.running(&endpoint.name));
+        let asked = self.asked.get(&endpoint.service);
+        let told = asked.and_then(|asked| asked.told_running.get(&endpoint.name));
+        (counted + own).saturating_sub(told.copied().unwrap_or_default()).max(own)
+    }
+
     /// Takes what the leader says of a service, and the number of the last digest that its
     /// plan has looked at; returns whether that is news for requests that wait.
     pub fn learn(
--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -1,8 +1,8 @@
 //! The choice of an endpoint for one request.
 
-use crate::{directory::Directory, endpoint::Endpoint, record::Records, replicas::ReplicaView};
+use crate::{beliefs::Beliefs, endpoint::Endpoint, policy::Mechanism, replicas::ReplicaView};
 use std::collections::BTreeSet;
-use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
+use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
 
 /// What crossing to another failure domain counts, as a share of an endpoint's
 /// slots: half a request on an engine of 64, so that load is evened out first.
@@ -13,6 +13,10 @@
 /// same one until the next news, and its streams would pause behind the prompts.
 const PICKED: usize = 2;
 
+/// Part of its slots that an engine may have queued beyond them and still gets requests: what
+/// is known of others' requests is up to 400 ms old, in which a tenth of them end.
+const QUEUED_PART: u32 = 4;
+
 /// What a request needs.
 #[derive(Debug, Clone, Copy)]
 pub struct Need<'a> {
@@ -31,14 +35,10 @@
 /// What is known when the choice is made.
 #[derive(Debug, Clone, Copy)]
 pub struct Known<'a> {
-    /// Live endpoints.
-    pub directory: &'a Directory,
-    /// What the leader says.
+    /// What this daemon believes.
+    pub beliefs: &'a Beliefs,
+    /// What the leader says of the service.
     pub replicas: &'a ReplicaView,
-    /// How endpoints behaved.
-    pub records: &'a Records,
-    /// The failure domain of this daemon.
-    pub domain: &'a DomainName,
     /// Time on the monotonic clock.
     pub now_ms: u64,
 }
@@ -48,22 +48,43 @@
 /// Endpoints that failed lately are taken only if there is no other. The lot must differ
 /// from request to request and from daemon to daemon.
 pub fn choose<'a>(known: Known<'a>, need: Need<'_>, lot: u64) -> Option<&'a Endpoint> {
-    let able = known.directory.iter().filter(|endpoint| is_able(&known, &need, endpoint));
+    let directory = &known.beliefs.directory;
+    let able = directory.iter().filter(|endpoint| is_able(&known, &need, endpoint));
     let (sound, avoided): (Vec<_>, Vec<_>) = able.partition(|endpoint| is_sound(&known, endpoint));
     let mut picked = if sound.is_empty() { avoided } else { sound };
-    picked.sort_by_key(|endpoint| mix(lot, &endpoint.name));
-    picked.truncate(PICKED);
+    let policy = &known.beliefs.policy;
+    if need.model.is_some() && policy.has(Mechanism::WaitForSlots) {
+        picked.retain(|endpoint| !is_full(&known, endpoint));
+    }
+    if policy.has(Mechanism::TwoChoices) {
+        picked.sort_by_key(|endpoint| mix(lot, &endpoint.name));
+        picked.truncate(PICKED);
+    }
     picked.into_iter().min_by(|one, other| cost(&known, one).total_cmp(&cost(&known, other)))
 }
 
+/// Whether some endpoint has what a request needs, though it may be full or set aside now.
+pub fn is_here(known: Known<'_>, need: Need<'_>) -> bool {
+    let Some(model) = need.model else { return false };
+    let mut usable = known.beliefs.directory.usable(need.service);
+    usable.any(|endpoint| known.replicas.can_run(endpoint, model, need.adapter))
+}
+
+/// Whether an engine would have to queue a further request, as far as is known. Engines queue
+/// a few and refuse the rest, and each refusal spends of the budget of further sends.
+fn is_full(known: &Known<'_>, endpoint: &Endpoint) -> bool {
+    known.beliefs.running(endpoint) >= endpoint.slots + endpoint.slots / QUEUED_PART
+}
+
 /// Whether there is an endpoint for a request that did not fail lately.
 pub fn has_sound(known: Known<'_>, need: Need<'_>) -> bool {
-    let mut able = known.directory.iter().filter(|endpoint| is_able(&known, &need, endpoint));
+    let directory = &known.beliefs.directory;
+    let mut able = directory.iter().filter(|endpoint| is_able(&known, &need, endpoint));
     able.any(|endpoint| is_sound(&known, endpoint))
 }
 
 fn is_sound(known: &Known<'_>, endpoint: &Endpoint) -> bool {
-    !known.records.of(&endpoint.name).health.is_avoided(known.now_ms)
+    !known.beliefs.records.of(&endpoint.name).health.is_avoided(known.now_ms)
 }
 
 fn is_able(known: &Known<'_>, need: &Need<'_>, endpoint: &Endpoint) -> bool {
@@ -82,16 +103,16 @@
     adapter: Option<&AdapterName>,
 ) -> bool {
     known.replicas.can_run(endpoint, model, adapter)
-        && !known.records.is_absent(&endpoint.name, model, adapter, known.now_ms)
+        && !known.beliefs.records.is_absent(&endpoint.name, model, adapter, known.now_ms)
 }
 
 /// How loaded an endpoint is, as a share of its slots, and how often it fails. The share
 /// of failures is squared: a failure now and then moves no load, and an endpoint that
 /// fails half of its requests counts like one that is a quarter full.
 fn cost(known: &Known<'_>, endpoint: &Endpoint) -> f64 {
-    let record = known.records.of(&endpoint.name);
-    let running = record.in_flight.max(known.replicas.running(&endpoint.name));
-    let crossing = if endpoint.domain == *known.domain { 0.0 } else { CROSSING_SHARE };
+    let record = known.beliefs.records.of(&endpoint.name);
+    let running = known.beliefs.running(endpoint);
+    let crossing = if endpoint.domain == known.beliefs.domain { 0.0 } else { CROSSING_SHARE };
     let fill = f64::from(running) / f64::from(endpoint.slots.max(1));
     fill + crossing + record.failed_share(known.now_ms).powi(2)
 }
--- a/crates/trestle-dispatch/src/placing/far.rs
+++ b/crates/trestle-dispatch/src/placing/far.rs
@@ -20,7 +20,7 @@
 const FAR_REPLICA_FILL_PART: f64 = 4.0;
 /// Loads from the weight store at once that further replicas may take. They gain more than
 /// those of rare models, which would otherwise never come.
-const FURTHER_LOADS: usize = 2;
+const FURTHER_LOADS: usize = 3;
 
 impl<'a> Planner<'a> {
     /// Sees to models that can only come from the weight store.
--- a/crates/trestle-dispatch/src/placing/worth.rs
+++ b/crates/trestle-dispatch/src/placing/worth.rs
@@ -8,7 +8,7 @@
 //! its requests were late for 8 s.
 
 use super::Planner;
-use crate::demand::Want;
+use crate::{demand::Want, policy::Mechanism};
 use trestle_core::names::ModelName;
 
 /// Time ahead that a plan looks at: demand moves within some ten seconds, and what is
@@ -63,7 +63,11 @@
     /// follows from how often it is asked for, as for a model that has just become busy.
     pub(super) fn running(&self, model: &ModelName) -> f64 {
         let seen = self.usage.of_model(model).max(self.demand.peak(model, self.now_ms));
-        let asked_per_s = self.demand.rates().per_s(model, self.now_ms);
+        let rates = self.demand.rates();
+        let asked_per_s = match self.policy.has(Mechanism::Surges) {
+            true => rates.surge_per_s(model, self.now_ms),
+            false => rates.per_s(model, self.now_ms),
+        };
         f64::from(seen).max(asked_per_s * self.demand.run_s())
     }
 
--- a/crates/trestle-dispatch/src/policy.rs
+++ b/crates/trestle-dispatch/src/policy.rs
@@ -29,11 +29,16 @@
     PromptAffinity,
     /// Times of unloads are learnt; left out, they are as once measured.
     LearntTimes,
+    /// A request waits here for a slot where all engines with its model are full; left out, it
+    /// is sent and refused.
+    WaitForSlots,
+    /// Demand that rises within two seconds counts at once.
+    Surges,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::TwoChoices,
         Self::WaitWhileCallerStays,
         Self::KeepForReturning,
@@ -44,6 +49,8 @@
         Self::PromptLoad,
         Self::PromptAffinity,
         Self::LearntTimes,
+        Self::WaitForSlots,
+        Self::Surges,
     ];
 
     /// Its name in settings and tables.
@@ -59,6 +66,8 @@
             Self::PromptLoad => "prompt_load",
             Self::PromptAffinity => "prompt_affinity",
             Self::LearntTimes => "learnt_times",
+            Self::WaitForSlots => "wait_for_slots",
+            Self::Surges => "surges",
         }
     }
 }
--- a/crates/trestle-dispatch/src/rates.rs
+++ b/crates/trestle-dispatch/src/rates.rs
@@ -11,6 +11,9 @@
 /// rarely used model which came twice is told from one that came once, short
 /// enough that a model out of demand gives way within some ten seconds.
 const MEMORY_MS: f64 = 8_000.0;
+/// The same for demand that rises suddenly: a model that becomes the busiest within seconds
+/// needs replicas before its one engine is full, and a load from the weight store takes 6 s.
+const SURGE_MEMORY_MS: f64 = 2_000.0;
 /// Weight below which a model is forgotten; a single arrival is, after 32 s.
 const FORGOTTEN: f64 = 0.018;
 /// Models that a daemon tells a new leader of, those asked for most: half a busy daemon's,
@@ -27,6 +30,8 @@
 struct Rate {
     /// Arrivals, each by its age.
     weight: f64,
+    /// The same, with a shorter memory.
+    surge: f64,
     at_ms: u64,
     last_arrival_ms: u64,
 }
@@ -74,6 +79,11 @@
         self.models.get(model).map_or(0.0, |rate| rate.per_s(now_ms))
     }
 
+    /// Arrivals a second of the last seconds, where they rise.
+    pub fn surge_per_s(&self, model: &ModelName, now_ms: u64) -> f64 {
+        self.models.get(model).map_or(0.0, |rate| rate.surge_per_s(now_ms).max(rate.per_s(now_ms)))
+    }
+
     /// All models that were asked for lately, with arrivals a second.
     pub fn iter(&self, now_ms: u64) -> impl Iterator<Item = (&ModelName, f64)> {
         self.models.iter().map(move |(model, rate)| (model, rate.per_s(now_ms)))
@@ -92,6 +102,7 @@
     fn add(&mut self, model: &ModelName, weight: f64, last_ms: u64, now_ms: u64) {
         let rate = self.models.entry(model.clone()).or_default();
         rate.weight = rate.decayed(now_ms) + weight;
+        rate.surge = rate.surge_decayed(now_ms) + if last_ms == now_ms { weight } else { 0.0 };
         rate.at_ms = now_ms;
         rate.last_arrival_ms = rate.last_arrival_ms.max(last_ms);
     }
@@ -106,4 +117,13 @@
     fn per_s(&self, now_ms: u64) -> f64 {
         self.decayed(now_ms) * 1e3 / MEMORY_MS
     }
+
+    fn surge_decayed(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        self.surge * (-age_ms / SURGE_MEMORY_MS).exp()
+    }
+
+    fn surge_per_s(&self, now_ms: u64) -> f64 {
+        self.surge_decayed(now_ms) * 1e3 / SURGE_MEMORY_MS
+    }
 }
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -13,6 +13,7 @@
     route::Route,
     sends::{Allowed, Sends},
 };
+use std::collections::BTreeSet;
 use trestle_core::names::ServiceName;
 
 /// When a caller should come back if a plain service has no endpoint left to try.
@@ -141,14 +142,8 @@
     };
     beliefs.directory.tick(now_ms);
     let nothing = ReplicaView::default();
-    let known = Known {
-        directory: &beliefs.directory,
-        replicas: beliefs.replicas.get(asking.service).unwrap_or(&nothing),
-        records: &beliefs.records,
-        domain: &beliefs.domain,
-        now_ms,
-    };
-    look(known, need)
+    let replicas = beliefs.replicas.get(asking.service).unwrap_or(&nothing);
+    look(Known { beliefs, replicas, now_ms }, need)
 }
 
 /// Whether a request without an endpoint waits.
@@ -165,7 +160,11 @@
 fn outlook(beliefs: &mut Beliefs, asking: Asking<'_>, now_ms: u64) -> Outlook {
     let Some(model) = &asking.head.model else { return Outlook::Unknown };
     if !beliefs.has_leader {
-        return Outlook::Unknown;
+        let everywhere = Allowed { excluded: BTreeSet::new(), only: None };
+        return match look(beliefs, asking, &everywhere, now_ms, choice::is_here) {
+            true => Outlook::Here { for_ms: ready_for_ms(beliefs, asking, now_ms) },
+            false => Outlook::Unknown,
+        };
     }
     let loadable = Loadable::new(model, asking.head.adapter.as_ref());
     let ready_in_ms = beliefs.ready_in_ms(asking.service, &loadable, now_ms);
--- a/crates/trestle-dispatch/tests/traffic.rs
+++ b/crates/trestle-dispatch/tests/traffic.rs
@@ -4,12 +4,11 @@
 
 use common::{endpoint, route, with_adapters};
 use std::collections::{BTreeMap, BTreeSet};
-use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
+use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
 use trestle_dispatch::{
     admission::{self, Admission, Outlook, Reason, Wait},
+    beliefs::Beliefs,
     choice::{Known, Need, choose},
-    directory::Directory,
-    record::Records,
     replicas::{EngineNote, ReplicaView},
     retry_share::{RetryBounds, RetryShare},
     route::{Route, RouteKind, RouteTable, Target},
@@ -18,38 +17,33 @@
 const STREAM: RouteKind = RouteKind::Stream { is_resumable: true };
 
 struct Scene {
-    directory: Directory,
-    replicas: ReplicaView,
-    records: Records,
-    domain: DomainName,
+    beliefs: Beliefs,
     excluded: BTreeSet<EndpointName>,
     only: Option<BTreeSet<EndpointName>>,
 }
 
 impl Scene {
     fn new(endpoints: Vec<trestle_dispatch::endpoint::Endpoint>) -> Self {
-        let mut directory = Directory::new(2_000);
-        directory.replaced(endpoints, 0);
-        Self {
-            directory,
-            replicas: ReplicaView::default(),
-            records: Records::default(),
-            domain: "z1".into(),
-            excluded: BTreeSet::new(),
-            only: None,
-        }
+        let retry_bounds = RetryBounds { ratio: 0.2, window_ms: 10_000, fixed: 52 };
+        let mut beliefs = Beliefs::new("z1".into(), 2_000, retry_bounds);
+        beliefs.directory.replaced(endpoints, 0);
+        beliefs.replicas.insert("s".into(), ReplicaView::default());
+        Self { beliefs, excluded: BTreeSet::new(), only: None }
+    }
+
+    fn replicas(&self) -> &ReplicaView {
+        &self.beliefs.replicas[&ServiceName::from("s")]
+    }
+
+    fn note(&mut self, engine: &str, note: EngineNote) {
+        let view = self.beliefs.replicas.get_mut("s").expect("a view");
+        view.engines.insert(engine.into(), note);
     }
 
     fn choose(&self, model: Option<&str>, adapter: Option<&str>, lot: u64) -> Option<String> {
         let (model, adapter) = (model.map(ModelName::from), adapter.map(AdapterName::from));
         let service = ServiceName::from("s");
-        let known = Known {
-            directory: &self.directory,
-            replicas: &self.replicas,
-            records: &self.records,
-            domain: &self.domain,
-            now_ms: 1_000,
-        };
+        let known = Known { beliefs: &self.beliefs, replicas: self.replicas(), now_ms: 1_000 };
         let need = Need {
             service: &service,
             model: model.as_ref(),
@@ -117,7 +111,7 @@
         let mut note = EngineNote::default();
         note.retiring.insert("a".into());
         note.arrived.insert("b".into());
-        scene.replicas.engines.insert("x".into(), note);
+        scene.note("x", note);
         assert_eq!(scene.choose(Some("a"), None, 1), None);
         assert_eq!(scene.choose(Some("b"), None, 1).as_deref(), Some("x"));
     }
@@ -134,13 +128,13 @@
     load_is_evened_out_before_domains_are_kept_to => {
         let mut scene = Scene::new(vec![endpoint("far", "z2", &[]), endpoint("near", "z1", &[])]);
         assert_eq!(scene.choose(None, None, 1).as_deref(), Some("near"));
-        scene.records.sent(&"near".into());
+        scene.beliefs.records.sent(&"near".into());
         assert_eq!(scene.choose(None, None, 1).as_deref(), Some("far"));
     }
 
     what_has_failed_this_request_or_lately_comes_last => {
         let mut scene = Scene::new(vec![endpoint("x", "z1", &[]), endpoint("y", "z2", &[])]);
-        (0..5).for_each(|_| scene.records.failed(&"x".into(), 900));
+        (0..5).for_each(|_| scene.beliefs.records.failed(&"x".into(), 900));
         assert_eq!(scene.choose(None, None, 1).as_deref(), Some("y"));
         scene.excluded.insert("y".into());
         assert_eq!(scene.choose(None, None, 1).as_deref(), Some("x"));
@@ -151,7 +145,7 @@
     // A request was sent 1.2 s after its engine's address had refused connections six times.
     an_endpoint_that_cannot_be_reached_is_avoided_at_once => {
         let mut scene = Scene::new(vec![endpoint("x", "z1", &[]), endpoint("y", "z2", &[])]);
-        scene.records.unreachable(&"x".into(), 900);
+        scene.beliefs.records.unreachable(&"x".into(), 900);
         assert_eq!(scene.choose(None, None, 1).as_deref(), Some("y"));
     }
 
@@ -161,15 +155,15 @@
         let mut scene = Scene::new(vec![endpoint("x", "z1", &[]), endpoint("y", "z1", &[])]);
         for number in 0..40 {
             match number % 5 {
-                0 | 3 => scene.records.failed(&"x".into(), 900),
-                _ => scene.records.succeeded(&"x".into(), 900),
+                0 | 3 => scene.beliefs.records.failed(&"x".into(), 900),
+                _ => scene.beliefs.records.succeeded(&"x".into(), 900),
             }
-            scene.records.succeeded(&"y".into(), 900);
+            scene.beliefs.records.succeeded(&"y".into(), 900);
         }
         for lot in 0..20 {
             assert_eq!(scene.choose(None, None, lot).as_deref(), Some("y"));
         }
-        (0..3).for_each(|_| scene.records.sent(&"y".into()));
+        (0..3).for_each(|_| scene.beliefs.records.sent(&"y".into()));
         assert_eq!(scene.choose(None, None, 1).as_deref(), Some("x"));
     }
 
@@ -179,7 +173,7 @@
         let mut scene = Scene::new(names.iter().map(|name| endpoint(name, "z1", &["a"])).collect());
         for (running, name) in names.iter().enumerate() {
             let note = EngineNote { running: running as u32, ..EngineNote::default() };
-            scene.replicas.engines.insert(name.as_str().into(), note);
+            scene.note(name, note);
         }
         let mut chosen: BTreeMap<String, u32> = BTreeMap::new();
         for lot in 0..2_000 {
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -18,7 +18,7 @@
     },
 };
 use trestle_config::entry_settings::{Bounds, EntrySettings};
-use trestle_dispatch::order_log::OrderLog;
+use trestle_dispatch::{order_log::OrderLog, policy::Policy};
 
 /// What the parts of the daemon share.
 #[derive(Debug)]
@@ -45,9 +45,10 @@
         wire: Wire,
         metrics: Metrics,
         control: Sender<Message>,
+        policy: Policy,
     ) -> Self {
         Self {
-            knowledge: Knowledge::new(&settings),
+            knowledge: Knowledge::new(&settings, policy),
             store: Store::new(settings.store_address, wire.store, &settings.bounds),
             pool: Pool::default(),
             metrics,
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -9,7 +9,9 @@
     time::Instant,
 };
 use trestle_config::entry_settings::{Bounds, EntrySettings};
-use trestle_dispatch::{beliefs::Beliefs, catalog::Catalog, retry_share::RetryBounds};
+use trestle_dispatch::{
+    beliefs::Beliefs, catalog::Catalog, policy::Policy, retry_share::RetryBounds,
+};
 
 /// What this daemon believes.
 #[derive(Debug)]
@@ -22,10 +24,11 @@
 
 impl Knowledge {
     /// Nothing is believed yet.
-    pub(crate) fn new(settings: &EntrySettings) -> Self {
+    pub(crate) fn new(settings: &EntrySettings, policy: Policy) -> Self {
         let bounds = &settings.bounds;
         let domain = settings.domain.as_str().into();
-        let beliefs = Beliefs::new(domain, bounds.leaving_ms, retry_bounds(bounds));
+        let mut beliefs = Beliefs::new(domain, bounds.leaving_ms, retry_bounds(bounds));
+        beliefs.policy = policy;
         Self {
             beliefs: Mutex::new(beliefs),
             changed: Event::new(),
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -47,6 +47,7 @@
 use snafu::{ResultExt, Snafu};
 use std::{io, net::SocketAddr, path::PathBuf, sync::Arc};
 use trestle_config::entry_settings::EntrySettings;
+use trestle_dispatch::policy::{Mechanism, Policy, UnknownMechanism};
 
 /// Limits towards the balancer, readers of metrics, and callers before there is a
 /// configuration.
@@ -61,6 +62,12 @@
         /// Why.
         source: logs::FilterError,
     },
+    /// The settings leave out a mechanism that does not exist.
+    #[snafu(display("settings: without: {source}"))]
+    Mechanism {
+        /// Why.
+        source: UnknownMechanism,
+    },
     /// Metrics cannot be set up.
     #[snafu(display("metrics cannot be set up: {source}"))]
     Metrics {
@@ -93,12 +100,23 @@
 pub fn run(settings: EntrySettings, settings_path: PathBuf, wire: wire::Wire) -> Result<(), Error> {
     let logs = Arc::new(Logs::start(&settings.log).context(FilterSnafu)?);
     let metrics = Metrics::new().context(MetricsSnafu)?;
+    let policy = policy(&settings)?;
     let (control, messages) = async_channel::unbounded();
-    let daemon = Arc::new(Daemon::new(settings, wire, metrics, control));
+    let daemon = Arc::new(Daemon::new(settings, wire, metrics, control, policy));
     control::start(Arc::clone(&daemon), messages).context(SystemSnafu { what: "thread" })?;
     smol::block_on(serve_all(daemon, logs, settings_path))
 }
 
+/// What decides, by the settings.
+fn policy(settings: &EntrySettings) -> Result<Policy, Error> {
+    let without = settings.without.iter().map(|name| name.parse());
+    let without: Vec<Mechanism> = without.collect::<Result<_, _>>().context(MechanismSnafu)?;
+    if !without.is_empty() {
+        tracing::warn!(without = ?without, "daemon: Mechanisms are left out.");
+    }
+    Ok(Policy::without(without))
+}
+
 async fn serve_all(
     daemon: Arc<Daemon>,
     logs: Arc<Logs>,
