--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -13,10 +13,6 @@
 /// same one until the next news, and its streams would pause behind the prompts.
 const PICKED: usize = 2;
 
-/// Part of its slots that an engine may have queued beyond them and still gets requests: what
-/// is known of others' requests is up to 400 ms old, in which a tenth of them end.
-const QUEUED_PART: u32 = 4;
-
 /// What a request needs.
 #[derive(Debug, Clone, Copy)]
 pub struct Need<'a> {
@@ -53,9 +49,6 @@
     let (sound, avoided): (Vec<_>, Vec<_>) = able.partition(|endpoint| is_sound(&known, endpoint));
     let mut picked = if sound.is_empty() { avoided } else { sound };
     let policy = &known.beliefs.policy;
-    if need.model.is_some() && policy.has(Mechanism::WaitForSlots) {
-        picked.retain(|endpoint| !is_full(&known, endpoint));
-    }
     if policy.has(Mechanism::TwoChoices) {
         picked.sort_by_key(|endpoint| mix(lot, &endpoint.name));
         picked.truncate(PICKED);
@@ -70,12 +63,6 @@
     usable.any(|endpoint| known.replicas.can_run(endpoint, model, need.adapter))
 }
 
-/// Whether an engine would have to queue a further request, as far as is known. Engines queue
-/// a few and refuse the rest, and each refusal spends of the budget of further sends.
-fn is_full(known: &Known<'_>, endpoint: &Endpoint) -> bool {
-    known.beliefs.running(endpoint) >= endpoint.slots + endpoint.slots / QUEUED_PART
-}
-
 /// Whether there is an endpoint for a request that did not fail lately.
 pub fn has_sound(known: Known<'_>, need: Need<'_>) -> bool {
     let directory = &known.beliefs.directory;
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -32,6 +32,8 @@
 pub mod order_log;
 pub mod orders;
 pub mod outage;
+pub mod pace;
+pub mod patience;
 pub mod placing;
 pub mod policy;
 pub mod rates;
--- a/crates/trestle-entry/src/peer/pace.rs
+++ b/crates/trestle-dispatch/src/pace.rs
@@ -23,29 +23,29 @@
 
 /// How often daemons tell the leader what callers ask for.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Pace {
+pub struct Pace {
     daemons: u64,
     bound_ms: u64,
 }
 
 impl Pace {
     /// The pace of so many daemons that must know everything within a bound.
-    pub(crate) fn of(daemons: usize, bound_ms: u64) -> Self {
+    pub fn of(daemons: usize, bound_ms: u64) -> Self {
         Self { daemons: daemons as u64, bound_ms }
     }
 
     /// Shortest time between two tellings, also after one that failed.
-    pub(crate) fn least_ms(self) -> u64 {
+    pub fn least_ms(self) -> u64 {
         LEAST_MS.max(self.daemons / 2 * TWO_DAEMONS_LEAST_MS).min(self.longest_ms())
     }
 
     /// Time until the next telling while requests wait for a model.
-    pub(crate) fn waiting_ms(self) -> u64 {
+    pub fn waiting_ms(self) -> u64 {
         WAITING_MS.max(self.daemons * DAEMON_WAITING_MS).min(self.longest_ms())
     }
 
     /// Time until the next telling while nothing waits.
-    pub(crate) fn calm_ms(self) -> u64 {
+    pub fn calm_ms(self) -> u64 {
         CALM_MS.max(self.daemons * DAEMON_CALM_MS).min(self.longest_ms())
     }
 
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -166,7 +166,7 @@
             return true;
         }
         if let Some(ready_in_ms) = self.ready_in_ms(model) {
-            self.note_ready(want, ready_in_ms.max(self.slot_in_ms(want)));
+            self.note_ready(want, ready_in_ms);
             return true;
         }
         let Some(offer) = self.best_offer(model, self.gain_of_first_ms(want)) else {
@@ -182,18 +182,6 @@
         true
     }
 
-    /// Time until a request that waits for a model has a slot, where its engines are full: as
-    /// many end in a second as run, by the time that each takes.
-    fn slot_in_ms(&self, want: &Want<'_>) -> u64 {
-        let slots = self.present(want.model) * self.spec.slots;
-        let is_full = self.usage.of_model(want.model) >= slots && slots > 0;
-        if !is_full || !self.policy.has(Mechanism::WaitForSlots) {
-            return 0;
-        }
-        let wait_s = f64::from(want.count) * self.demand.run_s() / f64::from(slots);
-        (wait_s * 1e3) as u64
-    }
-
     /// Notes when a model will be ready, and the adapter that is wanted with it.
     fn note_ready(&mut self, want: &Want<'_>, ready_in_ms: u64) {
         self.plan.ready_in_ms.insert(Loadable::model(want.model), ready_in_ms);
--- a/crates/trestle-dispatch/src/policy.rs
+++ b/crates/trestle-dispatch/src/policy.rs
@@ -29,16 +29,13 @@
     PromptAffinity,
     /// Times of unloads are learnt; left out, they are as once measured.
     LearntTimes,
-    /// A request waits here for a slot where all engines with its model are full; left out, it
-    /// is sent and refused.
-    WaitForSlots,
     /// Demand that rises within two seconds counts at once.
     Surges,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 11] = [
         Self::TwoChoices,
         Self::WaitWhileCallerStays,
         Self::KeepForReturning,
@@ -49,7 +46,6 @@
         Self::PromptLoad,
         Self::PromptAffinity,
         Self::LearntTimes,
-        Self::WaitForSlots,
         Self::Surges,
     ];
 
@@ -66,7 +62,6 @@
             Self::PromptLoad => "prompt_load",
             Self::PromptAffinity => "prompt_affinity",
             Self::LearntTimes => "learnt_times",
-            Self::WaitForSlots => "wait_for_slots",
             Self::Surges => "surges",
         }
     }
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -3,14 +3,14 @@
 use crate::{
     control::message::{Leader, Message},
     daemon::Daemon,
-    peer::{client::LeaderClient, pace::Pace},
+    peer::client::LeaderClient,
     store::{config, endpoints},
 };
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use trestle_core::names::ServiceName;
-use trestle_dispatch::{beliefs::Beliefs, demand::DemandDigest, replicas::ReplicaView};
+use trestle_dispatch::{beliefs::Beliefs, demand::DemandDigest, pace::Pace, replicas::ReplicaView};
 use trestle_wire::{
     relay::{WireHave, WireRelay},
     replicas::{WireDigest, WireSynced},
--- a/crates/trestle-entry/src/traffic/patience.rs
+++ b/crates/trestle-entry/src/traffic/patience.rs
@@ -10,9 +10,6 @@
 use std::{future::Future, time::Duration};
 use trestle_dispatch::sends::Sends;
 
-/// Least time after which another endpoint is tried, where a route has no objective.
-const LEAST_SLICE_MS: u64 = 100;
-
 /// How long one send of a request is waited for.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Patience<'a> {
@@ -28,7 +25,7 @@
         pin!(awaited);
         loop {
             let slice_ms = match self.may_move() {
-                true => self.slice_ms.max(LEAST_SLICE_MS).min(self.task.left_ms()),
+                true => self.slice_ms.min(self.task.left_ms()),
                 false => self.task.left_ms(),
             };
             let done = async { Some(awaited.as_mut().await) };
--- a/crates/trestle-entry/src/traffic/plain.rs
+++ b/crates/trestle-entry/src/traffic/plain.rs
@@ -10,7 +10,10 @@
 };
 use http::Response;
 use std::sync::Arc;
-use trestle_dispatch::sends::{SendEnd, Sends};
+use trestle_dispatch::{
+    patience,
+    sends::{SendEnd, Sends},
+};
 
 /// What became of a request.
 pub(crate) struct Outcome {
@@ -68,7 +71,7 @@
     task.daemon.metrics.send(sends.count == 0);
     sends.sent(&taken.endpoint.name);
     // While another send is left, one that is no longer on time makes way for it.
-    let patience = Patience { task, sends, slice_ms: task.route.objective_ms };
+    let patience = Patience { task, sends, slice_ms: patience::answer_ms(&task.route) };
     let attempt = attempt::send(task, taken, None, patience).await?;
     attempt.whole(task, task.left_ms()).await
 }
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -23,12 +23,10 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use std::sync::Arc;
-use trestle_dispatch::sends::{SendEnd, Sends};
-
-/// Objectives within which the first event must come before another endpoint is tried.
-const FIRST_EVENT_OBJECTIVES: u64 = 2;
-/// Pauses within which the next event must come before another endpoint is tried.
-const STALLED_PAUSES: u64 = 4;
+use trestle_dispatch::{
+    patience,
+    sends::{SendEnd, Sends},
+};
 
 /// Sees a stream through to its first event; the rest goes on in the body.
 pub(crate) async fn run(task: &Arc<Task>) -> Outcome {
@@ -116,7 +114,7 @@
                 continue;
             }
             let parts = self.begin(attempt);
-            match self.step(self.first_event_ms()).await {
+            match self.step(patience::first_event_ms(&self.task.route)).await {
                 Step::Events(first) => return Ok(Opened::Events(Box::new(parts), first)),
                 Step::End => return Ok(Opened::Events(Box::new(parts), Bytes::new())),
                 Step::Broken(reason) => {
@@ -156,7 +154,7 @@
         self.task.daemon.metrics.send(self.sends.count == 0);
         self.sends.sent(&taken.endpoint.name);
         let last_event_id = self.buffer.last_id();
-        let patience = self.patience(self.first_event_ms());
+        let patience = self.patience(patience::first_event_ms(&self.task.route));
         match attempt::send(&self.task, taken, last_event_id, patience).await {
             Ok(attempt) => Ok(attempt),
             Err(unanswered) => {
@@ -259,14 +257,6 @@
     fn patience(&self, slice_ms: u64) -> Patience<'_> {
         Patience { task: &self.task, sends: &self.sends, slice_ms }
     }
-
-    fn first_event_ms(&self) -> u64 {
-        FIRST_EVENT_OBJECTIVES * self.task.route.objective_ms
-    }
-
-    fn next_event_ms(&self) -> u64 {
-        STALLED_PAUSES * self.task.route.pause_ms
-    }
 }
 
 /// A stream whose first events have come.
@@ -289,7 +279,7 @@
             return Some((Ok(Frame::data(first)), self));
         }
         loop {
-            match self.flow.step(self.flow.next_event_ms()).await {
+            match self.flow.step(patience::next_event_ms(&self.flow.task.route)).await {
                 Step::Events(events) => {
                     self.note_events();
                     return Some((Ok(Frame::data(events)), self));
