--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -23,6 +23,7 @@
     policy::{Mechanism, Policy},
     usage::Usage,
 };
+use eviction::Leavers;
 pub use far::REMOTE_LOADS_AT_ONCE;
 use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{AdapterName, EndpointName, ModelName};
@@ -107,6 +108,10 @@
     waited_for: BTreeSet<&'a ModelName>,
     /// Adapters that somebody waits for.
     wanted_adapters: BTreeSet<(&'a ModelName, &'a AdapterName)>,
+    /// What could make way, by engine; many models are offered the same places, so that this
+    /// is worked out only when something has changed.
+    leavers: Option<BTreeMap<&'a EndpointName, Leavers>>,
+    remote_loads: usize,
     plan: Plan,
 }
 
@@ -119,6 +124,8 @@
         let present = count(engines.values().flat_map(EngineState::staying));
         let coming = engines.values().filter_map(EngineState::coming);
         let replicas = count(engines.values().flat_map(EngineState::staying).chain(coming));
+        let under_way = engines.values().filter_map(|state| state.change);
+        let remote_loads = under_way.filter(|change| change.is_remote).count();
         Self {
             spec,
             demand,
@@ -131,6 +138,8 @@
             present,
             waited_for: BTreeSet::new(),
             wanted_adapters: BTreeSet::new(),
+            leavers: None,
+            remote_loads,
             plan: Plan::default(),
         }
     }
@@ -203,6 +212,10 @@
         if change.adapter.is_none() {
             *self.replicas.entry(change.model.clone()).or_default() += 1;
         }
+        if !change.evicted.is_empty() {
+            self.leavers = None;
+        }
+        self.remote_loads += usize::from(change.is_remote);
         self.plan.changes.push(change);
     }
 
@@ -221,10 +234,24 @@
     }
 
     /// The cheapest way to bring a model in that displaces less than `gain_ms`.
-    fn best_offer(&self, model: &ModelName, gain_ms: f64) -> Option<Offer> {
+    fn best_offer(&mut self, model: &ModelName, gain_ms: f64) -> Option<Offer> {
         let spec = self.spec.models.get(model)?;
+        let leavers = self.leavers.take().unwrap_or_else(|| self.leavers());
+        let offer = self.best_offer_of(model, spec, &leavers, gain_ms);
+        self.leavers = Some(leavers);
+        offer
+    }
+
+    fn best_offer_of(
+        &self,
+        model: &ModelName,
+        spec: &ModelSpec,
+        leavers: &BTreeMap<&'a EndpointName, Leavers>,
+        gain_ms: f64,
+    ) -> Option<Offer> {
+        let engines = self.engines.values().zip(leavers.values());
         let offers =
-            self.engines.values().filter_map(|state| self.offer(model, spec, state, gain_ms));
+            engines.filter_map(|(state, leavers)| self.offer(model, spec, state, leavers, gain_ms));
         let is_guarded = self.policy.has(Mechanism::GuardedEviction);
         let offers = offers.filter(|offer| !is_guarded || offer.miss_ms <= gain_ms);
         offers.min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
@@ -236,6 +263,7 @@
         model: &ModelName,
         spec: &ModelSpec,
         state: &EngineState<'_>,
+        leavers: &Leavers,
         gain_ms: f64,
     ) -> Option<Offer> {
         let endpoint = state.endpoint;
@@ -245,10 +273,10 @@
         let under_way = state.change.or_else(|| self.planned_at(&endpoint.name));
         let busy_ms = under_way.map_or(0, |change| change.left_ms(self.now_ms));
         let (load_ms, is_remote) = load_time(spec, endpoint, model);
-        if is_remote && self.remote_loads() >= REMOTE_LOADS_AT_ONCE {
+        if is_remote && self.remote_loads >= REMOTE_LOADS_AT_ONCE {
             return None;
         }
-        let eviction = self.eviction(spec.weights_mb, state)?;
+        let eviction = leavers.make_room(spec.weights_mb)?;
         let unload_ms = if eviction.models.is_empty() { 0 } else { UNLOAD_MS };
         let ready_in_ms = busy_ms + unload_ms + eviction.run_wait_ms as u64 + load_ms;
         let fill = f64::from(self.usage.at(&endpoint.name)) / f64::from(self.spec.slots.max(1));
@@ -294,6 +322,8 @@
         });
         let best = gains.max_by(|one, other| one.0.total_cmp(&other.0));
         let Some((gain_ms, model)) = best.filter(|(gain_ms, _)| *gain_ms > 0.0) else { return };
+        let model = model.clone();
+        let model = &model;
         let Some(offer) = self.best_offer(model, gain_ms) else { return };
         if let Some(change) = offer.change
             && (!change.is_remote || self.is_worth_a_far_load(model))
--- a/crates/trestle-dispatch/src/placing/eviction.rs
+++ b/crates/trestle-dispatch/src/placing/eviction.rs
@@ -1,8 +1,8 @@
 //! What makes way at an engine.
 
 use super::{EngineState, Planner};
-use std::collections::BTreeSet;
-use trestle_core::names::ModelName;
+use std::collections::{BTreeMap, BTreeSet};
+use trestle_core::names::{EndpointName, ModelName};
 
 /// Time for which a model stays once it has arrived, for those it was loaded for.
 const SETTLE_MS: u64 = 1_500;
@@ -16,31 +16,62 @@
     pub(super) run_wait_ms: f64,
 }
 
-impl Planner<'_> {
+/// What could make way at one engine, that which is missed least first.
+#[derive(Debug)]
+pub(super) struct Leavers {
+    free_mb: u64,
+    models: Vec<Leaver>,
+}
+
+#[derive(Debug)]
+struct Leaver {
+    model: ModelName,
+    mb: u64,
+    miss_ms: f64,
+    run_wait_ms: f64,
+}
+
+impl Leavers {
     /// The models whose going makes room and is missed least.
-    pub(super) fn eviction(&self, needed_mb: u64, state: &EngineState<'_>) -> Option<Eviction> {
-        let mut free_mb = self.spec.memory_mb.saturating_sub(self.spec.held_mb(state.held));
-        let mut candidates: Vec<(f64, f64, &ModelName)> = state
-            .held
-            .keys()
-            .filter_map(|model| {
-                let (miss_ms, run_wait_ms) = self.loss(model, state)?;
-                Some((miss_ms, run_wait_ms, model))
-            })
-            .collect();
-        candidates.sort_by(|one, other| (one.0 + one.1).total_cmp(&(other.0 + other.1)));
+    pub(super) fn make_room(&self, needed_mb: u64) -> Option<Eviction> {
+        let mut free_mb = self.free_mb;
         let mut eviction = Eviction { models: Vec::new(), miss_ms: 0.0, run_wait_ms: 0.0 };
-        for (miss_ms, run_wait_ms, model) in candidates {
+        for leaver in &self.models {
             if free_mb >= needed_mb {
                 break;
             }
-            free_mb += self.model_mb(model, state);
-            eviction.models.push(model.clone());
-            eviction.miss_ms += miss_ms;
-            eviction.run_wait_ms = eviction.run_wait_ms.max(run_wait_ms);
+            free_mb += leaver.mb;
+            eviction.models.push(leaver.model.clone());
+            eviction.miss_ms += leaver.miss_ms;
+            eviction.run_wait_ms = eviction.run_wait_ms.max(leaver.run_wait_ms);
         }
         (free_mb >= needed_mb).then_some(eviction)
     }
+}
+
+impl<'a> Planner<'a> {
+    /// What could make way, by engine.
+    pub(super) fn leavers(&self) -> BTreeMap<&'a EndpointName, Leavers> {
+        self.engines.iter().map(|(name, state)| (*name, self.leavers_at(state))).collect()
+    }
+
+    fn leavers_at(&self, state: &EngineState<'_>) -> Leavers {
+        let leaver = |model: &ModelName| {
+            let (miss_ms, run_wait_ms) = self.loss(model, state)?;
+            Some(Leaver {
+                model: model.clone(),
+                mb: self.model_mb(model, state),
+                miss_ms,
+                run_wait_ms,
+            })
+        };
+        let mut models: Vec<Leaver> = state.held.keys().filter_map(leaver).collect();
+        models.sort_by(|one, other| {
+            (one.miss_ms + one.run_wait_ms).total_cmp(&(other.miss_ms + other.run_wait_ms))
+        });
+        let free_mb = self.spec.memory_mb.saturating_sub(self.spec.held_mb(state.held));
+        Leavers { free_mb, models }
+    }
 
     /// What the going of a model from an engine loses, and the time until its requests there
     /// have ended; `None` if it must stay.
--- a/crates/trestle-dispatch/src/placing/far.rs
+++ b/crates/trestle-dispatch/src/placing/far.rs
@@ -42,11 +42,6 @@
         filled > slots && further.count() < FURTHER_LOADS
     }
 
-    /// Loads from the weight store that are under way or begin with this plan.
-    pub(super) fn remote_loads(&self) -> usize {
-        self.remote_ends_ms().count()
-    }
-
     fn far_value(&self, want: &Want<'_>) -> f64 {
         let missing_ms = self.demand.missing_ms(want.model, self.now_ms) as f64;
         want.value * (1.0 + missing_ms / PATIENCE_MS)
