Wait for room near a copy rather than for the weight store, and say when what is blocked will be ready

Callers of the most valuable class were refused after 1.1 to 1.5 s: their model had copies on disks whose engines could make no room at that moment, so it was put in line for the weight store, 6 s or more. Such a model now waits up to 4 s for room, and its callers are told 1 s and the load; one that nobody can place yet is no longer called unknown.

--- a/crates/trestle-dispatch/src/placing/far.rs
+++ b/crates/trestle-dispatch/src/placing/far.rs
@@ -6,7 +6,7 @@
 //! long the model has been missing, or what is asked for rarely would never come; and those
 //! that must wait for their turn are told the time that this takes.
 
-use super::{Planner, Reach, UNLOAD_MS};
+use super::{EngineState, Planner, Reach, UNLOAD_MS};
 use crate::{demand::Want, policy::Mechanism};
 use std::{cmp::Reverse, collections::BinaryHeap};
 use trestle_core::names::ModelName;
@@ -15,6 +15,11 @@
 pub const REMOTE_LOADS_AT_ONCE: usize = 4;
 /// Time for which a model is missing until those who wait for it count twice: about one load.
 const PATIENCE_MS: f64 = 6_000.0;
+/// Time after which room can be made where there is none at the moment: what has just arrived
+/// stays for about as long.
+const BLOCKED_MS: u64 = 1_000;
+/// Time for which a model with a near copy is not asked of the weight store.
+const BLOCKED_FOR_MS: u64 = 4_000;
 /// Part of an engine's slots that one busy model fills before it is worth a further replica
 /// from the weight store, whose load takes 6 s while demand moves on in some 10 s.
 const FAR_REPLICA_FILL_PART: f64 = 4.0;
@@ -28,8 +33,27 @@
         if self.policy.has(Mechanism::FarLoadsByValue) {
             far.sort_by(|one, other| self.far_value(other).total_cmp(&self.far_value(one)));
         }
+        let (blocked, mut far): (Vec<&Want<'a>>, Vec<&Want<'a>>) =
+            far.into_iter().partition(|want| self.is_only_blocked(want));
         far.retain(|want| !self.want_model(want, Reach::Far));
         self.note_turns(&far);
+        for want in blocked {
+            let disk_load_ms = self.spec.models.get(want.model).map_or(0, |spec| spec.disk_load_ms);
+            self.note_ready(want, BLOCKED_MS + disk_load_ms);
+        }
+    }
+
+    /// Whether a model has a copy near an engine that just now can make no room: what is there
+    /// has only just arrived, or is waited for itself. That is over in a moment, where the
+    /// weight store takes several times as long and is needed for others.
+    fn is_only_blocked(&self, want: &Want<'_>) -> bool {
+        let has_copy = |state: &EngineState<'_>| {
+            let endpoint = state.endpoint;
+            endpoint.in_memory.contains(want.model) || endpoint.on_disk.contains(want.model)
+        };
+        self.policy.has(Mechanism::WaitForNearCopies)
+            && self.demand.missing_ms(want.model, self.now_ms) < BLOCKED_FOR_MS
+            && self.engines.values().any(has_copy)
     }
 
     /// Whether a model is so busy that a further replica may come from the weight store.
@@ -50,8 +74,9 @@
     /// Notes when models whose turn has not come will be ready.
     fn note_turns(&mut self, left: &[&Want<'a>]) {
         let mut ends: BinaryHeap<Reverse<u64>> = self.remote_ends_ms().map(Reverse).collect();
-        if ends.len() < REMOTE_LOADS_AT_ONCE {
-            return;
+        // A load that could begin and does not has no room for now.
+        while ends.len() < REMOTE_LOADS_AT_ONCE {
+            ends.push(Reverse(BLOCKED_MS));
         }
         for want in left {
             let Some(spec) = self.spec.models.get(want.model) else { continue };
--- a/crates/trestle-dispatch/src/policy.rs
+++ b/crates/trestle-dispatch/src/policy.rs
@@ -23,6 +23,8 @@
     FreeRoom,
     /// Loads from the weight store go to what most wait for; left out, to the most urgent.
     FarLoadsByValue,
+    /// A model with a copy near an engine waits for room there rather than for the weight store.
+    WaitForNearCopies,
     /// Of what could make way, the largest goes first among equals.
     EvictionBySize,
     /// Times of unloads are learnt; left out, they are as once measured.
@@ -33,7 +35,7 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::TwoChoices,
         Self::WaitWhileCallerStays,
         Self::KeepForReturning,
@@ -41,6 +43,7 @@
         Self::FurtherReplicas,
         Self::FreeRoom,
         Self::FarLoadsByValue,
+        Self::WaitForNearCopies,
         Self::EvictionBySize,
         Self::LearntTimes,
         Self::Surges,
@@ -56,6 +59,7 @@
             Self::FurtherReplicas => "further_replicas",
             Self::FreeRoom => "free_room",
             Self::FarLoadsByValue => "far_loads_by_value",
+            Self::WaitForNearCopies => "wait_for_near_copies",
             Self::EvictionBySize => "eviction_by_size",
             Self::LearntTimes => "learnt_times",
             Self::Surges => "surges",
