Wait for the next leader where a caller stays as long

Without a leader, callers whose model was on no engine were refused with a guess of 1.5 s and came back before the next leader ordered. The longest time without one is known (5.6 s from its silence, and a load); who stays longer waits, the others are told it.

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -18,6 +18,11 @@
 };
 use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
 
+/// Longest time without a leader that orders: 2.3 s until a lease has run out, and the quiet
+/// time of 3.3 s after the last order of the one before.
+const LEADERLESS_MS: u64 = 5_600;
+/// Time in which a new leader has loaded what somebody waits for, from a copy on a disk.
+const FIRST_LOAD_MS: u64 = 1_000;
 /// Daemons assumed to share budgets until the leader has counted them.
 const ASSUMED_DAEMONS: usize = 12;
 
@@ -40,6 +45,8 @@
     pub heard_ms: u64,
     /// Whether there is a leader that answers.
     pub has_leader: bool,
+    /// When the last one fell silent.
+    pub leader_lost_ms: Option<u64>,
     /// What decides.
     pub policy: Policy,
     /// How endpoints behaved.
@@ -68,6 +75,7 @@
             replicas: BTreeMap::new(),
             heard_ms: 0,
             has_leader: false,
+            leader_lost_ms: None,
             policy: Policy::default(),
             records: Records::default(),
             retries: BTreeMap::new(),
@@ -158,6 +166,22 @@
         is_news || is_answer
     }
 
+    /// Notes whether a leader answers.
+    pub fn note_leader(&mut self, has_leader: bool, now_ms: u64) {
+        if self.has_leader && !has_leader {
+            self.leader_lost_ms = Some(now_ms);
+        }
+        self.has_leader = has_leader;
+    }
+
+    /// Time until a leader should have loaded something, while there is none; `None` if one
+    /// should long be there, or there never was one.
+    pub fn without_leader_ms(&self, now_ms: u64) -> Option<u64> {
+        let back_ms = self.leader_lost_ms? + LEADERLESS_MS;
+        let is_overdue = now_ms > back_ms + LEADERLESS_MS;
+        (!is_overdue).then(|| back_ms.saturating_sub(now_ms) + FIRST_LOAD_MS)
+    }
+
     /// Time until something that is waited for will be ready, as far as the leader has said.
     pub fn ready_in_ms(
         &self,
--- a/crates/trestle-dispatch/src/policy.rs
+++ b/crates/trestle-dispatch/src/policy.rs
@@ -25,6 +25,8 @@
     FarLoadsByValue,
     /// A model with a copy near an engine waits for room there rather than for the weight store.
     WaitForNearCopies,
+    /// Without a leader, a request waits for the next one where its caller stays as long.
+    AwaitLeader,
     /// Of what could make way, the largest goes first among equals.
     EvictionBySize,
     /// Times of unloads are learnt; left out, they are as once measured.
@@ -35,7 +37,7 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::TwoChoices,
         Self::WaitWhileCallerStays,
         Self::KeepForReturning,
@@ -44,6 +46,7 @@
         Self::FreeRoom,
         Self::FarLoadsByValue,
         Self::WaitForNearCopies,
+        Self::AwaitLeader,
         Self::EvictionBySize,
         Self::LearntTimes,
         Self::Surges,
@@ -60,6 +63,7 @@
             Self::FreeRoom => "free_room",
             Self::FarLoadsByValue => "far_loads_by_value",
             Self::WaitForNearCopies => "wait_for_near_copies",
+            Self::AwaitLeader => "await_leader",
             Self::EvictionBySize => "eviction_by_size",
             Self::LearntTimes => "learnt_times",
             Self::Surges => "surges",
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -161,10 +161,12 @@
     let Some(model) = &asking.head.model else { return Outlook::Unknown };
     if !beliefs.has_leader {
         let everywhere = Allowed { excluded: BTreeSet::new(), only: None };
-        return match look(beliefs, asking, &everywhere, now_ms, choice::is_here) {
-            true => Outlook::Here { for_ms: ready_for_ms(beliefs, asking, now_ms) },
-            false => Outlook::Unknown,
-        };
+        if look(beliefs, asking, &everywhere, now_ms, choice::is_here) {
+            return Outlook::Here { for_ms: ready_for_ms(beliefs, asking, now_ms) };
+        }
+        let is_awaited = beliefs.policy.has(Mechanism::AwaitLeader);
+        let in_ms = beliefs.without_leader_ms(now_ms).filter(|_| is_awaited);
+        return in_ms.map_or(Outlook::Unknown, |in_ms| Outlook::Ready { in_ms });
     }
     let loadable = Loadable::new(model, asking.head.adapter.as_ref());
     let ready_in_ms = beliefs.ready_in_ms(asking.service, &loadable, now_ms);
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -32,7 +32,7 @@
         let now_ms = daemon.knowledge.now_ms();
         if synced != is_heard {
             is_heard = synced;
-            daemon.knowledge.change(|beliefs| beliefs.has_leader = is_heard);
+            daemon.knowledge.change(|beliefs| beliefs.note_leader(is_heard, now_ms));
             tracing::info!(heard = is_heard, "sync: The leader was found or lost.");
         }
         if synced {
--- a/crates/trestle-lab/src/sim/leading.rs
+++ b/crates/trestle-lab/src/sim/leading.rs
@@ -136,7 +136,7 @@
     fn lose_leader(&mut self, daemon: usize) {
         let now_ms = self.now_ms();
         let beliefs = &mut self.daemons[daemon].beliefs;
-        beliefs.has_leader = false;
+        beliefs.note_leader(false, now_ms);
         if now_ms > beliefs.heard_ms + BELIEVED_MS {
             beliefs.replicas.clear();
         }
@@ -186,7 +186,7 @@
         }
         of.told_term = answer.term;
         let was_lost = !of.beliefs.has_leader;
-        of.beliefs.has_leader = true;
+        of.beliefs.note_leader(true, now_ms);
         if of.list_version < answer.list_version {
             for entry in answer.entries {
                 take_entry(&mut of.beliefs.directory, entry, now_ms);
