--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -5,12 +5,13 @@
 //! quick, so a model that somebody waits for is brought in where it arrives soonest and
 //! displaces what is worth least; but never what is worth more ([`worth`]), or the rare models
 //! would take the places of the busy ones one by one. Loads from the weight store are few and
-//! long, so they go to what most wait for ([`far`]).
+//! long, so they go to what most wait for ([`far`]). Room that is free is left for what
+//! somebody will wait for: an engine that loads ahead of demand takes no other order
+//! meanwhile, for 6 s if the weights come from the store.
 
 mod adapters;
 mod eviction;
 mod far;
-mod prefetch;
 mod worth;
 
 use crate::{
@@ -162,9 +163,6 @@
         }
         self.want_further_replica();
         self.want_far(far);
-        if self.policy.has(Mechanism::FreeRoom) {
-            self.fill_free_room();
-        }
         self.plan
     }
 
@@ -316,7 +314,8 @@
         if !self.policy.has(Mechanism::FurtherReplicas) {
             return;
         }
-        let gains = self.usage.models().filter(|model| self.replicas(model) > 0).map(|model| {
+        let there = self.replicas.iter().filter(|(_, count)| **count > 0);
+        let gains = there.map(|(model, _)| {
             let gain_ms = self.gain_of_further_ms(model) - worth::SWAP_MS;
             (gain_ms, model)
         });
--- a/crates/trestle-dispatch/src/policy.rs
+++ b/crates/trestle-dispatch/src/policy.rs
@@ -19,8 +19,6 @@
     GuardedEviction,
     /// Busy models get further replicas.
     FurtherReplicas,
-    /// Free room at engines is filled before anybody waits.
-    FreeRoom,
     /// Loads from the weight store go to what most wait for; left out, to the most urgent.
     FarLoadsByValue,
     /// A model with a copy near an engine waits for room there rather than for the weight store.
@@ -37,13 +35,12 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 11] = [
         Self::TwoChoices,
         Self::WaitWhileCallerStays,
         Self::KeepForReturning,
         Self::GuardedEviction,
         Self::FurtherReplicas,
-        Self::FreeRoom,
         Self::FarLoadsByValue,
         Self::WaitForNearCopies,
         Self::AwaitLeader,
@@ -60,7 +57,6 @@
             Self::KeepForReturning => "keep_for_returning",
             Self::GuardedEviction => "guarded_eviction",
             Self::FurtherReplicas => "further_replicas",
-            Self::FreeRoom => "free_room",
             Self::FarLoadsByValue => "far_loads_by_value",
             Self::WaitForNearCopies => "wait_for_near_copies",
             Self::AwaitLeader => "await_leader",
