Remove two dead pieces of the emulator

Cause: `experiment::is_figure` has no caller. `stop_engine` kept the engine's start number only to compare it with itself at the end: nothing in between assigns that field, so the comparison could never fail.

Ruled out: a change of behaviour. No decision, bound or test is touched.

Change: both removed.

--- a/crates/trestle-lab/src/experiment.rs
+++ b/crates/trestle-lab/src/experiment.rs
@@ -7,7 +7,7 @@
 use crate::{
     deployment::Deployment,
     error::{FileSnafu, ReadSnafu, Result, ValueSnafu},
-    outcome::{FIGURES, Outcome},
+    outcome::Outcome,
     sim::{self, Load},
 };
 use snafu::ResultExt;
@@ -89,7 +89,7 @@
 }
 
 impl Played {
-    /// The mean of one of [`FIGURES`].
+    /// The mean of one of [`FIGURES`](crate::outcome::FIGURES).
     pub fn mean(&self, figure: &str) -> f64 {
         let sum: f64 = self.outcomes.iter().map(|outcome| outcome.figure(figure)).sum();
         sum / self.outcomes.len().max(1) as f64
@@ -200,8 +200,3 @@
     });
     each.collect()
 }
-
-/// Whether a name is one of [`FIGURES`].
-pub fn is_figure(name: &str) -> bool {
-    FIGURES.contains(&name)
-}
--- a/crates/trestle-lab/src/sim/troubles.rs
+++ b/crates/trestle-lab/src/sim/troubles.rs
@@ -80,7 +80,6 @@
     }
 
     fn stop_engine(&mut self, engine: usize) {
-        let start = self.engines[engine].start;
         self.engines[engine].is_alive = false;
         for request in self.engines[engine].drain() {
             let send = self.requests[request].send;
@@ -92,7 +91,6 @@
         let at_us = self.now_us + lapse_us;
         self.list.push((at_us, Entry::Removed(name)));
         self.list.sort_by_key(|(at_us, _)| *at_us);
-        debug_assert_eq!(self.engines[engine].start, start);
     }
 
     /// Starts an engine anew at a place, with the disk of the one before or without one.
