Break a stream off only with a send left, and deny no route that may have been added

And a daemon that had heard of no configuration for longer than its bound (a leader's answers came late) refused a route that had been added meanwhile with 404, which no caller tries again.

Change: a stream is broken off only while the budget has a send left. A caller without a route gets 503 with a time to come back where the configuration in force was not known to be the newest within the bound. The list of endpoints is read every 120 ms for each hundred of them, at least each 400 ms (leaders' waits were the largest part of the calls to the store); a whole list is one line of log (77,880 of 120,000 lines were its entries).

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -107,6 +107,12 @@
         share.take(now_ms, &self.retry_bounds, self.daemons)
     }
 
+    /// Whether the budget allows a further send for a service.
+    pub fn has_retry(&mut self, service: &ServiceName, now_ms: u64) -> bool {
+        let share = self.retries.entry(service.clone()).or_default();
+        share.has_room(now_ms, &self.retry_bounds, self.daemons)
+    }
+
     /// Notes a request of a caller to a service.
     pub fn requested(&mut self, service: &ServiceName, now_ms: u64) {
         self.retries.entry(service.clone()).or_default().requested(now_ms);
--- a/crates/trestle-dispatch/src/retry_share.rs
+++ b/crates/trestle-dispatch/src/retry_share.rs
@@ -54,6 +54,15 @@
     /// share the budget (0), nothing of the fixed number is taken: 295 daemons that had started
     /// at once and assumed 12 would have taken 24 times that number.
     pub fn take(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> bool {
+        let has_room = self.has_room(now_ms, bounds, daemons);
+        if has_room {
+            self.slice(now_ms).repeats += 1;
+        }
+        has_room
+    }
+
+    /// Whether the share allows one further send.
+    pub fn has_room(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> bool {
         self.forget(now_ms, bounds.window_ms);
         let first = (now_ms / SLICE_MS + 1 + SPARE_SLICES)
             .saturating_sub(bounds.window_ms.div_ceil(SLICE_MS));
@@ -65,11 +74,7 @@
             daemons => f64::from(bounds.fixed) * SHARED_PART / daemons as f64,
         };
         let earned = f64::from(requests) * bounds.ratio * USED_RATIO;
-        if f64::from(repeats + 1) > earned + fixed {
-            return false;
-        }
-        self.slice(now_ms).repeats += 1;
-        true
+        f64::from(repeats + 1) <= earned + fixed
     }
 
     fn slice(&mut self, now_ms: u64) -> &mut Slice {
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -79,8 +79,13 @@
     }
 }
 
-/// Whether another endpoint than the last could take the request over now.
+/// Whether another endpoint than the last could take the request over now, and the budget has a
+/// send left for that. Without the second, 400 of 20,000 streams were broken off at an engine
+/// with a queue and sent nowhere.
 pub fn has_other(beliefs: &mut Beliefs, asking: Asking<'_>, sends: &Sends, now_ms: u64) -> bool {
+    if !beliefs.has_retry(asking.service, now_ms) {
+        return false;
+    }
     let allowed = sends.allowed_elsewhere(asking.route, now_ms);
     look(beliefs, asking, &allowed, now_ms, choice::has_sound)
 }
--- a/crates/trestle-dispatch/tests/selection.rs
+++ b/crates/trestle-dispatch/tests/selection.rs
@@ -169,6 +169,24 @@
         assert!(retry_after_ms > 3_000, "{retry_after_ms}");
     }
 
+    // Wrong once: a stream that waited in an engine's queue was broken off for another engine,
+    // to which the budget then allowed no send.
+    one_is_broken_off_only_where_the_budget_has_a_send_left => {
+        let engines = vec![endpoint("x", "z", &["a"]), endpoint("y", "z", &["a"])];
+        let mut scene = Scene::new(engines, "a");
+        scene.sends.sent(&"x".into());
+        let has_other = |scene: &mut Scene| {
+            let Scene { beliefs, route, service, head, sends, wish } = scene;
+            let asking =
+                Asking { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, wish: *wish };
+            selection::has_other(beliefs, asking, sends, NOW_MS)
+        };
+        scene.beliefs.daemons = 1;
+        assert!(has_other(&mut scene));
+        while scene.beliefs.take_retry(&"s".into(), NOW_MS) {}
+        assert!(!has_other(&mut scene));
+    }
+
     a_leader_that_never_was_is_not_waited_for => {
         let mut scene = Scene::new(vec![endpoint("x", "z", &["a"])], "b");
         scene.beliefs.has_leader = false;
--- a/crates/trestle-entry/src/store/config.rs
+++ b/crates/trestle-entry/src/store/config.rs
@@ -63,5 +63,6 @@
         beliefs.config_text = Some(Arc::new(text.to_vec()));
     });
     daemon.metrics.config_version(version);
-    tracing::info!(version, routes, from = in_force, "config: A configuration is in force.");
+    let bytes = text.len();
+    tracing::info!(version, routes, bytes, from = in_force, "config: A configuration is in force.");
 }
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -14,9 +14,11 @@
     store::{Row, RowChange, RowPage},
 };
 
-/// Pause of the leader after each answer; far below the time in which a leaving
-/// endpoint must get no more work.
+/// Pause of a leader after each answer for each hundred endpoints; far below the time in which
+/// a leaving endpoint must get no more work. Among more of them something changes all the time.
 const GATHER_MS: u64 = 120;
+/// Longest such pause.
+const MOST_GATHER_MS: u64 = 400;
 /// The same for a daemon that follows the list only until it hears from a leader again:
 /// all daemons do so at once then, and the store's calls are shared by all.
 const ALONE_GATHER_MS: u64 = 450;
@@ -25,7 +27,10 @@
 pub(crate) async fn run(daemon: Arc<Daemon>) {
     let followed = Followed {
         table: daemon.wire.store.endpoint_table,
-        gather_ms: || if daemon.freshness.is_leader() { GATHER_MS } else { ALONE_GATHER_MS },
+        gather_ms: || match daemon.freshness.is_leader() {
+            true => leader_gather_ms(&daemon),
+            false => ALONE_GATHER_MS,
+        },
         after: |_| {
             let version = daemon.knowledge.with(|beliefs| beliefs.mirror.version());
             (version > 0 && !daemon.freshness.must_reread()).then_some(version)
@@ -43,6 +48,11 @@
     follow::run(&daemon, followed).await;
 }
 
+fn leader_gather_ms(daemon: &Daemon) -> u64 {
+    let endpoints = daemon.knowledge.with(|beliefs| beliefs.directory.iter().count()) as u64;
+    (GATHER_MS * endpoints / 100).clamp(GATHER_MS, MOST_GATHER_MS)
+}
+
 fn read(daemon: &Daemon, news: News<Endpoint>) {
     daemon.freshness.endpoints_read(daemon.knowledge.now_ms());
     take(daemon, news);
@@ -118,7 +128,10 @@
         .is_whole
         .then(|| news.written.iter().map(|(_, endpoint, _)| endpoint.name.clone()).collect());
     for (_, endpoint, _) in news.written {
-        log_change(beliefs.directory.get(&endpoint.name), &endpoint, version);
+        // A whole list is one line: it names hundreds, at every daemon.
+        if listed.is_none() || endpoint.is_leaving {
+            log_change(beliefs.directory.get(&endpoint.name), &endpoint, version);
+        }
         take(&mut beliefs.directory, endpoint);
     }
     if let Some(listed) = listed {
--- a/crates/trestle-entry/src/store/freshness.rs
+++ b/crates/trestle-entry/src/store/freshness.rs
@@ -33,7 +33,10 @@
     relayed_until_ms: AtomicU64,
     endpoints_read_ms: AtomicU64,
     config_read_ms: AtomicU64,
+    /// When the configuration in force was the newest for certain.
+    config_known_ms: AtomicU64,
     shortest_bound_ms: AtomicU64,
+    config_bound_ms: AtomicU64,
 }
 
 impl Freshness {
@@ -47,13 +50,16 @@
             relayed_until_ms: AtomicU64::new(0),
             endpoints_read_ms: AtomicU64::new(0),
             config_read_ms: AtomicU64::new(0),
+            config_known_ms: AtomicU64::new(0),
             shortest_bound_ms: AtomicU64::new(bounds.shortest_ms()),
+            config_bound_ms: AtomicU64::new(bounds.config_ms),
         }
     }
 
     /// Puts changed bounds in force.
     pub(crate) fn take_bounds(&self, bounds: &Bounds) {
         self.shortest_bound_ms.store(bounds.shortest_ms(), Ordering::SeqCst);
+        self.config_bound_ms.store(bounds.config_ms, Ordering::SeqCst);
     }
 
     /// Notes whether this daemon leads.
@@ -106,6 +112,15 @@
     /// Notes an answer of the store about the configuration.
     pub(crate) fn config_read(&self, now_ms: u64) {
         self.config_read_ms.store(now_ms, Ordering::SeqCst);
+        self.config_known_ms.fetch_max(now_ms, Ordering::SeqCst);
+    }
+
+    /// Whether a newer configuration than the one in force may already bind. A daemon that
+    /// cannot know does not say that there is no such route.
+    pub(crate) fn may_lack_config(&self, now_ms: u64) -> bool {
+        let known_ms = self.config_known_ms.load(Ordering::SeqCst);
+        let bound_ms = self.config_bound_ms.load(Ordering::SeqCst);
+        now_ms > known_ms + bound_ms.saturating_sub(READ_MS)
     }
 
     /// Time since the store last answered about both.
@@ -117,6 +132,7 @@
     /// Takes what the leader says of its age, and when the next relay is due; returns
     /// whether that is fresh enough.
     pub(crate) fn relayed(&self, age_ms: u64, next_ms: u64, now_ms: u64) -> bool {
+        self.config_known_ms.fetch_max(now_ms.saturating_sub(age_ms), Ordering::SeqCst);
         let is_fresh = age_ms <= self.leader_wait_ms() + AGE_GRACE_MS;
         if is_fresh && !self.is_leader() {
             let missing_ms = next_ms * MISSING_RELAYS;
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -89,7 +89,8 @@
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.ok_or(Failure::BadRequest)?;
     let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
-    let route = catalog.routes.find(host, parts.uri.path()).ok_or(Failure::NoRoute)?;
+    let route = catalog.routes.find(host, parts.uri.path());
+    let route = route.ok_or_else(|| no_route(daemon, arrived_ms))?;
     let service = route.target(&head.id).ok_or(Failure::NoRoute)?.clone();
     let allowed_ms = route.timeout_ms.min(head.deadline_ms.unwrap_or(u64::MAX));
     if !daemon.stopping.can_take(arrived_ms, allowed_ms) {
@@ -113,6 +114,15 @@
     })
 }
 
+/// What a caller is told whose route is not in the configuration. One that was added a moment
+/// ago may not have come here yet, while neither the store nor a leader is heard.
+fn no_route(daemon: &Daemon, now_ms: u64) -> Failure {
+    match daemon.freshness.may_lack_config(now_ms) {
+        true => Failure::NotRun { retry_after_ms: UNKNOWN_RETRY_MS, why: "configuration_unsure" },
+        false => Failure::NoRoute,
+    }
+}
+
 async fn read_body(body: Incoming, catalog: &Catalog) -> Result<Bytes, Failure> {
     let collected = async {
         match Limited::new(body, catalog.limits.body_bytes).collect().await {
