Pass configurations on by what has changed, and play control of hundreds of daemons in virtual time

Cause, found by the new emulator of control (trestle-lab control): a domain's daemons lose the store, the leader of another domain leads their engines too, and the next change of the configuration is due to 118 daemons at once, 60 KB each. Its renewals stand behind that for 2.8 s on a small VM's link, and both leases run out.

Change: a leader passes on what has changed since the version that a daemon has (text_delta, with the similar crate), worked out once for all.

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -3,6 +3,7 @@
 use crate::{
     asked::Asked,
     catalog::Catalog,
+    config_texts::ConfigTexts,
     directory::Directory,
     endpoint::Endpoint,
     loadable::{self, Loadable},
@@ -38,8 +39,8 @@
     pub mirror: Mirror<Endpoint>,
     /// The same without what engines hold, as daemons pass it on to each other.
     pub identities: Mirror<Endpoint>,
-    /// The configuration in force as the store has it.
-    pub config_text: Option<Arc<Vec<u8>>>,
+    /// The last configurations as the store has them.
+    pub config_texts: ConfigTexts,
     /// Whether the list of endpoints was ever read.
     pub is_listed: bool,
     /// What the leader says, by service.
@@ -78,7 +79,7 @@
             directory: Directory::new(leaving_ms),
             mirror: Mirror::default(),
             identities: Mirror::default(),
-            config_text: None,
+            config_texts: ConfigTexts::default(),
             is_listed: false,
             replicas: BTreeMap::new(),
             heard_ms: 0,
--- /dev/null
+++ b/crates/trestle-dispatch/src/config_texts.rs
@@ -0,0 +1,68 @@
+//! The configuration as the store holds it, kept for passing it on.
+
+use crate::text_delta::{TextPiece, text_delta};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+/// Configurations that are kept: daemons are one or two changes behind, also where changes
+/// come in quick succession.
+const KEPT: usize = 4;
+
+/// What a daemon is told of the configuration.
+#[derive(Debug, Clone)]
+pub enum ConfigNews {
+    /// Its text.
+    Whole(Arc<Vec<u8>>),
+    /// What has changed since a version that the daemon has.
+    Changes {
+        /// That version.
+        from: u64,
+        /// What makes the new text out of it.
+        pieces: Arc<Vec<TextPiece>>,
+    },
+}
+
+/// The last configurations, by version.
+#[derive(Debug, Default)]
+pub struct ConfigTexts {
+    /// The oldest first.
+    texts: VecDeque<(u64, Arc<Vec<u8>>)>,
+    /// What has changed since older ones; none where that is no shorter. Worked out once for
+    /// all daemons that ask.
+    deltas: BTreeMap<u64, Option<Arc<Vec<TextPiece>>>>,
+}
+
+impl ConfigTexts {
+    /// Takes a newer configuration.
+    pub fn take(&mut self, version: u64, text: Vec<u8>) {
+        self.texts.push_back((version, Arc::new(text)));
+        self.deltas.clear();
+        while self.texts.len() > KEPT {
+            self.texts.pop_front();
+        }
+    }
+
+    /// The text of a version.
+    pub fn text(&self, version: u64) -> Option<&Arc<Vec<u8>>> {
+        self.texts.iter().find(|(at, _)| *at == version).map(|(_, text)| text)
+    }
+
+    /// What a daemon is told that has a version; nothing if that is the newest.
+    pub fn news(&mut self, have: u64) -> Option<ConfigNews> {
+        let (newest, text) = self.texts.back()?;
+        if *newest <= have {
+            return None;
+        }
+        let old = self.texts.iter().find(|(at, _)| *at == have);
+        let pieces = old.and_then(|(from, old)| {
+            let delta = self.deltas.entry(*from);
+            delta.or_insert_with(|| text_delta(old, text).map(Arc::new)).clone()
+        });
+        Some(match pieces {
+            Some(pieces) => ConfigNews::Changes { from: have, pieces },
+            None => ConfigNews::Whole(Arc::clone(text)),
+        })
+    }
+}
--- a/crates/trestle-dispatch/src/placement_log.rs
+++ b/crates/trestle-dispatch/src/placement_log.rs
@@ -235,9 +235,11 @@
                 let model = number(model.as_str());
                 changes.push(PlacementChange::Model { engine, model });
                 let adapters = adapters.iter().map(|adapter| number(adapter.as_str()));
-                changes.extend(
-                    adapters.map(|adapter| PlacementChange::Adapter { engine, model, adapter }),
-                );
+                changes.extend(adapters.map(|adapter| PlacementChange::Adapter {
+                    engine,
+                    model,
+                    adapter,
+                }));
             }
         }
         changes
--- a/crates/trestle-dispatch/src/service_state.rs
+++ b/crates/trestle-dispatch/src/service_state.rs
@@ -15,10 +15,7 @@
     sharing::{Host, Sharing},
     usage::Usage,
 };
-use std::{
-    collections::BTreeMap,
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 use trestle_core::names::{EndpointName, ModelName, ServiceName};
 
 /// Time for which an engine gets no orders after a change there failed.
@@ -96,15 +93,14 @@
                 may_change: may_order_at(&endpoint.name),
             })
         });
-        let inputs =
-            PlanInputs {
-                spec,
-                demand: &self.demand,
-                learnt: &self.learnt,
-                policy,
-                sharing: &self.sharing,
-                now_ms,
-            };
+        let inputs = PlanInputs {
+            spec,
+            demand: &self.demand,
+            learnt: &self.learnt,
+            policy,
+            sharing: &self.sharing,
+            now_ms,
+        };
         let plan = Planner::new(inputs, states).plan();
         self.ready_in_ms = plan.ready_in_ms;
         self.planned_ms = now_ms;
--- a/crates/trestle-dispatch/src/sharing.rs
+++ b/crates/trestle-dispatch/src/sharing.rs
@@ -146,13 +146,7 @@
 
     /// Works out who sees to a model that this leader's daemons wait for. `own` are the
     /// engines that it orders itself.
-    pub fn assign(
-        &mut self,
-        model: &ModelName,
-        spec: &ModelSpec,
-        own: &[Host<'_>],
-        now_ms: u64,
-    ) {
+    pub fn assign(&mut self, model: &ModelName, spec: &ModelSpec, own: &[Host<'_>], now_ms: u64) {
         let before = self.homes.get(model);
         let since_ms = before.map_or(now_ms, |home| home.since_ms);
         let kept = before.filter(|home| now_ms < home.until_ms && self.live.contains(&home.group));
--- a/crates/trestle-dispatch/tests/sharing.rs
+++ b/crates/trestle-dispatch/tests/sharing.rs
@@ -50,13 +50,8 @@
     }
 
     fn wish(&mut self, model: &str) {
-        let waiting = Waiting {
-            priority: 1,
-            due_in_ms: 1_000,
-            model: model.into(),
-            adapter: None,
-            count: 1,
-        };
+        let waiting =
+            Waiting { priority: 1, due_in_ms: 1_000, model: model.into(), adapter: None, count: 1 };
         let digest = DemandDigest { number: 1, waiting: vec![waiting], ..DemandDigest::default() };
         self.state.demand.told("vm".into(), digest, NOW_MS);
     }
--- /dev/null
+++ b/crates/trestle-dispatch/tests/text_delta.rs
@@ -0,0 +1,61 @@
+//! Texts by what has changed in them.
+
+use trestle_dispatch::text_delta::{TextPiece, apply_delta, text_delta};
+
+fn routes(version: u64, timeouts_ms: &[u64]) -> Vec<u8> {
+    let each = timeouts_ms.iter().enumerate().map(|(number, timeout_ms)| {
+        format!("{{\"name\":\"r{number}\",\"prefix\":\"/p{number}/\",\"timeout_ms\":{timeout_ms}}}")
+    });
+    let each: Vec<String> = each.collect();
+    format!("{{\"version\":{version},\"routes\":[{}]}}", each.join(",")).into_bytes()
+}
+
+fn new_bytes(pieces: &[TextPiece]) -> usize {
+    let each = pieces.iter().map(|piece| match piece {
+        TextPiece::New(bytes) => bytes.len(),
+        TextPiece::Kept { .. } => 0,
+    });
+    each.sum()
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => { $(#[test] fn $name() $body)+ };
+}
+
+cases! {
+    a_changed_route_takes_few_bytes => {
+        let mut timeouts_ms = vec![4_000; 500];
+        let old = routes(7, &timeouts_ms);
+        timeouts_ms[123] = 5_000;
+        let new = routes(9, &timeouts_ms);
+        let pieces = text_delta(&old, &new).expect("it is shorter");
+        assert!(new_bytes(&pieces) < 100, "{}", new_bytes(&pieces));
+        assert_eq!(apply_delta(&old, &pieces), Some(new));
+    }
+
+    another_text_is_told_whole => {
+        assert_eq!(text_delta(b"a,b,c,d", b"e,f,g,h"), None);
+    }
+
+    any_text_comes_out_as_it_went_in => {
+        let mut lots = fastrand::Rng::with_seed(3);
+        for _ in 0..500 {
+            let mut text = |length: usize| -> Vec<u8> {
+                (0..lots.usize(0..length)).map(|_| b"ab,\n"[lots.usize(0..4)]).collect()
+            };
+            let (old, mut new) = (text(60), text(60));
+            new.splice(0..0, old.iter().copied());
+            if let Some(pieces) = text_delta(&old, &new) {
+                assert_eq!(apply_delta(&old, &pieces), Some(new));
+            }
+        }
+    }
+
+    pieces_of_another_text_are_refused_or_make_no_more_than_they_say => {
+        let (old, new) = (routes(1, &[1_000; 20]), routes(2, &[1_000; 20]));
+        let pieces = text_delta(&old, &new).expect("it is shorter");
+        assert_eq!(apply_delta(&old[..40], &pieces), None);
+        let beyond = [TextPiece::Kept { from: usize::MAX, length: 2 }];
+        assert_eq!(apply_delta(&old, &beyond), None);
+    }
+}
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -185,9 +185,10 @@
     }
 
     fn follow_groups(&mut self) {
-        let (domains, engines) = self.daemon.knowledge.with(|beliefs| {
-            (beliefs.directory.domains(), beliefs.directory.iter().count())
-        });
+        let (domains, engines) = self
+            .daemon
+            .knowledge
+            .with(|beliefs| (beliefs.directory.domains(), beliefs.directory.iter().count()));
         self.groups.update(domains, engines);
         let home = self.groups.home(&self.domain).clone();
         let mut needed: BTreeSet<DomainName> = self.groups.all().clone();
@@ -242,9 +243,10 @@
     /// What an asker of a group's leader is told of leases: those that are held here, and that
     /// of its group.
     pub(crate) fn rows_for(&self, group: &str, now_ms: u64) -> Vec<WireGroupLease> {
-        let told = self.by_group.iter().filter(|(name, leasing)| {
-            leasing.is_holder(now_ms) || name.as_str() == group
-        });
+        let told = self
+            .by_group
+            .iter()
+            .filter(|(name, leasing)| leasing.is_holder(now_ms) || name.as_str() == group);
         let rows = told.filter_map(|(group, leasing)| {
             let (row, version) = leasing.row()?;
             Some(WireGroupLease { group: group.to_string(), row, version })
@@ -254,9 +256,10 @@
 
     /// What others are told of groups for which this daemon has stepped down.
     pub(crate) fn resignations(&self, now_ms: u64) -> Vec<(String, WireResigned)> {
-        let each = self.by_group.iter().filter_map(|(group, leasing)| {
-            Some((group.to_string(), leasing.resignation(now_ms)?))
-        });
+        let each = self
+            .by_group
+            .iter()
+            .filter_map(|(group, leasing)| Some((group.to_string(), leasing.resignation(now_ms)?)));
         each.collect()
     }
 
@@ -281,7 +284,8 @@
             .filter(|(_, leader)| *leader != Leader::Nobody)
             .collect();
         others.sort_by_key(|(rank, _)| *rank);
-        let all: Vec<Leader> = at_home.chain(others.into_iter().map(|(_, leader)| leader)).collect();
+        let all: Vec<Leader> =
+            at_home.chain(others.into_iter().map(|(_, leader)| leader)).collect();
         all.get(attempt % all.len().max(1)).cloned().unwrap_or(Leader::Nobody)
     }
 
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -362,8 +362,8 @@
                 digests.push(other.digest(service, state, &directory, now_ms));
             }
             let positions = other.placements();
-            let positions = positions
-                .map(|(service, mirror)| (service.to_string(), mirror.position().into()));
+            let positions =
+                positions.map(|(service, mirror)| (service.to_string(), mirror.position().into()));
             placements = positions.collect();
         }
         let nothing = WireHave { endpoints: u64::MAX, config: u64::MAX, placements };
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -13,7 +13,7 @@
 };
 use tokio_util::codec::LengthDelimitedCodec;
 use trestle_wire::{
-    relay::{WireHave, WireNews, WireRelay},
+    relay::{WireConfig, WireHave, WireNews, WireRelay},
     replicas::{Replicas, WireAsking, WireSynced},
 };
 
@@ -60,13 +60,9 @@
 /// What has changed in the store since what a daemon has.
 fn relay(daemon: &Daemon, have: WireHave) -> WireRelay {
     let age_ms = daemon.freshness.age_ms(daemon.knowledge.now_ms());
-    daemon.knowledge.with(|beliefs| {
-        let version = beliefs.catalog.as_ref().map_or(0, |catalog| catalog.version);
-        let config = beliefs.config_text.as_ref().filter(|_| version > have.config);
-        WireRelay {
-            endpoints: WireNews::from(beliefs.identities.after(have.endpoints)),
-            config: config.map(|text| text.to_vec()),
-            age_ms,
-        }
+    daemon.knowledge.with(|beliefs| WireRelay {
+        endpoints: WireNews::from(beliefs.identities.after(have.endpoints)),
+        config: beliefs.config_texts.news(have.config).map(WireConfig::from),
+        age_ms,
     })
 }
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -170,9 +170,8 @@
         let engines = catalog.services.iter().filter(|(_, service)| service.engine.is_some());
         let nothing = PlacementMirror::default();
         let digests = engines.map(|(service, _)| {
-            let digest = daemon
-                .knowledge
-                .with(|beliefs| beliefs.asked_of(service).digest(is_first, now_ms));
+            let digest =
+                daemon.knowledge.with(|beliefs| beliefs.asked_of(service).digest(is_first, now_ms));
             let placements = self.placements.get(service).unwrap_or(&nothing);
             let log = placements.position().log;
             WireDigest::new(service, digest, log, |name| placements.number(name))
@@ -190,9 +189,8 @@
             placements.take(std::mem::take(&mut view.placements).into());
             let planned = view.planned;
             let view = view.into_view(placements);
-            is_news |= daemon
-                .knowledge
-                .with(|beliefs| beliefs.learn(service, view, planned, now_ms));
+            is_news |=
+                daemon.knowledge.with(|beliefs| beliefs.learn(service, view, planned, now_ms));
         }
         let daemons = daemon.knowledge.with(|beliefs| beliefs.daemons);
         if counted == 0 && daemons > 0 {
@@ -208,8 +206,8 @@
 /// store must be followed here depends on it. An answer says how old its news were when it was
 /// made, which was after it was asked for.
 fn take_relay(daemon: &Daemon, relay: WireRelay, asked_ms: u64) {
-    if let Some(text) = relay.config {
-        config::take_text(daemon, &text);
+    if let Some(news) = relay.config {
+        config::take_passed_on(daemon, &news.into());
     }
     let next_ms = pace(daemon).calm_ms();
     let now_ms = daemon.knowledge.now_ms();
--- a/crates/trestle-entry/src/store/config.rs
+++ b/crates/trestle-entry/src/store/config.rs
@@ -5,7 +5,11 @@
     store::follow::{self, Followed},
 };
 use std::sync::Arc;
-use trestle_dispatch::store::{Row, RowChange, RowPage};
+use trestle_dispatch::{
+    config_texts::ConfigNews,
+    store::{Row, RowChange, RowPage},
+    text_delta::apply_delta,
+};
 
 /// Follows the configuration until the process ends.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
@@ -44,8 +48,22 @@
     }
 }
 
+/// Takes what another daemon passes on of the configuration.
+pub(crate) fn take_passed_on(daemon: &Daemon, news: &ConfigNews) {
+    match news {
+        ConfigNews::Whole(text) => take_text(daemon, text),
+        ConfigNews::Changes { from, pieces } => {
+            let old = daemon.knowledge.with(|beliefs| beliefs.config_texts.text(*from).cloned());
+            match old.and_then(|old| apply_delta(&old, pieces)) {
+                Some(text) => take_text(daemon, &text),
+                None => tracing::error!(from, "config: Changes do not fit what is known."),
+            }
+        }
+    }
+}
+
 /// Puts a configuration in force if it is newer than the one that is.
-pub(crate) fn take_text(daemon: &Daemon, text: &[u8]) {
+fn take_text(daemon: &Daemon, text: &[u8]) {
     let catalog = match (daemon.wire.store.read_config)(text) {
         Ok(catalog) => catalog,
         Err(error) => {
@@ -60,7 +78,7 @@
     let (version, routes) = (catalog.version, catalog.routes.iter().count());
     daemon.knowledge.change(|beliefs| {
         beliefs.catalog = Some(Arc::new(catalog));
-        beliefs.config_text = Some(Arc::new(text.to_vec()));
+        beliefs.config_texts.take(version, text.to_vec());
     });
     daemon.metrics.config_version(version);
     let bytes = text.len();
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -102,9 +102,8 @@
 
 /// Of what was read, that which is new to daemons which do not hear what engines hold.
 fn identities(beliefs: &Beliefs, fresh: &News<Endpoint>) -> News<Endpoint> {
-    let written = fresh.written.iter().map(|(key, endpoint, at)| {
-        (key.clone(), endpoint.identity(), *at)
-    });
+    let written =
+        fresh.written.iter().map(|(key, endpoint, at)| (key.clone(), endpoint.identity(), *at));
     let is_new = |key: &str, identity: &Endpoint| beliefs.identities.get(key) != Some(identity);
     let written =
         written.filter(|(key, identity, _)| fresh.is_whole || is_new(key, identity)).collect();
--- a/crates/trestle-lab/src/lib.rs
+++ b/crates/trestle-lab/src/lib.rs
@@ -10,6 +10,7 @@
 //! To try another policy: add a [`trestle_dispatch::policy::Mechanism`], ask for it where it
 //! decides, and run `trestle-lab ablate` (docs/LAB.md).
 
+pub mod control;
 pub mod deployment;
 pub mod error;
 pub mod experiment;
--- a/crates/trestle-lab/src/main.rs
+++ b/crates/trestle-lab/src/main.rs
@@ -5,6 +5,7 @@
     process::ExitCode,
 };
 use trestle_lab::{
+    control::{self, ControlPlan},
     deployment::Deployment,
     experiment::{self, Played, Variant},
     record, report,
@@ -20,6 +21,7 @@
     trestle-lab compare EXPERIMENT [OPTIONS]
     trestle-lab ablate DEPLOYMENT [--seeds N] [OPTIONS]
     trestle-lab sweep DEPLOYMENT (load|engines|places|daemons) FACTOR... [--seeds N] [OPTIONS]
+    trestle-lab control PLAN [--seed N]
 
 OPTIONS:
     --seed N        the day's seed [default: 1]
@@ -86,6 +88,11 @@
     match (command.as_str(), words.as_slice()) {
         ("run", [deployment]) => play_one(deployment, None, &options),
         ("replay", [deployment, load]) => play_one(deployment, Some(Path::new(load)), &options),
+        ("control", [file]) => {
+            let plan = ControlPlan::read(Path::new(file))?;
+            println!("{}", control::play(&plan, options.seed));
+            Ok(())
+        }
         ("compare", [file]) => {
             let (seeds, variants) = experiment::read(Path::new(file))?;
             play_all(file, &variants, options.seeds.unwrap_or(seeds), &options)
--- a/crates/trestle-wire/src/relay.rs
+++ b/crates/trestle-wire/src/relay.rs
@@ -1,8 +1,10 @@
 //! What the leader passes on of the store, so that others need not follow it.
 
 use crate::placements::WirePosition;
-use std::{collections::BTreeMap, net::SocketAddr};
-use trestle_dispatch::{endpoint::Endpoint, mirror::News};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use trestle_dispatch::{
+    config_texts::ConfigNews, endpoint::Endpoint, mirror::News, text_delta::TextPiece,
+};
 
 /// What a daemon already has of the store.
 #[trestle_macros::wire]
@@ -20,12 +22,35 @@
 pub struct WireRelay {
     /// Changes of the list of endpoints.
     pub endpoints: WireNews,
-    /// The configuration as the store holds it, if it is newer.
-    pub config: Option<Vec<u8>>,
+    /// The configuration, if it is newer.
+    pub config: Option<WireConfig>,
     /// Time since the store last answered the sender about both.
     pub age_ms: u64,
 }
 
+/// What a daemon is told of the configuration.
+#[trestle_macros::wire]
+pub enum WireConfig {
+    /// Its text, as the store holds it.
+    Whole(Vec<u8>),
+    /// What has changed since a version.
+    Changes {
+        /// That version.
+        from: u64,
+        /// What makes the new text out of it.
+        pieces: Vec<WirePiece>,
+    },
+}
+
+/// One part of a text.
+#[trestle_macros::wire]
+pub enum WirePiece {
+    /// Bytes of the old text: where they begin, and how many.
+    Kept(usize, usize),
+    /// Bytes that are new.
+    New(Vec<u8>),
+}
+
 /// Changes of the list of endpoints.
 #[trestle_macros::wire]
 pub struct WireNews {
@@ -57,6 +82,48 @@
     pub is_leaving: bool,
 }
 
+impl From<ConfigNews> for WireConfig {
+    fn from(news: ConfigNews) -> Self {
+        match news {
+            ConfigNews::Whole(text) => Self::Whole(text.to_vec()),
+            ConfigNews::Changes { from, pieces } => {
+                let pieces = pieces.iter().cloned().map(WirePiece::from).collect();
+                Self::Changes { from, pieces }
+            }
+        }
+    }
+}
+
+impl From<WireConfig> for ConfigNews {
+    fn from(wire: WireConfig) -> Self {
+        match wire {
+            WireConfig::Whole(text) => Self::Whole(Arc::new(text)),
+            WireConfig::Changes { from, pieces } => {
+                let pieces = pieces.into_iter().map(TextPiece::from).collect();
+                Self::Changes { from, pieces: Arc::new(pieces) }
+            }
+        }
+    }
+}
+
+impl From<TextPiece> for WirePiece {
+    fn from(piece: TextPiece) -> Self {
+        match piece {
+            TextPiece::Kept { from, length } => Self::Kept(from, length),
+            TextPiece::New(bytes) => Self::New(bytes),
+        }
+    }
+}
+
+impl From<WirePiece> for TextPiece {
+    fn from(wire: WirePiece) -> Self {
+        match wire {
+            WirePiece::Kept(from, length) => Self::Kept { from, length },
+            WirePiece::New(bytes) => Self::New(bytes),
+        }
+    }
+}
+
 impl From<News<Endpoint>> for WireNews {
     fn from(news: News<Endpoint>) -> Self {
         let written = news.written.into_iter().map(|(_, row, at)| (WireEndpoint::from(row), at));
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -238,9 +238,9 @@
             .into_iter()
             .map(|(endpoint, models)| (named(endpoint.as_str()), counted(models)));
         let adapters = digest.adapters_in_use.into_iter().map(|(endpoint, keys)| {
-            let keys = keys.iter().map(|(model, adapter)| {
-                (named(model.as_str()), named(adapter.as_str()))
-            });
+            let keys = keys
+                .iter()
+                .map(|(model, adapter)| (named(model.as_str()), named(adapter.as_str())));
             (named(endpoint.as_str()), keys.collect())
         });
         Self {
@@ -258,15 +258,18 @@
 
     /// What it says, given the names that numbers stand for. What has a number without a name
     /// is left out: the asker learnt it from another leader, and tells it anew next time.
-    pub fn into_digest(self, name: impl Fn(u32) -> Option<Arc<str>>) -> (ServiceName, DemandDigest) {
+    pub fn into_digest(
+        self,
+        name: impl Fn(u32) -> Option<Arc<str>>,
+    ) -> (ServiceName, DemandDigest) {
         let named = |wire: WireName| match wire {
             WireName::Number(number) => name(number),
             WireName::Name(name) => Some(name.into()),
         };
         let counted = |models: Vec<(WireName, u32)>| {
-            let known = models.into_iter().filter_map(|(model, count)| {
-                Some((ModelName::from(named(model)?), count))
-            });
+            let known = models
+                .into_iter()
+                .filter_map(|(model, count)| Some((ModelName::from(named(model)?), count)));
             known.collect::<BTreeMap<_, _>>()
         };
         let running = self.running.into_iter().filter_map(|(endpoint, models)| {
