--- a/crates/trestle-dispatch/src/outage.rs
+++ b/crates/trestle-dispatch/src/outage.rs
@@ -6,6 +6,9 @@
 
 /// Pause after the first try that failed.
 const FIRST_PAUSE_MS: u64 = 250;
+/// Time for which a try is kept for a caller that looks from time to time and was turned away:
+/// a little longer than between two of its looks.
+const KEPT_MS: u64 = 300;
 
 /// How often a store that does not answer is tried by one daemon.
 #[derive(Debug, Clone)]
@@ -16,12 +19,14 @@
     next_try_ms: u64,
     /// Whether a try is under way.
     is_trying: bool,
+    /// Whether a caller that looks from time to time was turned away.
+    is_kept: bool,
 }
 
 impl Outage {
     /// The store answers as far as is known; pauses grow up to so long.
     pub fn new(longest_pause_ms: u64) -> Self {
-        Self { longest_pause_ms, pause_ms: 0, next_try_ms: 0, is_trying: false }
+        Self { longest_pause_ms, pause_ms: 0, next_try_ms: 0, is_trying: false, is_kept: false }
     }
 
     /// Sets the longest pause.
@@ -35,6 +40,7 @@
         self.pause_ms = 0;
         self.next_try_ms = 0;
         self.is_trying = false;
+        self.is_kept = false;
         was_away
     }
 
@@ -49,9 +55,12 @@
         self.next_try_ms = now_ms + self.pause_ms;
     }
 
-    /// Whether a try is due.
-    pub fn may_try(&self, now_ms: u64) -> bool {
-        now_ms >= self.next_try_ms
+    /// Whether a try is due, for a caller that looks from time to time. If not, the next one is
+    /// kept for it: those that wait for the moment would take every one before it looks again,
+    /// and a daemon found a lease free for 20 s and could not take it.
+    pub fn may_try(&mut self, now_ms: u64) -> bool {
+        self.is_kept = now_ms < self.next_try_ms;
+        !self.is_kept
     }
 
     /// Takes the next try.
@@ -60,9 +69,11 @@
     ///
     /// Fails with the time until then, if it is not due yet.
     pub fn try_now(&mut self, now_ms: u64) -> Result<(), u64> {
-        if now_ms < self.next_try_ms {
-            return Err(self.next_try_ms - now_ms);
+        let due_ms = self.next_try_ms + if self.is_kept { KEPT_MS } else { 0 };
+        if now_ms < due_ms {
+            return Err(due_ms - now_ms);
         }
+        self.is_kept = false;
         if self.pause_ms > 0 {
             self.next_try_ms = now_ms + self.pause_ms;
             self.is_trying = true;
--- a/crates/trestle-dispatch/tests/outage.rs
+++ b/crates/trestle-dispatch/tests/outage.rs
@@ -42,6 +42,24 @@
         assert!(outage.try_now(260).is_err());
     }
 
+    // Wrong once: loops that wait for the moment took every try, and a daemon that looks each
+    // 250 ms could not take a free lease for 20 s.
+    one_that_looks_from_time_to_time_gets_its_turn => {
+        let mut outage = Outage::new(1_000);
+        outage.failed(0);
+        let mut turns = 0;
+        for now_ms in (10..10_000).step_by(10) {
+            if now_ms % 250 == 130 && outage.may_try(now_ms) {
+                turns += 1;
+                outage.failed(now_ms);
+            }
+            if outage.try_now(now_ms).is_ok() {
+                outage.failed(now_ms);
+            }
+        }
+        assert!(turns >= 5, "{turns} turns in 10 s");
+    }
+
     one_answer_ends_it => {
         let mut outage = Outage::new(1_000);
         tries(&mut outage, 0, 5_000);
