Answer a daemon when what its callers wait for has arrived

A daemon asked each 180 ms, and where another leader brought the model in, that leader was asked each 150 ms.

Change: a question about wishes that the leader knows waits there until one of them has arrived, 250 ms at most; a new wish interrupts it. One about a new wish is answered as before.

--- a/crates/trestle-dispatch/src/asked.rs
+++ b/crates/trestle-dispatch/src/asked.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Whether something waits of which the leader has not been heard yet.
+    pub fn has_unanswered(&self) -> bool {
+        let told = |wish: &Wish| wish.told.is_some_and(|told| self.planned >= told);
+        !self.waiting.values().all(told)
+    }
+
     /// Whether the leader has planned with a request that waits.
     pub fn is_answered(&self, number: u64) -> bool {
         let told = self.waiting.get(&number).and_then(|wish| wish.told);
--- a/crates/trestle-dispatch/src/pace.rs
+++ b/crates/trestle-dispatch/src/pace.rs
@@ -14,8 +14,9 @@
 const DAEMON_WAITING_MS: u64 = 3;
 /// What each daemon adds while nothing waits.
 const DAEMON_CALM_MS: u64 = 5;
-/// What each two daemons add to the shortest time.
-const TWO_DAEMONS_LEAST_MS: u64 = 3;
+/// What each two daemons add to the shortest time. Questions that come so soon have a request
+/// that waits, and a daemon in sixty gets one a second.
+const TWO_DAEMONS_LEAST_MS: u64 = 1;
 
 /// Part of the shortest bound on what must be known within which a daemon asks, however many
 /// there are: what the leader passes on must come in time, also after one question failed.
--- a/crates/trestle-dispatch/src/placement_log.rs
+++ b/crates/trestle-dispatch/src/placement_log.rs
@@ -7,7 +7,7 @@
 //! names, and tells each daemon what it lacks. A daemon that has missed more than the log
 //! keeps, or knows another leader's log, is told everything once.
 
-use crate::endpoint::Held;
+use crate::{endpoint::Held, loadable::Loadable};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
@@ -245,6 +245,28 @@
         changes
     }
 
+    /// Changes noted so far.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// What engines have become able to run since a change, as far as that is kept.
+    pub fn arrived_since(&self, sequence: u64) -> BTreeSet<Loadable> {
+        let kept_since = self.sequence - self.changes.len() as u64;
+        let from = sequence.clamp(kept_since, self.sequence) - kept_since;
+        let name = |number| self.numbers.name(number).cloned();
+        let arrived = self.changes.range(from as usize..).filter_map(|change| match *change {
+            PlacementChange::Model { model, .. } => {
+                Some(Loadable { model: name(model)?.into(), adapter: None })
+            }
+            PlacementChange::Adapter { model, adapter, .. } => {
+                Some(Loadable { model: name(model)?.into(), adapter: Some(name(adapter)?.into()) })
+            }
+            _ => None,
+        });
+        arrived.collect()
+    }
+
     /// The engines, in the order in which their loads are told.
     pub fn engines(&self) -> impl Iterator<Item = &EndpointName> {
         self.engines.values().map(|(name, _)| name)
--- a/crates/trestle-entry/src/control/message.rs
+++ b/crates/trestle-entry/src/control/message.rs
@@ -65,8 +65,8 @@
         address: SocketAddr,
         /// A group that it leads.
         group: DomainName,
-        /// Takes the answer.
-        reply: Sender<WireAsking>,
+        /// Takes that, and whether it has not planned with it yet.
+        reply: Sender<(WireAsking, bool)>,
     },
     /// Another leader has answered, or not.
     OtherAnswered {
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -173,6 +173,7 @@
                 self.services.clear();
                 self.telling.clear();
                 self.others.clear();
+                self.pendings.clear();
             }
             (false, true) => {
                 let led = self.leases.led(now_ms);
@@ -244,8 +245,17 @@
         }
     }
 
-    /// Answers those whose wishes have been planned with, or who have waited long enough.
+    /// Answers those for whom there is something to say, or who have waited long enough.
     fn answer_pending(&mut self, now_ms: u64) {
+        if self.pendings.is_empty() {
+            return;
+        }
+        self.refresh_telling(now_ms);
+        for (service, telling) in &mut self.telling {
+            for (is_leader, arrived) in telling.arrived() {
+                self.pendings.arrived(service, is_leader, &arrived);
+            }
+        }
         let services = &self.services;
         let due = self.pendings.take_due(now_ms, |service, teller| {
             services.get(service).map_or(0, |known| known.demand.planned(teller))
@@ -257,6 +267,22 @@
         }
     }
 
+    /// Brings up to date what is told.
+    fn refresh_telling(&mut self, now_ms: u64) {
+        let led = self.leases.led(now_ms);
+        if led.is_empty() {
+            return;
+        }
+        for (service, state) in &self.services {
+            let telling = self.telling.entry(service.clone()).or_default();
+            let others = &self.others;
+            self.daemon.knowledge.with(|beliefs| {
+                let directory = &beliefs.directory;
+                telling.refresh(Known { state, service, directory, others, led: &led, now_ms });
+            });
+        }
+    }
+
     fn answer(&mut self, pending: &Pending, now_ms: u64) -> WireSynced {
         if !self.leases.is_leading(now_ms) {
             return self.not_leading(&pending.group, now_ms);
@@ -270,13 +296,7 @@
         self.leases.set_daemons(members, now_ms);
         let mut views = BTreeMap::new();
         for (service, state) in &self.services {
-            let telling = self.telling.entry(service.clone()).or_default();
-            let others = &self.others;
-            self.daemon.knowledge.with(|beliefs| {
-                let directory = &beliefs.directory;
-                let known = Known { state, service, directory, others, led: &led, now_ms };
-                telling.refresh(known);
-            });
+            let Some(telling) = self.telling.get(service) else { continue };
             let asker = Asker {
                 is_leader: pending.is_leader,
                 have: pending.position(service),
@@ -351,11 +371,12 @@
         others
     }
 
-    /// What another leader is to be told.
-    fn ask_other(&mut self, address: SocketAddr, group: &DomainName) -> WireAsking {
+    /// What another leader is to be told, and whether it has not planned with that yet.
+    fn ask_other(&mut self, address: SocketAddr, group: &DomainName) -> (WireAsking, bool) {
         let now_ms = self.now_ms();
         let mut digests = Vec::new();
         let mut placements = BTreeMap::new();
+        let mut is_new = false;
         if let Some(other) = self.others.get(address) {
             for (service, state) in &self.services {
                 let directory = self.daemon.usable(service);
@@ -365,16 +386,18 @@
             let positions =
                 positions.map(|(service, mirror)| (service.to_string(), mirror.position().into()));
             placements = positions.collect();
+            is_new = !other.has_planned();
         }
         let nothing = WireHave { endpoints: u64::MAX, config: u64::MAX, placements };
-        WireAsking {
+        let asking = WireAsking {
             vm: self.daemon.settings.vm.clone(),
             group: group.to_string(),
             is_leader: true,
             members: self.members.count(now_ms) as u32,
             digests,
             have: nothing,
-        }
+        };
+        (asking, is_new)
     }
 
     fn other_answered(&mut self, address: SocketAddr, answer: Option<WireSynced>) {
@@ -392,10 +415,8 @@
             self.leases.leader_silent(now_ms);
         }
         self.leases.told(answer.leases.clone(), now_ms);
-        if let Some(other) = self.others.get(address) {
-            other.answered(answer, now_ms);
-            self.is_plan_due = true;
-        }
+        self.others.answered(address, answer, now_ms);
+        self.is_plan_due = true;
     }
 
     fn change_ended(&mut self, service: &ServiceName, endpoint: &EndpointName, chain: &OrderChain) {
--- a/crates/trestle-entry/src/control/others.rs
+++ b/crates/trestle-entry/src/control/others.rs
@@ -23,6 +23,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Others {
     by_address: BTreeMap<SocketAddr, Other>,
+    /// Grows with each answer.
+    news: u64,
 }
 
 /// One other leader.
@@ -77,11 +79,24 @@
         }
     }
 
-    /// The leader at an address.
+    /// The leader at an address, to be told something.
     pub(crate) fn get(&mut self, address: SocketAddr) -> Option<&mut Other> {
         self.by_address.get_mut(&address)
     }
 
+    /// Takes the answer of the leader at an address.
+    pub(crate) fn answered(&mut self, address: SocketAddr, answer: WireSynced, now_ms: u64) {
+        if let Some(other) = self.by_address.get_mut(&address) {
+            self.news += 1;
+            other.answered(answer, now_ms);
+        }
+    }
+
+    /// Grows with each answer.
+    pub(crate) fn news(&self) -> u64 {
+        self.news
+    }
+
     /// Those whose word still counts, and that answer now.
     pub(crate) fn live(&self, now_ms: u64) -> impl Iterator<Item = &Other> {
         self.by_address.values().filter(move |other| other.was_heard(LIVE_MS, now_ms))
@@ -170,8 +185,14 @@
         WireDigest::new(service, digest, log, |name| placements.number(name))
     }
 
+    /// Whether it has planned with everything that it was asked for last.
+    pub(crate) fn has_planned(&self) -> bool {
+        let mut services = self.services.values();
+        services.all(|known| known.asked.is_subset(&known.planned))
+    }
+
     /// Takes its answer.
-    pub(crate) fn answered(&mut self, answer: WireSynced, now_ms: u64) {
+    fn answered(&mut self, answer: WireSynced, now_ms: u64) {
         if !answer.is_leader {
             return;
         }
@@ -182,7 +203,7 @@
             let known = self.services.entry(service.into()).or_default();
             known.has_remembered = true;
             if view.planned >= known.number {
-                known.planned = std::mem::take(&mut known.asked);
+                known.planned.clone_from(&known.asked);
             }
             known.placements.take(std::mem::take(&mut view.placements).into());
             known.view = view.into_view(&known.placements);
--- a/crates/trestle-entry/src/control/telling.rs
+++ b/crates/trestle-entry/src/control/telling.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{DomainName, ModelName, ServiceName};
 use trestle_dispatch::{
-    demand::DemandDigest,
     directory::Directory,
     loadable::Loadable,
     placement_log::{PlacementLog, PlacementPosition},
@@ -20,11 +19,16 @@
 /// of what its own callers wait for: one that has no word of a model asks within some 50 ms.
 const READY_TOLD_TO_ALL: usize = 64;
 
+/// Shortest time between two looks at what is new; each takes a leader some 0.2 ms.
+const NEWS_MS: u64 = 10;
+
 /// What is told of one service.
 #[derive(Debug)]
 pub(crate) struct Telling {
     at_ms: u64,
     news: u64,
+    /// Changes of the logs that askers who wait have heard of.
+    noted: [u64; 2],
     /// For this leader's daemons: all engines.
     all: PlacementLog,
     view: ReplicaView,
@@ -61,6 +65,7 @@
         Self {
             at_ms: 0,
             news: 0,
+            noted: [0, 0],
             all: new_log(),
             view: ReplicaView::default(),
             own: new_log(),
@@ -72,12 +77,13 @@
 impl Telling {
     /// Takes what is known now, unless what was told last is fresh enough.
     pub(crate) fn refresh(&mut self, known: Known<'_>) {
-        let is_fresh = self.news == known.state.news() && known.now_ms < self.at_ms + TOLD_MS;
-        if is_fresh && self.at_ms > 0 {
+        let news = known.state.news() + known.others.news();
+        let told_ms = if self.news == news { TOLD_MS } else { NEWS_MS };
+        if self.at_ms > 0 && known.now_ms < self.at_ms + told_ms {
             return;
         }
         self.at_ms = known.now_ms;
-        self.news = known.state.news();
+        self.news = news;
         self.own_view = own_view(known);
         self.view = whole_view(known, &self.own_view);
         let engines = |view: &'_ ReplicaView| -> Vec<_> {
@@ -88,6 +94,14 @@
         self.own.update(own.iter().map(|(name, holds)| (name, holds)));
     }
 
+    /// What engines have become able to run since this was last asked, as this leader's daemons
+    /// see it and as other leaders do.
+    pub(crate) fn arrived(&mut self) -> [(bool, BTreeSet<Loadable>); 2] {
+        let [all, own] = self.noted;
+        self.noted = [self.all.sequence(), self.own.sequence()];
+        [(false, self.all.arrived_since(all)), (true, self.own.arrived_since(own))]
+    }
+
     /// What an asker is told. What is about other leaders it hears from them.
     pub(crate) fn view(&self, asker: Asker<'_>) -> WireView {
         let (log, view) = match asker.is_leader {
@@ -115,11 +129,6 @@
     }
 }
 
-/// Models that a digest says are waited for.
-pub(crate) fn models_of(digest: &DemandDigest) -> BTreeSet<ModelName> {
-    digest.waiting.iter().map(|waiting| waiting.model.clone()).collect()
-}
-
 /// What is known of the engines that this leader orders.
 fn own_view(known: Known<'_>) -> ReplicaView {
     let mut view = known.state.view(known.service, known.directory, known.now_ms);
--- a/crates/trestle-entry/src/peer/client.rs
+++ b/crates/trestle-entry/src/peer/client.rs
@@ -47,16 +47,18 @@
         address: SocketAddr,
         asking: WireAsking,
     ) -> Result<WireSynced, Error> {
-        let client = match self.open.take() {
-            Some((open_to, client)) if open_to == address => client,
+        let client = match &self.open {
+            Some((open_to, client)) if *open_to == address => client.clone(),
             _ => connect(address).await.context(ConnectSnafu { address })?,
         };
+        self.open = Some((address, client.clone()));
         let mut context = context::current();
         context.deadline = Instant::now() + Duration::from_millis(ANSWER_MS);
         let answer = client.sync(context, asking).await;
-        let answer = answer.context(RpcSnafu { address })?;
-        self.open = Some((address, client));
-        Ok(answer)
+        if answer.is_err() {
+            self.open = None;
+        }
+        answer.context(RpcSnafu { address })
     }
 }
 
--- a/crates/trestle-entry/src/peer/leaders.rs
+++ b/crates/trestle-entry/src/peer/leaders.rs
@@ -1,7 +1,7 @@
 //! What leaders tell each other, while this daemon is one of them.
 
 use crate::{control::message::Message, daemon::Daemon, peer::client::LeaderClient};
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use smol::{Task, Timer};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use trestle_core::names::DomainName;
@@ -36,20 +36,31 @@
         let urgent = daemon.knowledge.forwarded();
         let (reply, asking) = async_channel::bounded(1);
         daemon.tell(Message::AskOther { address, group: group.clone(), reply });
-        let Ok(asking) = asking.recv().await else { return };
-        let answer = match client.sync(address, asking).await {
-            Ok(answer) => Some(answer),
-            Err(error) => {
-                tracing::debug!(%error, "sync: Another leader does not answer.");
-                None
+        let Ok((asking, is_new)) = asking.recv().await else { return };
+        let waits = asking.digests.iter().any(|digest| !digest.waiting.is_empty());
+        let answered = async { Some(client.sync(address, asking).await) };
+        let interrupted = async {
+            // A question with a new wish is answered soon, and its answer must be heard.
+            if is_new {
+                future::pending::<()>().await;
             }
+            Timer::after(Duration::from_millis(LEAST_MS)).await;
+            urgent.await;
+            None
         };
-        let pause_ms = if answer.is_some() { LEAST_MS } else { CALM_MS };
-        daemon.tell(Message::OtherAnswered { address, answer });
+        let Some(answer) = answered.or(interrupted).await else { continue };
+        if let Err(error) = &answer {
+            tracing::debug!(%error, "sync: Another leader does not answer.");
+        }
+        let pause_ms = if answer.is_ok() { LEAST_MS } else { CALM_MS };
+        daemon.tell(Message::OtherAnswered { address, answer: answer.ok() });
+        let urgent = daemon.knowledge.forwarded();
         Timer::after(Duration::from_millis(pause_ms)).await;
-        let calm = async {
-            Timer::after(Duration::from_millis(CALM_MS - LEAST_MS)).await;
-        };
-        urgent.or(calm).await;
+        if !waits {
+            let calm = async {
+                Timer::after(Duration::from_millis(CALM_MS - LEAST_MS)).await;
+            };
+            urgent.or(calm).await;
+        }
     }
 }
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -6,11 +6,13 @@
     peer::client::LeaderClient,
     store::{config, endpoints},
 };
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use smol::Timer;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use trestle_core::names::{DomainName, ServiceName};
-use trestle_dispatch::{beliefs::Beliefs, pace::Pace, placement_log::PlacementMirror};
+use trestle_dispatch::{
+    asked::Asked, beliefs::Beliefs, pace::Pace, placement_log::PlacementMirror,
+};
 use trestle_wire::{
     relay::{WireHave, WireRelay},
     replicas::{WireAsking, WireDigest, WireSynced, WireView},
@@ -43,7 +45,21 @@
     let mut is_heard = false;
     loop {
         let urgent = daemon.knowledge.wished();
-        let synced = talk.step(&daemon).await;
+        // A question about wishes that the leader knows waits there until one has arrived. Let a
+        // new one not wait behind it; but the answer about a new one must be heard.
+        let has_new = has_unanswered(&daemon);
+        let least_ms = pace(&daemon).least_ms();
+        let step = async { Some(talk.step(&daemon).await) };
+        let interrupted = async {
+            if has_new {
+                future::pending::<()>().await;
+            }
+            Timer::after(Duration::from_millis(least_ms)).await;
+            urgent.await;
+            None
+        };
+        let Some(synced) = step.or(interrupted).await else { continue };
+        let urgent = daemon.knowledge.wished();
         let now_ms = daemon.knowledge.now_ms();
         talk.note_outcome(synced, now_ms);
         if synced != is_heard {
@@ -61,7 +77,7 @@
         let least_ms = pace.least_ms();
         Timer::after(Duration::from_millis(least_ms)).await;
         let next_ms = match synced {
-            true if is_waiting(&daemon) => pace.waiting_ms(),
+            true if is_waiting(&daemon) => least_ms,
             true => pace.calm_ms(),
             // The leader may only have been slow, and what it has to say is due.
             false => pace.waiting_ms(),
@@ -78,6 +94,10 @@
     Pace::of(askers, daemon.freshness.shortest_bound_ms())
 }
 
+fn has_unanswered(daemon: &Daemon) -> bool {
+    daemon.knowledge.with(|beliefs| beliefs.asked.values().any(Asked::has_unanswered))
+}
+
 fn is_waiting(daemon: &Daemon) -> bool {
     let waits =
         |beliefs: &mut Beliefs| beliefs.asked.values().any(|asked| !asked.waiting.is_empty());
