Tell when models will be ready as the last plan says

Change: when something will be ready is looked up in the last plan for each answer; where models are is still made at most each 10 ms.

--- a/crates/trestle-dispatch/src/service_state.rs
+++ b/crates/trestle-dispatch/src/service_state.rs
@@ -198,7 +198,7 @@
     }
 
     /// When what is waited for will be ready, as the last plan says.
-    fn ready_in_ms(&self, now_ms: u64) -> BTreeMap<Loadable, u64> {
+    pub fn ready_in_ms(&self, now_ms: u64) -> BTreeMap<Loadable, u64> {
         let age_ms = now_ms.saturating_sub(self.planned_ms);
         let ready = self.ready_in_ms.iter();
         ready.map(|(loadable, ms)| (loadable.clone(), loadable::aged_ms(*ms, age_ms))).collect()
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -302,7 +302,11 @@
                 have: pending.position(service),
                 models: pending.models(service),
             };
-            let mut view = telling.view(asker);
+            let (others, led) = (&self.others, &led);
+            let mut view = self.daemon.knowledge.with(|beliefs| {
+                let directory = &beliefs.directory;
+                telling.view(asker, Known { state, service, directory, others, led, now_ms })
+            });
             view.planned = state.demand.planned(&pending.teller);
             view.daemons = daemons as u32;
             view.askers = self.members.asking() as u32;
--- a/crates/trestle-entry/src/control/telling.rs
+++ b/crates/trestle-entry/src/control/telling.rs
@@ -102,21 +102,18 @@
         [(false, self.all.arrived_since(all)), (true, self.own.arrived_since(own))]
     }
 
-    /// What an asker is told. What is about other leaders it hears from them.
-    pub(crate) fn view(&self, asker: Asker<'_>) -> WireView {
+    /// What an asker is told. What is about other leaders' engines, these tell each other
+    /// themselves.
+    pub(crate) fn view(&self, asker: Asker<'_>, known: Known<'_>) -> WireView {
         let (log, view) = match asker.is_leader {
             true => (&self.own, &self.own_view),
             false => (&self.all, &self.view),
         };
         let running = log.engines().map(|name| view.engines.get(name).map_or(0, |n| n.running));
-        let tells_all = asker.is_leader || view.ready_in_ms.len() <= READY_TOLD_TO_ALL;
-        let ready = view.ready_in_ms.iter();
-        let ready =
-            ready.filter(|(loadable, _)| tells_all || asker.models.contains(&loadable.model));
         WireView {
             placements: log.delta(asker.have).into(),
             running: running.collect(),
-            ready_in_ms: ready.map(to_ready).collect(),
+            ready_in_ms: ready(asker, known).iter().map(to_ready).collect(),
             daemons: 0,
             askers: 0,
             planned: 0,
@@ -129,6 +126,26 @@
     }
 }
 
+/// When what an asker waits for will be ready. It is as new as the last plan, since an asker is
+/// answered when that has looked at its wishes: an answer some ms older once refused 700 of
+/// 5,000 callers, for whom a load had just begun.
+fn ready(asker: Asker<'_>, known: Known<'_>) -> BTreeMap<Loadable, u64> {
+    let mut ready_in_ms = known.state.ready_in_ms(known.now_ms);
+    if asker.is_leader {
+        return ready_in_ms;
+    }
+    for other in known.others.live(known.now_ms) {
+        for (loadable, ms) in other.ready_in_ms(known.service, known.now_ms) {
+            let soonest = ready_in_ms.entry(loadable).or_insert(ms);
+            *soonest = (*soonest).min(ms);
+        }
+    }
+    if ready_in_ms.len() > READY_TOLD_TO_ALL {
+        ready_in_ms.retain(|loadable, _| asker.models.contains(&loadable.model));
+    }
+    ready_in_ms
+}
+
 /// What is known of the engines that this leader orders.
 fn own_view(known: Known<'_>) -> ReplicaView {
     let mut view = known.state.view(known.service, known.directory, known.now_ms);
@@ -152,12 +169,5 @@
         };
         (name.clone(), note)
     });
-    let mut ready_in_ms: BTreeMap<Loadable, u64> = own.ready_in_ms.clone();
-    for other in known.others.live(known.now_ms) {
-        for (loadable, ms) in other.ready_in_ms(known.service, known.now_ms) {
-            let soonest = ready_in_ms.entry(loadable).or_insert(ms);
-            *soonest = (*soonest).min(ms);
-        }
-    }
-    ReplicaView { engines: engines.collect(), ready_in_ms, daemons: 0, askers: 0 }
+    ReplicaView { engines: engines.collect(), ..ReplicaView::default() }
 }
