--- a/crates/trestle-dispatch/src/sharing.rs
+++ b/crates/trestle-dispatch/src/sharing.rs
@@ -25,6 +25,9 @@
 /// Time after which a leader that has not answered for a wish no longer keeps its callers
 /// waiting for an answer.
 const UNANSWERED_MS: u64 = 400;
+/// Time without a wish after which the next one for the same model is a new one, of which the
+/// leader that sees to it has yet to hear; plans follow each other within 100 ms.
+const NEW_AGAIN_MS: u64 = 300;
 /// Time after which a wish that nobody has any more is forgotten.
 const FORGOTTEN_MS: u64 = 5_000;
 /// What a quarter of an engine's slots that is full counts against a load's time: loads of
@@ -148,7 +151,8 @@
     /// engines that it orders itself.
     pub fn assign(&mut self, model: &ModelName, spec: &ModelSpec, own: &[Host<'_>], now_ms: u64) {
         let before = self.homes.get(model);
-        let since_ms = before.map_or(now_ms, |home| home.since_ms);
+        let waited_on = before.filter(|home| now_ms < home.wanted_ms + NEW_AGAIN_MS);
+        let since_ms = waited_on.map_or(now_ms, |home| home.since_ms);
         let kept = before.filter(|home| now_ms < home.until_ms && self.live.contains(&home.group));
         let (group, until_ms) = match kept {
             Some(home) => (Some(home.group.clone()), home.until_ms),
--- a/crates/trestle-dispatch/tests/sharing.rs
+++ b/crates/trestle-dispatch/tests/sharing.rs
@@ -161,6 +161,31 @@
         assert_eq!(leader.state.demand.planned(&"vm".into()), 1);
     }
 
+    // Wrong once: a model that had been waited for some seconds before counted as planned with
+    // at once, so its next callers were refused before the other leader had heard of them.
+    a_wish_for_a_model_that_was_waited_for_before_is_answered_by_its_leader_too => {
+        let engines = [endpoint("x", "z1", &["a"]), with_disk(endpoint("y", "z2", &["b"]), &["d"])];
+        let mut leader = Leader::new("z1");
+        leader.hear(&engines, &["z2"]);
+        leader.wish("d");
+        leader.plan(&engines, NOW_MS);
+        let later_ms = NOW_MS + 1_500;
+        let none = DemandDigest { number: 2, ..DemandDigest::default() };
+        leader.state.demand.told("vm".into(), none, NOW_MS + 100);
+        leader.plan(&engines, NOW_MS + 200);
+        let waiting = Waiting {
+            priority: 1,
+            due_in_ms: 1_000,
+            model: "d".into(),
+            adapter: None,
+            count: 1,
+        };
+        let digest = DemandDigest { number: 3, waiting: vec![waiting], ..DemandDigest::default() };
+        leader.state.demand.told("vm".into(), digest, later_ms);
+        leader.plan(&engines, later_ms);
+        assert_eq!(leader.state.demand.planned(&"vm".into()), 2);
+    }
+
     // One leader of 256 engines and 295 daemons lost its lease to their questions.
     many_engines_are_shared_out_by_domain_and_few_are_led_together => {
         let mut groups = Groups::default();
--- a/crates/trestle-entry/src/control/answers.rs
+++ b/crates/trestle-entry/src/control/answers.rs
@@ -20,7 +20,7 @@
 const NEW_MS: u64 = 100;
 /// The same of an answer about wishes that are known: loads of engines and what changes in the
 /// store must be told meanwhile.
-const KNOWN_MS: u64 = 250;
+const KNOWN_MS: u64 = 120;
 
 /// An asker that waits for its answer.
 #[derive(Debug)]
