Share wishes out by adapter, and count each as planned with by itself

Cause: leaders named the models with which they had planned.

Change: wishes are shared out, and planned with, by model and adapter.

--- a/crates/trestle-dispatch/src/demand.rs
+++ b/crates/trestle-dispatch/src/demand.rs
@@ -1,6 +1,7 @@
 //! What is asked for, as all daemons tell the leader.
 
 use crate::{
+    loadable::Loadable,
     rates::{PastArrivals, Rates},
     usage::Usage,
 };
@@ -178,12 +179,12 @@
     pub fn note_plan(
         &mut self,
         held: &BTreeSet<ModelName>,
-        is_planned: impl Fn(&ModelName) -> bool,
+        is_planned: impl Fn(&Loadable) -> bool,
         now_ms: u64,
     ) {
         for told in self.daemons.values_mut() {
             let mut waiting = told.digest.waiting.iter();
-            if told.is_leader || waiting.all(|waiting| is_planned(&waiting.model)) {
+            if told.is_leader || waiting.all(|waiting| is_planned(&waiting.loadable())) {
                 told.planned = told.digest.number;
             }
         }
@@ -254,11 +255,11 @@
 
     /// The same, of what daemons themselves tell only models that pass; what another leader
     /// tells, it asks for here.
-    pub fn wants_of(&self, now_ms: u64, is_here: impl Fn(&ModelName) -> bool) -> Vec<Want<'_>> {
+    pub fn wants_of(&self, now_ms: u64, is_here: impl Fn(&Loadable) -> bool) -> Vec<Want<'_>> {
         let mut wants: BTreeMap<_, Want<'_>> = BTreeMap::new();
         let told = self.live_told(now_ms);
         let waiting = told.flat_map(|told| told.digest.waiting.iter().map(|w| (told.is_leader, w)));
-        let waiting = waiting.filter(|(from_leader, w)| *from_leader || is_here(&w.model));
+        let waiting = waiting.filter(|(from_leader, w)| *from_leader || is_here(&w.loadable()));
         for (_, waiting) in waiting {
             let want = wants
                 .entry((&waiting.model, waiting.adapter.as_ref()))
@@ -302,24 +303,24 @@
         of_engine.any(|adapters| adapters.contains(adapter))
     }
 
-    /// Models that daemons themselves wait for.
-    pub fn waited_for(&self, now_ms: u64) -> BTreeSet<ModelName> {
+    /// What daemons themselves wait for.
+    pub fn waited_for(&self, now_ms: u64) -> BTreeSet<Loadable> {
         let waiting = self.live_own(now_ms).flat_map(|digest| &digest.waiting);
-        waiting.map(|waiting| waiting.model.clone()).collect()
+        waiting.map(Waiting::loadable).collect()
     }
 
     /// What another leader is told: of what daemons themselves tell, that which is about its
-    /// engines or about models that it sees to.
+    /// engines or about wishes that it sees to.
     pub fn digest_for(
         &self,
         is_its_engine: impl Fn(&EndpointName) -> bool,
-        is_its_model: impl Fn(&ModelName) -> bool,
+        is_its_wish: impl Fn(&Loadable) -> bool,
         now_ms: u64,
     ) -> DemandDigest {
         let mut digest = DemandDigest::default();
         let mut waiting: BTreeMap<(ModelName, Option<AdapterName>), Waiting> = BTreeMap::new();
         for told in self.live_own(now_ms) {
-            for wish in told.waiting.iter().filter(|wish| is_its_model(&wish.model)) {
+            for wish in told.waiting.iter().filter(|wish| is_its_wish(&wish.loadable())) {
                 let key = (wish.model.clone(), wish.adapter.clone());
                 let nothing = Waiting { count: 0, ..wish.clone() };
                 waiting.entry(key).or_insert(nothing).add(wish);
@@ -367,6 +368,11 @@
 }
 
 impl Waiting {
+    /// What they wait for.
+    pub fn loadable(&self) -> Loadable {
+        Loadable { model: self.model.clone(), adapter: self.adapter.clone() }
+    }
+
     fn add(&mut self, other: &Self) {
         self.priority = self.priority.min(other.priority);
         self.due_in_ms = self.due_in_ms.min(other.due_in_ms);
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -164,7 +164,7 @@
         let adapters = wants.iter().filter_map(|want| Some((want.model, want.adapter?)));
         self.wanted_adapters = adapters.collect();
         let sharing = self.sharing;
-        let here = self.demand.wants_of(self.now_ms, |model| sharing.is_here(model));
+        let here = self.demand.wants_of(self.now_ms, |wish| sharing.is_here(wish));
         let mut far = Vec::new();
         for want in &here {
             match want.adapter {
--- a/crates/trestle-dispatch/src/service_state.rs
+++ b/crates/trestle-dispatch/src/service_state.rs
@@ -79,7 +79,7 @@
         let own = self.engines.values().flat_map(|known| known.held.keys());
         let elsewhere = self.sharing.engines().flat_map(|foreign| foreign.holds.keys());
         let held = own.chain(elsewhere).cloned().collect();
-        let is_planned = |model: &ModelName| self.sharing.is_planned(model, now_ms);
+        let is_planned = |wish: &Loadable| self.sharing.is_planned(wish, now_ms);
         self.demand.note_plan(&held, is_planned, now_ms);
         let engines = &self.engines;
         let states = directory.values().filter_map(|endpoint| {
@@ -134,9 +134,9 @@
             Some(Host { endpoint, holds: &known.held, running: usage.at(&endpoint.name) })
         });
         let own: Vec<Host<'_>> = own.collect();
-        for model in self.demand.waited_for(now_ms) {
-            if let Some(model_spec) = spec.models.get(&model) {
-                self.sharing.assign(&model, model_spec, &own, now_ms);
+        for wish in self.demand.waited_for(now_ms) {
+            if let Some(model_spec) = spec.models.get(&wish.model) {
+                self.sharing.assign(&wish, model_spec, &own, now_ms);
             }
         }
     }
@@ -144,7 +144,7 @@
     /// Whether daemons wait for something that another leader sees to and has not planned yet.
     pub fn has_unplanned_elsewhere(&self, now_ms: u64) -> bool {
         let waited_for = || self.demand.waited_for(now_ms);
-        let is_unplanned = |model: &ModelName| !self.sharing.is_planned(model, now_ms);
+        let is_unplanned = |wish: &Loadable| !self.sharing.is_planned(wish, now_ms);
         !self.sharing.is_alone() && waited_for().iter().any(is_unplanned)
     }
 
--- a/crates/trestle-dispatch/src/sharing.rs
+++ b/crates/trestle-dispatch/src/sharing.rs
@@ -14,6 +14,7 @@
 use crate::{
     catalog::ModelSpec,
     endpoint::{Endpoint, Held},
+    loadable::Loadable,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{DomainName, EndpointName, ModelName};
@@ -68,9 +69,9 @@
     engines: BTreeMap<EndpointName, Foreign>,
     /// Models that another leader is bringing in, with its group.
     coming: BTreeMap<ModelName, DomainName>,
-    /// Models for which other leaders have planned with this one's wishes.
-    planned: BTreeSet<ModelName>,
-    homes: BTreeMap<ModelName, Home>,
+    /// Wishes of this one's daemons with which other leaders have planned.
+    planned: BTreeSet<Loadable>,
+    homes: BTreeMap<Loadable, Home>,
 }
 
 #[derive(Debug, Clone)]
@@ -97,8 +98,8 @@
     pub engines: BTreeMap<EndpointName, Foreign>,
     /// Models that others are bringing in, with their groups.
     pub coming: BTreeMap<ModelName, DomainName>,
-    /// Models for which they have planned with this leader's wishes.
-    pub planned: BTreeSet<ModelName>,
+    /// Wishes of this leader's daemons with which they have planned.
+    pub planned: BTreeSet<Loadable>,
 }
 
 impl Sharing {
@@ -129,55 +130,56 @@
         self.engines.values()
     }
 
-    /// Whether this leader sees to a model that its own daemons wait for.
-    pub fn is_here(&self, model: &ModelName) -> bool {
-        self.group_of(model).is_none_or(|group| self.led.contains(group))
+    /// Whether this leader sees to what its own daemons wait for.
+    pub fn is_here(&self, wish: &Loadable) -> bool {
+        self.group_of(wish).is_none_or(|group| self.led.contains(group))
     }
 
-    /// The group whose leader sees to a model, where that was worked out.
-    pub fn group_of(&self, model: &ModelName) -> Option<&DomainName> {
-        self.homes.get(model).map(|home| &home.group)
+    /// The group whose leader sees to a wish, where that was worked out.
+    pub fn group_of(&self, wish: &Loadable) -> Option<&DomainName> {
+        self.homes.get(wish).map(|home| &home.group)
     }
 
-    /// Whether everybody who sees to a model has planned with its wishes, or had the time to.
-    pub fn is_planned(&self, model: &ModelName, now_ms: u64) -> bool {
-        let Some(home) = self.homes.get(model) else { return true };
+    /// Whether whoever sees to a wish has planned with it, or had the time to.
+    pub fn is_planned(&self, wish: &Loadable, now_ms: u64) -> bool {
+        let Some(home) = self.homes.get(wish) else { return true };
         self.led.contains(&home.group)
-            || self.planned.contains(model)
+            || self.planned.contains(wish)
             || now_ms >= home.since_ms + UNANSWERED_MS
     }
 
-    /// Works out who sees to a model that this leader's daemons wait for. `own` are the
-    /// engines that it orders itself.
-    pub fn assign(&mut self, model: &ModelName, spec: &ModelSpec, own: &[Host<'_>], now_ms: u64) {
-        let before = self.homes.get(model);
+    /// Works out who sees to what this leader's daemons wait for. `own` are the engines that it
+    /// orders itself.
+    pub fn assign(&mut self, wish: &Loadable, spec: &ModelSpec, own: &[Host<'_>], now_ms: u64) {
+        let before = self.homes.get(wish);
         let waited_on = before.filter(|home| now_ms < home.wanted_ms + NEW_AGAIN_MS);
         let since_ms = waited_on.map_or(now_ms, |home| home.since_ms);
         let kept = before.filter(|home| now_ms < home.until_ms && self.live.contains(&home.group));
         let (group, until_ms) = match kept {
             Some(home) => (Some(home.group.clone()), home.until_ms),
-            None => self.work_out(model, spec, own, now_ms),
+            None => self.work_out(wish, spec, own, now_ms),
         };
         if let Some(group) = group {
             let home = Home { group, since_ms, wanted_ms: now_ms, until_ms };
-            self.homes.insert(model.clone(), home);
+            self.homes.insert(wish.clone(), home);
         }
     }
 
-    /// The group that sees to a model now, and until when it stays the same.
+    /// The group that sees to a wish now, and until when it stays the same.
+    ///
+    /// An adapter goes to one replica of its model, whoever wants it: replicas hold few, and 254
+    /// adapters of one model would otherwise take a place in each domain.
     fn work_out(
         &self,
-        model: &ModelName,
+        wish: &Loadable,
         spec: &ModelSpec,
         own: &[Host<'_>],
         now_ms: u64,
     ) -> (Option<DomainName>, u64) {
+        let model = &wish.model;
         let hosts = self.live_hosts(own);
         let holders = hosts.iter().filter(|host| host.holds.contains_key(model));
-        let holder = holders.min_by_key(|host| {
-            let is_foreign = !self.led.contains(&host.endpoint.domain);
-            (is_foreign, rank(model, host.endpoint))
-        });
+        let holder = holders.min_by_key(|host| rank(wish, host.endpoint));
         if let Some(holder) = holder {
             return (Some(holder.endpoint.domain.clone()), now_ms);
         }
@@ -224,13 +226,15 @@
         let slots = u64::from(endpoint.slots.max(1));
         let steps = (u64::from(host.running) * FILL_STEPS / slots).min(FILL_STEPS);
         let cost_ms = spec.load_ms(endpoint, model).0 + steps * FILL_STEP_MS;
-        (cost_ms, rank(model, endpoint), &endpoint.domain)
+        (cost_ms, rank(&Loadable::model(model), endpoint), &endpoint.domain)
     });
     ranked.min().map(|(.., group)| group)
 }
 
 /// Decides between engines that are as good, alike at all leaders.
-fn rank(model: &ModelName, endpoint: &Endpoint) -> u64 {
-    let seed = xxh3_64_with_seed(model.as_str().as_bytes(), 0);
+fn rank(wish: &Loadable, endpoint: &Endpoint) -> u64 {
+    let seed = xxh3_64_with_seed(wish.model.as_str().as_bytes(), 0);
+    let adapter = wish.adapter.as_ref().map_or("", AsRef::as_ref);
+    let seed = xxh3_64_with_seed(adapter.as_bytes(), seed);
     xxh3_64_with_seed(endpoint.name.as_str().as_bytes(), seed)
 }
--- a/crates/trestle-dispatch/tests/sharing.rs
+++ b/crates/trestle-dispatch/tests/sharing.rs
@@ -4,11 +4,12 @@
 
 use common::{endpoint, spec, with_disk};
 use std::collections::{BTreeMap, BTreeSet};
-use trestle_core::names::{DomainName, EndpointName, ModelName};
+use trestle_core::names::{DomainName, EndpointName};
 use trestle_dispatch::{
     demand::{DemandDigest, Waiting},
     endpoint::Endpoint,
     groups::Groups,
+    loadable::Loadable,
     member_count::MemberCount,
     policy::Policy,
     retry_share::{RetryBounds, RetryShare},
@@ -97,7 +98,7 @@
         without.hear(&engines, &["z2"]);
         without.wish("d");
         assert!(without.plan(&engines, NOW_MS).is_empty());
-        let group = without.state.sharing.group_of(&ModelName::from("d"));
+        let group = without.state.sharing.group_of(&Loadable::model(&"d".into()));
         assert_eq!(group, Some(&DomainName::from("z2")));
     }
 
@@ -154,13 +155,76 @@
                 "y".into(),
                 Foreign { endpoint: engines[1].clone(), holds: engines[1].held.clone(), running: 0 },
             )]),
-            planned: BTreeSet::from([ModelName::from("d")]),
+            planned: BTreeSet::from([Loadable::model(&"d".into())]),
             ..Others::default()
         });
         leader.plan(&engines, NOW_MS + 30);
         assert_eq!(leader.state.demand.planned(&"vm".into()), 1);
     }
 
+    // Wrong once: the busiest model had 254 adapters, each leader named the model alone as
+    // planned with, and callers of any other of its adapters were refused at once.
+    an_adapter_is_planned_with_only_when_it_was_itself => {
+        let engines = [endpoint("x", "z1", &["a"]), endpoint("y", "z2", &["b"])];
+        let mut leader = Leader::new("z1");
+        leader.hear(&engines, &["z2"]);
+        let wish = |adapter: &str| Waiting {
+            priority: 1,
+            due_in_ms: 1_000,
+            model: "b".into(),
+            adapter: Some(adapter.into()),
+            count: 1,
+        };
+        let waiting = vec![wish("m"), wish("n")];
+        let digest = DemandDigest { number: 1, waiting, ..DemandDigest::default() };
+        leader.state.demand.told("vm".into(), digest, NOW_MS);
+        leader.plan(&engines, NOW_MS);
+        let adapter = |name: &str| Loadable::new(&"b".into(), Some(&name.into()));
+        let foreign = Foreign {
+            endpoint: engines[1].clone(),
+            holds: engines[1].held.clone(),
+            running: 0,
+        };
+        let mut plan_after = |planned: &[&str], now_ms| {
+            leader.state.sharing.update(Others {
+                led: domains(&["z1"]),
+                live: domains(&["z2"]),
+                leaders: 1,
+                engines: BTreeMap::from([("y".into(), foreign.clone())]),
+                planned: planned.iter().map(|name| adapter(name)).collect(),
+                ..Others::default()
+            });
+            leader.plan(&engines, now_ms);
+            leader.state.demand.planned(&"vm".into())
+        };
+        assert_eq!(plan_after(&["m"], NOW_MS + 30), 0);
+        assert_eq!(plan_after(&["m", "n"], NOW_MS + 60), 1);
+    }
+
+    adapters_of_one_model_are_spread_over_its_replicas => {
+        let engines = [endpoint("x", "z1", &["a"]), endpoint("y", "z2", &["a"])];
+        let mut leader = Leader::new("z1");
+        leader.hear(&engines, &["z2"]);
+        let names: Vec<String> = (0..20).map(|number| format!("n{number}")).collect();
+        let waiting = names.iter().map(|name| Waiting {
+            priority: 1,
+            due_in_ms: 1_000,
+            model: "a".into(),
+            adapter: Some(name.as_str().into()),
+            count: 1,
+        });
+        let waiting = waiting.collect();
+        let digest = DemandDigest { number: 1, waiting, ..DemandDigest::default() };
+        leader.state.demand.told("vm".into(), digest, NOW_MS);
+        leader.plan(&engines, NOW_MS);
+        let group = |name: &String| {
+            let adapter = Loadable::new(&"a".into(), Some(&name.as_str().into()));
+            leader.state.sharing.group_of(&adapter).cloned()
+        };
+        let here = names.iter().filter(|name| group(name) == Some("z1".into())).count();
+        assert!((4..=16).contains(&here), "{here} of 20");
+    }
+
     // Wrong once: a model that had been waited for some seconds before counted as planned with
     // at once, so its next callers were refused before the other leader had heard of them.
     a_wish_for_a_model_that_was_waited_for_before_is_answered_by_its_leader_too => {
--- a/crates/trestle-entry/src/control/answers.rs
+++ b/crates/trestle-entry/src/control/answers.rs
@@ -11,7 +11,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{ModelName, ServiceName, VmName};
 use trestle_dispatch::{
-    demand::DemandDigest, loadable::Loadable, placement_log::PlacementPosition,
+    demand::{DemandDigest, Waiting},
+    loadable::Loadable,
+    placement_log::PlacementPosition,
 };
 use trestle_wire::{relay::WireHave, replicas::WireSynced};
 
@@ -89,11 +91,7 @@
 
     /// Notes what it told of a service.
     pub(crate) fn told(&mut self, service: &ServiceName, digest: &DemandDigest) {
-        let wishes = digest.waiting.iter().map(|waiting| Loadable {
-            model: waiting.model.clone(),
-            adapter: waiting.adapter.clone(),
-        });
-        let wishes: BTreeSet<Loadable> = wishes.collect();
+        let wishes: BTreeSet<Loadable> = digest.waiting.iter().map(Waiting::loadable).collect();
         let models = wishes.iter().map(|wish| wish.model.clone()).collect();
         self.told.insert(service.clone(), Told { number: digest.number, models, wishes });
     }
--- a/crates/trestle-entry/src/control/others.rs
+++ b/crates/trestle-entry/src/control/others.rs
@@ -6,8 +6,9 @@
 };
 use trestle_core::names::{DomainName, EndpointName, ModelName, ServiceName};
 use trestle_dispatch::{
-    demand::DemandDigest,
+    demand::{DemandDigest, Waiting},
     endpoint::Endpoint,
+    loadable::Loadable,
     placement_log::PlacementMirror,
     replicas::{EngineNote, ReplicaView},
     service_state::ServiceState,
@@ -44,10 +45,10 @@
     arrivals: BTreeMap<ModelName, u32>,
     /// Whether it has been told what is remembered here.
     has_remembered: bool,
-    /// Models in the digest that it was told last.
-    asked: BTreeSet<ModelName>,
-    /// Models with which it has planned.
-    planned: BTreeSet<ModelName>,
+    /// Wishes in the digest that it was told last.
+    asked: BTreeSet<Loadable>,
+    /// Wishes with which it has planned.
+    planned: BTreeSet<Loadable>,
     placements: PlacementMirror,
     view: ReplicaView,
 }
@@ -135,11 +136,7 @@
     }
 
     /// When what it brings in will be ready, from now.
-    pub(crate) fn ready_in_ms(
-        &self,
-        service: &ServiceName,
-        now_ms: u64,
-    ) -> Vec<(trestle_dispatch::loadable::Loadable, u64)> {
+    pub(crate) fn ready_in_ms(&self, service: &ServiceName, now_ms: u64) -> Vec<(Loadable, u64)> {
         let Some(known) = self.services.get(service) else { return Vec::new() };
         let age_ms = self.heard_ms.map_or(0, |heard_ms| now_ms.saturating_sub(heard_ms));
         let aged = known.view.ready_in_ms.iter().map(|(loadable, ms)| {
@@ -149,8 +146,8 @@
         aged.collect()
     }
 
-    /// Models with which it has planned.
-    pub(crate) fn planned(&self, service: &ServiceName) -> impl Iterator<Item = &ModelName> {
+    /// Wishes with which it has planned.
+    pub(crate) fn planned(&self, service: &ServiceName) -> impl Iterator<Item = &Loadable> {
         self.services.get(service).into_iter().flat_map(|known| &known.planned)
     }
 
@@ -171,13 +168,12 @@
         let is_its_engine = |name: &EndpointName| {
             directory.get(name).is_some_and(|endpoint| led.contains(&endpoint.domain))
         };
-        let is_its_model = |model: &ModelName| {
-            state.sharing.group_of(model).is_some_and(|group| led.contains(group))
-        };
-        let mut digest = state.demand.digest_for(is_its_engine, is_its_model, now_ms);
+        let is_its_wish =
+            |wish: &Loadable| state.sharing.group_of(wish).is_some_and(|group| led.contains(group));
+        let mut digest = state.demand.digest_for(is_its_engine, is_its_wish, now_ms);
         let known = self.services.entry(service.clone()).or_default();
         known.number += 1;
-        known.asked = digest.waiting.iter().map(|waiting| waiting.model.clone()).collect();
+        known.asked = digest.waiting.iter().map(Waiting::loadable).collect();
         digest.number = known.number;
         digest.arrivals = std::mem::take(&mut known.arrivals);
         digest.past = (!known.has_remembered).then(|| state.demand.own_past(now_ms));
