Spend less of a leader's time on telling other leaders

Change: only the leader that sees to a wish is told of it at once; times are looked up for what an asker waits for; what is told is made without copies of it, at most each 20 ms.

--- a/crates/trestle-dispatch/src/service_state.rs
+++ b/crates/trestle-dispatch/src/service_state.rs
@@ -15,8 +15,11 @@
     sharing::{Host, Sharing},
     usage::Usage,
 };
-use std::{collections::BTreeMap, sync::Arc};
-use trestle_core::names::{EndpointName, ModelName, ServiceName};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+use trestle_core::names::{DomainName, EndpointName, ModelName, ServiceName};
 
 /// Time for which an engine gets no orders after a change there failed.
 const FAILED_PAUSE_MS: u64 = 1_000;
@@ -144,11 +147,15 @@
         self.sharing.assign(new.into_iter(), spec, &own, now_ms);
     }
 
-    /// Whether daemons wait for something that another leader sees to and has not planned yet.
-    pub fn has_unplanned_elsewhere(&self, now_ms: u64) -> bool {
-        let waited_for = || self.demand.waited_for(now_ms);
-        let is_unplanned = |wish: &Loadable| !self.sharing.is_planned(wish, now_ms);
-        !self.sharing.is_alone() && waited_for().iter().any(is_unplanned)
+    /// Groups of other leaders that see to something which daemons wait for, and have not planned
+    /// with it yet.
+    pub fn unplanned_elsewhere(&self, now_ms: u64) -> BTreeSet<DomainName> {
+        if self.sharing.is_alone() {
+            return BTreeSet::new();
+        }
+        let wishes = self.demand.waited_for(now_ms);
+        let unplanned = wishes.iter().filter(|wish| !self.sharing.is_planned(wish, now_ms));
+        unplanned.filter_map(|wish| self.sharing.group_of(wish).cloned()).collect()
     }
 
     /// Takes the end of a change.
@@ -200,8 +207,13 @@
         changes.filter(|change| change.adapter.is_none()).map(|change| &change.model)
     }
 
+    /// When what is waited for will be ready, as the last plan says, and how old that is.
+    pub fn last_plan(&self, now_ms: u64) -> (&BTreeMap<Loadable, u64>, u64) {
+        (&self.ready_in_ms, now_ms.saturating_sub(self.planned_ms))
+    }
+
     /// When what is waited for will be ready, as the last plan says.
-    pub fn ready_in_ms(&self, now_ms: u64) -> BTreeMap<Loadable, u64> {
+    fn ready_in_ms(&self, now_ms: u64) -> BTreeMap<Loadable, u64> {
         let age_ms = now_ms.saturating_sub(self.planned_ms);
         let ready = self.ready_in_ms.iter();
         ready.map(|(loadable, ms)| (loadable.clone(), loadable::aged_ms(*ms, age_ms))).collect()
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -34,7 +34,7 @@
     thread,
     time::Duration,
 };
-use trestle_core::names::{DomainName, EndpointName, ModelName, ServiceName, VmName};
+use trestle_core::names::{DomainName, EndpointName, ServiceName, VmName};
 use trestle_dispatch::{
     catalog::{Catalog, EngineSpec},
     endpoint::Endpoint,
@@ -59,7 +59,7 @@
 /// The same as a multiple of the time that the last plan took: planning may take a fifth of the
 /// leader's time, whatever its VM and however many engines there are. With a tenth, a wish of
 /// another domain waited 170 ms for two plans (half a core, 51 of 256 engines).
-const PLAN_GAPS: u64 = 4;
+const PLAN_GAPS: u64 = 5;
 
 /// Everything that the control thread holds.
 struct Control {
@@ -245,7 +245,7 @@
     fn share_out(&mut self, now_ms: u64) {
         let Some(catalog) = self.daemon.knowledge.catalog() else { return };
         let led = self.leases.led(now_ms);
-        let mut has_forwarded = false;
+        let mut groups = BTreeSet::new();
         for (service, known) in &mut self.services {
             let Some(spec) = engine_spec(&catalog, service) else { continue };
             if known.sharing.is_alone() {
@@ -254,11 +254,9 @@
             let mut own = self.daemon.usable(service);
             own.retain(|_, endpoint| led.contains(&endpoint.domain));
             known.share(spec, &own, now_ms);
-            has_forwarded |= known.has_unplanned_elsewhere(now_ms);
-        }
-        if has_forwarded {
-            self.daemon.knowledge.forward();
+            groups.extend(known.unplanned_elsewhere(now_ms));
         }
+        self.daemon.knowledge.forward(self.others.addresses(&groups));
     }
 
     fn not_leading(&self, group: &str, now_ms: u64) -> WireSynced {
@@ -352,7 +350,7 @@
         let led = self.leases.led(now_ms);
         let orders_in_ms = self.orders_in_ms(&led, now_ms);
         let policy = self.daemon.knowledge.with(|beliefs| beliefs.policy.clone());
-        let mut has_forwarded = false;
+        let mut groups = BTreeSet::new();
         for (service, known) in &mut self.services {
             let Some(spec) = engine_spec(&catalog, service) else { continue };
             let directory = self.daemon.usable(service);
@@ -371,11 +369,9 @@
             for (endpoint, change, chain) in changes {
                 change::start(&self.daemon, service.clone(), endpoint, change, chain);
             }
-            has_forwarded |= known.has_unplanned_elsewhere(now_ms);
-        }
-        if has_forwarded {
-            self.daemon.knowledge.forward();
+            groups.extend(known.unplanned_elsewhere(now_ms));
         }
+        self.daemon.knowledge.forward(self.others.addresses(&groups));
     }
 
     /// Time until orders may be given to the first of the groups.
@@ -487,10 +483,9 @@
         sharers.live.extend(other.led().iter().cloned());
         sharers.planned.extend(other.planned(service).cloned());
         let Some(group) = other.led().first() else { continue };
-        let coming = other.ready_in_ms(service, now_ms).into_iter();
-        let coming = coming.filter(|(loadable, ms)| loadable.adapter.is_none() && *ms > 0);
-        let coming: BTreeMap<ModelName, DomainName> =
-            coming.map(|(loadable, _)| (loadable.model, group.clone())).collect();
+        let coming = other.last_plan(service, now_ms).into_iter().flat_map(|(ready, _)| ready);
+        let coming = coming.filter(|(loadable, ms)| loadable.adapter.is_none() && **ms > 0);
+        let coming = coming.map(|(loadable, _)| (loadable.model.clone(), group.clone()));
         sharers.coming.extend(coming);
     }
     sharers
--- a/crates/trestle-entry/src/control/others.rs
+++ b/crates/trestle-entry/src/control/others.rs
@@ -99,6 +99,12 @@
         self.news
     }
 
+    /// Where the leaders of some groups answer.
+    pub(crate) fn addresses(&self, groups: &BTreeSet<DomainName>) -> BTreeSet<SocketAddr> {
+        let leading = self.by_address.iter().filter(|(_, other)| !other.led.is_disjoint(groups));
+        leading.map(|(address, _)| *address).collect()
+    }
+
     /// Those whose word still counts, and that answer now.
     pub(crate) fn live(&self, now_ms: u64) -> impl Iterator<Item = &Other> {
         self.by_address.values().filter(move |other| other.was_heard(LIVE_MS, now_ms))
@@ -136,15 +142,15 @@
         &self.led
     }
 
-    /// When what it brings in will be ready, from now.
-    pub(crate) fn ready_in_ms(&self, service: &ServiceName, now_ms: u64) -> Vec<(Loadable, u64)> {
-        let Some(known) = self.services.get(service) else { return Vec::new() };
+    /// When what it brings in will be ready, and how old that is.
+    pub(crate) fn last_plan(
+        &self,
+        service: &ServiceName,
+        now_ms: u64,
+    ) -> Option<(&BTreeMap<Loadable, u64>, u64)> {
+        let known = self.services.get(service)?;
         let age_ms = self.heard_ms.map_or(0, |heard_ms| now_ms.saturating_sub(heard_ms));
-        let aged = known.view.ready_in_ms.iter().map(|(loadable, ms)| {
-            let left_ms = ms.saturating_sub(age_ms).max(u64::from(*ms > 0));
-            (loadable.clone(), left_ms)
-        });
-        aged.collect()
+        Some((&known.view.ready_in_ms, age_ms))
     }
 
     /// Wishes with which it has planned.
--- a/crates/trestle-entry/src/control/telling.rs
+++ b/crates/trestle-entry/src/control/telling.rs
@@ -5,7 +5,7 @@
 use trestle_core::names::{DomainName, ModelName, ServiceName};
 use trestle_dispatch::{
     directory::Directory,
-    loadable::Loadable,
+    loadable::{self, Loadable},
     placement_log::{PlacementLog, PlacementPosition},
     replicas::{EngineNote, ReplicaView},
     service_state::ServiceState,
@@ -19,8 +19,8 @@
 /// of what its own callers wait for: one that has no word of a model asks within some 50 ms.
 const READY_TOLD_TO_ALL: usize = 64;
 
-/// Shortest time between two looks at what is new; each takes a leader some 0.2 ms.
-const NEWS_MS: u64 = 10;
+/// Shortest time between two looks at what is new; each takes a leader some 0.3 ms.
+const NEWS_MS: u64 = 20;
 
 /// What is told of one service.
 #[derive(Debug)]
@@ -86,12 +86,8 @@
         self.news = news;
         self.own_view = own_view(known);
         self.view = whole_view(known, &self.own_view);
-        let engines = |view: &'_ ReplicaView| -> Vec<_> {
-            view.engines.iter().map(|(name, note)| (name.clone(), note.holds.clone())).collect()
-        };
-        let (all, own) = (engines(&self.view), engines(&self.own_view));
-        self.all.update(all.iter().map(|(name, holds)| (name, holds)));
-        self.own.update(own.iter().map(|(name, holds)| (name, holds)));
+        self.all.update(self.view.engines.iter().map(|(name, note)| (name, &note.holds)));
+        self.own.update(self.own_view.engines.iter().map(|(name, note)| (name, &note.holds)));
     }
 
     /// What engines have become able to run since this was last asked, as this leader's daemons
@@ -130,20 +126,27 @@
 /// answered when that has looked at its wishes: an answer some ms older once refused 700 of
 /// 5,000 callers, for whom a load had just begun.
 fn ready(asker: Asker<'_>, known: Known<'_>) -> BTreeMap<Loadable, u64> {
-    let mut ready_in_ms = known.state.ready_in_ms(known.now_ms);
-    if asker.is_leader {
-        return ready_in_ms;
+    let mut plans = vec![known.state.last_plan(known.now_ms)];
+    if !asker.is_leader {
+        let live = known.others.live(known.now_ms);
+        plans.extend(live.filter_map(|other| other.last_plan(known.service, known.now_ms)));
     }
-    for other in known.others.live(known.now_ms) {
-        for (loadable, ms) in other.ready_in_ms(known.service, known.now_ms) {
-            let soonest = ready_in_ms.entry(loadable).or_insert(ms);
-            *soonest = (*soonest).min(ms);
+    let count: usize = plans.iter().map(|(ready_in_ms, _)| ready_in_ms.len()).sum();
+    let tells_all = asker.is_leader || count <= READY_TOLD_TO_ALL;
+    let mut soonest: BTreeMap<Loadable, u64> = BTreeMap::new();
+    let mut note = |loadable: &Loadable, ms: u64, age_ms: u64| {
+        let ms = loadable::aged_ms(ms, age_ms);
+        let known_ms = soonest.entry(loadable.clone()).or_insert(ms);
+        *known_ms = (*known_ms).min(ms);
+    };
+    for (ready_in_ms, age_ms) in plans {
+        match tells_all {
+            true => ready_in_ms.iter().for_each(|(loadable, ms)| note(loadable, *ms, age_ms)),
+            false => loadable::ready_of(ready_in_ms, asker.models)
+                .for_each(|(loadable, ms)| note(loadable, ms, age_ms)),
         }
     }
-    if ready_in_ms.len() > READY_TOLD_TO_ALL {
-        ready_in_ms.retain(|loadable, _| asker.models.contains(&loadable.model));
-    }
-    ready_in_ms
+    soonest
 }
 
 /// What is known of the engines that this leader orders.
@@ -160,12 +163,15 @@
 /// engines' own entries.
 fn whole_view(known: Known<'_>, own: &ReplicaView) -> ReplicaView {
     let notes = known.others.notes(known.service, known.now_ms);
-    let usage = known.state.demand.usage(known.now_ms);
+    let mut usage = None;
     let engines = known.directory.usable(known.service).map(|endpoint| {
         let name = &endpoint.name;
         let note = match own.engines.get(name).or_else(|| notes.get(name).copied()) {
             Some(note) => note.clone(),
-            None => EngineNote { holds: endpoint.held.clone(), running: usage.at(name) },
+            None => {
+                let usage = usage.get_or_insert_with(|| known.state.demand.usage(known.now_ms));
+                EngineNote { holds: endpoint.held.clone(), running: usage.at(name) }
+            }
         };
         (name.clone(), note)
     });
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -5,7 +5,9 @@
 
 use event_listener::{Event, EventListener};
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
 use trestle_config::entry_settings::{Bounds, EntrySettings};
@@ -20,6 +22,8 @@
     changed: Event,
     wished: Event,
     forwarded: Event,
+    /// Other leaders that see to a wish which they have not heard of.
+    to_hear: Mutex<BTreeSet<SocketAddr>>,
     started: Instant,
 }
 
@@ -35,6 +39,7 @@
             changed: Event::new(),
             wished: Event::new(),
             forwarded: Event::new(),
+            to_hear: Mutex::default(),
             started: Instant::now(),
         }
     }
@@ -89,11 +94,24 @@
         self.forwarded.listen()
     }
 
-    /// Says that another leader sees to a wish.
-    pub(crate) fn forward(&self) {
+    /// Says that other leaders see to wishes which they have not heard of.
+    pub(crate) fn forward(&self, leaders: BTreeSet<SocketAddr>) {
+        if leaders.is_empty() {
+            return;
+        }
+        self.to_hear().extend(leaders);
         self.forwarded.notify(usize::MAX);
     }
 
+    /// Whether that was said of a leader since this was last asked.
+    pub(crate) fn must_hear(&self, leader: SocketAddr) -> bool {
+        self.to_hear().remove(&leader)
+    }
+
+    fn to_hear(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
+        self.to_hear.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The configuration in force.
     pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
         self.with(|beliefs| beliefs.catalog.clone())
--- a/crates/trestle-entry/src/peer/leaders.rs
+++ b/crates/trestle-entry/src/peer/leaders.rs
@@ -12,7 +12,7 @@
 /// old at most, and as much older as a daemon's pause.
 const CALM_MS: u64 = 150;
 /// Shortest time between two tellings.
-const LEAST_MS: u64 = 20;
+const LEAST_MS: u64 = 40;
 
 /// Tells other leaders, and hears them, until the process ends.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
@@ -33,7 +33,8 @@
 async fn follow(daemon: Arc<Daemon>, address: SocketAddr, group: DomainName) {
     let mut client = LeaderClient::default();
     loop {
-        let urgent = daemon.knowledge.forwarded();
+        // What is told now is heard of by this.
+        daemon.knowledge.must_hear(address);
         let (reply, asking) = async_channel::bounded(1);
         daemon.tell(Message::AskOther { address, group: group.clone(), reply });
         let Ok((asking, is_new)) = asking.recv().await else { return };
@@ -45,22 +46,32 @@
                 future::pending::<()>().await;
             }
             Timer::after(Duration::from_millis(LEAST_MS)).await;
-            urgent.await;
+            urgent(&daemon, address).await;
             None
         };
         let Some(answer) = answered.or(interrupted).await else { continue };
         if let Err(error) = &answer {
             tracing::debug!(%error, "sync: Another leader does not answer.");
         }
-        let pause_ms = if answer.is_ok() { LEAST_MS } else { CALM_MS };
+        let is_calm = answer.is_err() || !waits;
         daemon.tell(Message::OtherAnswered { address, answer: answer.ok() });
-        let urgent = daemon.knowledge.forwarded();
-        Timer::after(Duration::from_millis(pause_ms)).await;
-        if !waits {
+        Timer::after(Duration::from_millis(LEAST_MS)).await;
+        if is_calm {
             let calm = async {
                 Timer::after(Duration::from_millis(CALM_MS - LEAST_MS)).await;
             };
-            urgent.or(calm).await;
+            urgent(&daemon, address).or(calm).await;
         }
     }
 }
+
+/// Waits until a leader must hear of a wish.
+async fn urgent(daemon: &Daemon, address: SocketAddr) {
+    loop {
+        let forwarded = daemon.knowledge.forwarded();
+        if daemon.knowledge.must_hear(address) {
+            return;
+        }
+        forwarded.await;
+    }
+}
