--- a/crates/trestle-dispatch/src/groups.rs
+++ b/crates/trestle-dispatch/src/groups.rs
@@ -24,9 +24,10 @@
 const OWN_FIRST_MS: u64 = 2_000;
 /// The same for each group that it leads already, so that groups without daemons spread.
 const LED_GROUP_MS: u64 = 400;
-/// Time for which a group must be known before the leader of others takes it, too: engines that
-/// start together enter the list within about a second, and may prove to be many.
-const KNOWN_MS: u64 = 1_500;
+/// Time without further engines after which the leader of the first group takes the others, too:
+/// engines that start together enter the list one after the other, each within about a
+/// heartbeat of 1.2 s, and may prove to be many.
+const COMPLETE_MS: u64 = 1_500;
 /// Time after which any daemon takes what the leader of the first group should have taken.
 const LAST_RESORT_MS: u64 = 5_000;
 
@@ -36,6 +37,9 @@
     /// All failure domains that there are, as settings say.
     configured: BTreeSet<DomainName>,
     all: BTreeSet<DomainName>,
+    engines: usize,
+    /// When engines were last added.
+    grew_ms: u64,
     is_shared_out: bool,
 }
 
@@ -46,7 +50,11 @@
     }
 
     /// Takes the failure domains of all engines, and their number.
-    pub fn update(&mut self, domains: BTreeSet<DomainName>, engines: usize) {
+    pub fn update(&mut self, domains: BTreeSet<DomainName>, engines: usize, now_ms: u64) {
+        if engines > self.engines {
+            self.grew_ms = now_ms;
+        }
+        self.engines = engines;
         self.all = domains;
         let most = if self.is_shared_out { FEW_ENGINES } else { MOST_ENGINES_OF_ONE };
         self.is_shared_out = engines > most;
@@ -74,13 +82,13 @@
     }
 
     /// Time that a daemon leaves a group's free lease to others, beyond what stronger ones get;
-    /// `None` if it never takes it. The daemon has known of the group for so long.
+    /// `None` if it never takes it.
     pub fn others_first_ms(
         &self,
         group: &DomainName,
         domain: &DomainName,
         led: &BTreeSet<DomainName>,
-        known_for_ms: u64,
+        now_ms: u64,
     ) -> Option<u64> {
         let home = self.home(domain);
         let busy_ms = LED_GROUP_MS * led.len() as u64;
@@ -88,7 +96,9 @@
             (true, true) => Some(busy_ms),
             (true, false) => Some(0),
             (false, true) => (!led.is_empty()).then_some(OWN_FIRST_MS + busy_ms),
-            (false, false) if led.contains(home) => Some(KNOWN_MS.saturating_sub(known_for_ms)),
+            (false, false) if led.contains(home) => {
+                Some((self.grew_ms + COMPLETE_MS).saturating_sub(now_ms))
+            }
             (false, false) => Some(LAST_RESORT_MS),
         }
     }
--- a/crates/trestle-dispatch/tests/sharing.rs
+++ b/crates/trestle-dispatch/tests/sharing.rs
@@ -260,13 +260,13 @@
     many_engines_are_shared_out_by_domain_and_few_are_led_together => {
         let mut groups = Groups::default();
         let (one, other) = (DomainName::from("z1"), DomainName::from("z2"));
-        groups.update(domains(&["z1", "z2"]), 90);
+        groups.update(domains(&["z1", "z2"]), 90, 0);
         assert_eq!(groups.home(&one), groups.home(&other));
-        groups.update(domains(&["z1", "z2"]), 256);
+        groups.update(domains(&["z1", "z2"]), 256, 0);
         assert_eq!((groups.home(&one), groups.home(&other)), (&one, &other));
-        groups.update(domains(&["z1", "z2"]), 110);
+        groups.update(domains(&["z1", "z2"]), 110, 0);
         assert_eq!(groups.home(&other), &other, "some engines less change nothing");
-        groups.update(domains(&["z1", "z2"]), 90);
+        groups.update(domains(&["z1", "z2"]), 90, 0);
         assert_eq!(groups.home(&other), &one);
     }
 
@@ -276,18 +276,20 @@
         let mut groups = Groups::among(domains(&["z1", "z2"]));
         let (one, other) = (DomainName::from("z1"), DomainName::from("z2"));
         assert_eq!((groups.home(&one), groups.home(&other)), (&one, &one));
-        groups.update(domains(&["z1", "z2"]), 9);
+        groups.update(domains(&["z1", "z2"]), 9, 0);
         assert_eq!(groups.home(&other), &one);
         // They enter one after the other, and may still prove to be many.
         let leader = BTreeSet::from([one.clone()]);
-        let wait_ms = |known_for_ms| groups.others_first_ms(&other, &one, &leader, known_for_ms);
-        assert!(wait_ms(100).is_some_and(|ms| ms > 1_000));
+        groups.update(domains(&["z1", "z2"]), 100, 2_000);
+        let wait_ms = |now_ms| groups.others_first_ms(&other, &one, &leader, now_ms);
+        assert!(wait_ms(2_100).is_some_and(|ms| ms > 1_000));
+        assert_eq!(wait_ms(4_000), Some(0));
     }
 
     whoever_leads_the_first_of_few_groups_takes_the_rest => {
         let mut groups = Groups::default();
         let (one, other) = (DomainName::from("z1"), DomainName::from("z2"));
-        groups.update(domains(&["z1", "z2"]), 9);
+        groups.update(domains(&["z1", "z2"]), 9, 0);
         let leader = BTreeSet::from([one.clone()]);
         assert_eq!(groups.others_first_ms(&other, &one, &leader, 5_000), Some(0));
         let waits_ms = groups.others_first_ms(&other, &other, &BTreeSet::new(), 5_000);
@@ -296,7 +298,7 @@
 
     a_group_without_daemons_is_taken_by_the_leader_with_fewest_groups => {
         let mut groups = Groups::default();
-        groups.update(domains(&["z1", "z2", "z3", "z4"]), 256);
+        groups.update(domains(&["z1", "z2", "z3", "z4"]), 256, 0);
         let wait_ms = |domain: &str, led: &[&str]| {
             groups.others_first_ms(&"z4".into(), &domain.into(), &domains(led), 5_000)
         };
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -32,8 +32,6 @@
     incarnation: u64,
     domain: DomainName,
     groups: Groups,
-    /// Since when groups are known.
-    known_since_ms: BTreeMap<DomainName, u64>,
     /// The group whose leader this daemon asks, and since when.
     home: Option<(DomainName, u64)>,
     by_group: BTreeMap<DomainName, Leasing>,
@@ -56,7 +54,6 @@
             incarnation: fastrand::u64(1..),
             domain: daemon.settings.domain.as_str().into(),
             groups: Groups::among(configured),
-            known_since_ms: BTreeMap::new(),
             home: None,
             by_group: BTreeMap::new(),
             quiet_ms: daemon.settings.bounds.order_quiet_ms,
@@ -169,10 +166,7 @@
         let led = self.led(now_ms);
         let millicores = self.daemon.settings.millicores();
         for (group, leasing) in &mut self.by_group {
-            let known_since_ms = self.known_since_ms.get(group).copied().unwrap_or(now_ms);
-            let known_for_ms = now_ms - known_since_ms;
-            let others_first_ms =
-                self.groups.others_first_ms(group, &self.domain, &led, known_for_ms);
+            let others_first_ms = self.groups.others_first_ms(group, &self.domain, &led, now_ms);
             let home_since_ms =
                 self.home.as_ref().filter(|(home, _)| home == group).map(|(_, since_ms)| *since_ms);
             let may_take = |free_from_ms: u64, last: Option<&LeaseRow>| {
@@ -206,7 +200,7 @@
             .daemon
             .knowledge
             .with(|beliefs| (beliefs.directory.domains(), beliefs.directory.iter().count()));
-        self.groups.update(domains, engines);
+        self.groups.update(domains, engines, now_ms);
         let home = self.groups.home(&self.domain).clone();
         if self.home.as_ref().is_none_or(|(known, _)| *known != home) {
             self.home = Some((home.clone(), now_ms));
@@ -214,7 +208,6 @@
         let mut needed: BTreeSet<DomainName> = self.groups.all().clone();
         needed.insert(home);
         for group in needed {
-            self.known_since_ms.entry(group.clone()).or_insert(now_ms);
             if !self.by_group.contains_key(&group) {
                 self.leasing(&group);
                 self.must_read = true;
--- a/crates/trestle-lab/src/control/world.rs
+++ b/crates/trestle-lab/src/control/world.rs
@@ -270,9 +270,9 @@
         };
         let mut groups = Groups::default();
         match self.plan.leaders {
-            Leaders::One => groups.update([domain(0)].into(), 1),
+            Leaders::One => groups.update([domain(0)].into(), 1, 0),
             Leaders::EachDomain => {
-                groups.update((0..self.plan.domains).map(domain).collect(), self.plan.engines);
+                groups.update((0..self.plan.domains).map(domain).collect(), self.plan.engines, 0);
             }
         }
         let vm = &mut self.vms[number];
@@ -302,8 +302,7 @@
         let ready_since_ms = vm.started_ms + 20;
         let groups: Vec<DomainName> = vm.leases.keys().cloned().collect();
         for group in groups {
-            let others_first_ms =
-                vm.groups.others_first_ms(&group, &vm.domain, &led, now_ms - vm.started_ms);
+            let others_first_ms = vm.groups.others_first_ms(&group, &vm.domain, &led, now_ms);
             let is_home = group == *vm.groups.home(&vm.domain);
             let candidate = Candidate {
                 millicores: vm.millicores,
