Read the list of endpoints anew when the store has forgotten where it was followed to

Daemons that started before any endpoint was listed also read the whole empty list each 450 ms.

Change: the list is followed only from an answer that was taken, an empty one too.

--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -31,9 +31,9 @@
             true => leader_gather_ms(&daemon),
             false => ALONE_GATHER_MS,
         },
-        after: |_| {
+        after: |last: Option<u64>| {
             let version = daemon.knowledge.with(|beliefs| beliefs.mirror.version());
-            (version > 0 && !daemon.freshness.must_reread()).then_some(version)
+            last.filter(|_| !daemon.freshness.must_reread()).map(|_| version)
         },
         on_read: |page: RowPage| {
             read(&daemon, to_news(&daemon, page.rows.into_iter(), page.version));
