--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -5,9 +5,12 @@
 //! come back. An entry that says "leaving" is believed for good, whatever an
 //! older message says later.
 
-use crate::endpoint::Endpoint;
-use std::collections::{BTreeMap, BTreeSet};
-use trestle_core::names::{EndpointName, ServiceName};
+use crate::endpoint::{Endpoint, Held};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+use trestle_core::names::{DomainName, EndpointName, ServiceName};
 
 /// Time after the store's return in which lapsed entries come back, if their
 /// endpoints live. The users' letter says about two seconds.
@@ -18,7 +21,7 @@
 /// The list of live endpoints.
 #[derive(Debug)]
 pub struct Directory {
-    endpoints: BTreeMap<EndpointName, Endpoint>,
+    endpoints: BTreeMap<EndpointName, Arc<Endpoint>>,
     /// Endpoints that were ever seen leaving.
     leaving: BTreeSet<EndpointName>,
     /// Entries that vanished in a time of doubt, and when they count as gone.
@@ -59,9 +62,27 @@
         {
             // An older message that arrived late: only its news of leaving counts.
             let is_leaving = endpoint.is_leaving;
-            endpoint = Endpoint { is_leaving, ..known.clone() };
+            endpoint = Endpoint { is_leaving, ..Endpoint::clone(known) };
+        }
+        self.endpoints.insert(endpoint.name.clone(), Arc::new(endpoint));
+    }
+
+    /// Takes an entry that says nothing of what its engine holds.
+    pub fn listed(&mut self, mut endpoint: Endpoint) {
+        if let Some(known) = self.endpoints.get(&endpoint.name) {
+            endpoint.entry_number = known.entry_number;
+            endpoint.held.clone_from(&known.held);
+            endpoint.in_memory.clone_from(&known.in_memory);
+            endpoint.on_disk.clone_from(&known.on_disk);
+        }
+        self.written(endpoint);
+    }
+
+    /// Takes what an engine is thought to hold.
+    pub fn assume_held(&mut self, name: &EndpointName, held: Held) {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            Arc::make_mut(endpoint).held = held;
         }
-        self.endpoints.insert(endpoint.name.clone(), endpoint);
     }
 
     /// Takes the removal of an entry.
@@ -85,6 +106,11 @@
         for endpoint in endpoints {
             self.written(endpoint);
         }
+        self.keep_listed(&listed, now_ms);
+    }
+
+    /// Takes that just these are listed: what is not was removed.
+    pub fn keep_listed(&mut self, listed: &BTreeSet<EndpointName>, now_ms: u64) {
         let missing: Vec<EndpointName> =
             self.endpoints.keys().filter(|name| !listed.contains(*name)).cloned().collect();
         for name in missing {
@@ -117,12 +143,32 @@
 
     /// The endpoint with a name.
     pub fn get(&self, name: &EndpointName) -> Option<&Endpoint> {
-        self.endpoints.get(name)
+        self.endpoints.get(name).map(AsRef::as_ref)
     }
 
     /// All endpoints that are listed.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.values()
+        self.endpoints.values().map(AsRef::as_ref)
+    }
+
+    /// The failure domains that have endpoints.
+    pub fn domains(&self) -> BTreeSet<DomainName> {
+        let mut domains = BTreeSet::new();
+        for endpoint in self.iter() {
+            if !domains.contains(&endpoint.domain) {
+                domains.insert(endpoint.domain.clone());
+            }
+        }
+        domains
+    }
+
+    /// The same as [`Self::usable`], to be kept.
+    pub fn usable_shared<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a Arc<Endpoint>> {
+        let listed = self.endpoints.values();
+        listed.filter(move |endpoint| endpoint.service == *service && !endpoint.is_leaving)
     }
 
     /// Endpoints of a service that may get new work.
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -22,13 +22,16 @@
     learnt::LearntTimes,
     loadable::Loadable,
     policy::{Mechanism, Policy},
+    sharing::{Host, Sharing},
     usage::Usage,
 };
 use eviction::Leavers;
-pub use far::REMOTE_LOADS_AT_ONCE;
 use std::collections::{BTreeMap, BTreeSet};
 use trestle_core::names::{AdapterName, EndpointName, ModelName};
 
+/// Models looked at for a further replica, those that gain most first, where several leaders
+/// share them: some belong at others' engines.
+const FURTHER_TRIED: usize = 4;
 /// What a fully loaded engine counts against one that is idle.
 const FULL_ENGINE_MS: f64 = 800.0;
 /// Time of an unload with nothing running, as engines show it.
@@ -87,6 +90,8 @@
     pub learnt: &'a LearntTimes,
     /// What decides.
     pub policy: &'a Policy,
+    /// What other leaders see to.
+    pub sharing: &'a Sharing,
     /// Time on the monotonic clock.
     pub now_ms: u64,
 }
@@ -98,13 +103,19 @@
     demand: &'a Demand,
     learnt: &'a LearntTimes,
     policy: &'a Policy,
+    sharing: &'a Sharing,
     usage: Usage<'a>,
     engines: BTreeMap<&'a EndpointName, EngineState<'a>>,
     now_ms: u64,
-    /// Engines that hold a model and will go on holding it, or are about to.
+    /// Engines that hold a model and will go on holding it, or are about to; those that other
+    /// leaders order included.
     replicas: BTreeMap<ModelName, u32>,
-    /// Engines that hold a model now and will go on holding it.
+    /// Engines that hold a model now and will go on holding it, likewise.
     present: BTreeMap<ModelName, u32>,
+    /// Models that engines of other leaders can run.
+    elsewhere: BTreeSet<&'a ModelName>,
+    /// Engines with a copy of a model near them.
+    near: BTreeMap<&'a ModelName, Vec<&'a EndpointName>>,
     /// Models that somebody waits for.
     waited_for: BTreeSet<&'a ModelName>,
     /// Adapters that somebody waits for.
@@ -119,12 +130,18 @@
 impl<'a> Planner<'a> {
     /// Planning for one service.
     pub fn new(inputs: PlanInputs<'a>, engines: impl IntoIterator<Item = EngineState<'a>>) -> Self {
-        let PlanInputs { spec, demand, learnt, policy, now_ms } = inputs;
+        let PlanInputs { spec, demand, learnt, policy, sharing, now_ms } = inputs;
         let engines: BTreeMap<_, _> =
             engines.into_iter().map(|state| (&state.endpoint.name, state)).collect();
-        let present = count(engines.values().flat_map(EngineState::staying));
+        let staying = || {
+            let elsewhere = sharing.engines().flat_map(|foreign| foreign.holds.keys());
+            engines.values().flat_map(EngineState::staying).chain(elsewhere)
+        };
+        let present = count(staying());
         let coming = engines.values().filter_map(EngineState::coming);
-        let replicas = count(engines.values().flat_map(EngineState::staying).chain(coming));
+        let replicas = count(staying().chain(coming));
+        let elsewhere = sharing.engines().flat_map(|foreign| foreign.holds.keys()).collect();
+        let near = near(engines.values().map(|state| state.endpoint));
         let under_way = engines.values().filter_map(|state| state.change);
         let remote_loads = under_way.filter(|change| change.is_remote).count();
         Self {
@@ -132,11 +149,14 @@
             demand,
             learnt,
             policy,
+            sharing,
             usage: demand.usage(now_ms),
             engines,
             now_ms,
             replicas,
             present,
+            elsewhere,
+            near,
             waited_for: BTreeSet::new(),
             wanted_adapters: BTreeSet::new(),
             leavers: None,
@@ -151,8 +171,10 @@
         self.waited_for = wants.iter().map(|want| want.model).collect();
         let adapters = wants.iter().filter_map(|want| Some((want.model, want.adapter?)));
         self.wanted_adapters = adapters.collect();
+        let sharing = self.sharing;
+        let here = self.demand.wants_of(self.now_ms, |wish| sharing.is_here(wish));
         let mut far = Vec::new();
-        for want in &wants {
+        for want in &here {
             match want.adapter {
                 Some(adapter) if self.replicas(want.model) > 0 => {
                     self.want_adapter(want.model, adapter);
@@ -176,12 +198,8 @@
             self.note_ready(want, ready_in_ms);
             return true;
         }
-        let Some(offer) = self.best_offer(model, self.gain_of_first_ms(want)) else {
-            return false;
-        };
-        if offer.is_remote && reach == Reach::Near {
-            return false;
-        }
+        let gain_ms = self.gain_of_first_ms(want);
+        let Some(offer) = self.best_offer(model, gain_ms, reach) else { return false };
         self.note_ready(want, offer.ready_in_ms);
         if let Some(change) = offer.change {
             self.begin(change);
@@ -210,15 +228,28 @@
         if change.adapter.is_none() {
             *self.replicas.entry(change.model.clone()).or_default() += 1;
         }
-        if !change.evicted.is_empty() {
-            self.leavers = None;
-        }
+        self.note_stale(&change);
         self.remote_loads += usize::from(change.is_remote);
         self.plan.changes.push(change);
     }
 
+    /// Has what could make way worked out anew at the engines that hold what goes.
+    fn note_stale(&mut self, change: &Change) {
+        let Some(mut leavers) = self.leavers.take() else { return };
+        let loses = |state: &EngineState<'_>| {
+            change.evicted.iter().any(|model| state.held.contains_key(model))
+        };
+        let stale = self.engines.iter().filter(|(_, state)| loses(state));
+        let anew: Vec<_> = stale.map(|(name, state)| (*name, self.leavers_at(state))).collect();
+        leavers.extend(anew);
+        self.leavers = Some(leavers);
+    }
+
     /// Time until the model is ready somewhere by what is there or under way.
     fn ready_in_ms(&self, model: &ModelName) -> Option<u64> {
+        if self.elsewhere.contains(model) {
+            return Some(0);
+        }
         let ready = self.engines.values().filter_map(|state| match state.change {
             Some(change) if change.evicted.contains(model) => None,
             Some(change) if change.model == *model && change.adapter.is_none() => {
@@ -231,11 +262,18 @@
         ready.chain(planned).min()
     }
 
-    /// The cheapest way to bring a model in that displaces less than `gain_ms`.
-    fn best_offer(&mut self, model: &ModelName, gain_ms: f64) -> Option<Offer> {
+    /// The cheapest way to bring a model in that displaces less than `gain_ms`. Where a copy
+    /// lies near an engine that can take it, the weight store is not looked at: looking at every
+    /// engine for every wish took two thirds of a plan's time.
+    fn best_offer(&mut self, model: &ModelName, gain_ms: f64, reach: Reach) -> Option<Offer> {
         let spec = self.spec.models.get(model)?;
         let leavers = self.leavers.take().unwrap_or_else(|| self.leavers());
-        let offer = self.best_offer_of(model, spec, &leavers, gain_ms);
+        let near = self.near.get(model).into_iter().flatten().copied();
+        let mut offer = self.best_offer_of(model, spec, near, &leavers, gain_ms);
+        if offer.is_none() && reach == Reach::Far {
+            let all = self.engines.keys().copied();
+            offer = self.best_offer_of(model, spec, all, &leavers, gain_ms);
+        }
         self.leavers = Some(leavers);
         offer
     }
@@ -244,10 +282,11 @@
         &self,
         model: &ModelName,
         spec: &ModelSpec,
+        engines: impl Iterator<Item = &'a EndpointName>,
         leavers: &BTreeMap<&'a EndpointName, Leavers>,
         gain_ms: f64,
     ) -> Option<Offer> {
-        let engines = self.engines.values().zip(leavers.values());
+        let engines = engines.filter_map(|name| self.engines.get(name).zip(leavers.get(name)));
         let offers =
             engines.filter_map(|(state, leavers)| self.offer(model, spec, state, leavers, gain_ms));
         let is_guarded = self.policy.has(Mechanism::GuardedEviction);
@@ -270,8 +309,8 @@
         }
         let under_way = state.change.or_else(|| self.planned_at(&endpoint.name));
         let busy_ms = under_way.map_or(0, |change| change.left_ms(self.now_ms));
-        let (load_ms, is_remote) = load_time(spec, endpoint, model);
-        if is_remote && self.remote_loads >= REMOTE_LOADS_AT_ONCE {
+        let (load_ms, is_remote) = spec.load_ms(endpoint, model);
+        if is_remote && self.remote_loads >= self.most_remote_loads() {
             return None;
         }
         let eviction = leavers.make_room(spec.weights_mb)?;
@@ -291,7 +330,7 @@
             done_at_ms: self.now_ms + ready_in_ms,
         };
         let change = under_way.is_none().then_some(change);
-        Some(Offer { is_remote, change, ready_in_ms, cost_ms, miss_ms: eviction.miss_ms })
+        Some(Offer { change, ready_in_ms, cost_ms, miss_ms: eviction.miss_ms })
     }
 
     /// The change that this plan begins at an engine.
@@ -315,23 +354,58 @@
             return;
         }
         let there = self.replicas.iter().filter(|(_, count)| **count > 0);
+        let there = there.filter(|(model, _)| self.may_gain(model));
         let gains = there.map(|(model, _)| {
             let gain_ms = self.gain_of_further_ms(model) - worth::SWAP_MS;
             (gain_ms, model)
         });
-        let best = gains.max_by(|one, other| one.0.total_cmp(&other.0));
-        let Some((gain_ms, model)) = best.filter(|(gain_ms, _)| *gain_ms > 0.0) else { return };
+        let mut gains: Vec<_> = gains.filter(|(gain_ms, _)| *gain_ms > 0.0).collect();
+        gains.sort_by(|one, other| other.0.total_cmp(&one.0));
+        let tried = if self.sharing.is_alone() { 1 } else { FURTHER_TRIED };
+        let mut best = gains.into_iter().take(tried);
+        let Some((gain_ms, model)) = best.find(|(_, model)| self.is_next_here(model)) else {
+            return;
+        };
         let model = model.clone();
         let model = &model;
-        let Some(offer) = self.best_offer(model, gain_ms) else { return };
-        if let Some(change) = offer.change
-            && (!change.is_remote || self.is_worth_a_far_load(model))
-        {
+        let reach = if self.is_worth_a_far_load(model) { Reach::Far } else { Reach::Near };
+        let Some(offer) = self.best_offer(model, gain_ms, reach) else { return };
+        if let Some(change) = offer.change {
             self.begin(change);
         }
     }
 }
 
+impl Planner<'_> {
+    /// Whether the next replica of a model belongs at this leader's engines.
+    fn is_next_here(&self, model: &ModelName) -> bool {
+        if self.sharing.is_alone() {
+            return true;
+        }
+        let Some(spec) = self.spec.models.get(model) else { return false };
+        let own = self.engines.values().map(|state| Host {
+            endpoint: state.endpoint,
+            holds: state.held,
+            running: self.usage.at(&state.endpoint.name),
+        });
+        let own: Vec<Host<'_>> = own.collect();
+        self.sharing.is_next_here(model, spec, &own)
+    }
+}
+
+/// Engines with a copy of each model near them.
+fn near<'a>(
+    endpoints: impl Iterator<Item = &'a Endpoint>,
+) -> BTreeMap<&'a ModelName, Vec<&'a EndpointName>> {
+    let mut near: BTreeMap<&ModelName, Vec<&EndpointName>> = BTreeMap::new();
+    for endpoint in endpoints {
+        for model in endpoint.on_disk.union(&endpoint.in_memory) {
+            near.entry(model).or_default().push(&endpoint.name);
+        }
+    }
+    near
+}
+
 /// From where weights may come.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Reach {
@@ -343,7 +417,6 @@
 
 /// What it would take to bring a model in at one engine.
 struct Offer {
-    is_remote: bool,
     /// The change; none while another is under way there.
     change: Option<Change>,
     ready_in_ms: u64,
@@ -359,14 +432,3 @@
     }
     counts
 }
-
-/// Time of a load, and whether it comes from the weight store.
-fn load_time(spec: &ModelSpec, endpoint: &Endpoint, model: &ModelName) -> (u64, bool) {
-    if endpoint.in_memory.contains(model) {
-        (spec.memory_load_ms, false)
-    } else if endpoint.on_disk.contains(model) {
-        (spec.disk_load_ms, false)
-    } else {
-        (spec.remote_load_ms, true)
-    }
-}
--- a/crates/trestle-dispatch/src/placing/far.rs
+++ b/crates/trestle-dispatch/src/placing/far.rs
@@ -6,13 +6,13 @@
 //! long the model has been missing, or what is asked for rarely would never come; and those
 //! that must wait for their turn are told the time that this takes.
 
-use super::{EngineState, Planner, Reach, UNLOAD_MS};
+use super::{Planner, Reach, UNLOAD_MS};
 use crate::{demand::Want, policy::Mechanism};
 use std::{cmp::Reverse, collections::BinaryHeap};
 use trestle_core::names::ModelName;
 
 /// Loads from the weight store at once that keep their full speed.
-pub const REMOTE_LOADS_AT_ONCE: usize = 4;
+const REMOTE_LOADS_AT_ONCE: usize = 4;
 /// Time for which a model is missing until those who wait for it count twice: about one load.
 const PATIENCE_MS: f64 = 6_000.0;
 /// Time after which room can be made where there is none at the moment: what has just arrived
@@ -28,6 +28,12 @@
 const FURTHER_LOADS: usize = 3;
 
 impl<'a> Planner<'a> {
+    /// Loads from the weight store that this leader may have under way; leaders share what it
+    /// serves at full speed.
+    pub(super) fn most_remote_loads(&self) -> usize {
+        (REMOTE_LOADS_AT_ONCE / self.sharing.leaders()).max(1)
+    }
+
     /// Sees to models that can only come from the weight store.
     pub(super) fn want_far(&mut self, mut far: Vec<&Want<'a>>) {
         if self.policy.has(Mechanism::FarLoadsByValue) {
@@ -47,13 +53,9 @@
     /// has only just arrived, or is waited for itself. That is over in a moment, where the
     /// weight store takes several times as long and is needed for others.
     fn is_only_blocked(&self, want: &Want<'_>) -> bool {
-        let has_copy = |state: &EngineState<'_>| {
-            let endpoint = state.endpoint;
-            endpoint.in_memory.contains(want.model) || endpoint.on_disk.contains(want.model)
-        };
         self.policy.has(Mechanism::WaitForNearCopies)
             && self.demand.missing_ms(want.model, self.now_ms) < BLOCKED_FOR_MS
-            && self.engines.values().any(has_copy)
+            && self.near.contains_key(want.model)
     }
 
     /// Whether a model is so busy that a further replica may come from the weight store.
@@ -75,7 +77,7 @@
     fn note_turns(&mut self, left: &[&Want<'a>]) {
         let mut ends: BinaryHeap<Reverse<u64>> = self.remote_ends_ms().map(Reverse).collect();
         // A load that could begin and does not has no room for now.
-        while ends.len() < REMOTE_LOADS_AT_ONCE {
+        while ends.len() < self.most_remote_loads() {
             ends.push(Reverse(BLOCKED_MS));
         }
         for want in left {
--- a/crates/trestle-dispatch/src/service_state.rs
+++ b/crates/trestle-dispatch/src/service_state.rs
@@ -12,13 +12,14 @@
     placing::{EngineState, PlanInputs, Planner},
     policy::Policy,
     replicas::{EngineNote, ReplicaView},
+    sharing::{Host, Sharing},
     usage::Usage,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
-use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
+use trestle_core::names::{DomainName, EndpointName, ModelName, ServiceName};
 
 /// Time for which an engine gets no orders after a change there failed.
 const FAILED_PAUSE_MS: u64 = 1_000;
@@ -34,6 +35,8 @@
 pub struct ServiceState {
     /// What callers of all daemons ask for.
     pub demand: Demand,
+    /// What other leaders see to.
+    pub sharing: Sharing,
     engines: BTreeMap<EndpointName, KnownEngine>,
     ready_in_ms: BTreeMap<Loadable, u64>,
     planned_ms: u64,
@@ -43,7 +46,7 @@
 }
 
 /// A change to begin, with the orders that make it.
-pub type Begun = (Endpoint, Change, OrderChain);
+pub type Begun = (Arc<Endpoint>, Change, OrderChain);
 
 #[derive(Debug, Default)]
 struct KnownEngine {
@@ -68,15 +71,19 @@
         &mut self,
         spec: &Arc<EngineSpec>,
         policy: &Policy,
-        directory: &BTreeMap<EndpointName, Endpoint>,
+        directory: &BTreeMap<EndpointName, Arc<Endpoint>>,
         orders_in_ms: u64,
         may_order_at: impl Fn(&EndpointName) -> bool,
         now_ms: u64,
     ) -> Vec<Begun> {
         self.demand.tick(now_ms);
         self.follow(directory, now_ms);
-        let held = self.engines.values().flat_map(|known| known.held.keys().cloned()).collect();
-        self.demand.note_plan(&held, now_ms);
+        self.share(spec, directory, now_ms);
+        let own = self.engines.values().flat_map(|known| known.held.keys());
+        let elsewhere = self.sharing.engines().flat_map(|foreign| foreign.holds.keys());
+        let held = own.chain(elsewhere).cloned().collect();
+        let is_planned = |wish: &Loadable| self.sharing.is_planned(wish, now_ms);
+        self.demand.note_plan(&held, is_planned, now_ms);
         let engines = &self.engines;
         let states = directory.values().filter_map(|endpoint| {
             let known = engines.get(&endpoint.name)?;
@@ -89,8 +96,14 @@
                 may_change: may_order_at(&endpoint.name),
             })
         });
-        let inputs =
-            PlanInputs { spec, demand: &self.demand, learnt: &self.learnt, policy, now_ms };
+        let inputs = PlanInputs {
+            spec,
+            demand: &self.demand,
+            learnt: &self.learnt,
+            policy,
+            sharing: &self.sharing,
+            now_ms,
+        };
         let plan = Planner::new(inputs, states).plan();
         self.ready_in_ms = plan.ready_in_ms;
         self.planned_ms = now_ms;
@@ -106,6 +119,45 @@
         changes.filter_map(|change| self.begin(spec, change, directory)).collect()
     }
 
+    /// Works out which of several leaders sees to what daemons wait for and nobody sees to yet.
+    pub fn share(
+        &mut self,
+        spec: &EngineSpec,
+        directory: &BTreeMap<EndpointName, Arc<Endpoint>>,
+        now_ms: u64,
+    ) {
+        self.sharing.tick(now_ms);
+        if self.sharing.is_alone() {
+            return;
+        }
+        let wishes = self.demand.waited_for(now_ms);
+        let (known, new): (Vec<Loadable>, Vec<Loadable>) =
+            wishes.into_iter().partition(|wish| self.sharing.is_settled(wish, now_ms));
+        self.sharing.still_wanted(&known, now_ms);
+        if new.is_empty() {
+            return;
+        }
+        let usage = self.demand.usage(now_ms);
+        let engines = &self.engines;
+        let own = directory.values().filter_map(|endpoint| {
+            let known = engines.get(&endpoint.name)?;
+            Some(Host { endpoint, holds: &known.held, running: usage.at(&endpoint.name) })
+        });
+        let own: Vec<Host<'_>> = own.collect();
+        self.sharing.assign(new.into_iter(), spec, &own, now_ms);
+    }
+
+    /// Groups of other leaders that see to something which daemons wait for, and have not planned
+    /// with it yet.
+    pub fn unplanned_elsewhere(&self, now_ms: u64) -> BTreeSet<DomainName> {
+        if self.sharing.is_alone() {
+            return BTreeSet::new();
+        }
+        let wishes = self.demand.waited_for(now_ms);
+        let unplanned = wishes.iter().filter(|wish| !self.sharing.is_planned(wish, now_ms));
+        unplanned.filter_map(|wish| self.sharing.group_of(wish).cloned()).collect()
+    }
+
     /// Takes the end of a change.
     pub fn change_ended(&mut self, endpoint: &EndpointName, chain: &OrderChain, now_ms: u64) {
         let Some(known) = self.engines.get_mut(endpoint) else { return };
@@ -139,15 +191,27 @@
         let engines = directory.usable(service).filter_map(|endpoint| {
             let known = self.engines.get(&endpoint.name)?;
             let note = note(endpoint, known, &usage, now_ms);
-            (note != EngineNote::default()).then(|| (endpoint.name.clone(), note))
+            Some((endpoint.name.clone(), note))
         });
         ReplicaView {
             engines: engines.collect(),
             ready_in_ms: self.ready_in_ms(now_ms),
             daemons: self.demand.daemons(),
+            askers: self.demand.daemons(),
         }
     }
 
+    /// Models that are on their way to engines.
+    pub fn coming(&self) -> impl Iterator<Item = &ModelName> {
+        let changes = self.engines.values().filter_map(|known| known.change.as_ref());
+        changes.filter(|change| change.adapter.is_none()).map(|change| &change.model)
+    }
+
+    /// When what is waited for will be ready, as the last plan says, and how old that is.
+    pub fn last_plan(&self, now_ms: u64) -> (&BTreeMap<Loadable, u64>, u64) {
+        (&self.ready_in_ms, now_ms.saturating_sub(self.planned_ms))
+    }
+
     /// When what is waited for will be ready, as the last plan says.
     fn ready_in_ms(&self, now_ms: u64) -> BTreeMap<Loadable, u64> {
         let age_ms = now_ms.saturating_sub(self.planned_ms);
@@ -156,7 +220,7 @@
     }
 
     /// Takes over what engines say of themselves, where nothing newer is known.
-    fn follow(&mut self, directory: &BTreeMap<EndpointName, Endpoint>, now_ms: u64) {
+    fn follow(&mut self, directory: &BTreeMap<EndpointName, Arc<Endpoint>>, now_ms: u64) {
         self.engines.retain(|name, _| directory.contains_key(name));
         for endpoint in directory.values() {
             let known = self.engines.entry(endpoint.name.clone()).or_default();
@@ -175,7 +239,7 @@
         &mut self,
         spec: &Arc<EngineSpec>,
         change: Change,
-        directory: &BTreeMap<EndpointName, Endpoint>,
+        directory: &BTreeMap<EndpointName, Arc<Endpoint>>,
     ) -> Option<Begun> {
         let endpoint = directory.get(&change.endpoint)?.clone();
         let known = self.engines.get_mut(&change.endpoint)?;
@@ -201,38 +265,30 @@
     }
 }
 
-/// What differs from an engine's own entry.
+/// What an engine can run, as far as is known, and what runs there.
 fn note(endpoint: &Endpoint, known: &KnownEngine, usage: &Usage<'_>, now_ms: u64) -> EngineNote {
     let running = usage.at(&endpoint.name);
     if now_ms < known.silent_until_ms {
-        let retiring = endpoint.held.keys().cloned().collect();
-        return EngineNote { retiring, running, ..EngineNote::default() };
-    }
-    let change = known.change.as_ref();
-    let going = change.map(|change| change.evicted.iter()).into_iter().flatten();
-    let gone = endpoint.held.keys().filter(|model| !known.held.contains_key(*model));
-    let coming = change.filter(|change| change.adapter.is_none()).map(|change| &change.model);
-    let arrived = known
-        .held
-        .keys()
-        .filter(|model| Some(*model) != coming && !endpoint.held.contains_key(*model));
-    let coming_adapter = change
-        .and_then(|change| change.adapter.clone().map(|adapter| (change.model.clone(), adapter)));
-    let mut adapters = adapters_of(&known.held);
-    if let Some(coming) = &coming_adapter {
-        adapters.remove(coming);
+        return EngineNote { holds: Held::new(), running };
     }
-    EngineNote {
-        retiring: going.chain(gone).cloned().collect(),
-        arrived: arrived.cloned().collect(),
-        adapters: (adapters != adapters_of(&endpoint.held)).then_some(adapters),
-        running,
+    let mut holds = known.held.clone();
+    if let Some(change) = &known.change {
+        for evicted in &change.evicted {
+            holds.remove(evicted);
+        }
+        match &change.adapter {
+            None => _ = holds.remove(&change.model),
+            Some(adapter) => {
+                if let Some(adapters) = holds.get_mut(&change.model) {
+                    adapters.remove(adapter);
+                }
+            }
+        }
+        if let Some((model, adapter)) = &change.evicted_adapter
+            && let Some(adapters) = holds.get_mut(model)
+        {
+            adapters.remove(adapter);
+        }
     }
-}
-
-fn adapters_of(held: &Held) -> BTreeSet<(ModelName, AdapterName)> {
-    let each = held.iter().flat_map(|(model, adapters)| {
-        adapters.iter().map(move |adapter| (model.clone(), adapter.clone()))
-    });
-    each.collect()
+    EngineNote { holds, running }
 }
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -20,7 +20,7 @@
 pub(crate) fn start(
     daemon: &Arc<Daemon>,
     service: ServiceName,
-    endpoint: Endpoint,
+    endpoint: Arc<Endpoint>,
     change: Change,
     chain: OrderChain,
 ) {
@@ -35,7 +35,7 @@
 async fn run(
     daemon: Arc<Daemon>,
     service: ServiceName,
-    endpoint: Endpoint,
+    endpoint: Arc<Endpoint>,
     change: Change,
     mut chain: OrderChain,
 ) {
@@ -79,7 +79,7 @@
         }
     }
     daemon.metrics.change(failure.is_none(), change.is_remote, took_ms);
-    daemon.tell(Message::ChangeEnded { service, endpoint: endpoint.name, chain });
+    daemon.tell(Message::ChangeEnded { service, endpoint: endpoint.name.clone(), chain });
 }
 
 async fn ask(daemon: &Daemon, client: &CallClient, endpoint: &Endpoint) -> Option<EngineReport> {
@@ -110,7 +110,7 @@
 ) -> Option<OrderAnswer> {
     let leader = &daemon.settings.vm;
     let now_ms = daemon.knowledge.now_ms();
-    let token = daemon.order_permit.token(now_ms)?;
+    let token = daemon.order_permits.token(&endpoint.domain, now_ms)?;
     if !daemon.with_order_log(|log| log.may_order(&endpoint.name, now_ms)) {
         return None;
     }
--- /dev/null
+++ b/crates/trestle-entry/src/peer/leaders.rs
@@ -0,0 +1,77 @@
+//! What leaders tell each other, while this daemon is one of them.
+
+use crate::{control::message::Message, daemon::Daemon, peer::client::LeaderClient};
+use futures_lite::{FutureExt, future};
+use smol::{Task, Timer};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use trestle_core::names::DomainName;
+
+/// Between two looks at who leads.
+const LOOK_MS: u64 = 200;
+/// Between two tellings while nothing waits for another leader. Loads of its engines are so
+/// old at most, and as much older as a daemon's pause.
+const CALM_MS: u64 = 150;
+/// Shortest time between two tellings.
+const LEAST_MS: u64 = 40;
+
+/// Tells other leaders, and hears them, until the process ends.
+pub(crate) async fn run(daemon: Arc<Daemon>) {
+    let mut tasks: BTreeMap<SocketAddr, Task<()>> = BTreeMap::new();
+    loop {
+        let (reply, answer) = async_channel::bounded(1);
+        daemon.tell(Message::OtherLeaders(reply));
+        let others = answer.recv().await.unwrap_or_default();
+        tasks.retain(|address, _| others.contains_key(address));
+        for (address, group) in others {
+            let daemon = Arc::clone(&daemon);
+            tasks.entry(address).or_insert_with(|| smol::spawn(follow(daemon, address, group)));
+        }
+        Timer::after(Duration::from_millis(LOOK_MS)).await;
+    }
+}
+
+async fn follow(daemon: Arc<Daemon>, address: SocketAddr, group: DomainName) {
+    let mut client = LeaderClient::default();
+    loop {
+        // What is told now is heard of by this.
+        daemon.knowledge.must_hear(address);
+        let (reply, asking) = async_channel::bounded(1);
+        daemon.tell(Message::AskOther { address, group: group.clone(), reply });
+        let Ok((asking, is_new)) = asking.recv().await else { return };
+        let waits = asking.digests.iter().any(|digest| !digest.waiting.is_empty());
+        let answered = async { Some(client.sync(address, asking).await) };
+        let interrupted = async {
+            // A question with a new wish is answered soon, and its answer must be heard.
+            if is_new {
+                future::pending::<()>().await;
+            }
+            Timer::after(Duration::from_millis(LEAST_MS)).await;
+            urgent(&daemon, address).await;
+            None
+        };
+        let Some(answer) = answered.or(interrupted).await else { continue };
+        if let Err(error) = &answer {
+            tracing::debug!(%error, "sync: Another leader does not answer.");
+        }
+        let is_calm = answer.is_err() || !waits;
+        daemon.tell(Message::OtherAnswered { address, answer: answer.ok() });
+        Timer::after(Duration::from_millis(LEAST_MS)).await;
+        if is_calm {
+            let calm = async {
+                Timer::after(Duration::from_millis(CALM_MS - LEAST_MS)).await;
+            };
+            urgent(&daemon, address).or(calm).await;
+        }
+    }
+}
+
+/// Waits until a leader must hear of a wish.
+async fn urgent(daemon: &Daemon, address: SocketAddr) {
+    loop {
+        let forwarded = daemon.knowledge.forwarded();
+        if daemon.knowledge.must_hear(address) {
+            return;
+        }
+        forwarded.await;
+    }
+}
--- a/crates/trestle-wire/src/relay.rs
+++ b/crates/trestle-wire/src/relay.rs
@@ -1,17 +1,20 @@
 //! What the leader passes on of the store, so that others need not follow it.
 
-use std::{collections::BTreeMap, net::SocketAddr};
-use trestle_core::names::{AdapterName, ModelName};
-use trestle_dispatch::{endpoint::Endpoint, mirror::News};
+use crate::placements::WirePosition;
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use trestle_dispatch::{
+    config_texts::ConfigNews, endpoint::Endpoint, mirror::News, text_delta::TextPiece,
+};
 
 /// What a daemon already has of the store.
 #[trestle_macros::wire]
-#[derive(Copy)]
 pub struct WireHave {
     /// The version of its list of endpoints; 0 if it has none.
     pub endpoints: u64,
     /// The configuration that it has in force; 0 if none is.
     pub config: u64,
+    /// How much it has of the leader's logs, by service.
+    pub placements: BTreeMap<String, WirePosition>,
 }
 
 /// What has changed since.
@@ -19,12 +22,35 @@
 pub struct WireRelay {
     /// Changes of the list of endpoints.
     pub endpoints: WireNews,
-    /// The configuration as the store holds it, if it is newer.
-    pub config: Option<Vec<u8>>,
+    /// The configuration, if it is newer.
+    pub config: Option<WireConfig>,
     /// Time since the store last answered the sender about both.
     pub age_ms: u64,
 }
 
+/// What a daemon is told of the configuration.
+#[trestle_macros::wire]
+pub enum WireConfig {
+    /// Its text, as the store holds it.
+    Whole(Vec<u8>),
+    /// What has changed since a version.
+    Changes {
+        /// That version.
+        from: u64,
+        /// What makes the new text out of it.
+        pieces: Vec<WirePiece>,
+    },
+}
+
+/// One part of a text.
+#[trestle_macros::wire]
+pub enum WirePiece {
+    /// Bytes of the old text: where they begin, and how many.
+    Kept(usize, usize),
+    /// Bytes that are new.
+    New(Vec<u8>),
+}
+
 /// Changes of the list of endpoints.
 #[trestle_macros::wire]
 pub struct WireNews {
@@ -38,8 +64,8 @@
     pub version: u64,
 }
 
-/// One live endpoint, without the copies of weights near it: only the leader
-/// needs those, and it reads them from the store.
+/// One live endpoint, without what it holds and the copies of weights near it: leaders read
+/// those from the store, and tell where models are by their logs.
 #[trestle_macros::wire]
 pub struct WireEndpoint {
     /// Its name.
@@ -54,10 +80,48 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub is_leaving: bool,
-    /// Number of the message by which it entered this.
-    pub entry_number: u64,
-    /// Models that it holds, with their adapters.
-    pub held: Vec<(String, Vec<String>)>,
+}
+
+impl From<ConfigNews> for WireConfig {
+    fn from(news: ConfigNews) -> Self {
+        match news {
+            ConfigNews::Whole(text) => Self::Whole(text.to_vec()),
+            ConfigNews::Changes { from, pieces } => {
+                let pieces = pieces.iter().cloned().map(WirePiece::from).collect();
+                Self::Changes { from, pieces }
+            }
+        }
+    }
+}
+
+impl From<WireConfig> for ConfigNews {
+    fn from(wire: WireConfig) -> Self {
+        match wire {
+            WireConfig::Whole(text) => Self::Whole(Arc::new(text)),
+            WireConfig::Changes { from, pieces } => {
+                let pieces = pieces.into_iter().map(TextPiece::from).collect();
+                Self::Changes { from, pieces: Arc::new(pieces) }
+            }
+        }
+    }
+}
+
+impl From<TextPiece> for WirePiece {
+    fn from(piece: TextPiece) -> Self {
+        match piece {
+            TextPiece::Kept { from, length } => Self::Kept(from, length),
+            TextPiece::New(bytes) => Self::New(bytes),
+        }
+    }
+}
+
+impl From<WirePiece> for TextPiece {
+    fn from(wire: WirePiece) -> Self {
+        match wire {
+            WirePiece::Kept(from, length) => Self::Kept { from, length },
+            WirePiece::New(bytes) => Self::New(bytes),
+        }
+    }
 }
 
 impl From<News<Endpoint>> for WireNews {
@@ -89,9 +153,6 @@
 
 impl From<Endpoint> for WireEndpoint {
     fn from(endpoint: Endpoint) -> Self {
-        let held = endpoint.held.into_iter().map(|(model, adapters)| {
-            (model.to_string(), adapters.iter().map(ToString::to_string).collect())
-        });
         Self {
             name: endpoint.name.to_string(),
             service: endpoint.service.to_string(),
@@ -99,21 +160,12 @@
             domain: endpoint.domain.to_string(),
             slots: endpoint.slots,
             is_leaving: endpoint.is_leaving,
-            entry_number: endpoint.entry_number,
-            held: held.collect(),
         }
     }
 }
 
 impl From<WireEndpoint> for Endpoint {
     fn from(wire: WireEndpoint) -> Self {
-        let held: BTreeMap<ModelName, _> = wire
-            .held
-            .into_iter()
-            .map(|(model, adapters)| {
-                (ModelName::from(model), adapters.into_iter().map(AdapterName::from).collect())
-            })
-            .collect();
         Self {
             name: wire.name.into(),
             service: wire.service.into(),
@@ -121,8 +173,8 @@
             domain: wire.domain.into(),
             slots: wire.slots,
             is_leaving: wire.is_leaving,
-            entry_number: wire.entry_number,
-            held,
+            entry_number: 0,
+            held: Default::default(),
             in_memory: Default::default(),
             on_disk: Default::default(),
         }
