--- a/crates/trestle-lab/src/control/plan.rs
+++ b/crates/trestle-lab/src/control/plan.rs
@@ -1,8 +1,7 @@
 //! What to play, as its file describes it.
 
-use crate::error::{FileSnafu, ReadSnafu, Result, ValueSnafu};
-use snafu::{ResultExt, ensure};
-use std::{fs, path::Path};
+use crate::{error::Result, file};
+use std::path::Path;
 
 /// Control of one deployment, with what goes wrong in it.
 #[trestle_macros::wire]
@@ -114,8 +113,8 @@
     ///
     /// Fails with the place of everything that is wrong.
     pub fn read(path: &Path) -> Result<Self> {
-        let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-        Self::parse(&text, &path.display().to_string())
+        let (text, name) = file::read(path)?;
+        Self::parse(&text, &name)
     }
 
     /// Reads and checks the text of a file.
@@ -123,17 +122,14 @@
     /// # Errors
     ///
     /// Fails with the place of everything that is wrong.
-    pub fn parse(text: &str, file: &str) -> Result<Self> {
-        let plan: Self = trestle_config::read_jsonc(text, file).context(FileSnafu)?;
-        plan.check(file)?;
+    pub fn parse(text: &str, name: &str) -> Result<Self> {
+        let plan: Self = file::parse(text, name)?;
+        plan.check(name)?;
         Ok(plan)
     }
 
-    fn check(&self, file: &str) -> Result<()> {
-        let need = |holds: bool, field: &str, message: &str| {
-            ensure!(holds, ValueSnafu { place: format!("{file}: {field}"), message });
-            Ok(())
-        };
+    fn check(&self, name: &str) -> Result<()> {
+        let need = |holds, field: &str, message: &str| file::need(name, holds, field, message);
         need(self.duration_s > 0.0, "duration_s", "must be above 0")?;
         need(self.domains > 0, "domains", "must be at least 1")?;
         need(self.engines > 0, "engines", "must be at least 1")?;
--- a/crates/trestle-lab/src/deployment.rs
+++ b/crates/trestle-lab/src/deployment.rs
@@ -1,8 +1,7 @@
 //! A deployment to play, as its file describes it.
 
-use crate::error::{FileSnafu, ReadSnafu, Result, ValueSnafu};
-use snafu::{ResultExt, ensure};
-use std::{fs, path::Path};
+use crate::{error::Result, file};
+use std::path::Path;
 
 /// A deployment, with what goes wrong in it.
 #[trestle_macros::wire]
@@ -236,8 +235,8 @@
     ///
     /// Fails with the place of everything that is wrong.
     pub fn read(path: &Path) -> Result<Self> {
-        let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-        Self::parse(&text, &path.display().to_string())
+        let (text, name) = file::read(path)?;
+        Self::parse(&text, &name)
     }
 
     /// Reads and checks the text of a file.
@@ -245,17 +244,14 @@
     /// # Errors
     ///
     /// Fails with the place of everything that is wrong.
-    pub fn parse(text: &str, file: &str) -> Result<Self> {
-        let deployment: Self = trestle_config::read_jsonc(text, file).context(FileSnafu)?;
-        deployment.check(file)?;
+    pub fn parse(text: &str, name: &str) -> Result<Self> {
+        let deployment: Self = file::parse(text, name)?;
+        deployment.check(name)?;
         Ok(deployment)
     }
 
-    fn check(&self, file: &str) -> Result<()> {
-        let need = |holds: bool, field: &str, message: &str| {
-            ensure!(holds, ValueSnafu { place: format!("{file}: {field}"), message });
-            Ok(())
-        };
+    fn check(&self, name: &str) -> Result<()> {
+        let need = |holds, field: &str, message: &str| file::need(name, holds, field, message);
         need(self.duration_s > 0.0, "duration_s", "must be above 0")?;
         need(self.domains > 0, "domains", "must be at least 1")?;
         need(self.daemons > 0, "daemons", "must be at least 1")?;
--- a/crates/trestle-lab/src/lib.rs
+++ b/crates/trestle-lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod deployment;
 pub mod error;
 pub mod experiment;
+mod file;
 pub mod outcome;
 pub mod plot;
 pub mod record;
