--- a/crates/trestle-dispatch/src/demand.rs
+++ b/crates/trestle-dispatch/src/demand.rs
@@ -1,6 +1,7 @@
 //! What is asked for, as all daemons tell the leader.
 
 use crate::{
+    average::MovingAverage,
     loadable::Loadable,
     rates::{PastArrivals, Rates},
     usage::Usage,
@@ -99,7 +100,7 @@
 }
 
 /// What all daemons ask for, of one service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Demand {
     daemons: BTreeMap<VmName, Told>,
     rates: Rates,
@@ -110,11 +111,25 @@
     /// Since when somebody has waited for models that no engine holds.
     missing_since_ms: BTreeMap<ModelName, u64>,
     /// Time that a request runs, on average.
-    run_s: Option<f64>,
+    run_s: MovingAverage,
     /// When adapters were last in use.
     adapters_used_ms: BTreeMap<(ModelName, AdapterName), u64>,
 }
 
+impl Default for Demand {
+    fn default() -> Self {
+        Self {
+            daemons: BTreeMap::new(),
+            rates: Rates::default(),
+            own_rates: Rates::default(),
+            peaks: BTreeMap::new(),
+            missing_since_ms: BTreeMap::new(),
+            run_s: MovingAverage::new(NEWEST_RUN_WEIGHT),
+            adapters_used_ms: BTreeMap::new(),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Peak {
     running: f64,
@@ -208,8 +223,7 @@
             let before = self.peaks.get(&model).map_or(0.0, |peak| peak.decayed(now_ms));
             self.peaks.insert(model, Peak { running: running.max(before), at_ms: now_ms });
         }
-        let before = self.run_s.unwrap_or(run_s);
-        self.run_s = Some(before + (run_s - before) * NEWEST_RUN_WEIGHT);
+        self.run_s.note(run_s);
         self.peaks.retain(|_, peak| peak.decayed(now_ms) >= 0.5);
     }
 
@@ -221,7 +235,7 @@
     /// Time that a request runs, on average over all models: as many run at once as arrive in
     /// that time.
     pub fn run_s(&self) -> f64 {
-        self.run_s.unwrap_or_default()
+        self.run_s.get().unwrap_or_default()
     }
 
     /// For how long somebody has waited for a model that no engine holds.
--- a/crates/trestle-dispatch/src/learnt.rs
+++ b/crates/trestle-dispatch/src/learnt.rs
@@ -1,6 +1,9 @@
 //! Times that the leader learns from the changes that it makes.
 
-use crate::policy::{Mechanism, Policy};
+use crate::{
+    average::MovingAverage,
+    policy::{Mechanism, Policy},
+};
 
 /// Time that an unload waits for running requests, until one was seen.
 const FIRST_RUN_WAIT_MS: f64 = 2_800.0;
@@ -8,22 +11,26 @@
 const NEWEST_WEIGHT: f64 = 0.2;
 
 /// Times that the leader learns.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct LearntTimes {
-    run_wait_ms: Option<f64>,
+    run_wait_ms: MovingAverage,
+}
+
+impl Default for LearntTimes {
+    fn default() -> Self {
+        Self { run_wait_ms: MovingAverage::new(NEWEST_WEIGHT) }
+    }
 }
 
 impl LearntTimes {
     /// Notes how long an unload has waited for requests that ran.
     pub fn run_waited(&mut self, waited_ms: u64) {
-        let newest_ms = waited_ms as f64;
-        let before_ms = self.run_wait_ms.unwrap_or(newest_ms);
-        self.run_wait_ms = Some(before_ms + (newest_ms - before_ms) * NEWEST_WEIGHT);
+        self.run_wait_ms.note(waited_ms as f64);
     }
 
     /// Time that an unload waits for requests that run, on average.
     pub fn run_wait_ms(&self, policy: &Policy) -> f64 {
-        let learnt = self.run_wait_ms.filter(|_| policy.has(Mechanism::LearntTimes));
+        let learnt = self.run_wait_ms.get().filter(|_| policy.has(Mechanism::LearntTimes));
         learnt.unwrap_or(FIRST_RUN_WAIT_MS)
     }
 }
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod admission;
 pub mod asked;
+mod average;
 pub mod beliefs;
 pub mod candidate;
 pub mod catalog;
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -12,6 +12,7 @@
 mod adapters;
 mod eviction;
 mod far;
+mod room;
 mod worth;
 
 use crate::{
@@ -195,6 +196,7 @@
             return true;
         }
         if let Some(ready_in_ms) = self.ready_in_ms(model) {
+            let ready_in_ms = if ready_in_ms == 0 { self.room_in_ms(want) } else { ready_in_ms };
             self.note_ready(want, ready_in_ms);
             return true;
         }
--- a/crates/trestle-dispatch/tests/traffic.rs
+++ b/crates/trestle-dispatch/tests/traffic.rs
@@ -50,6 +50,7 @@
             adapter: adapter.as_ref(),
             excluded: &self.excluded,
             only: self.only.as_ref(),
+            queue_ms: 150,
         };
         choose(known, need, lot).map(|endpoint| endpoint.name.to_string())
     }
--- a/crates/trestle-entry/src/control/leaders.rs
+++ b/crates/trestle-entry/src/control/leaders.rs
@@ -21,7 +21,11 @@
     }
 
     /// What another leader is to be told, and whether it has not planned with that yet.
-    pub(super) fn ask_other(&mut self, address: SocketAddr, group: &DomainName) -> (WireAsking, bool) {
+    pub(super) fn ask_other(
+        &mut self,
+        address: SocketAddr,
+        group: &DomainName,
+    ) -> (WireAsking, bool) {
         let now_ms = self.now_ms();
         let mut digests = Vec::new();
         let mut placements = BTreeMap::new();
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -18,11 +18,7 @@
 
 use crate::{
     control::{
-        answers::Pendings,
-        leases::Leases,
-        message::Message,
-        others::Others,
-        planning::PLAN_GAP_MS,
+        answers::Pendings, leases::Leases, message::Message, others::Others, planning::PLAN_GAP_MS,
         telling::Telling,
     },
     daemon::Daemon,
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -56,6 +56,8 @@
     first_ms: Option<u64>,
     was_cold: bool,
     was_sent: bool,
+    /// When it was last sent to an engine.
+    sent_ms: u64,
 }
 
 impl Request {
@@ -103,6 +105,7 @@
             first_ms: None,
             was_cold,
             was_sent: false,
+            sent_ms: 0,
         });
         let way_us = self.caller_way_us();
         let request = self.requests.len() - 1;
@@ -215,6 +218,7 @@
         beliefs.sent(&endpoint, of.head.model.as_ref(), of.head.adapter.as_ref());
         of.state = State::Sent;
         of.was_sent = true;
+        of.sent_ms = now_ms;
         of.send += 1;
         let (send, patience_ms) = (of.send, patience::first_event_ms(route));
         let engine = self.engines.iter().position(|engine| engine.name == endpoint.name);
@@ -406,8 +410,10 @@
         }
         let now_ms = self.now_ms();
         if let Some(name) = self.last_endpoint(request) {
-            let daemon = self.requests[request].daemon;
-            self.daemons[daemon].beliefs.records.succeeded(&name, now_ms);
+            let of = &self.requests[request];
+            let beliefs = &mut self.daemons[of.daemon].beliefs;
+            beliefs.records.succeeded(&name, now_ms);
+            beliefs.asked_of(&self.service).ran(now_ms - of.sent_ms);
         }
         let of = &self.requests[request];
         let class = &self.deployment.classes[of.class];
@@ -452,15 +458,13 @@
         self.hurry_sync(number);
     }
 
-    /// A caller gives up.
+    /// A caller gives up on a stream without events; one that was refused comes back all the same.
     pub(super) fn leave(&mut self, request: usize) {
         let of = &self.requests[request];
-        if of.state == State::Ended || (of.state == State::Sent && of.first_ms.is_some()) {
+        let has_events = of.state == State::Sent && of.first_ms.is_some();
+        if has_events || matches!(of.state, State::Ended | State::Away) {
             return;
         }
-        if of.state == State::Away {
-            return self.end(request, End::Left);
-        }
         self.cancel(request);
         self.end(request, End::Left);
     }
--- a/crates/trestle-lab/tests/control.rs
+++ b/crates/trestle-lab/tests/control.rs
@@ -1,6 +1,6 @@
 //! Control of hundreds of daemons, with links and processors in virtual time.
 
-use trestle_lab::control::{ControlFault, ControlPlan, LeaseRows, Leaders, Outcome, Telling, play};
+use trestle_lab::control::{ControlFault, ControlPlan, Leaders, LeaseRows, Outcome, Telling, play};
 
 const LARGE: &str = include_str!("../../../examples/lab/control-large.jsonc");
 const ONE_LEADER: &str = include_str!("../../../examples/lab/control-one-leader.jsonc");
