--- a/crates/trestle-dispatch/src/asked.rs
+++ b/crates/trestle-dispatch/src/asked.rs
@@ -4,6 +4,7 @@
     average::MovingAverage,
     demand::{DemandDigest, Waiting},
     rates::Rates,
+    urgency::UrgencyMix,
 };
 use std::collections::BTreeMap;
 use trestle_core::names::{AdapterName, EndpointName, ModelName};
@@ -33,6 +34,8 @@
     pub told_running: BTreeMap<EndpointName, u32>,
     /// Requests that run with an adapter.
     pub adapters: BTreeMap<EndpointName, BTreeMap<(ModelName, AdapterName), u32>>,
+    /// How urgent the requests that arrive are.
+    pub urgency: UrgencyMix,
     /// Time for which a request holds its place at an engine.
     run_ms: MovingAverage,
 }
@@ -49,6 +52,7 @@
             running: BTreeMap::new(),
             told_running: BTreeMap::new(),
             adapters: BTreeMap::new(),
+            urgency: UrgencyMix::default(),
             run_ms: MovingAverage::new(NEWEST_RUN_WEIGHT),
         }
     }
--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -1,8 +1,6 @@
 //! The choice of an endpoint for one request.
 
-use crate::{
-    asked::Asked, beliefs::Beliefs, endpoint::Endpoint, policy::Mechanism, replicas::ReplicaView,
-};
+use crate::{beliefs::Beliefs, endpoint::Endpoint, policy::Mechanism, replicas::ReplicaView};
 use std::collections::BTreeSet;
 use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
 
@@ -37,6 +35,8 @@
     pub only: Option<&'a BTreeSet<EndpointName>>,
     /// Time for which it may wait in an engine's queue and still be on time.
     pub queue_ms: u64,
+    /// Its urgency; 0 goes first.
+    pub priority: u8,
 }
 
 /// What is known when the choice is made.
@@ -104,7 +104,10 @@
     let slots = endpoint.slots.max(1);
     let asked = known.beliefs.asked.get(need.service);
     // Until one has ended, engines' own queues are the only bound.
-    let place_ms = asked.and_then(Asked::run_ms).map(|run_ms| run_ms / f64::from(slots));
+    let place_ms = asked.and_then(|asked| {
+        let ahead_part = asked.urgency.part_ahead_of(need.priority);
+        Some(asked.run_ms()? / f64::from(slots) * ahead_part)
+    });
     let in_time = place_ms.map_or(u32::MAX, |place_ms| (need.queue_ms as f64 / place_ms) as u32);
     let most = slots + in_time.min(slots / QUEUED_PART);
     let running = known.beliefs.running(endpoint);
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -55,4 +55,5 @@
 pub mod sharing;
 pub mod store;
 pub mod text_delta;
+pub mod urgency;
 pub mod usage;
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -144,6 +144,7 @@
         excluded: &allowed.excluded,
         only: allowed.only.as_ref(),
         queue_ms: admission::queue_ms(asking.route),
+        priority: asking.route.priority,
     };
     beliefs.directory.tick(now_ms);
     let nothing = ReplicaView::default();
--- a/crates/trestle-dispatch/tests/traffic.rs
+++ b/crates/trestle-dispatch/tests/traffic.rs
@@ -51,6 +51,7 @@
             excluded: &self.excluded,
             only: self.only.as_ref(),
             queue_ms: 150,
+            priority: 1,
         };
         choose(known, need, lot).map(|endpoint| endpoint.name.to_string())
     }
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -131,7 +131,7 @@
         let beliefs = &mut self.daemons[daemon].beliefs;
         beliefs.requested(&self.service, now_ms);
         if let Some(model) = &of.head.model {
-            beliefs.model_requested(&self.service, model, now_ms);
+            beliefs.model_requested(&self.service, model, route.priority, now_ms);
         }
         self.look(request);
     }
--- a/crates/trestle-lab/tests/days.rs
+++ b/crates/trestle-lab/tests/days.rs
@@ -9,6 +9,7 @@
 };
 
 const SMALL: &str = include_str!("../../../examples/lab/small.jsonc");
+const CROWDED: &str = include_str!("../../../examples/lab/crowded.jsonc");
 const RELEASE: &str = include_str!("../../../examples/lab/release.jsonc");
 const SEEDS: u64 = 6;
 const JOBS: usize = 4;
@@ -44,6 +45,9 @@
     callers_wait_while_they_stay: SMALL without WaitWhileCallerStays, "served" falls by 0.02;
     /// No leader for 2 s while demand moves.
     the_next_leader_is_waited_for: SMALL without AwaitLeader, "served" falls by 0.001;
+    /// One model is asked for more often than the engines with a copy of it can run it.
+    requests_are_not_queued_where_they_would_be_late:
+        CROWDED without RoomAtEngines, "worth" falls by 0.03;
     /// Every engine is replaced by an empty one within 10 s, and the weight store gives some 28
     /// loads until the end.
     loads_go_to_what_most_wait_for: RELEASE without FarLoadsByValue, "worth" falls by 0.01;
@@ -51,7 +55,7 @@
 
 #[test]
 fn no_day_overfills_an_engine() {
-    for text in [SMALL, RELEASE] {
+    for text in [SMALL, CROWDED, RELEASE] {
         let deployment = deployment(text);
         for seed in 1..=SEEDS {
             let outcome = sim::play(&deployment, &Policy::default(), seed, Load::Drawn);
