Take bounds with a fraction by the whole number that keeps them

Upper bounds go by the next whole number below, the quiet time and the window of retries by the one above; negative ones and other kinds are refused with their place. Test red before.

--- a/crates/trestle-config/src/entry_settings.rs
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a daemon whose state lies in an outside store.
 
-use crate::settings::LogSettings;
+use crate::{settings::LogSettings, whole};
 use std::net::{IpAddr, SocketAddr};
 
 /// Settings of a daemon whose state lies in an outside store.
@@ -44,18 +44,24 @@
 #[serde(deny_unknown_fields)]
 pub struct Bounds {
     /// Between the news that an endpoint is leaving and the last request to it.
+    #[serde(deserialize_with = "whole::below")]
     pub leaving_ms: u64,
     /// Between the acceptance of a configuration and its being in force.
+    #[serde(deserialize_with = "whole::below")]
     pub config_ms: u64,
     /// For a planned stop.
+    #[serde(deserialize_with = "whole::below")]
     pub stop_s: u64,
     /// Between orders of two VMs to the same engine.
+    #[serde(deserialize_with = "whole::above")]
     pub order_quiet_ms: u64,
     /// Further sends a request, of all daemons together.
     pub retry_ratio: f64,
     /// The window over which further sends are counted.
+    #[serde(deserialize_with = "whole::above")]
     pub retry_window_s: u64,
     /// Further sends beyond the ratio in a window.
+    #[serde(deserialize_with = "whole::below")]
     pub retry_fixed: u32,
 }
 
--- a/crates/trestle-config/src/lib.rs
+++ b/crates/trestle-config/src/lib.rs
@@ -24,6 +24,7 @@
 mod locate;
 mod read;
 pub mod settings;
+mod whole;
 mod window;
 
 pub use config::{Adapter, Class, Config, Service, ServiceEndpoint, Target, Tenant};
--- a/crates/trestle-config/tests/files.rs
+++ b/crates/trestle-config/tests/files.rs
@@ -1,6 +1,6 @@
 //! What is wrong with a file is told with its place.
 
-use std::path::Path;
+use std::{env, fs, path::Path, process};
 use trestle_config::{Category, SettingsFile, from_str, read_settings};
 
 const FLEET: &str = include_str!("../../../examples/fleet.jsonc");
@@ -87,3 +87,35 @@
     assert!(matches!(read("trestled.jsonc"), SettingsFile::Own(_)));
     assert!(matches!(read("entry.jsonc"), SettingsFile::Entry(_)));
 }
+
+// Wrong once: every daemon of a deployment ended at its start on a bound with a fraction.
+#[test]
+fn bounds_with_fractions_are_kept_by_whole_numbers() {
+    let text = fs::read_to_string("../../examples/entry.jsonc").expect("the example is there");
+    let with = |name: &str, value: &str| {
+        let line = text.lines().find(|line| line.contains(name)).expect("a bound");
+        let comma = if line.trim_end().ends_with(',') { "," } else { "" };
+        text.replace(line, &format!("\"{name}\": {value}{comma}"))
+    };
+    let read = |name: &str, value: &str| {
+        let path = env::temp_dir().join(format!("trestle-bounds-{}.jsonc", process::id()));
+        fs::write(&path, with(name, value)).expect("a file can be written");
+        let settings = read_settings(&path);
+        fs::remove_file(&path).expect("it can be removed");
+        match settings {
+            Ok(SettingsFile::Entry(settings)) => Ok(settings.bounds),
+            Ok(SettingsFile::Own(_)) => panic!("it is of the other kind"),
+            Err(error) => Err(error.to_string()),
+        }
+    };
+    let bounds = |name, value| read(name, value).unwrap_or_else(|error| panic!("{error}"));
+    assert_eq!(bounds("retry_fixed", "33.1578947368421").retry_fixed, 33);
+    assert_eq!(bounds("leaving_ms", "2000.5").leaving_ms, 2_000);
+    assert_eq!(bounds("stop_s", "8.0").stop_s, 8);
+    assert_eq!(bounds("order_quiet_ms", "3000.5").order_quiet_ms, 3_001);
+    assert_eq!(bounds("retry_window_s", "9.1").retry_window_s, 10);
+    for wrong in ["-1", "1e40", "\"10\""] {
+        let error = read("retry_fixed", wrong).expect_err("it is no bound");
+        assert!(error.contains(".jsonc:"), "{error}");
+    }
+}
