Take back the bound on what engines get

Cause: an engine that runs twelve at once gives a first event after some 660 ms, so what the bound lets in is late all the same, and what it refuses would have been served late. A bound has to go by first events as observed.

--- a/crates/trestle-dispatch/src/admission.rs
+++ b/crates/trestle-dispatch/src/admission.rs
@@ -42,11 +42,6 @@
         /// For how long it has said so.
         for_ms: u64,
     },
-    /// Engines have it, and all of them are full.
-    Full {
-        /// Time until one has room.
-        in_ms: u64,
-    },
     /// The leader has not yet been heard on it.
     Unheard,
     /// There is no leader, or it cannot tell.
@@ -63,22 +58,18 @@
     pub allowed_ms: u64,
     /// Time up to which its caller stays, from its arrival.
     pub stays_ms: u64,
-    /// Time within which its first event is on time, from its arrival.
-    pub objective_ms: u64,
 }
 
 impl Wait {
     /// The wait of a request of a route.
     pub fn new(route: &Route, elapsed_ms: u64, allowed_ms: u64) -> Self {
-        let stays_ms = caller_stays_ms(route, allowed_ms);
-        Self { elapsed_ms, allowed_ms, stays_ms, objective_ms: route.objective_ms }
+        Self { elapsed_ms, allowed_ms, stays_ms: caller_stays_ms(route, allowed_ms) }
     }
 
     /// The same for callers that only wait for what is on time.
     pub fn within_objective(route: &Route, elapsed_ms: u64, allowed_ms: u64) -> Self {
-        let objective_ms = route.objective_ms;
-        let stays_ms = objective_ms.min(caller_stays_ms(route, allowed_ms));
-        Self { elapsed_ms, allowed_ms, stays_ms, objective_ms }
+        let stays_ms = route.objective_ms.min(caller_stays_ms(route, allowed_ms));
+        Self { elapsed_ms, allowed_ms, stays_ms }
     }
 }
 
@@ -110,8 +101,6 @@
     ReadyUnknown,
     /// The leader calls it ready, and no endpoint here takes it.
     Disagreement,
-    /// All engines that have it are full, and will be for longer than the objective allows.
-    Crowded,
 }
 
 impl Reason {
@@ -121,16 +110,10 @@
             Self::ReadyTooLate => "ready_too_late",
             Self::ReadyUnknown => "ready_unknown",
             Self::Disagreement => "disagreement",
-            Self::Crowded => "crowded",
         }
     }
 }
 
-/// Time for which a request of a route may wait in an engine's queue and still be on time.
-pub fn queue_ms(route: &Route) -> u64 {
-    route.objective_ms.saturating_sub(FIRST_EVENT_MS)
-}
-
 /// How long a caller stays without a first event, from its arrival.
 pub fn caller_stays_ms(route: &Route, deadline_ms: u64) -> u64 {
     if !route.is_stream() {
@@ -158,13 +141,6 @@
             Admission::Wait { until_ms }
         }
         Outlook::Ready { in_ms } => refuse(Some(in_ms), Reason::ReadyTooLate),
-        Outlook::Full { in_ms } => {
-            let until_ms = until_ms.min(wait.objective_ms.saturating_sub(FIRST_EVENT_MS));
-            match wait.elapsed_ms + in_ms < until_ms {
-                true => Admission::Wait { until_ms },
-                false => refuse(Some(in_ms), Reason::Crowded),
-            }
-        }
         Outlook::Unheard if wait.elapsed_ms < until_ms => Admission::Wait { until_ms },
         Outlook::Unheard | Outlook::Unknown => refuse(None, Reason::ReadyUnknown),
     }
--- a/crates/trestle-dispatch/src/asked.rs
+++ b/crates/trestle-dispatch/src/asked.rs
@@ -1,20 +1,14 @@
 //! What callers of one daemon ask of a service's engines, as it tells the leader.
 
 use crate::{
-    average::MovingAverage,
     demand::{DemandDigest, Waiting},
     rates::Rates,
-    urgency::UrgencyMix,
 };
 use std::collections::BTreeMap;
 use trestle_core::names::{AdapterName, EndpointName, ModelName};
 
-/// Weight of the newest in the average time that a request holds its place at an engine: a small
-/// daemon has some two a second, and an engine that fills slows within seconds.
-const NEWEST_RUN_WEIGHT: f64 = 0.1;
-
 /// What callers of one daemon ask of one service's engines.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Asked {
     /// Number of the last digest.
     pub number: u64,
@@ -34,28 +28,6 @@
     pub told_running: BTreeMap<EndpointName, u32>,
     /// Requests that run with an adapter.
     pub adapters: BTreeMap<EndpointName, BTreeMap<(ModelName, AdapterName), u32>>,
-    /// How urgent the requests that arrive are.
-    pub urgency: UrgencyMix,
-    /// Time for which a request holds its place at an engine.
-    run_ms: MovingAverage,
-}
-
-impl Default for Asked {
-    fn default() -> Self {
-        Self {
-            number: 0,
-            planned: 0,
-            arrivals: BTreeMap::new(),
-            rates: Rates::default(),
-            waiting: BTreeMap::new(),
-            returning: BTreeMap::new(),
-            running: BTreeMap::new(),
-            told_running: BTreeMap::new(),
-            adapters: BTreeMap::new(),
-            urgency: UrgencyMix::default(),
-            run_ms: MovingAverage::new(NEWEST_RUN_WEIGHT),
-        }
-    }
 }
 
 /// What one request waits for.
@@ -126,16 +98,6 @@
         told.is_some_and(|told| self.planned >= told)
     }
 
-    /// Notes for how long a request that has ended whole held its place at an engine.
-    pub fn ran(&mut self, took_ms: u64) {
-        self.run_ms.note(took_ms as f64);
-    }
-
-    /// Time for which a request holds its place at an engine, once one has ended.
-    pub fn run_ms(&self) -> Option<f64> {
-        self.run_ms.get()
-    }
-
     /// Notes that a request was sent to an engine.
     pub(crate) fn sent(
         &mut self,
--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -120,15 +120,8 @@
     }
 
     /// Notes a request of a caller for a model.
-    pub fn model_requested(
-        &mut self,
-        service: &ServiceName,
-        model: &ModelName,
-        priority: u8,
-        now_ms: u64,
-    ) {
+    pub fn model_requested(&mut self, service: &ServiceName, model: &ModelName, now_ms: u64) {
         let asked = self.asked_of(service);
-        asked.urgency.arrived(priority);
         *asked.arrivals.entry(model.clone()).or_default() += 1;
         asked.rates.arrived(model, 1, now_ms);
     }
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -55,5 +55,4 @@
 pub mod sharing;
 pub mod store;
 pub mod text_delta;
-pub mod urgency;
 pub mod usage;
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -12,7 +12,6 @@
 mod adapters;
 mod eviction;
 mod far;
-mod room;
 mod worth;
 
 use crate::{
@@ -196,7 +195,6 @@
             return true;
         }
         if let Some(ready_in_ms) = self.ready_in_ms(model) {
-            let ready_in_ms = if ready_in_ms == 0 { self.room_in_ms(want) } else { ready_in_ms };
             self.note_ready(want, ready_in_ms);
             return true;
         }
--- a/crates/trestle-dispatch/src/policy.rs
+++ b/crates/trestle-dispatch/src/policy.rs
@@ -31,14 +31,11 @@
     LearntTimes,
     /// Demand that rises within two seconds counts at once.
     Surges,
-    /// No request goes to an engine whose queue would make it late; left out, engines refuse
-    /// what they cannot queue.
-    RoomAtEngines,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 11] = [
         Self::TwoChoices,
         Self::WaitWhileCallerStays,
         Self::KeepForReturning,
@@ -50,7 +47,6 @@
         Self::EvictionBySize,
         Self::LearntTimes,
         Self::Surges,
-        Self::RoomAtEngines,
     ];
 
     /// Its name in settings and tables.
@@ -67,7 +63,6 @@
             Self::EvictionBySize => "eviction_by_size",
             Self::LearntTimes => "learnt_times",
             Self::Surges => "surges",
-            Self::RoomAtEngines => "room_at_engines",
         }
     }
 }
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -13,6 +13,7 @@
     route::Route,
     sends::{Allowed, Sends},
 };
+use std::collections::BTreeSet;
 use trestle_core::names::ServiceName;
 
 /// When a caller should come back if a plain service has no endpoint left to try.
@@ -143,8 +144,6 @@
         adapter: asking.head.adapter.as_ref(),
         excluded: &allowed.excluded,
         only: allowed.only.as_ref(),
-        queue_ms: admission::queue_ms(asking.route),
-        priority: asking.route.priority,
     };
     beliefs.directory.tick(now_ms);
     let nothing = ReplicaView::default();
@@ -166,7 +165,8 @@
 fn outlook(beliefs: &mut Beliefs, asking: Asking<'_>, now_ms: u64) -> Outlook {
     let Some(model) = &asking.head.model else { return Outlook::Unknown };
     if !beliefs.has_leader {
-        if look(beliefs, asking, &Allowed::anywhere(), now_ms, choice::is_here) {
+        let everywhere = Allowed { excluded: BTreeSet::new(), only: None };
+        if look(beliefs, asking, &everywhere, now_ms, choice::is_here) {
             return Outlook::Here { for_ms: ready_for_ms(beliefs, asking, now_ms) };
         }
         let is_awaited = beliefs.policy.has(Mechanism::AwaitLeader);
@@ -175,14 +175,6 @@
     }
     let loadable = Loadable::new(model, asking.head.adapter.as_ref());
     let ready_in_ms = beliefs.ready_in_ms(asking.service, &loadable, now_ms);
-    let room_in_ms = look(beliefs, asking, &Allowed::anywhere(), now_ms, choice::room_in_ms);
-    if let Some(room_in_ms) = room_in_ms {
-        // The leader counts those that wait elsewhere, too.
-        let in_ms = room_in_ms.max(ready_in_ms.unwrap_or(0));
-        if in_ms > 0 {
-            return Outlook::Full { in_ms };
-        }
-    }
     match ready_in_ms {
         Some(0) => return Outlook::Here { for_ms: ready_for_ms(beliefs, asking, now_ms) },
         Some(in_ms) => return Outlook::Ready { in_ms },
--- a/crates/trestle-dispatch/src/sends.rs
+++ b/crates/trestle-dispatch/src/sends.rs
@@ -56,13 +56,6 @@
     pub only: Option<BTreeSet<EndpointName>>,
 }
 
-impl Allowed {
-    /// Any endpoint.
-    pub fn anywhere() -> Self {
-        Self { excluded: BTreeSet::new(), only: None }
-    }
-}
-
 impl Sends {
     /// Notes a send.
     pub fn sent(&mut self, endpoint: &EndpointName) {
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -164,7 +164,7 @@
     task.daemon.knowledge.with(|beliefs| {
         beliefs.requested(&task.service, task.arrived_ms);
         if let Some(model) = &task.head.model {
-            beliefs.model_requested(&task.service, model, task.route.priority, task.arrived_ms);
+            beliefs.model_requested(&task.service, model, task.arrived_ms);
         }
     });
 }
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -27,7 +27,6 @@
 pub(crate) struct Taken {
     pub(crate) endpoint: Endpoint,
     task: Arc<Task>,
-    since_ms: u64,
 }
 
 /// Finds an endpoint for the next send.
@@ -41,10 +40,7 @@
         let changed = task.daemon.knowledge.changed();
         let number = wish.as_ref().map(|wish| wish.number);
         let until_ms = match look(task, sends, number) {
-            Selection::Send(endpoint) => {
-                let (task, since_ms) = (Arc::clone(task), task.daemon.knowledge.now_ms());
-                return Ok(Taken { endpoint, task, since_ms });
-            }
+            Selection::Send(endpoint) => return Ok(Taken { endpoint, task: Arc::clone(task) }),
             Selection::Refuse { retry_after_ms, reason } => {
                 expect_back(task, retry_after_ms);
                 let why = reason.map_or("no_endpoint", Reason::name);
@@ -101,15 +97,6 @@
     daemon.knowledge.wish();
 }
 
-impl Taken {
-    /// Notes that the request has ended whole at the engine.
-    pub(crate) fn ran(&self) {
-        let knowledge = &self.task.daemon.knowledge;
-        let took_ms = knowledge.now_ms().saturating_sub(self.since_ms);
-        knowledge.with(|beliefs| beliefs.asked_of(&self.endpoint.service).ran(took_ms));
-    }
-}
-
 impl Drop for Taken {
     fn drop(&mut self) {
         let (model, adapter) = (self.task.head.model.as_ref(), self.task.head.adapter.as_ref());
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -209,7 +209,6 @@
 
     fn end(&mut self) -> Step {
         if let Some(source) = self.source.take() {
-            source.taken.ran();
             let daemon = &self.task.daemon;
             let name = &source.taken.endpoint.name;
             let now_ms = daemon.knowledge.now_ms();
