Say in the logs which requests are the same, and under which an endpoint ended

Cause: attempts of one request have different ids at different daemons, and a connection that broke looked the same whether its endpoint had ended or not, so the logs could not tell a request that ends its engines from engines that end by themselves.

Change: a digest of caller, method, host, path and body on the lines of a request; one connection to the address of an endpoint under which a request's connection broke, which tells whether it has ended; one line for each end that names the requests.

Ruled out: a hash that is cheaper than a cryptographic one (a caller could have another's requests taken for its own). Nothing is decided by it yet.

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -6,12 +6,14 @@
     config_texts::ConfigTexts,
     directory::Directory,
     endpoint::Endpoint,
+    fingerprint::Fingerprint,
     loadable::{self, Loadable},
     mirror::Mirror,
     policy::Policy,
     record::Records,
     replicas::ReplicaView,
     retry_share::{RetryBounds, RetryShare},
+    suspects::{Break, Suspects},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -55,6 +57,8 @@
     pub policy: Policy,
     /// How endpoints behaved.
     pub records: Records,
+    /// Requests whose connection broke at endpoints that may have ended.
+    pub suspects: Suspects,
     /// Shares of the retry budgets.
     pub retries: BTreeMap<ServiceName, RetryShare>,
     /// What this daemon will tell the leader, by service.
@@ -87,6 +91,7 @@
             leader_lost_ms: None,
             policy: Policy::default(),
             records: Records::default(),
+            suspects: Suspects::default(),
             retries: BTreeMap::new(),
             asked: BTreeMap::new(),
             daemons: 0,
@@ -224,6 +229,18 @@
         }
     }
 
+    /// Notes that the connection of a request to an endpoint broke. One that is leaving, or gone
+    /// from the list, ends whatever it runs.
+    pub fn connection_broke(
+        &mut self,
+        endpoint: &EndpointName,
+        request: Fingerprint,
+        now_ms: u64,
+    ) -> Option<Break> {
+        let is_staying = self.directory.get(endpoint).is_some_and(|known| !known.is_leaving);
+        is_staying.then(|| self.suspects.broke(endpoint, request, now_ms))
+    }
+
     /// Forgets endpoints that are no longer listed.
     pub fn forget_gone(&mut self) {
         let live: BTreeSet<EndpointName> =
--- a/crates/trestle-dispatch/src/request.rs
+++ b/crates/trestle-dispatch/src/request.rs
@@ -1,5 +1,6 @@
 //! The head of one request, as far as decisions depend on it.
 
+use crate::fingerprint::Fingerprint;
 use trestle_core::names::{AdapterName, EndpointName, ModelName};
 
 /// The head of one request.
@@ -16,6 +17,8 @@
     pub adapter: Option<AdapterName>,
     /// The last event that the caller already has of this stream.
     pub last_event_id: Option<u64>,
+    /// What all attempts of the request have in common, once its body is there.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 /// What the system sets on a request that it passes on.
--- /dev/null
+++ b/crates/trestle-entry/src/broken.rs
@@ -0,0 +1,60 @@
+//! What a connection that broke under a request says of its endpoint.
+
+use crate::{daemon::Daemon, net::connect};
+use std::{collections::BTreeSet, io::ErrorKind, sync::Arc};
+use trestle_core::names::EndpointName;
+use trestle_dispatch::{endpoint::Endpoint, fingerprint::Fingerprint, suspects::Break};
+
+/// Time for opening a connection to an endpoint that may have ended.
+const CONNECT_MS: u64 = 300;
+/// Requests that one line of log names.
+const MOST_LOGGED: usize = 8;
+
+/// Notes that a request's connection broke, and has it found out whether its endpoint has
+/// ended: one connection to each such endpoint, however many of its requests broke.
+pub(crate) fn note(daemon: &Arc<Daemon>, endpoint: &Endpoint, request: Option<Fingerprint>) {
+    let Some(request) = request else { return };
+    let now_ms = daemon.knowledge.now_ms();
+    let broke =
+        daemon.knowledge.with(|beliefs| beliefs.connection_broke(&endpoint.name, request, now_ms));
+    match broke {
+        Some(Break::First) => {
+            smol::spawn(find_out(Arc::clone(daemon), endpoint.clone())).detach();
+        }
+        Some(Break::Ended) => note_ended(&endpoint.name, BTreeSet::from([request])),
+        Some(Break::Further) | None => {}
+    }
+}
+
+/// Asks an endpoint's address whether anything listens there.
+async fn find_out(daemon: Arc<Daemon>, endpoint: Endpoint) {
+    match connect::open(endpoint.address, CONNECT_MS).await {
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            ended(&daemon, &endpoint.name);
+        }
+        // It lives, or it cannot be reached; the list will tell.
+        Ok(_) | Err(_) => {}
+    }
+}
+
+/// Takes that endpoints which are no longer listed have ended.
+pub(crate) fn note_gone(daemon: &Daemon) {
+    let gone = daemon.knowledge.with(|beliefs| {
+        let directory = &beliefs.directory;
+        beliefs.suspects.gone(|name| directory.get(name).is_some())
+    });
+    for name in &gone {
+        ended(daemon, name);
+    }
+}
+
+fn ended(daemon: &Daemon, endpoint: &EndpointName) {
+    let requests = daemon.knowledge.with(|beliefs| beliefs.suspects.ended(endpoint));
+    note_ended(endpoint, requests);
+}
+
+fn note_ended(endpoint: &EndpointName, requests: BTreeSet<Fingerprint>) {
+    let count = requests.len();
+    let named: Vec<String> = requests.iter().take(MOST_LOGGED).map(ToString::to_string).collect();
+    tracing::warn!(%endpoint, count, requests = ?named, "endpoint: It ended under requests.");
+}
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -12,9 +12,10 @@
 //! - [`control`] is one thread that holds the lease and plans changes at engines.
 //! - [`wire`] is what the daemon has to be told about its surroundings.
 //!
-//! Imports run from traffic, store, peer and control to `daemon`, `knowledge`
+//! Imports run from traffic, store, peer and control to `daemon`, `knowledge`, `broken`
 //! and `net`, and from there to decisions.
 
+mod broken;
 mod control;
 mod daemon;
 mod knowledge;
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -1,6 +1,7 @@
 //! Follows the list of live endpoints.
 
 use crate::{
+    broken,
     daemon::Daemon,
     store::follow::{self, Followed},
 };
@@ -96,6 +97,7 @@
 
 fn forget_gone(daemon: &Daemon, is_news: bool) {
     if is_news {
+        broken::note_gone(daemon);
         daemon.knowledge.change(|beliefs| beliefs.forget_gone());
     }
 }
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one endpoint.
 
 use crate::{
+    broken,
     net::pool::{Connection, SendError},
     traffic::{
         outcome::{Unanswered, WholeAnswer},
@@ -58,13 +59,16 @@
                 }
                 Unanswered::NotRun(_) => {}
                 Unanswered::Unreachable(_) => beliefs.records.unreachable(name, now_ms),
-                Unanswered::MayHaveRun(_) | Unanswered::TimedOut(_) => {
+                Unanswered::Broke(_) | Unanswered::MayHaveRun(_) | Unanswered::TimedOut(_) => {
                     beliefs.records.failed(name, now_ms);
                 }
             });
+            if matches!(unanswered, Unanswered::Broke(_)) {
+                broken::note(&task.daemon, &taken.endpoint, task.head.fingerprint);
+            }
             tracing::info!(
-                id = task.head.id, endpoint = %name, reason = unanswered.reason(),
-                elapsed_ms = task.elapsed_ms(), "request: A send failed."
+                id = task.head.id, request = task.fingerprint(), endpoint = %name,
+                reason = unanswered.reason(), elapsed_ms = task.elapsed_ms(), "request: A send failed."
             );
             Err(unanswered)
         }
@@ -87,7 +91,7 @@
             // A kept connection had been closed; the request never left.
             Err(SendError::NotSent(_)) if !connection.is_fresh() => {}
             Err(SendError::NotSent(reason)) => return Err(Unanswered::Unreachable(reason)),
-            Err(SendError::Unknown(reason)) => return Err(Unanswered::MayHaveRun(reason)),
+            Err(SendError::Unknown(reason)) => return Err(Unanswered::Broke(reason)),
         }
     }
 }
@@ -126,11 +130,13 @@
         let (mut parts, body) = response.into_parts();
         let collected = async {
             let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-            whole.map(|whole| whole.to_bytes()).map_err(|error| error.to_string())
+            whole
+                .map(|whole| whole.to_bytes())
+                .map_err(|error| Unanswered::Broke(error.to_string()))
         };
         let timed_out = async {
             Timer::after(Duration::from_millis(timeout_ms)).await;
-            Err(format!("the answer was not whole within {timeout_ms} ms"))
+            Err(Unanswered::TimedOut(timeout_ms))
         };
         let knowledge = &task.daemon.knowledge;
         let name = &taken.endpoint.name;
@@ -147,10 +153,13 @@
                 parts.headers.remove(http::header::CONTENT_LENGTH);
                 Ok(WholeAnswer { response: Response::from_parts(parts, content) })
             }
-            Err(reason) => {
+            Err(unanswered) => {
                 let now_ms = knowledge.now_ms();
                 knowledge.with(|beliefs| beliefs.records.failed(name, now_ms));
-                Err(Unanswered::MayHaveRun(reason))
+                if matches!(unanswered, Unanswered::Broke(_)) {
+                    broken::note(&task.daemon, &taken.endpoint, task.head.fingerprint);
+                }
+                Err(unanswered)
             }
         }
     }
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -6,24 +6,30 @@
         answer::{Body, Failure},
         plain,
         report::{self, Ended, StreamSeen},
+        serve::CallerAddress,
         stream,
         task::{NOT_SENT, Task},
     },
 };
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http::{HeaderValue, Request, Response, header, request::Parts};
+use http::{HeaderValue, Request, Response, header, request::Parts, uri::PathAndQuery};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use smol::Timer;
 use std::{
+    net::IpAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
-use trestle_dispatch::{catalog::Catalog, request::RequestHead};
+use trestle_dispatch::{
+    catalog::Catalog,
+    fingerprint::{Fingerprint, RequestContent},
+    request::RequestHead,
+};
 
 /// When a caller should come back while the daemon knows no configuration yet.
 const UNKNOWN_RETRY_MS: u64 = 500;
@@ -68,24 +74,29 @@
             why: "no_configuration",
         }));
     };
+    let caller = parts.extensions.get().map(|CallerAddress(address)| *address);
     let both_lengths = parts.headers.contains_key(header::CONTENT_LENGTH)
         && parts.headers.contains_key(header::TRANSFER_ENCODING);
     if both_lengths {
         return Err(refuse(Failure::BadRequest));
     }
     let body = read_body(body, &catalog).await.map_err(refuse)?;
-    let task = to_task(daemon, &catalog, parts, head, body, arrived_ms).map_err(refuse)?;
+    let task = to_task(daemon, &catalog, Received { parts, caller, head, body, arrived_ms })
+        .map_err(refuse)?;
     Ok(Arc::new(task))
 }
 
-fn to_task(
-    daemon: &Arc<Daemon>,
-    catalog: &Catalog,
+/// A request that was read whole.
+struct Received {
     parts: Parts,
+    caller: Option<IpAddr>,
     head: RequestHead,
     body: Bytes,
     arrived_ms: u64,
-) -> Result<Task, Failure> {
+}
+
+fn to_task(daemon: &Arc<Daemon>, catalog: &Catalog, received: Received) -> Result<Task, Failure> {
+    let Received { parts, caller, mut head, body, arrived_ms } = received;
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.ok_or(Failure::BadRequest)?;
     let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
@@ -98,6 +109,14 @@
     }
     let uri = parts.uri.path_and_query().map(|path| path.as_str().parse());
     let Some(Ok(uri)) = uri else { return Err(Failure::BadRequest) };
+    let content = RequestContent {
+        caller,
+        method: parts.method.as_str(),
+        host,
+        path: parts.uri.path_and_query().map_or("", PathAndQuery::as_str),
+        body: &body,
+    };
+    head.fingerprint = Some(Fingerprint::of(content));
     Ok(Task {
         daemon: Arc::clone(daemon),
         service,
--- a/crates/trestle-entry/src/traffic/outcome.rs
+++ b/crates/trestle-entry/src/traffic/outcome.rs
@@ -17,7 +17,9 @@
     Unreachable(String),
     /// The endpoint says that it did not run the request.
     NotRun(StatusCode),
-    /// It may have run.
+    /// The connection broke; it may have run.
+    Broke(String),
+    /// There is an answer that cannot be passed on; it may have run.
     MayHaveRun(String),
     /// It may have run, and took too long, in ms.
     TimedOut(u64),
@@ -29,7 +31,7 @@
         match self {
             Self::Unreachable(_) => SendEnd::Unreachable,
             Self::NotRun(_) => SendEnd::NotRun,
-            Self::MayHaveRun(_) => SendEnd::MayHaveRun,
+            Self::Broke(_) | Self::MayHaveRun(_) => SendEnd::MayHaveRun,
             Self::TimedOut(_) => SendEnd::TimedOut,
         }
     }
@@ -39,7 +41,7 @@
         match self {
             Self::Unreachable(reason) => format!("not reached: {reason}"),
             Self::NotRun(status) => format!("refused with {status}"),
-            Self::MayHaveRun(reason) => reason.clone(),
+            Self::Broke(reason) | Self::MayHaveRun(reason) => reason.clone(),
             Self::TimedOut(timeout_ms) => format!("no answer within {timeout_ms} ms"),
         }
     }
--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -49,6 +49,7 @@
     };
     tracing::info!(
         id = task.head.id,
+        request = task.fingerprint(),
         route = task.route.name,
         config = task.config_version,
         model = task.head.model.as_ref().map(AsRef::<str>::as_ref),
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -5,16 +5,19 @@
 //! another endpoint behind the last event that was passed on, if its route
 //! allows that; otherwise its connection is closed without an end.
 
-use crate::traffic::{
-    answer::{Broken, Failure, RETRY_SOON_MS, whole},
-    attempt::{self, Attempt},
-    events::EventBuffer,
-    outcome::WholeAnswer,
-    patience::Patience,
-    plain::Outcome,
-    report::{self, Ended, StreamSeen},
-    select::{self, Taken},
-    task::Task,
+use crate::{
+    broken,
+    traffic::{
+        answer::{Broken, Failure, RETRY_SOON_MS, whole},
+        attempt::{self, Attempt},
+        events::EventBuffer,
+        outcome::WholeAnswer,
+        patience::Patience,
+        plain::Outcome,
+        report::{self, Ended, StreamSeen},
+        select::{self, Taken},
+        task::Task,
+    },
 };
 use bytes::Bytes;
 use futures_lite::stream;
@@ -61,7 +64,25 @@
 enum Step {
     Events(Bytes),
     End,
-    Broken(String),
+    Broken(Breach),
+}
+
+/// Why a stream does not go on.
+#[derive(Debug)]
+enum Breach {
+    /// Its connection broke.
+    Connection(String),
+    /// No event came for too long.
+    Silence,
+}
+
+impl Breach {
+    fn reason(&self) -> &str {
+        match self {
+            Self::Connection(reason) => reason,
+            Self::Silence => "no event came for too long",
+        }
+    }
 }
 
 /// One stream on its way.
@@ -117,8 +138,8 @@
             match self.step(patience::first_event_ms(&self.task.route)).await {
                 Step::Events(first) => return Ok(Opened::Events(Box::new(parts), first)),
                 Step::End => return Ok(Opened::Events(Box::new(parts), Bytes::new())),
-                Step::Broken(reason) => {
-                    self.note_broken(&reason);
+                Step::Broken(breach) => {
+                    self.note_broken(&breach);
                     if !self.is_resumable() {
                         return self.give_up(Failure::MayHaveRun);
                     }
@@ -186,11 +207,11 @@
                 return Step::Events(events);
             }
             let Some(source) = &mut self.source else {
-                return Step::Broken("there is no source".to_owned());
+                return Step::Broken(Breach::Silence);
             };
             let patience = Patience { task: &self.task, sends: &self.sends, slice_ms };
             let Some(frame) = patience.wait(source.body.frame()).await else {
-                return Step::Broken("no event came for too long".to_owned());
+                return Step::Broken(Breach::Silence);
             };
             match frame {
                 Some(Ok(frame)) => {
@@ -198,9 +219,10 @@
                         self.buffer.push(&data);
                     }
                 }
-                Some(Err(error)) => return Step::Broken(error.to_string()),
+                Some(Err(error)) => return Step::Broken(Breach::Connection(error.to_string())),
                 None if self.buffer.is_torn() => {
-                    return Step::Broken("it ended in the middle of an event".to_owned());
+                    let reason = "it ended in the middle of an event".to_owned();
+                    return Step::Broken(Breach::Connection(reason));
                 }
                 None => return self.end(),
             }
@@ -222,7 +244,7 @@
         self.sends.ended(SendEnd::Failed, self.task.daemon.knowledge.now_ms());
     }
 
-    fn note_broken(&mut self, reason: &str) {
+    fn note_broken(&mut self, breach: &Breach) {
         self.note_failed();
         self.buffer.drop_torn();
         let Some(source) = self.source.take() else { return };
@@ -231,9 +253,12 @@
         let now_ms = daemon.knowledge.now_ms();
         daemon.knowledge.with(|beliefs| beliefs.records.failed(name, now_ms));
         tracing::info!(
-            id = self.task.head.id, endpoint = %name, reason, last_id = self.buffer.last_id(),
-            elapsed_ms = self.task.elapsed_ms(), "request: A stream broke."
+            id = self.task.head.id, request = self.task.fingerprint(), endpoint = %name,
+            reason = breach.reason(), last_id = self.buffer.last_id(), elapsed_ms = self.task.elapsed_ms(), "request: A stream broke."
         );
+        if matches!(breach, Breach::Connection(_)) {
+            broken::note(&self.task.daemon, &source.taken.endpoint, self.task.head.fingerprint);
+        }
     }
 
     /// What the caller gets where no more sends follow.
@@ -288,13 +313,13 @@
                     self.end = Some(Ended::Whole);
                     return None;
                 }
-                Step::Broken(reason) => {
-                    self.flow.note_broken(&reason);
+                Step::Broken(breach) => {
+                    self.flow.note_broken(&breach);
                     let may_resume = self.flow.is_resumable() && !self.flow.task.is_over();
                     if !(may_resume && self.flow.resume().await) {
                         let is_over = self.flow.task.is_over();
                         self.end = Some(if is_over { Ended::OutOfTime } else { Ended::Broken });
-                        return Some((Err(reason.into()), self));
+                        return Some((Err(breach.reason().into()), self));
                     }
                 }
             }
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -63,6 +63,11 @@
         knowledge.with(|beliefs| sends.take_next(&self.route, &self.service, beliefs, now_ms))
     }
 
+    /// What all attempts of the request have in common, for logs.
+    pub(crate) fn fingerprint(&self) -> Option<String> {
+        self.head.fingerprint.map(|fingerprint| fingerprint.to_string())
+    }
+
     /// Notes that it is sent to an endpoint.
     pub(crate) fn note_sent(&self) {
         self.sent_after_ms.fetch_min(self.elapsed_ms(), Ordering::Relaxed);
