--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -79,6 +79,7 @@
             model: Some(self.names[arrival.model].clone()),
             adapter: arrival.adapter.map(adapter_name),
             last_event_id: None,
+            fingerprint: None,
         };
         let model = arrival.model;
         self.served.entry(model).or_insert((0, false)).0 += 1;
