Name a request by path and body alone

Cause: the address of a caller's connection was part of what names a request. Attempts of one request come to daemons of all failure domains, from an address each time, so none was known again, and it ended engines as before.

Change: the digest is of method, host, path and body.

--- a/crates/trestle-dispatch/src/fingerprint.rs
+++ b/crates/trestle-dispatch/src/fingerprint.rs
@@ -1,15 +1,14 @@
 //! What a caller asks for, whatever id an attempt has.
 //!
-//! An attempt that fails comes again with another id, at any daemon. What stays the same is the
-//! caller, the path and the body; a digest of these names the request. It is made by a hash
-//! under which nobody finds two requests with one digest, so that no caller can have another's
-//! requests taken for its own.
+//! An attempt that fails comes again with another id, at any daemon of any failure domain, and
+//! from another address where the caller has several. What stays the same is the path and the
+//! body; a digest of these names the request. Callers who send the same body are taken for one:
+//! what it does to an endpoint does not depend on who sends it. The digest is made by a hash
+//! under which nobody finds another body for it, so that no caller can have another's requests
+//! taken for its own.
 
 use sha2::{Digest, Sha256};
-use std::{
-    fmt,
-    net::{IpAddr, Ipv6Addr},
-};
+use std::fmt;
 
 /// Bytes of a fingerprint.
 const BYTES: usize = 16;
@@ -22,8 +21,6 @@
 /// What all attempts of one request have in common.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestContent<'a> {
-    /// Where the caller's connection comes from.
-    pub caller: Option<IpAddr>,
     /// The method.
     pub method: &'a str,
     /// The host, without a port.
@@ -37,9 +34,7 @@
 impl Fingerprint {
     /// The fingerprint of a request.
     pub fn of(content: RequestContent<'_>) -> Self {
-        let caller = content.caller.map(to_v6).unwrap_or(Ipv6Addr::UNSPECIFIED);
         let mut hasher = Sha256::new();
-        hasher.update(caller.octets());
         // Lengths go first, so that no part runs into the next.
         for part in [content.method, content.host, content.path] {
             hasher.update((part.len() as u64).to_le_bytes());
@@ -67,10 +62,3 @@
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
     }
 }
-
-fn to_v6(address: IpAddr) -> Ipv6Addr {
-    match address {
-        IpAddr::V4(address) => address.to_ipv6_mapped(),
-        IpAddr::V6(address) => address,
-    }
-}
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -6,7 +6,6 @@
         answer::{Body, Failure},
         plain,
         report::{self, Ended, StreamSeen},
-        serve::CallerAddress,
         stream,
         task::{NOT_SENT, Task},
     },
@@ -18,7 +17,6 @@
 use hyper::body::Incoming;
 use smol::Timer;
 use std::{
-    net::IpAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -74,29 +72,27 @@
             why: "no_configuration",
         }));
     };
-    let caller = parts.extensions.get().map(|CallerAddress(address)| *address);
     let both_lengths = parts.headers.contains_key(header::CONTENT_LENGTH)
         && parts.headers.contains_key(header::TRANSFER_ENCODING);
     if both_lengths {
         return Err(refuse(Failure::BadRequest));
     }
     let body = read_body(body, &catalog).await.map_err(refuse)?;
-    let task = to_task(daemon, &catalog, Received { parts, caller, head, body, arrived_ms })
-        .map_err(refuse)?;
+    let task =
+        to_task(daemon, &catalog, Received { parts, head, body, arrived_ms }).map_err(refuse)?;
     Ok(Arc::new(task))
 }
 
 /// A request that was read whole.
 struct Received {
     parts: Parts,
-    caller: Option<IpAddr>,
     head: RequestHead,
     body: Bytes,
     arrived_ms: u64,
 }
 
 fn to_task(daemon: &Arc<Daemon>, catalog: &Catalog, received: Received) -> Result<Task, Failure> {
-    let Received { parts, caller, mut head, body, arrived_ms } = received;
+    let Received { parts, mut head, body, arrived_ms } = received;
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.ok_or(Failure::BadRequest)?;
     let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
@@ -110,7 +106,6 @@
     let uri = parts.uri.path_and_query().map(|path| path.as_str().parse());
     let Some(Ok(uri)) = uri else { return Err(Failure::BadRequest) };
     let content = RequestContent {
-        caller,
         method: parts.method.as_str(),
         host,
         path: parts.uri.path_and_query().map_or("", PathAndQuery::as_str),
--- a/crates/trestle-entry/src/traffic/serve.rs
+++ b/crates/trestle-entry/src/traffic/serve.rs
@@ -13,7 +13,6 @@
 use std::{
     convert::Infallible,
     future::Future,
-    net::IpAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -33,10 +32,6 @@
     pub(crate) idle_ms: u64,
 }
 
-/// Where the connection of a request comes from, among its extensions.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct CallerAddress(pub(crate) IpAddr);
-
 /// Ends the connections of a listener.
 #[derive(Debug, Default)]
 pub(crate) struct Closing {
@@ -105,11 +100,7 @@
         tracing::debug!(%error, "serve: A connection has the system's own options.");
     }
     closing.open.fetch_add(1, Ordering::SeqCst);
-    let caller = stream.peer_addr().ok().map(|address| CallerAddress(address.ip()));
-    let service = service_fn(move |mut request: Request<Incoming>| {
-        if let Some(caller) = caller {
-            request.extensions_mut().insert(caller);
-        }
+    let service = service_fn(move |request| {
         let answering = handle(request);
         async move { Ok::<_, Infallible>(answering.await) }
     });
