Count the time for which a VM was suspended

Cause: leases, ages, idle connections and deadlines went by the monotonic clock, which stands still while a VM is suspended. A leader that slept longer than its lease woke believing that it led.

Ruled out: the time of day, which is set.

Before: in virtual time, 200 seeds of a holder suspended for 0.5 to 30 s, two machines took turns at an engine within the quiet time in more than 20 of them (with_a_clock_that_stands_while_suspended_two_machines_take_turns).

--- a/crates/trestle-dispatch/tests/lease.rs
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -61,6 +61,17 @@
     told: Vec<Told>,
     now_ms: u64,
     store_down_until_ms: u64,
+    /// What VMs that are suspended know of it.
+    clock: Clock,
+}
+
+/// How daemons' clocks take a time in which their VM is suspended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Clock {
+    /// It counts.
+    Passes,
+    /// They stand still, as the monotonic clock does.
+    Stands,
 }
 
 /// What a holder that stepped down tells another, on its way.
@@ -78,6 +89,8 @@
     cut_until_ms: u64,
     next_read_ms: u64,
     incarnation: u64,
+    /// Time by which its clock is behind.
+    behind_ms: u64,
 }
 
 impl World {
@@ -89,6 +102,7 @@
             cut_until_ms: 0,
             next_read_ms: 0,
             incarnation: 1,
+            behind_ms: 0,
         });
         Self {
             lots: fastrand::Rng::with_seed(seed),
@@ -99,9 +113,50 @@
             told: Vec::new(),
             now_ms: 100,
             store_down_until_ms: 0,
+            clock: Clock::Passes,
         }
     }
 
+    /// Suspends a daemon's VM for a time.
+    fn suspend(&mut self, number: usize, for_ms: u64) {
+        let daemon = &mut self.daemons[number];
+        daemon.frozen_until_ms = self.now_ms + for_ms;
+        // What it reads after it has woken takes as long as ever.
+        daemon.next_read_ms = daemon.frozen_until_ms + self.lots.u64(300..1_500);
+        if self.clock == Clock::Stands {
+            daemon.behind_ms += for_ms;
+        }
+    }
+
+    /// Runs for a minute in which the holder is suspended again and again, for 0.5 to 30 s.
+    fn run_suspending(&mut self) {
+        let end_ms = self.now_ms + 60_000;
+        while self.now_ms < end_ms {
+            self.run(self.lots.clone().u64(100..9_000), false);
+            let for_ms = self.lots.u64(500..30_000);
+            let holder = self.orders.last().map_or(0, |(_, holder, _)| *holder);
+            if self.now_ms >= self.daemons[holder].frozen_until_ms {
+                self.suspend(holder, for_ms);
+            }
+        }
+    }
+
+    /// The shortest time between orders of two machines to one engine.
+    fn shortest_turn_ms(&mut self) -> Option<u64> {
+        let mut shortest_ms = None;
+        for orders in self.engine_orders.values_mut() {
+            orders.sort_unstable();
+            for pair in orders.windows(2) {
+                let ((before_ms, leader), (at_ms, next)) = (pair[0], pair[1]);
+                if leader != next {
+                    let gap_ms = at_ms - before_ms;
+                    shortest_ms = Some(shortest_ms.map_or(gap_ms, |least: u64| least.min(gap_ms)));
+                }
+            }
+        }
+        shortest_ms
+    }
+
     fn run(&mut self, for_ms: u64, has_trouble: bool) {
         let end_ms = self.now_ms + for_ms;
         while self.now_ms < end_ms {
@@ -141,8 +196,9 @@
         for told in self.told.extract_if(.., |told| told.at_ms <= now_ms) {
             let daemon = &mut self.daemons[told.to];
             if now_ms >= daemon.frozen_until_ms {
-                daemon.log.heard(&told.engines, now_ms);
-                daemon.lease.heard(told.resignation, now_ms);
+                let own_ms = now_ms - daemon.behind_ms;
+                daemon.log.heard(&told.engines, own_ms);
+                daemon.lease.heard(told.resignation, own_ms);
             }
         }
     }
@@ -151,12 +207,13 @@
     fn step_down(&mut self, number: usize) {
         let now_ms = self.now_ms;
         let daemon = &mut self.daemons[number];
-        if daemon.lease.has_run_out(now_ms) {
-            daemon.lease.resign(now_ms);
+        let own_ms = now_ms - daemon.behind_ms;
+        if daemon.lease.has_run_out(own_ms) {
+            daemon.lease.resign(own_ms);
         }
-        let engines = daemon.log.quiet_for_ms(TIMING.quiet_ms, now_ms);
+        let engines = daemon.log.quiet_for_ms(TIMING.quiet_ms, own_ms);
         let settled_for_ms = engines.values().copied().max().unwrap_or_default();
-        let Some(resignation) = daemon.lease.resignation(settled_for_ms, now_ms) else { return };
+        let Some(resignation) = daemon.lease.resignation(settled_for_ms, own_ms) else { return };
         for to in 0..self.daemons.len() {
             if to != number && self.lots.u32(0..10) == 0 {
                 let at_ms = now_ms + self.lots.u64(1..400);
@@ -170,11 +227,13 @@
         let engine = ENGINES[self.lots.usize(0..ENGINES.len())];
         let daemon = &mut self.daemons[number];
         // Now and then, so that some engines got none lately.
-        if self.lots.u32(0..8) > 0 || !daemon.log.may_order(&engine.into(), now_ms) {
+        if self.lots.u32(0..8) > 0
+            || !daemon.log.may_order(&engine.into(), now_ms - daemon.behind_ms)
+        {
             return;
         }
         let arrives_ms = now_ms + self.lots.u64(0..FLIGHT_MS);
-        daemon.log.sent(&engine.into(), now_ms + FLIGHT_MS);
+        daemon.log.sent(&engine.into(), now_ms - daemon.behind_ms + FLIGHT_MS);
         self.engine_orders.entry(engine).or_default().push((arrives_ms, number));
     }
 
@@ -184,13 +243,14 @@
         if now_ms < daemon.frozen_until_ms {
             return;
         }
+        let own_ms = now_ms - daemon.behind_ms;
         let reaches_store = now_ms >= daemon.cut_until_ms && now_ms >= self.store_down_until_ms;
         if reaches_store && now_ms >= daemon.next_read_ms {
             daemon.next_read_ms = now_ms + self.lots.u64(300..1_500);
-            daemon.lease.observed(self.store.row.clone(), self.store.version, now_ms);
+            daemon.lease.observed(self.store.row.clone(), self.store.version, own_ms);
         }
-        if let Some(write) = daemon.lease.due_write(now_ms) {
-            let sent_ms = now_ms;
+        if let Some(write) = daemon.lease.due_write(own_ms) {
+            let sent_ms = own_ms;
             let version = match self.lots.u32(0..20) {
                 _ if !reaches_store => None,
                 0 => {
@@ -205,14 +265,14 @@
                 }
                 _ => self.store.write(&write),
             };
-            daemon.lease.written(write, version, sent_ms, now_ms);
+            daemon.lease.written(write, version, sent_ms, own_ms);
         }
-        let may_order = daemon.lease.may_order(now_ms);
+        let may_order = daemon.lease.may_order(own_ms);
         if let Some(token) = may_order {
             self.orders.push((now_ms, number, token));
         }
         // No order leaves in the last time of a lease.
-        let is_in_time = now_ms + FLIGHT_MS < daemon.lease.order_window().1;
+        let is_in_time = own_ms + FLIGHT_MS < daemon.lease.order_window().1;
         if may_order.is_some() && is_in_time {
             self.order(number);
         }
@@ -299,6 +359,30 @@
         assert!(turns > 100 && quick > 20, "{turns} turns, {quick} of them quick");
     }
 
+    // The holder is suspended for 0.5 to 30 s, again and again.
+    no_two_machines_take_turns_while_vms_are_suspended => {
+        let mut turns = 0;
+        for seed in 0..200 {
+            let mut world = World::new(seed);
+            world.run_suspending();
+            let shortest_ms = world.shortest_turn_ms();
+            turns += u32::from(shortest_ms.is_some());
+            assert!(shortest_ms.is_none_or(|ms| ms >= TIMING.quiet_ms), "seed {seed}: {shortest_ms:?}");
+        }
+        assert!(turns > 150, "{turns}");
+    }
+
+    // What the check above is for: with a clock that stands still meanwhile, a leader wakes
+    // and goes on ordering under a lease that another one has taken.
+    with_a_clock_that_stands_while_suspended_two_machines_take_turns => {
+        let worlds = (0..200).map(|seed| World { clock: Clock::Stands, ..World::new(seed) });
+        let too_soon = worlds.filter_map(|mut world| {
+            world.run_suspending();
+            world.shortest_turn_ms().filter(|ms| *ms < TIMING.quiet_ms)
+        });
+        assert!(too_soon.count() > 20);
+    }
+
     // Wrong once: a holder that lost the store kept all engines without orders for 5.3 s.
     one_that_steps_down_is_followed_before_its_lease_would_have_run_out => {
         let mut world = World::new(5);
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -52,7 +52,7 @@
         Self {
             knowledge: Knowledge::new(&settings, policy),
             store: Store::new(settings.store_address, wire.store, &settings.bounds),
-            pool: Pool::default(),
+            pool: Pool::new(),
             metrics,
             control,
             order_permits: OrderPermits::default(),
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -3,12 +3,12 @@
 //! One lock, held for a look or a change and never across a wait. Whoever waits
 //! for a change of it listens to [`Knowledge::changed`].
 
+use crate::clock::Clock;
 use event_listener::{Event, EventListener};
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
 };
 use trestle_config::entry_settings::{Bounds, EntrySettings};
 use trestle_dispatch::{
@@ -24,7 +24,7 @@
     forwarded: Event,
     /// Other leaders that see to a wish which they have not heard of.
     to_hear: Mutex<BTreeSet<SocketAddr>>,
-    started: Instant,
+    clock: Clock,
 }
 
 impl Knowledge {
@@ -40,7 +40,7 @@
             wished: Event::new(),
             forwarded: Event::new(),
             to_hear: Mutex::default(),
-            started: Instant::now(),
+            clock: Clock::start(),
         }
     }
 
@@ -52,9 +52,9 @@
         });
     }
 
-    /// Time on this daemon's monotonic clock.
+    /// Time on this daemon's clock, which counts what it was suspended for.
     pub(crate) fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        self.clock.now_ms()
     }
 
     /// Looks at what is believed, or notes something that nobody waits for.
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -16,6 +16,7 @@
 //! and `net`, and from there to decisions.
 
 mod broken;
+mod clock;
 mod control;
 mod crashes;
 mod daemon;
--- a/crates/trestle-entry/src/net/pool.rs
+++ b/crates/trestle-entry/src/net/pool.rs
@@ -4,7 +4,7 @@
 //! answer, and not for as long as the endpoint might keep it, since a request
 //! that crosses the endpoint's close may be lost.
 
-use crate::net::connect;
+use crate::{clock::Clock, net::connect};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -18,7 +18,6 @@
     io,
     net::SocketAddr,
     sync::{Mutex, PoisonError},
-    time::{Duration, Instant},
 };
 use trestle_core::names::EndpointName;
 
@@ -33,15 +32,16 @@
 const MOST_KEPT: usize = 16;
 
 /// Kept connections to endpoints.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
+    clock: Clock,
     kept: Mutex<BTreeMap<EndpointName, Vec<Kept>>>,
 }
 
 #[derive(Debug)]
 struct Kept {
     sender: SendRequest<Full<Bytes>>,
-    until: Instant,
+    until_ms: u64,
 }
 
 /// A connection that carries one request.
@@ -61,6 +61,11 @@
 }
 
 impl Pool {
+    /// No connection is kept yet.
+    pub(crate) fn new() -> Self {
+        Self { clock: Clock::start(), kept: Mutex::default() }
+    }
+
     /// A kept connection to an endpoint, or a new one.
     ///
     /// # Errors
@@ -88,30 +93,30 @@
             return;
         }
         let idle_ms = idle_ms.map_or(DEFAULT_IDLE_MS, |ms| (ms as f64 * IDLE_PART) as u64);
-        let until = Instant::now() + Duration::from_millis(idle_ms);
+        let until_ms = self.clock.now_ms() + idle_ms;
         let mut kept = self.lock();
         let of_endpoint = kept.entry(endpoint.clone()).or_default();
         if of_endpoint.len() < MOST_KEPT {
-            of_endpoint.push(Kept { sender: connection.sender, until });
+            of_endpoint.push(Kept { sender: connection.sender, until_ms });
         }
     }
 
     /// Closes connections that were idle for too long, and those to endpoints that are gone.
     pub(crate) fn tidy(&self, is_live: impl Fn(&EndpointName) -> bool) {
-        let now = Instant::now();
+        let now_ms = self.clock.now_ms();
         let mut kept = self.lock();
         kept.retain(|endpoint, connections| {
-            connections.retain(|kept| now < kept.until && !kept.sender.is_closed());
+            connections.retain(|kept| now_ms < kept.until_ms && !kept.sender.is_closed());
             !connections.is_empty() && is_live(endpoint)
         });
     }
 
     fn take(&self, endpoint: &EndpointName) -> Option<SendRequest<Full<Bytes>>> {
-        let now = Instant::now();
+        let now_ms = self.clock.now_ms();
         let mut kept = self.lock();
         let of_endpoint = kept.get_mut(endpoint)?;
         while let Some(candidate) = of_endpoint.pop() {
-            if now < candidate.until && candidate.sender.is_ready() {
+            if now_ms < candidate.until_ms && candidate.sender.is_ready() {
                 return Some(candidate.sender);
             }
         }
--- a/crates/trestle-entry/src/stop.rs
+++ b/crates/trestle-entry/src/stop.rs
@@ -13,7 +13,7 @@
 use std::{
     io,
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Time for giving up the lease; the store may be away.
@@ -39,24 +39,24 @@
             Some(Err(error)) => return Err(error),
         }
     }
-    let started = Instant::now();
+    let started_ms = daemon.knowledge.now_ms();
+    let elapsed_ms = || daemon.knowledge.now_ms() - started_ms;
     tracing::info!(in_flight = daemon.in_flight.load(Ordering::Relaxed), "stop: Stopping.");
-    daemon.stopping.begin(daemon.knowledge.now_ms());
-    let noticed = Duration::from_millis(NOTICE_MS).saturating_sub(started.elapsed());
-    Timer::after(noticed).await;
+    daemon.stopping.begin(started_ms);
+    Timer::after(Duration::from_millis(NOTICE_MS.saturating_sub(elapsed_ms()))).await;
     closing.close();
     // Orders go on meanwhile, since nobody may give any for a while after the lease is
     // given up, and this daemon's own requests still wait for models.
-    let drained_by = Duration::from_millis(daemon.stopping.limit_ms() - LEAVE_MS);
+    let drained_by_ms = daemon.stopping.limit_ms() - LEAVE_MS;
     let drained = async {
-        while closing.open() > 0 && started.elapsed() < drained_by {
+        while closing.open() > 0 && elapsed_ms() < drained_by_ms {
             Timer::after(Duration::from_millis(LOOK_MS)).await;
         }
     };
     drained.await;
     leave(daemon).await;
-    let limit = Duration::from_millis(daemon.stopping.limit_ms());
-    while closing.open() > 0 && started.elapsed() < limit {
+    let limit_ms = daemon.stopping.limit_ms();
+    while closing.open() > 0 && elapsed_ms() < limit_ms {
         Timer::after(Duration::from_millis(LOOK_MS)).await;
     }
     tracing::info!(open = closing.open(), "stop: Stopped.");
--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -1,6 +1,7 @@
 //! The one client of the store.
 
 use crate::{
+    clock::Clock,
     net::exchange::{self, CallClient},
     wire::{StoreWire, Unreadable},
 };
@@ -14,7 +15,7 @@
         Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 use trestle_config::entry_settings::Bounds;
 use trestle_dispatch::{
@@ -48,7 +49,7 @@
     address: SocketAddr,
     calls: CallClient,
     count: AtomicU64,
-    started: Instant,
+    clock: Clock,
     outage: Mutex<Outage>,
     answered: Event,
 }
@@ -69,7 +70,7 @@
             address,
             calls: CallClient::new(address),
             count: AtomicU64::new(0),
-            started: Instant::now(),
+            clock: Clock::start(),
             outage: Mutex::new(Outage::new(longest_pause_ms(bounds))),
             answered: Event::new(),
         }
@@ -111,7 +112,7 @@
     }
 
     fn outage<R>(&self, look: impl FnOnce(&mut Outage, u64) -> R) -> R {
-        let now_ms = self.started.elapsed().as_millis() as u64;
+        let now_ms = self.clock.now_ms();
         look(&mut self.outage.lock().unwrap_or_else(PoisonError::into_inner), now_ms)
     }
 
