Tell two starts of one endpoint apart, and pass over entries of other writers

Cause: an endpoint was known by its name alone, which it now keeps when it starts again. Its new entry counted as an older message, since its numbers start anew; one that had been leaving stayed so for ever; what was held, counted, failed or under way there outlived it. An entry with a state that is not named counted as leaving, and one that could not be read left what it had said before in force.

Change: the moment of its start, decoded once, goes with the name (Life): in the list, in what a leader knows of engines, in changes under way, kept connections, records and crashes. Whatever speaks of an earlier start is dropped. An entry that is not understood takes the one before it off the list; one line and a counter.

--- a/crates/trestle-dispatch/examples/plan_time.rs
+++ b/crates/trestle-dispatch/examples/plan_time.rs
@@ -134,7 +134,7 @@
         for (endpoint, change, mut chain) in begun {
             chain.reported(None, now_ms);
             let _ = change;
-            state.change_ended(&endpoint.name, &chain, now_ms);
+            state.change_ended(&endpoint.life(), &chain, now_ms);
         }
     }
     println!("{} us a plan", planning_us / PLANS);
--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -2,10 +2,10 @@
 //!
 //! The list can be wrong for a while: entries lapse while the store is away
 //! although their endpoints live. Such an entry is kept until it had time to
-//! come back. An entry that says "leaving" is believed for good, whatever an
-//! older message says later.
+//! come back. An entry that says "leaving" is believed until the endpoint starts again,
+//! whatever an older message says later.
 
-use crate::endpoint::{Endpoint, Held};
+use crate::endpoint::{Endpoint, Held, Life};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -22,8 +22,8 @@
 #[derive(Debug)]
 pub struct Directory {
     endpoints: BTreeMap<EndpointName, Arc<Endpoint>>,
-    /// Endpoints that were ever seen leaving.
-    leaving: BTreeSet<EndpointName>,
+    /// Starts of endpoints that were ever seen leaving.
+    leaving: BTreeSet<Life>,
     /// Entries that vanished in a time of doubt, and when they count as gone.
     lapsed_until_ms: BTreeMap<EndpointName, u64>,
     /// Time for which an endpoint that has left may still get requests.
@@ -54,10 +54,12 @@
     pub fn written(&mut self, mut endpoint: Endpoint) {
         self.lapsed_until_ms.remove(&endpoint.name);
         if endpoint.is_leaving {
-            self.leaving.insert(endpoint.name.clone());
+            self.leaving.insert(endpoint.life());
         }
-        endpoint.is_leaving |= self.leaving.contains(&endpoint.name);
+        endpoint.is_leaving |= self.leaving.contains(&endpoint.life());
+        // Numbers start anew with each start; entries of two starts come in the store's order.
         if let Some(known) = self.endpoints.get(&endpoint.name)
+            && known.born_ms == endpoint.born_ms
             && known.entry_number > endpoint.entry_number
         {
             // An older message that arrived late: only its news of leaving counts.
@@ -69,7 +71,8 @@
 
     /// Takes an entry that says nothing of what its engine holds.
     pub fn listed(&mut self, mut endpoint: Endpoint) {
-        if let Some(known) = self.endpoints.get(&endpoint.name) {
+        let known = self.endpoints.get(&endpoint.name);
+        if let Some(known) = known.filter(|known| known.born_ms == endpoint.born_ms) {
             endpoint.entry_number = known.entry_number;
             endpoint.held.clone_from(&known.held);
             endpoint.in_memory.clone_from(&known.in_memory);
@@ -88,8 +91,9 @@
     /// Takes the removal of an entry.
     pub fn removed(&mut self, name: &EndpointName, now_ms: u64) {
         let come_back_until_ms = self.read_again_ms.map_or(0, |at_ms| at_ms + COME_BACK_MS);
-        let is_doubtful = now_ms < come_back_until_ms && !self.leaving.contains(name);
-        if is_doubtful && self.endpoints.contains_key(name) {
+        let known = self.endpoints.get(name);
+        let is_staying = known.is_some_and(|known| !self.leaving.contains(&known.life()));
+        if is_staying && now_ms < come_back_until_ms {
             let left_until_ms = now_ms + self.leaving_ms.saturating_sub(ON_ITS_WAY_MS);
             let until_ms = come_back_until_ms.min(left_until_ms);
             self.lapsed_until_ms.entry(name.clone()).or_insert(until_ms);
--- a/crates/trestle-dispatch/src/endpoint.rs
+++ b/crates/trestle-dispatch/src/endpoint.rs
@@ -74,6 +74,8 @@
 /// What an engine says of itself when it is asked; some hundred ms old.
 #[trestle_macros::plain]
 pub struct EngineReport {
+    /// When the engine started, by its own clock; 0 if it does not say.
+    pub born_ms: u64,
     /// Models that it holds, with their adapters.
     pub held: Held,
     /// Whether an order is being carried out.
@@ -85,3 +87,10 @@
     /// Requests that run.
     pub running: u32,
 }
+
+impl EngineReport {
+    /// Whether it is of this start of an engine, as far as both say when that was.
+    pub fn is_of(&self, endpoint: &Endpoint) -> bool {
+        self.born_ms == endpoint.born_ms || self.born_ms == 0 || endpoint.born_ms == 0
+    }
+}
--- a/crates/trestle-dispatch/src/record.rs
+++ b/crates/trestle-dispatch/src/record.rs
@@ -111,6 +111,15 @@
         self.absent_until_ms.get(&key).is_some_and(|until_ms| now_ms < *until_ms)
     }
 
+    /// Forgets how an endpoint behaved that has started again. Requests to its earlier start are
+    /// still to end.
+    pub fn started_again(&mut self, endpoint: &EndpointName) {
+        if let Some(record) = self.by_endpoint.get_mut(endpoint) {
+            *record = Record { in_flight: record.in_flight, ..Record::default() };
+        }
+        self.absent_until_ms.retain(|(name, _), _| name != endpoint);
+    }
+
     /// Forgets endpoints that are gone and have nothing left.
     pub fn retain(&mut self, is_live: impl Fn(&EndpointName) -> bool) {
         self.by_endpoint.retain(|name, record| record.in_flight > 0 || is_live(name));
--- a/crates/trestle-dispatch/src/service_state.rs
+++ b/crates/trestle-dispatch/src/service_state.rs
@@ -5,7 +5,7 @@
     change::Change,
     demand::Demand,
     directory::Directory,
-    endpoint::{Endpoint, Held},
+    endpoint::{Endpoint, Held, Life},
     learnt::LearntTimes,
     loadable::{self, Loadable},
     orders::OrderChain,
@@ -48,8 +48,10 @@
 /// A change to begin, with the orders that make it.
 pub type Begun = (Arc<Endpoint>, Change, OrderChain);
 
+/// One start of an engine.
 #[derive(Debug, Default)]
 struct KnownEngine {
+    born_ms: u64,
     held: Held,
     /// Orders that it has accepted, if that is certain.
     order_count: Option<u64>,
@@ -158,9 +160,10 @@
         unplanned.filter_map(|wish| self.sharing.group_of(wish).cloned()).collect()
     }
 
-    /// Takes the end of a change.
-    pub fn change_ended(&mut self, endpoint: &EndpointName, chain: &OrderChain, now_ms: u64) {
-        let Some(known) = self.engines.get_mut(endpoint) else { return };
+    /// Takes the end of a change; nothing, if the engine has started again meanwhile.
+    pub fn change_ended(&mut self, engine: &Life, chain: &OrderChain, now_ms: u64) {
+        let known = self.engines.get_mut(&engine.name);
+        let Some(known) = known.filter(|known| known.born_ms == engine.born_ms) else { return };
         let Some(change) = known.change.take() else { return };
         self.news += 1;
         if let Some(waited_ms) = chain.run_wait_ms() {
@@ -224,6 +227,10 @@
         self.engines.retain(|name, _| directory.contains_key(name));
         for endpoint in directory.values() {
             let known = self.engines.entry(endpoint.name.clone()).or_default();
+            if known.born_ms != endpoint.born_ms {
+                // It holds nothing, has no order under way, and counts its orders anew.
+                *known = KnownEngine { born_ms: endpoint.born_ms, ..KnownEngine::default() };
+            }
             if endpoint.entry_number > known.entry_number {
                 known.entry_number = endpoint.entry_number;
                 known.silent_until_ms = 0;
--- a/crates/trestle-dispatch/tests/directory.rs
+++ b/crates/trestle-dispatch/tests/directory.rs
@@ -100,4 +100,40 @@
         let held = &directory.get(&name("x")).expect("listed").held;
         assert!(held.contains_key("a") && !held.contains_key("b"));
     }
+
+    // Read in the code: the entry of an endpoint that had started again under its name counted
+    // as an older message, since its numbers start anew, and one that had been leaving stayed so.
+    one_that_started_again_is_what_its_new_entry_says => {
+        let mut directory = listed(&["x"]);
+        let mut leaving = endpoint("x", "z", &["a"]);
+        (leaving.is_leaving, leaving.entry_number, leaving.born_ms) = (true, 500, 10);
+        directory.written(leaving);
+        let mut again = endpoint("x", "z", &["b"]);
+        (again.entry_number, again.born_ms) = (1, 20);
+        directory.written(again.clone());
+        assert_eq!(usable(&directory), ["x"]);
+        assert_eq!(directory.get(&name("x")).expect("listed"), &again);
+    }
+
+    one_that_started_again_with_its_clock_set_back_is_as_new => {
+        let mut directory = listed(&[]);
+        let mut before = endpoint("x", "z", &["a"]);
+        (before.entry_number, before.born_ms) = (500, 90_000);
+        directory.written(before);
+        let mut again = endpoint("x", "z", &[]);
+        (again.entry_number, again.born_ms) = (1, 20);
+        directory.written(again.clone());
+        assert_eq!(directory.get(&name("x")), Some(&again));
+    }
+
+    what_is_passed_on_of_one_that_started_again_has_nothing_of_before => {
+        let mut directory = listed(&[]);
+        let mut before = endpoint("x", "z", &["a"]);
+        (before.entry_number, before.born_ms) = (500, 10);
+        directory.written(before);
+        let mut again = endpoint("x", "z", &[]).identity();
+        again.born_ms = 20;
+        directory.listed(again);
+        assert!(directory.get(&name("x")).expect("listed").held.is_empty());
+    }
 }
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -16,6 +16,9 @@
 /// weight store beside others, or an unload behind long streams.
 const OVERTIME_MS: u64 = 12_000;
 
+/// Why a change ends whose orders were for an earlier start of the engine.
+const STARTED_AGAIN: &str = "the engine has started again, or is gone";
+
 /// Begins a change in a task of its own.
 pub(crate) fn start(
     daemon: &Arc<Daemon>,
@@ -52,11 +55,17 @@
         if now_ms > limit_ms {
             break Some("it took too long".to_owned());
         }
+        if !daemon.is_listed_start(&endpoint) {
+            break Some(STARTED_AGAIN.to_owned());
+        }
         match next {
             Next::Done => break None,
             Next::Failed(failure) => break Some(format!("{failure:?}")),
             Next::Report => {
                 let report = ask(&daemon, &client, &endpoint).await;
+                if report.as_ref().is_some_and(|report| !report.is_of(&endpoint)) {
+                    break Some(STARTED_AGAIN.to_owned());
+                }
                 chain.reported(report.as_ref(), daemon.knowledge.now_ms());
             }
             Next::Send(order, count) => {
@@ -79,7 +88,7 @@
         }
     }
     daemon.metrics.change(failure.is_none(), change.is_remote, took_ms);
-    daemon.tell(Message::ChangeEnded { service, endpoint: endpoint.name.clone(), chain });
+    daemon.tell(Message::ChangeEnded { service, engine: endpoint.life(), chain });
 }
 
 async fn ask(daemon: &Daemon, client: &CallClient, endpoint: &Endpoint) -> Option<EngineReport> {
--- a/crates/trestle-entry/src/control/message.rs
+++ b/crates/trestle-entry/src/control/message.rs
@@ -4,6 +4,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 use trestle_core::names::{DomainName, EndpointName, ServiceName};
 use trestle_dispatch::{
+    endpoint::Life,
     lease::{LeaseRow, LeaseWrite, Resignation},
     orders::OrderChain,
     store::WriteOutcome,
@@ -79,8 +80,8 @@
     ChangeEnded {
         /// The engine's service.
         service: ServiceName,
-        /// The engine.
-        endpoint: EndpointName,
+        /// The start of the engine to which its orders went.
+        engine: Life,
         /// Its orders, as far as they came.
         chain: OrderChain,
     },
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -27,9 +27,10 @@
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::{collections::BTreeMap, io, sync::Arc, thread, time::Duration};
-use trestle_core::names::{EndpointName, ServiceName};
+use trestle_core::names::ServiceName;
 use trestle_dispatch::{
     catalog::{Catalog, EngineSpec},
+    endpoint::Life,
     member_count::MemberCount,
     orders::OrderChain,
     service_state::ServiceState,
@@ -134,8 +135,8 @@
                 let _ = reply.try_send(self.ask_other(address, &group));
             }
             Message::OtherAnswered { address, answer } => self.other_answered(address, answer),
-            Message::ChangeEnded { service, endpoint, chain } => {
-                self.change_ended(&service, &endpoint, &chain);
+            Message::ChangeEnded { service, engine, chain } => {
+                self.change_ended(&service, &engine, &chain);
             }
             Message::QuietTime(quiet_ms) => self.leases.set_quiet_ms(quiet_ms),
             Message::Stop(reply) => self.leases.leave(reply),
@@ -165,10 +166,10 @@
         self.answer_pending(now_ms);
     }
 
-    fn change_ended(&mut self, service: &ServiceName, endpoint: &EndpointName, chain: &OrderChain) {
+    fn change_ended(&mut self, service: &ServiceName, engine: &Life, chain: &OrderChain) {
         let now_ms = self.now_ms();
         if let Some(known) = self.services.get_mut(service) {
-            known.change_ended(endpoint, chain, now_ms);
+            known.change_ended(engine, chain, now_ms);
         }
         self.is_plan_due = true;
     }
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -99,6 +99,12 @@
         })
     }
 
+    /// Whether an endpoint is still listed as this start of it.
+    pub(crate) fn is_listed_start(&self, endpoint: &Endpoint) -> bool {
+        let is_same = |known: &Endpoint| known.born_ms == endpoint.born_ms;
+        self.knowledge.with(|beliefs| beliefs.directory.get(&endpoint.name).is_some_and(is_same))
+    }
+
     /// A number that nothing else in this process has.
     pub(crate) fn next_number(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -20,6 +20,7 @@
     whole_ms: Histogram<f64>,
     change_ms: Histogram<f64>,
     sends: Counter<u64>,
+    unread_entries: Counter<u64>,
     config_version: Gauge<u64>,
     store_calls: Gauge<u64>,
     log_drops: Gauge<u64>,
@@ -52,6 +53,10 @@
             whole_ms: histogram("trestle_whole_ms", "Time from request to the answer's end"),
             change_ms: histogram("trestle_change_ms", "Time of changes at engines"),
             sends: sends.build(),
+            unread_entries: meter
+                .u64_counter("trestle_unread_entries")
+                .with_description("Entries of endpoints that were not understood")
+                .build(),
             config_version: gauge("trestle_config_version", "Configuration in force"),
             store_calls: gauge("trestle_store_calls", "Calls to the store since the start"),
             log_drops: gauge("trestle_log_drops", "Log lines dropped since the start"),
@@ -76,6 +81,11 @@
         self.sends.add(1, &[KeyValue::new("first", is_first)]);
     }
 
+    /// Notes an entry of an endpoint that was not understood.
+    pub(crate) fn unread_entry(&self) {
+        self.unread_entries.add(1, &[]);
+    }
+
     /// Notes a change at an engine.
     pub(crate) fn change(&self, is_done: bool, is_remote: bool, time_ms: u64) {
         let labels = [KeyValue::new("done", is_done), KeyValue::new("remote", is_remote)];
--- a/crates/trestle-entry/src/net/pool.rs
+++ b/crates/trestle-entry/src/net/pool.rs
@@ -19,7 +19,7 @@
     net::SocketAddr,
     sync::{Mutex, PoisonError},
 };
-use trestle_core::names::EndpointName;
+use trestle_dispatch::endpoint::{Endpoint, Life};
 
 /// Time for opening a connection; ways within a region take a few ms.
 const CONNECT_MS: u64 = 300;
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     clock: Clock,
-    kept: Mutex<BTreeMap<EndpointName, Vec<Kept>>>,
+    kept: Mutex<BTreeMap<Life, Vec<Kept>>>,
 }
 
 #[derive(Debug)]
@@ -71,38 +71,29 @@
     /// # Errors
     ///
     /// Fails if the endpoint cannot be connected to.
-    pub(crate) async fn connection(
-        &self,
-        endpoint: &EndpointName,
-        address: SocketAddr,
-    ) -> io::Result<Connection> {
-        if let Some(sender) = self.take(endpoint) {
+    pub(crate) async fn connection(&self, endpoint: &Endpoint) -> io::Result<Connection> {
+        if let Some(sender) = self.take(&endpoint.life()) {
             return Ok(Connection { sender, is_fresh: false });
         }
-        open(address).await
+        open(endpoint.address).await
     }
 
     /// Keeps a connection for the next request, for as long as the endpoint will.
-    pub(crate) fn keep(
-        &self,
-        endpoint: &EndpointName,
-        connection: Connection,
-        idle_ms: Option<u64>,
-    ) {
+    pub(crate) fn keep(&self, endpoint: &Endpoint, connection: Connection, idle_ms: Option<u64>) {
         if connection.sender.is_closed() {
             return;
         }
         let idle_ms = idle_ms.map_or(DEFAULT_IDLE_MS, |ms| (ms as f64 * IDLE_PART) as u64);
         let until_ms = self.clock.now_ms() + idle_ms;
         let mut kept = self.lock();
-        let of_endpoint = kept.entry(endpoint.clone()).or_default();
+        let of_endpoint = kept.entry(endpoint.life()).or_default();
         if of_endpoint.len() < MOST_KEPT {
             of_endpoint.push(Kept { sender: connection.sender, until_ms });
         }
     }
 
     /// Closes connections that were idle for too long, and those to endpoints that are gone.
-    pub(crate) fn tidy(&self, is_live: impl Fn(&EndpointName) -> bool) {
+    pub(crate) fn tidy(&self, is_live: impl Fn(&Life) -> bool) {
         let now_ms = self.clock.now_ms();
         let mut kept = self.lock();
         kept.retain(|endpoint, connections| {
@@ -111,7 +102,7 @@
         });
     }
 
-    fn take(&self, endpoint: &EndpointName) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, endpoint: &Life) -> Option<SendRequest<Full<Bytes>>> {
         let now_ms = self.clock.now_ms();
         let mut kept = self.lock();
         let of_endpoint = kept.get_mut(endpoint)?;
@@ -123,7 +114,7 @@
         None
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<EndpointName, Vec<Kept>>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<Life, Vec<Kept>>> {
         self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -133,6 +133,10 @@
         if listed.is_none() || endpoint.is_leaving {
             log_change(beliefs.directory.get(&endpoint.name), &endpoint, version);
         }
+        let known = beliefs.directory.get(&endpoint.name);
+        if known.is_some_and(|known| known.born_ms != endpoint.born_ms) {
+            beliefs.records.started_again(&endpoint.name);
+        }
         take(&mut beliefs.directory, endpoint);
     }
     if let Some(listed) = listed {
@@ -160,8 +164,11 @@
     for change in changes {
         match change {
             RowChange::Written(row) => {
-                let Some(endpoint) = understood(daemon, &row) else { continue };
-                news.written.push((row.key.key, endpoint, row.version));
+                match understood(daemon, &row) {
+                    Some(endpoint) => news.written.push((row.key.key, endpoint, row.version)),
+                    // What it said before is no longer there, and this names no endpoint to use.
+                    None => news.removed.push((row.key.key, row.version)),
+                }
             }
             // A removal without a version of its own is as new as the answer.
             RowChange::Removed(key, 0) => news.removed.push((key.key, version)),
@@ -175,7 +182,9 @@
     match (daemon.wire.store.read_endpoint)(&row.key.key, &row.value) {
         Ok(endpoint) => Some(endpoint),
         Err(error) => {
-            tracing::error!(%error, key = row.key.key, "endpoint: An entry is not understood.");
+            daemon.metrics.unread_entry();
+            let (key, version) = (&row.key.key, row.version);
+            tracing::error!(%error, key, version, "endpoint: An entry is not understood.");
             None
         }
     }
@@ -183,13 +192,17 @@
 
 fn log_change(known: Option<&Endpoint>, now: &Endpoint, version: u64) {
     let was_leaving = known.map(|known| known.is_leaving);
+    let (endpoint, born_ms) = (&now.name, now.born_ms);
     if was_leaving != Some(now.is_leaving) {
-        let (endpoint, address, leaving) = (&now.name, now.address, now.is_leaving);
-        tracing::info!(%endpoint, %address, leaving, version, "endpoint: Listed.");
+        let (address, leaving) = (now.address, now.is_leaving);
+        tracing::info!(%endpoint, born_ms, %address, leaving, version, "endpoint: Listed.");
+    }
+    if let Some(before) = known.filter(|known| known.born_ms != born_ms) {
+        let before_ms = before.born_ms;
+        tracing::info!(%endpoint, born_ms, before_ms, version, "endpoint: It has started again.");
     }
     if known.is_some_and(|known| known.held.keys().ne(now.held.keys())) {
         let held: Vec<&str> = now.held.keys().map(AsRef::as_ref).collect();
-        let endpoint = &now.name;
         tracing::debug!(%endpoint, ?held, version, "endpoint: Holds other models.");
     }
 }
--- a/crates/trestle-entry/src/tidy.rs
+++ b/crates/trestle-entry/src/tidy.rs
@@ -7,7 +7,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use trestle_core::names::EndpointName;
+use trestle_dispatch::endpoint::{Endpoint, Life};
 
 /// Between two rounds.
 const EVERY_MS: u64 = 500;
@@ -30,9 +30,8 @@
         for name in &lapsed {
             tracing::info!(endpoint = %name, "endpoint: Did not come back; it counts as gone.");
         }
-        let live: BTreeSet<EndpointName> = daemon
-            .knowledge
-            .with(|beliefs| beliefs.directory.iter().map(|e| e.name.clone()).collect());
-        daemon.pool.tidy(|name| live.contains(name));
+        let live: BTreeSet<Life> =
+            daemon.knowledge.with(|beliefs| beliefs.directory.iter().map(Endpoint::life).collect());
+        daemon.pool.tidy(|start| live.contains(start));
     }
 }
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -83,7 +83,7 @@
     let endpoint = &taken.endpoint;
     let pool = &task.daemon.pool;
     loop {
-        let connection = pool.connection(&endpoint.name, endpoint.address).await;
+        let connection = pool.connection(endpoint).await;
         let mut connection =
             connection.map_err(|error| Unanswered::Unreachable(error.to_string()))?;
         match connection.send(task.request(endpoint, last_event_id)).await {
@@ -151,7 +151,7 @@
                 if parts.status.is_success() {
                     knowledge.with(|beliefs| beliefs.served(task.head.fingerprint));
                 }
-                task.daemon.pool.keep(name, connection, head.idle_ms);
+                task.daemon.pool.keep(&taken.endpoint, connection, head.idle_ms);
                 (task.daemon.wire.head.forward_answer)(&mut parts.headers);
                 parts.headers.remove(http::header::CONTENT_LENGTH);
                 Ok(WholeAnswer { response: Response::from_parts(parts, content) })
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -238,7 +238,7 @@
                 beliefs.served(self.task.head.fingerprint);
                 beliefs.records.succeeded(name, now_ms);
             });
-            daemon.pool.keep(name, source.connection, source.idle_ms);
+            daemon.pool.keep(&source.taken.endpoint, source.connection, source.idle_ms);
         }
         Step::End
     }
--- a/crates/trestle-lab/src/sim/leading.rs
+++ b/crates/trestle-lab/src/sim/leading.rs
@@ -8,7 +8,7 @@
 use trestle_core::names::{EndpointName, VmName};
 use trestle_dispatch::{
     demand::DemandDigest,
-    endpoint::{Endpoint, EngineReport},
+    endpoint::{Endpoint, EngineReport, Life},
     orders::{Next, Order, OrderAnswer, OrderChain},
     pace::Pace,
     replicas::ReplicaView,
@@ -52,7 +52,7 @@
 #[derive(Debug)]
 struct UnderWay {
     chain: OrderChain,
-    name: EndpointName,
+    life: Life,
     /// Orders sent so far; an answer to an older one no longer counts.
     sent: u64,
     answered: u64,
@@ -242,10 +242,10 @@
         for (endpoint, _, chain) in begun {
             let engine = self.engines.iter().position(|engine| engine.name == endpoint.name);
             let Some(engine) = engine else {
-                self.leader.state.change_ended(&endpoint.name, &chain, now_ms);
+                self.leader.state.change_ended(&endpoint.life(), &chain, now_ms);
                 continue;
             };
-            let under_way = UnderWay { chain, name: endpoint.name.clone(), sent: 0, answered: 0 };
+            let under_way = UnderWay { chain, life: endpoint.life(), sent: 0, answered: 0 };
             self.leader.under_way.insert(engine, under_way);
             let term = self.leader.term;
             self.queue.push(self.now_us, Event::ChangeStep { term, engine });
@@ -266,7 +266,7 @@
         match next {
             Next::Done | Next::Failed(_) => {
                 if let Some(ended) = self.leader.under_way.remove(&engine) {
-                    self.leader.state.change_ended(&ended.name, &ended.chain, now_ms);
+                    self.leader.state.change_ended(&ended.life, &ended.chain, now_ms);
                 }
                 if self.now_us >= self.leader.planned_us + PLAN_GAP_US {
                     self.plan();
@@ -294,6 +294,7 @@
         let answers = of.is_alive && !self.is_silent(engine);
         let report = answers.then(|| {
             Box::new(EngineReport {
+                born_ms: 0,
                 held: of.held.clone(),
                 is_busy: of.is_busy(),
                 order_count: of.order_count,
