--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -242,9 +242,14 @@
         now_ms: u64,
     ) -> Option<Break> {
         let life = endpoint.life();
-        let listed = self.directory.get(&endpoint.name);
-        let is_staying = listed.is_some_and(|known| !known.is_leaving && known.life() == life);
-        is_staying.then(|| self.suspects.broke(&life, request, now_ms))
+        let listed = self.directory.get(&endpoint.name)?;
+        if self.directory.was_leaving(&life) {
+            return None;
+        }
+        let first = self.suspects.broke(&life, request, now_ms);
+        // It may have started again before the connection was seen to break.
+        let has_ended = first == Break::First && listed.life() != life;
+        Some(if has_ended { self.suspects.note_ended(&life) } else { first })
     }
 
     /// Notes that a request had a whole answer.
--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -6,9 +6,10 @@
 //! that ran there. So each daemon notes under which requests endpoints ended, leaders gather
 //! that, and a request under which as many ended as [`MOST_ENDS`] is refused everywhere.
 //!
-//! What ran beside such a request is noted, too. It is told apart by what becomes of it: one
-//! whole answer shows that a request ends nothing, and an attempt is seldom at three endpoints
-//! that end.
+//! What ran beside such a request is noted, too, and so is what many callers ask for while a
+//! rack loses power. It is told apart by what becomes of it: one whole answer, at any daemon,
+//! shows that a request ends nothing. So that there can be one, a request is let through again
+//! after a while, which grows each time that an endpoint ends under it once more.
 
 use crate::{endpoint::Life, fingerprint::Fingerprint};
 use std::collections::BTreeMap;
@@ -17,12 +18,21 @@
 /// only ran beside such a one would have been refused as well; with one more, it costs another
 /// endpoint with all that runs there.
 pub const MOST_ENDS: usize = 3;
-/// Time for which it is refused from the last end on. An engine that ends has to load its
-/// models again, for 6 to 13 s: once in ten minutes that is 2 % of one engine at most.
-const REFUSED_MS: u64 = 600_000;
+/// Time for which it is refused at first, from the last end on. What ended three endpoints at
+/// once by another cause is over by then, and engines have loaded their models, for 6 to 13 s.
+const FIRST_REFUSED_MS: u64 = 30_000;
+/// By how much longer it is refused each time that it was let through and ended another.
+const REFUSED_GROWTH: u64 = 4;
+/// Longest time for which it is refused. An engine that ends has to load its models again:
+/// once in ten minutes that is 2 % of one engine at most.
+const MOST_REFUSED_MS: u64 = 600_000;
+/// Time within which ends count as one occasion: attempts that were under way together.
+const OCCASION_MS: u64 = 10_000;
 /// Time after which a request is forgotten. In the second half of it the request is let through,
 /// and the next end under it has it refused again.
-const FORGOTTEN_MS: u64 = 2 * REFUSED_MS;
+const FORGOTTEN_MS: u64 = 2 * MOST_REFUSED_MS;
+/// Ends that are kept of one request: three, and as many occasions as the time grows.
+const MOST_KEPT: usize = MOST_ENDS + 3;
 /// Requests that are remembered: 2,000 slots of engines that end at once, twice over. About
 /// 1 MB.
 const MOST_REQUESTS: usize = 4_096;
@@ -32,6 +42,9 @@
 /// Requests under which endpoints ended.
 #[derive(Debug, Default)]
 pub struct Crashes {
+    /// Time by which this daemon lets requests through later than others, so that not all try
+    /// at once: the news of an end takes about a second.
+    late_ms: u64,
     by_request: BTreeMap<Fingerprint, Record>,
     /// Number of the last change.
     changes: u64,
@@ -62,6 +75,12 @@
 }
 
 impl Crashes {
+    /// Nothing is known yet. Of all daemons each should let requests through later by a time of
+    /// its own, of up to some seconds.
+    pub fn late_by(late_ms: u64) -> Self {
+        Self { late_ms, ..Self::default() }
+    }
+
     /// Whether nothing is known of any request.
     pub fn is_empty(&self) -> bool {
         self.by_request.is_empty()
@@ -88,7 +107,7 @@
 
     /// For how long a request is refused.
     pub fn refused_for_ms(&self, request: Fingerprint, now_ms: u64) -> Option<u64> {
-        let until_ms = self.by_request.get(&request)?.refused_until_ms()?;
+        let until_ms = self.by_request.get(&request)?.refused_until_ms()? + self.late_ms;
         until_ms.checked_sub(now_ms).filter(|for_ms| *for_ms > 0)
     }
 
@@ -98,17 +117,19 @@
         (changed.map(|(request, record)| record.report(*request, now_ms)).collect(), self.changes)
     }
 
-    /// Requests that are refused, the last ones first, and the number of their last change.
+    /// Requests that are refused, or were until they had an answer, the last ones first, and the
+    /// number of their last change.
     pub fn refused(&self, now_ms: u64) -> (Vec<CrashReport>, u64) {
         let mut refused: Vec<(u64, CrashReport)> = self
             .by_request
             .iter()
             .filter_map(|(request, record)| {
-                let until_ms = record.refused_until_ms().filter(|until_ms| now_ms < *until_ms)?;
-                Some((until_ms, record.report(*request, now_ms)))
+                let last_ms = record.last_ms();
+                let is_told = record.ends.len() >= MOST_ENDS && now_ms < last_ms + FORGOTTEN_MS;
+                is_told.then(|| (last_ms, record.report(*request, now_ms)))
             })
             .collect();
-        refused.sort_by_key(|(until_ms, _)| std::cmp::Reverse(*until_ms));
+        refused.sort_by_key(|(last_ms, _)| std::cmp::Reverse(*last_ms));
         (refused.into_iter().map(|(_, report)| report).collect(), self.refused_changes)
     }
 
@@ -160,7 +181,7 @@
         if self.ends.contains_key(endpoint) {
             return false;
         }
-        if self.ends.len() >= MOST_ENDS {
+        if self.ends.len() >= MOST_KEPT {
             let oldest = self.ends.iter().min_by_key(|(_, at_ms)| **at_ms);
             let Some((oldest, oldest_ms)) = oldest else { return false };
             if at_ms <= oldest_ms + SAME_TIME_MS {
@@ -179,7 +200,26 @@
 
     fn refused_until_ms(&self) -> Option<u64> {
         let is_known = self.ends.len() >= MOST_ENDS && !self.is_served;
-        is_known.then(|| self.last_ms() + REFUSED_MS)
+        is_known.then(|| self.last_ms() + self.refused_ms())
+    }
+
+    /// For how long it is refused from the last end on.
+    fn refused_ms(&self) -> u64 {
+        let mut times: Vec<u64> = self.ends.values().copied().collect();
+        times.sort_unstable();
+        let Some((mut last_ms, further)) =
+            times.get(MOST_ENDS - 1).copied().zip(times.get(MOST_ENDS..))
+        else {
+            return 0;
+        };
+        let mut refused_ms = FIRST_REFUSED_MS;
+        for at_ms in further {
+            if *at_ms > last_ms + OCCASION_MS {
+                refused_ms = (refused_ms * REFUSED_GROWTH).min(MOST_REFUSED_MS);
+                last_ms = *at_ms;
+            }
+        }
+        refused_ms
     }
 
     /// What is forgotten last where there is too much: what ended most, and lately.
--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -145,6 +145,11 @@
         due
     }
 
+    /// Whether a start of an endpoint was ever seen leaving.
+    pub fn was_leaving(&self, life: &Life) -> bool {
+        self.leaving.contains(life)
+    }
+
     /// The endpoint with a name.
     pub fn get(&self, name: &EndpointName) -> Option<&Endpoint> {
         self.endpoints.get(name).map(AsRef::as_ref)
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -12,9 +12,13 @@
 };
 use trestle_config::entry_settings::{Bounds, EntrySettings};
 use trestle_dispatch::{
-    beliefs::Beliefs, catalog::Catalog, policy::Policy, retry_share::RetryBounds,
+    beliefs::Beliefs, catalog::Catalog, crashes::Crashes, policy::Policy, retry_share::RetryBounds,
 };
 
+/// Longest time by which one daemon lets a refused request through later than another: some
+/// times as long as the news takes that an endpoint ended under it.
+const MOST_LATE_MS: u64 = 5_000;
+
 /// What this daemon believes.
 #[derive(Debug)]
 pub(crate) struct Knowledge {
@@ -34,6 +38,7 @@
         let domain = settings.domain.as_str().into();
         let mut beliefs = Beliefs::new(domain, bounds.leaving_ms, retry_bounds(bounds));
         beliefs.policy = policy;
+        beliefs.crashes = Crashes::late_by(fastrand::u64(..MOST_LATE_MS));
         Self {
             beliefs: Mutex::new(beliefs),
             changed: Event::new(),
