--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -1,7 +1,7 @@
 //! Who may give orders: a lease in one row of the store.
 //!
 //! The holder counts from the moment before it sent its last renewal that
-//! succeeded, on its own monotonic clock; an observer counts from the moment at
+//! succeeded, on a clock of its own that never stands still; an observer counts from the moment at
 //! which it first knew of that renewal. Since the first is never later than the
 //! second, the holder has stopped before an observer's conditional write can
 //! replace it. Engines may judge orders of two machines that come close after
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Everything here is a plain function over plain state: no input or output, no
 //! clock, no randomness of its own. The daemon feeds in what it observes, with
-//! the time on its monotonic clock, and carries out what comes back.
+//! the time on a clock that never stands still, and carries out what comes back.
 //!
 //! - What one daemon knows: [`beliefs`], made up of [`catalog`] (the operators'
 //!   configuration), [`directory`] (live endpoints), [`replicas`] (what the leader says),
