Count no unload of an adapter before the engine's report does

Change: after an unload of an adapter that was fulfilled at once, the engine is asked before the next order, as after one that was accepted.

Before: two tests of orders.rs red.

--- a/crates/trestle-dispatch/src/orders.rs
+++ b/crates/trestle-dispatch/src/orders.rs
@@ -283,10 +283,14 @@
         }
         let Some(step) = self.steps.get(self.at) else { return };
         apply(step, &mut self.held);
-        // An adapter that nobody uses goes at once, and that counts as an order.
+        // An adapter that nobody uses goes at once, and that counts as an order; one that had
+        // gone by itself does not. A load that expects one order too many may be carried out
+        // seconds later, when others have filled the engine: 3 adapters in 2 places.
         if matches!(step, Order::UnloadAdapter(..)) {
             self.order_count += 1;
             self.accepted_ms = now_ms;
+            self.is_counted = false;
+            self.not_before_ms = now_ms + ADAPTER_REPORT_MS;
         }
         self.at += 1;
         self.check_room();
