Say once what is refused, and work it out only where it is used

Found by reading the diff; what is decided stays as it is.

- Each message to the control thread worked out the refused requests anew, copied them for each group and kept them in each lease.
They go into a lease's row when it is written, so the lease keeps no copy.
- Each answer of a leader worked them out and threw them away; now only for an asker that lacks some.
- An end noted here is one report among those that are heard; the line that a request is refused from now on is said when that begins, not at each end after it.
- Whether a start of an endpoint is listed stood three times: Directory::lists.
The time for opening a connection to an endpoint stood twice.
Crashes::is_empty was used nowhere.
- A stream without a source is said to have none again, in place of too long a silence.

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -242,14 +242,17 @@
         now_ms: u64,
     ) -> Option<Break> {
         let life = endpoint.life();
-        let listed = self.directory.get(&endpoint.name)?;
-        if self.directory.was_leaving(&life) {
+        let is_gone = self.directory.get(&endpoint.name).is_none();
+        if is_gone || self.directory.was_leaving(&life) {
             return None;
         }
-        let first = self.suspects.broke(&life, request, now_ms);
-        // It may have started again before the connection was seen to break.
-        let has_ended = first == Break::First && listed.life() != life;
-        Some(if has_ended { self.suspects.note_ended(&life) } else { first })
+        let broke = self.suspects.broke(&life, request, now_ms);
+        if broke == Break::First && !self.directory.lists(&life) {
+            // It started again before the connection was seen to break.
+            self.suspects.ended(&life);
+            return Some(Break::Ended);
+        }
+        Some(broke)
     }
 
     /// Notes that a request had a whole answer.
--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -81,19 +81,10 @@
         Self { late_ms, ..Self::default() }
     }
 
-    /// Whether nothing is known of any request.
-    pub fn is_empty(&self) -> bool {
-        self.by_request.is_empty()
-    }
-
-    /// Notes that an endpoint ended under a request; returns how many have.
-    pub fn ended(&mut self, request: Fingerprint, endpoint: &Life, now_ms: u64) -> usize {
-        self.forget(now_ms);
-        let record = self.by_request.entry(request).or_default();
-        if record.add(endpoint, now_ms) {
-            self.note_changed(request);
-        }
-        self.by_request.get(&request).map_or(0, |record| record.ends.len())
+    /// Notes that an endpoint ended under a request; returns whether that is refused from now on.
+    pub fn ended(&mut self, request: Fingerprint, endpoint: &Life, now_ms: u64) -> bool {
+        let ends = vec![(endpoint.clone(), 0)];
+        !self.heard(&[CrashReport { request, ends, is_served: false }], now_ms).is_empty()
     }
 
     /// Notes that a request had a whole answer.
@@ -117,6 +108,11 @@
         (changed.map(|(request, record)| record.report(*request, now_ms)).collect(), self.changes)
     }
 
+    /// Number of the last change of a request that is refused, or was until it had an answer.
+    pub fn refused_changes(&self) -> u64 {
+        self.refused_changes
+    }
+
     /// Requests that are refused, or were until they had an answer, the last ones first, and the
     /// number of their last change.
     pub fn refused(&self, now_ms: u64) -> (Vec<CrashReport>, u64) {
--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -145,6 +145,11 @@
         due
     }
 
+    /// Whether this start of an endpoint is listed.
+    pub fn lists(&self, life: &Life) -> bool {
+        self.get(&life.name).is_some_and(|known| known.born_ms == life.born_ms)
+    }
+
     /// Whether a start of an endpoint was ever seen leaving.
     pub fn was_leaving(&self, life: &Life) -> bool {
         self.leaving.contains(life)
--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -118,8 +118,6 @@
     is_leaving: bool,
     /// Daemons that ask this one; before it holds the lease, those that asked the last holder.
     daemons: u32,
-    /// Requests that are refused, for whoever starts anew.
-    refused: Vec<CrashReport>,
 }
 
 /// The daemon that takes part.
@@ -159,7 +157,6 @@
             is_writing: false,
             is_leaving: false,
             daemons: 0,
-            refused: Vec::new(),
         }
     }
 
@@ -199,8 +196,8 @@
             Some(row) if self.is_mine(row) && (self.is_leaving || !self.has_resigned(row)) => {
                 let has_begun = row.has_begun || now_ms >= self.settled_ms;
                 let (is_released, daemons) = (self.is_leaving, self.daemons);
-                let (renewals, refused) = (row.renewals + 1, self.refused.clone());
-                LeaseRow { renewals, has_begun, is_released, daemons, refused, ..row.clone() }
+                let renewals = row.renewals + 1;
+                LeaseRow { renewals, has_begun, is_released, daemons, ..row.clone() }
             }
             _ if self.is_leaving => return None,
             Some(_) if self.free_from_ms().is_none_or(|from_ms| now_ms < from_ms) => return None,
@@ -319,13 +316,6 @@
         self.daemons = daemons;
     }
 
-    /// Sets the requests that are refused, for daemons that start anew.
-    pub fn set_refused(&mut self, refused: &[CrashReport]) {
-        if !(refused.is_empty() && self.refused.is_empty()) {
-            self.refused = refused.to_vec();
-        }
-    }
-
     /// Gives the lease up with the next write, and takes it no more.
     pub fn leave(&mut self) {
         self.is_leaving = true;
@@ -367,7 +357,7 @@
             has_begun,
             is_released: false,
             daemons: self.daemons,
-            refused: self.refused.clone(),
+            refused: Vec::new(),
         }
     }
 
--- a/crates/trestle-dispatch/src/suspects.rs
+++ b/crates/trestle-dispatch/src/suspects.rs
@@ -58,12 +58,6 @@
         }
     }
 
-    /// Takes that an endpoint has ended under the only request that is known of it.
-    pub(crate) fn note_ended(&mut self, endpoint: &Life) -> Break {
-        self.ended(endpoint);
-        Break::Ended
-    }
-
     /// Takes that an endpoint has ended; returns the requests under which it did.
     pub fn ended(&mut self, endpoint: &Life) -> BTreeSet<Fingerprint> {
         let Some(broken) = self.by_life.get_mut(endpoint) else { return BTreeSet::new() };
--- a/crates/trestle-entry/src/broken.rs
+++ b/crates/trestle-entry/src/broken.rs
@@ -1,6 +1,10 @@
 //! What a connection that broke under a request says of its endpoint.
 
-use crate::{crashes, daemon::Daemon, net::connect};
+use crate::{
+    crashes,
+    daemon::Daemon,
+    net::{connect, pool::CONNECT_MS},
+};
 use std::{collections::BTreeSet, io::ErrorKind, sync::Arc};
 use trestle_dispatch::{
     endpoint::{Endpoint, Life},
@@ -8,8 +12,6 @@
     suspects::Break,
 };
 
-/// Time for opening a connection to an endpoint that may have ended.
-const CONNECT_MS: u64 = 300;
 /// Requests that one line of log names.
 const MOST_LOGGED: usize = 8;
 
@@ -42,12 +44,9 @@
 
 /// Takes that endpoints which are no longer listed have ended.
 pub(crate) fn note_gone(daemon: &Daemon) {
-    let gone = daemon.knowledge.with(|beliefs| {
-        let directory = &beliefs.directory;
-        beliefs
-            .suspects
-            .gone(|life| directory.get(&life.name).is_some_and(|endpoint| endpoint.life() == *life))
-    });
+    let gone = daemon
+        .knowledge
+        .with(|beliefs| beliefs.suspects.gone(|life| beliefs.directory.lists(life)));
     for life in &gone {
         ended(daemon, life);
     }
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -5,7 +5,6 @@
         leasing::{self, Leasing, TABLE},
         message::{Leader, Message},
     },
-    crashes,
     daemon::Daemon,
 };
 use async_channel::Sender;
@@ -179,7 +178,6 @@
         self.follow_groups(now_ms);
         self.read_if_due(now_ms);
         let led = self.led(now_ms);
-        let refused = crashes::refused_for_rows(&self.daemon);
         let millicores = self.daemon.settings.millicores();
         for (group, leasing) in &mut self.by_group {
             let others_first_ms = self.groups.others_first_ms(group, &self.domain, &led, now_ms);
@@ -202,7 +200,6 @@
                 };
                 now_ms >= from_ms + wait_ms
             };
-            leasing.set_refused(&refused);
             leasing.look(may_take, now_ms);
         }
         self.note_acting(now_ms);
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use trestle_core::names::DomainName;
 use trestle_dispatch::{
-    crashes::CrashReport,
     lease::{Identity, Lease, LeaseRow, LeaseTiming, LeaseWrite, Resignation},
     store::{ConditionalWrite, Row, RowKey, WriteOutcome},
 };
@@ -66,11 +65,6 @@
         self.lease.set_daemons(daemons);
     }
 
-    /// Sets the requests that are refused, for daemons that start anew.
-    pub(crate) fn set_refused(&mut self, refused: &[CrashReport]) {
-        self.lease.set_refused(refused);
-    }
-
     /// Takes the row as it was read or told.
     pub(crate) fn seen(&mut self, row: Option<LeaseRow>, version: u64, now_ms: u64) {
         if let Some(row) = &row {
@@ -114,8 +108,9 @@
         let last = self.lease.seen().map(|(row, _)| row);
         let may_take = || self.lease.free_from_ms().is_some_and(|free_ms| may_take(free_ms, last));
         if (may_write || (may_take() && self.daemon.store.may_try()))
-            && let Some(write) = self.lease.due_write(now_ms)
+            && let Some(mut write) = self.lease.due_write(now_ms)
         {
+            write.row.refused = crashes::refused_for_row(&self.daemon);
             let (daemon, group) = (Arc::clone(&self.daemon), self.group.clone());
             smol::spawn(send(daemon, group, write, now_ms)).detach();
         }
--- a/crates/trestle-entry/src/crashes.rs
+++ b/crates/trestle-entry/src/crashes.rs
@@ -42,11 +42,11 @@
     }
 
     /// Takes that the leader has answered, and what it says of refused requests.
-    pub(crate) fn answered(&mut self, daemon: &Daemon, refused: Option<&WireRefused>) {
+    pub(crate) fn answered(&mut self, daemon: &Daemon, refused: Option<WireRefused>) {
         self.told = self.telling;
         if let Some(refused) = refused {
             self.heard = refused.number;
-            heard_wire(daemon, &refused.crashes);
+            heard_wire(daemon, refused.crashes);
         }
     }
 }
@@ -58,8 +58,7 @@
     }
     let now_ms = daemon.knowledge.now_ms();
     for request in requests {
-        let ends = daemon.knowledge.with(|beliefs| beliefs.crashes.ended(*request, life, now_ms));
-        if ends >= MOST_ENDS {
+        if daemon.knowledge.with(|beliefs| beliefs.crashes.ended(*request, life, now_ms)) {
             log_refused(*request);
         }
     }
@@ -81,23 +80,24 @@
 }
 
 /// The same, as it was sent.
-pub(crate) fn heard_wire(daemon: &Daemon, crashes: &[WireCrash]) {
-    let reports: Vec<CrashReport> = crashes.iter().cloned().map(CrashReport::from).collect();
+pub(crate) fn heard_wire(daemon: &Daemon, crashes: Vec<WireCrash>) {
+    let reports: Vec<CrashReport> = crashes.into_iter().map(CrashReport::from).collect();
     heard(daemon, &reports);
 }
 
 /// Requests that are refused, for an asker that has heard of changes up to a number.
 pub(crate) fn refused_after(daemon: &Daemon, number: u64) -> Option<WireRefused> {
     let now_ms = daemon.knowledge.now_ms();
-    let (refused, last) = daemon.knowledge.with(|beliefs| beliefs.crashes.refused(now_ms));
-    (last > number).then(|| WireRefused {
-        crashes: refused.into_iter().map(WireCrash::from).collect(),
-        number: last,
-    })
+    let (refused, number) = daemon.knowledge.with(|beliefs| {
+        // Nearly all askers lack nothing; each asks several times a second.
+        let has_news = beliefs.crashes.refused_changes() > number;
+        has_news.then(|| beliefs.crashes.refused(now_ms))
+    })?;
+    Some(WireRefused { crashes: refused.into_iter().map(WireCrash::from).collect(), number })
 }
 
 /// Requests that are refused, as many as a lease's row holds.
-pub(crate) fn refused_for_rows(daemon: &Daemon) -> Vec<CrashReport> {
+pub(crate) fn refused_for_row(daemon: &Daemon) -> Vec<CrashReport> {
     let now_ms = daemon.knowledge.now_ms();
     let (mut refused, _) = daemon.knowledge.with(|beliefs| beliefs.crashes.refused(now_ms));
     refused.truncate(MOST_IN_ROW);
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -101,8 +101,7 @@
 
     /// Whether an endpoint is still listed as this start of it.
     pub(crate) fn is_listed_start(&self, endpoint: &Endpoint) -> bool {
-        let is_same = |known: &Endpoint| known.born_ms == endpoint.born_ms;
-        self.knowledge.with(|beliefs| beliefs.directory.get(&endpoint.name).is_some_and(is_same))
+        self.knowledge.with(|beliefs| beliefs.directory.lists(&endpoint.life()))
     }
 
     /// A number that nothing else in this process has.
--- a/crates/trestle-entry/src/net/pool.rs
+++ b/crates/trestle-entry/src/net/pool.rs
@@ -22,7 +22,7 @@
 use trestle_dispatch::endpoint::{Endpoint, Life};
 
 /// Time for opening a connection; ways within a region take a few ms.
-const CONNECT_MS: u64 = 300;
+pub(crate) const CONNECT_MS: u64 = 300;
 /// For how long a connection is kept where the endpoint does not say; below
 /// the shortest time that endpoints say.
 const DEFAULT_IDLE_MS: u64 = 900;
--- a/crates/trestle-entry/src/peer/leaders.rs
+++ b/crates/trestle-entry/src/peer/leaders.rs
@@ -53,12 +53,12 @@
             urgent(&daemon, address).await;
             None
         };
-        let Some(answer) = answered.or(interrupted).await else { continue };
+        let Some(mut answer) = answered.or(interrupted).await else { continue };
         if let Err(error) = &answer {
             tracing::debug!(%error, "sync: Another leader does not answer.");
         }
-        if let Some(synced) = answer.as_ref().ok().filter(|synced| synced.is_leader) {
-            exchange.answered(&daemon, synced.refused.as_ref());
+        if let Some(synced) = answer.as_mut().ok().filter(|synced| synced.is_leader) {
+            exchange.answered(&daemon, synced.refused.take());
         }
         let is_calm = answer.is_err() || !waits;
         daemon.tell(Message::OtherAnswered { address, answer: answer.ok() });
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -44,10 +44,10 @@
 struct Server(Arc<Daemon>);
 
 impl Replicas for Server {
-    async fn sync(self, _: Context, asking: WireAsking) -> WireSynced {
+    async fn sync(self, _: Context, mut asking: WireAsking) -> WireSynced {
         let (reply, answer) = async_channel::bounded(1);
         let (have, is_leader) = (asking.have.clone(), asking.is_leader);
-        crashes::heard_wire(&self.0, &asking.crashes);
+        crashes::heard_wire(&self.0, std::mem::take(&mut asking.crashes));
         self.0.tell(Message::Sync { asking, reply });
         let mut synced = answer.recv().await.unwrap_or_default();
         if synced.is_leader {
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -157,7 +157,7 @@
             return false;
         }
         self.told = leader;
-        self.crashes.answered(daemon, answer.refused.as_ref());
+        self.crashes.answered(daemon, answer.refused);
         self.learn(daemon, answer.views);
         if let Some(relay) = answer.relay {
             take_relay(daemon, relay, asked_ms);
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -74,6 +74,8 @@
     Connection(String),
     /// No event came for too long.
     Silence,
+    /// There is nothing to read from.
+    NoSource,
 }
 
 impl Breach {
@@ -81,6 +83,7 @@
         match self {
             Self::Connection(reason) => reason,
             Self::Silence => "no event came for too long",
+            Self::NoSource => "there is no source",
         }
     }
 }
@@ -207,7 +210,7 @@
                 return Step::Events(events);
             }
             let Some(source) = &mut self.source else {
-                return Step::Broken(Breach::Silence);
+                return Step::Broken(Breach::NoSource);
             };
             let patience = Patience { task: &self.task, sends: &self.sends, slice_ms };
             let Some(frame) = patience.wait(source.body.frame()).await else {
