--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -31,6 +31,40 @@
 /// leader, or one that has lost another, knows of too few for some seconds.
 const COUNT_BELIEVED_MS: u64 = 30_000;
 
+/// By which way the list of endpoints was last heard of.
+#[trestle_macros::plain]
+#[derive(Copy, Default)]
+pub enum ListWay {
+    /// It was never heard of.
+    #[default]
+    Nothing,
+    /// This daemon has read the store.
+    Store,
+    /// A leader has passed it on.
+    Leader,
+}
+
+impl ListWay {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Nothing => "nothing",
+            Self::Store => "store",
+            Self::Leader => "leader",
+        }
+    }
+}
+
+/// How the list of endpoints was last heard of.
+#[trestle_macros::plain]
+#[derive(Copy, Default)]
+pub struct ListHeard {
+    /// By which way.
+    pub way: ListWay,
+    /// The moment as of which it was known, on the daemon's clock.
+    pub known_ms: u64,
+}
+
 /// Everything that one daemon believes.
 #[derive(Debug)]
 pub struct Beliefs {
@@ -46,6 +80,8 @@
     pub config_texts: ConfigTexts,
     /// Whether the list of endpoints was ever read.
     pub is_listed: bool,
+    /// How the list of endpoints was last heard of.
+    pub list_heard: ListHeard,
     /// What the leader says, by service.
     pub replicas: BTreeMap<ServiceName, ReplicaView>,
     /// When it said so.
@@ -88,6 +124,7 @@
             identities: Mirror::default(),
             config_texts: ConfigTexts::default(),
             is_listed: false,
+            list_heard: ListHeard::default(),
             replicas: BTreeMap::new(),
             heard_ms: 0,
             has_leader: false,
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -244,7 +244,7 @@
     let age_ms = relay.age_ms + now_ms.saturating_sub(asked_ms);
     let is_fresh = daemon.freshness.relayed(age_ms, next_ms, now_ms);
     if is_fresh {
-        endpoints::take_passed_on(daemon, relay.endpoints.into());
+        endpoints::take_passed_on(daemon, relay.endpoints.into(), age_ms);
     }
 }
 
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -8,7 +8,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 use trestle_core::names::EndpointName;
 use trestle_dispatch::{
-    beliefs::Beliefs,
+    beliefs::{Beliefs, ListHeard, ListWay},
     directory::Directory,
     endpoint::Endpoint,
     mirror::News,
@@ -23,6 +23,8 @@
 /// The same for a daemon that follows the list only until it hears from a leader again:
 /// all daemons do so at once then, and the store's calls are shared by all.
 const ALONE_GATHER_MS: u64 = 450;
+/// Endpoints that the line about a whole list names.
+const MOST_NAMED: usize = 8;
 
 /// Follows the list until the process ends.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
@@ -64,6 +66,7 @@
     let now_ms = daemon.knowledge.now_ms();
     let is_news = daemon.knowledge.with(|beliefs| {
         beliefs.directory.read(true, now_ms);
+        beliefs.list_heard = ListHeard { way: ListWay::Store, known_ms: now_ms };
         let fresh = beliefs.mirror.take(news);
         let identities = identities(beliefs, &fresh);
         beliefs.identities.take(identities);
@@ -77,10 +80,12 @@
 }
 
 /// Takes what another daemon passes on of endpoints, without what engines hold.
-pub(crate) fn take_passed_on(daemon: &Daemon, news: News<Endpoint>) {
+pub(crate) fn take_passed_on(daemon: &Daemon, news: News<Endpoint>, age_ms: u64) {
     let now_ms = daemon.knowledge.now_ms();
     let is_news = daemon.knowledge.with(|beliefs| {
         beliefs.directory.read(true, now_ms);
+        let known_ms = now_ms.saturating_sub(age_ms);
+        beliefs.list_heard = ListHeard { way: ListWay::Leader, known_ms };
         let fresh = beliefs.identities.take(news);
         let is_news = has_news(&fresh);
         if is_news {
@@ -128,6 +133,9 @@
     let listed: Option<BTreeSet<EndpointName>> = news
         .is_whole
         .then(|| news.written.iter().map(|(_, endpoint, _)| endpoint.name.clone()).collect());
+    let is_new = |name: &EndpointName| beliefs.directory.get(name).is_none();
+    let new = listed.iter().flatten().filter(|name| is_new(name));
+    let came: Vec<String> = new.take(MOST_NAMED).map(ToString::to_string).collect();
     for (_, endpoint, _) in news.written {
         // A whole list is one line: it names hundreds, at every daemon.
         if listed.is_none() || endpoint.is_leaving {
@@ -140,9 +148,10 @@
         take(&mut beliefs.directory, endpoint);
     }
     if let Some(listed) = listed {
+        let gone = differing(beliefs, |endpoint| !listed.contains(&endpoint.name));
         beliefs.directory.keep_listed(&listed, now_ms);
         beliefs.is_listed = true;
-        tracing::info!(count, version, "endpoint: The list was read.");
+        tracing::info!(count, version, ?came, ?gone, "endpoint: The list was read.");
     }
     for (name, _) in news.removed {
         let name = EndpointName::from(name);
@@ -151,6 +160,12 @@
     }
 }
 
+/// Some of the endpoints in the directory that differ from a list.
+fn differing(beliefs: &Beliefs, differs: impl Fn(&Endpoint) -> bool) -> Vec<String> {
+    let differing = beliefs.directory.iter().filter(|endpoint| differs(endpoint));
+    differing.take(MOST_NAMED).map(|endpoint| endpoint.name.to_string()).collect()
+}
+
 fn to_news(daemon: &Daemon, rows: impl Iterator<Item = Row>, version: u64) -> News<Endpoint> {
     let written = rows.filter_map(|row| {
         let endpoint = understood(daemon, &row)?;
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -66,8 +66,10 @@
             if matches!(unanswered, Unanswered::Broke(_)) {
                 broken::note(&task.daemon, &taken.endpoint, task.head.fingerprint);
             }
+            let list = task.list();
             tracing::info!(
                 id = task.head.id, request = task.fingerprint(), endpoint = %name,
+                list_version = list.version, list_age_ms = list.age_ms, list_from = list.way,
                 reason = unanswered.reason(), elapsed_ms = task.elapsed_ms(), "request: A send failed."
             );
             Err(unanswered)
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -18,7 +18,7 @@
 use smol::Timer;
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -125,6 +125,7 @@
         arrived_ms,
         config_version: catalog.version,
         sent_after_ms: AtomicU64::new(NOT_SENT),
+        list: Mutex::default(),
     })
 }
 
--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -47,6 +47,7 @@
         Ended::Failed(Failure::NotRun { retry_after_ms, why }) => (Some(retry_after_ms), Some(why)),
         _ => (None, None),
     };
+    let list = endpoint.map(|_| task.list());
     tracing::info!(
         id = task.head.id,
         request = task.fingerprint(),
@@ -59,6 +60,9 @@
         end = end.name(),
         why,
         endpoint,
+        list_version = list.map(|list| list.version),
+        list_age_ms = list.map(|list| list.age_ms),
+        list_from = list.map(|list| list.way),
         sends,
         last_id = seen.last_id,
         sent_ms = task.sent_ms(),
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -72,6 +72,7 @@
         let selection = selection::select(beliefs, asking, sends, lot, now_ms);
         if let Selection::Send(endpoint) = &selection {
             beliefs.sent(endpoint, task.head.model.as_ref(), task.head.adapter.as_ref());
+            task.note_list(beliefs, now_ms);
         }
         selection
     })
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -5,11 +5,12 @@
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 use std::sync::{
-    Arc,
+    Arc, Mutex, PoisonError,
     atomic::{AtomicU64, Ordering},
 };
 use trestle_core::names::ServiceName;
 use trestle_dispatch::{
+    beliefs::Beliefs,
     endpoint::Endpoint,
     request::{Forwarded, RequestHead},
     route::Route,
@@ -38,6 +39,16 @@
     pub(crate) config_version: u64,
     /// When it was first sent to an endpoint, from its arrival; [`NOT_SENT`] before.
     pub(crate) sent_after_ms: AtomicU64,
+    /// The list that its endpoint was last chosen from.
+    pub(crate) list: Mutex<ListSeen>,
+}
+
+/// The list that an endpoint was chosen from, for logs.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ListSeen {
+    pub(crate) version: u64,
+    pub(crate) age_ms: u64,
+    pub(crate) way: &'static str,
 }
 
 /// Stands for a request that was not sent to an endpoint.
@@ -68,6 +79,20 @@
         self.head.fingerprint.map(|fingerprint| fingerprint.to_string())
     }
 
+    /// Notes the list that its endpoint was chosen from.
+    pub(crate) fn note_list(&self, beliefs: &Beliefs, now_ms: u64) {
+        let heard = beliefs.list_heard;
+        let (version, way) = (beliefs.identities.version(), heard.way.name());
+        let age_ms = now_ms.saturating_sub(heard.known_ms);
+        *self.list.lock().unwrap_or_else(PoisonError::into_inner) =
+            ListSeen { version, age_ms, way };
+    }
+
+    /// The list that its endpoint was last chosen from.
+    pub(crate) fn list(&self) -> ListSeen {
+        *self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes that it is sent to an endpoint.
     pub(crate) fn note_sent(&self) {
         self.sent_after_ms.fetch_min(self.elapsed_ms(), Ordering::Relaxed);
