Take news of the list of endpoints in one order, whichever way they come

Cause: two copies of the list, one read from the store and one heard from leaders, changed one directory that knew no versions. An answer of the store that was late undid what a leader had said since, and stayed while that leader was heard: 8 to 12 of 20 requests of the test went to a server that was gone. The class is news applied in the order of their arrival instead of the order of their making.

The same elsewhere: a whole list forgot removals, so what was made before it brought them back; an entry written before the endpoint left and heard of after its removal made it usable; an entry of another writer without some of its fields was taken for the endpoint's own; a daemon that had just started was told by the leader what the store says, not what the leader had seen leaving; after a moment without the store a removal was doubted from when it was heard of; what was chosen was not looked at again once the connection was open. The configuration and the leases have one version each and never go back.

Change: one copy of the list (listing), in which what is said of an endpoint counts only if its version is newer. The directory keeps the number of the last entry of each start that is gone, and a start that was seen leaving is passed on as leaving.

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -8,8 +8,8 @@
     directory::Directory,
     endpoint::Endpoint,
     fingerprint::Fingerprint,
+    listing::{ListedEntry, Listing, News, Source},
     loadable::{self, Loadable},
-    mirror::Mirror,
     policy::Policy,
     record::Records,
     replicas::ReplicaView,
@@ -72,10 +72,8 @@
     pub catalog: Option<Arc<Catalog>>,
     /// Live endpoints.
     pub directory: Directory,
-    /// The list of endpoints as the store has it, as far as this daemon has read it.
-    pub mirror: Mirror<Endpoint>,
-    /// The same without what engines hold, as daemons pass it on to each other.
-    pub identities: Mirror<Endpoint>,
+    /// The list of endpoints as the store has it, as far as this daemon has heard.
+    pub listing: Listing,
     /// The last configurations as the store has them.
     pub config_texts: ConfigTexts,
     /// Whether the list of endpoints was ever read.
@@ -120,8 +118,7 @@
         Self {
             catalog: None,
             directory: Directory::new(leaving_ms),
-            mirror: Mirror::default(),
-            identities: Mirror::default(),
+            listing: Listing::default(),
             config_texts: ConfigTexts::default(),
             is_listed: false,
             list_heard: ListHeard::default(),
@@ -270,6 +267,33 @@
         }
     }
 
+    /// Takes an entry that is new to the list; returns whether it names an endpoint to use.
+    pub fn take_entry(&mut self, entry: ListedEntry, source: Source) -> bool {
+        let ListedEntry { key, endpoint, version } = entry;
+        let known = self.directory.get(&endpoint.name);
+        if known.is_some_and(|known| known.born_ms != endpoint.born_ms) {
+            self.records.started_again(&endpoint.name);
+        }
+        let is_taken = match source {
+            Source::Store => self.directory.written(endpoint),
+            Source::Leader => self.directory.listed(endpoint),
+        };
+        if !is_taken {
+            self.listing.pass_over(&key, version);
+        }
+        is_taken
+    }
+
+    /// What has changed in the list of endpoints since a version, as this daemon believes it: one
+    /// that it has seen leaving is no more usable to a daemon that has not.
+    pub fn list_after(&self, version: u64) -> News {
+        let mut news = self.listing.after(version);
+        for entry in &mut news.written {
+            entry.endpoint.is_leaving |= self.directory.was_leaving(&entry.endpoint.life());
+        }
+        news
+    }
+
     /// Notes that the connection of a request to an endpoint broke. One that is leaving, or gone
     /// from the list, ends whatever it runs.
     pub fn connection_broke(
--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -17,19 +17,49 @@
 const COME_BACK_MS: u64 = 2_000;
 /// Time that a request may take from the choice of its endpoint until it gets there.
 const ON_ITS_WAY_MS: u64 = 300;
+/// Starts of endpoints that left or are gone of which more is kept than that; the oldest are
+/// forgotten first. Some days' worth where 160 VMs fail and 480 are replaced a day.
+const MOST_PAST: usize = 4_096;
+
+/// What is kept of a start of an endpoint that left or whose entry was removed.
+#[derive(Debug, Default)]
+struct Past {
+    /// Whether it has said that it leaves.
+    has_left: bool,
+    /// The number of its last message, once its entry was removed.
+    last_number: Option<u64>,
+    /// Lower ones were noted earlier.
+    order: u64,
+}
 
 /// The list of live endpoints.
 #[derive(Debug)]
 pub struct Directory {
     endpoints: BTreeMap<EndpointName, Arc<Endpoint>>,
-    /// Starts of endpoints that were ever seen leaving.
-    leaving: BTreeSet<Life>,
+    /// Starts of endpoints that were seen leaving or gone.
+    past: BTreeMap<Life, Past>,
+    past_count: u64,
     /// Entries that vanished in a time of doubt, and when they count as gone.
     lapsed_until_ms: BTreeMap<EndpointName, u64>,
     /// Time for which an endpoint that has left may still get requests.
     leaving_ms: u64,
-    is_unread: bool,
-    read_again_ms: Option<u64>,
+    /// When the store was last read.
+    read_ms: u64,
+    /// Since when it cannot be read.
+    unread_since_ms: Option<u64>,
+    /// The last time without the store.
+    gap: Option<Gap>,
+}
+
+/// A time in which the store could not be read.
+#[derive(Debug, Clone, Copy)]
+struct Gap {
+    /// When it was last read before.
+    known_ms: u64,
+    /// How long it is known not to have answered.
+    length_ms: u64,
+    /// When it was read again.
+    over_ms: u64,
 }
 
 impl Directory {
@@ -37,11 +67,13 @@
     pub fn new(leaving_ms: u64) -> Self {
         Self {
             endpoints: BTreeMap::new(),
-            leaving: BTreeSet::new(),
+            past: BTreeMap::new(),
+            past_count: 0,
             lapsed_until_ms: BTreeMap::new(),
             leaving_ms,
-            is_unread: false,
-            read_again_ms: None,
+            read_ms: 0,
+            unread_since_ms: None,
+            gap: None,
         }
     }
 
@@ -50,13 +82,17 @@
         self.leaving_ms = leaving_ms;
     }
 
-    /// Takes an entry that was written.
-    pub fn written(&mut self, mut endpoint: Endpoint) {
+    /// Takes an entry that was written. One that its endpoint had written before its last one
+    /// was removed names nothing to use; returns whether it is taken.
+    pub fn written(&mut self, mut endpoint: Endpoint) -> bool {
+        if self.is_of_before(&endpoint) {
+            return false;
+        }
         self.lapsed_until_ms.remove(&endpoint.name);
         if endpoint.is_leaving {
-            self.leaving.insert(endpoint.life());
+            self.note_past(endpoint.life(), |past| past.has_left = true);
         }
-        endpoint.is_leaving |= self.leaving.contains(&endpoint.life());
+        endpoint.is_leaving |= self.was_leaving(&endpoint.life());
         // Numbers start anew with each start; entries of two starts come in the store's order.
         if let Some(known) = self.endpoints.get(&endpoint.name)
             && known.born_ms == endpoint.born_ms
@@ -67,18 +103,42 @@
             endpoint = Endpoint { is_leaving, ..Endpoint::clone(known) };
         }
         self.endpoints.insert(endpoint.name.clone(), Arc::new(endpoint));
+        true
     }
 
-    /// Takes an entry that says nothing of what its engine holds.
-    pub fn listed(&mut self, mut endpoint: Endpoint) {
+    /// Takes an entry that says nothing of what its engine holds; returns whether it is taken.
+    pub fn listed(&mut self, mut endpoint: Endpoint) -> bool {
         let known = self.endpoints.get(&endpoint.name);
         if let Some(known) = known.filter(|known| known.born_ms == endpoint.born_ms) {
-            endpoint.entry_number = known.entry_number;
+            endpoint.entry_number = endpoint.entry_number.max(known.entry_number);
             endpoint.held.clone_from(&known.held);
             endpoint.in_memory.clone_from(&known.in_memory);
             endpoint.on_disk.clone_from(&known.on_disk);
         }
-        self.written(endpoint);
+        self.written(endpoint)
+    }
+
+    /// Whether an entry is none that its endpoint wrote after its last one was removed. Where
+    /// starts cannot be told apart, numbers may have begun anew.
+    fn is_of_before(&self, endpoint: &Endpoint) -> bool {
+        let past = self.past.get(&endpoint.life()).filter(|_| endpoint.tells_start());
+        let last = past.and_then(|past| past.last_number);
+        let is_listed = self.lists(&endpoint.life());
+        let is_kept = is_listed && !self.lapsed_until_ms.contains_key(&endpoint.name);
+        !is_kept && last.is_some_and(|last| endpoint.entry_number <= last)
+    }
+
+    fn note_past(&mut self, life: Life, note: impl FnOnce(&mut Past)) {
+        self.past_count += 1;
+        let past = self.past.entry(life).or_default();
+        past.order = self.past_count;
+        note(past);
+        if self.past.len() > MOST_PAST {
+            let oldest = self.past.iter().min_by_key(|(_, past)| past.order);
+            if let Some(life) = oldest.map(|(life, _)| life.clone()) {
+                self.past.remove(&life);
+            }
+        }
     }
 
     /// Takes what an engine is thought to hold.
@@ -90,19 +150,33 @@
 
     /// Takes the removal of an entry.
     pub fn removed(&mut self, name: &EndpointName, now_ms: u64) {
-        let come_back_until_ms = self.read_again_ms.map_or(0, |at_ms| at_ms + COME_BACK_MS);
-        let known = self.endpoints.get(name);
-        let is_staying = known.is_some_and(|known| !self.leaving.contains(&known.life()));
-        if is_staying && now_ms < come_back_until_ms {
-            let left_until_ms = now_ms + self.leaving_ms.saturating_sub(ON_ITS_WAY_MS);
-            let until_ms = come_back_until_ms.min(left_until_ms);
-            self.lapsed_until_ms.entry(name.clone()).or_insert(until_ms);
-        } else {
-            self.endpoints.remove(name);
-            self.lapsed_until_ms.remove(name);
+        let Some(known) = self.endpoints.get(name) else { return };
+        let (life, last_number) = (known.life(), known.entry_number);
+        let is_staying = !self.was_leaving(&life);
+        let kept_until_ms = self.kept_until_ms(now_ms).filter(|until| now_ms < *until);
+        self.note_past(life, |past| past.last_number = Some(last_number));
+        match kept_until_ms {
+            Some(until_ms) if is_staying => {
+                self.lapsed_until_ms.entry(name.clone()).or_insert(until_ms);
+            }
+            _ => {
+                self.endpoints.remove(name);
+                self.lapsed_until_ms.remove(name);
+            }
         }
     }
 
+    /// Until when an entry that is removed now may have lapsed only because the store was away.
+    /// Entries do not lapse within a short time without the store: what is removed then has
+    /// left, at the earliest when the list was last known.
+    fn kept_until_ms(&self, now_ms: u64) -> Option<u64> {
+        let gap = self.gap?;
+        let left_for_ms = self.leaving_ms.saturating_sub(ON_ITS_WAY_MS);
+        let until_ms = (gap.over_ms + COME_BACK_MS).min(now_ms + left_for_ms);
+        let is_short = gap.length_ms < left_for_ms;
+        Some(if is_short { until_ms.min(gap.known_ms + left_for_ms) } else { until_ms })
+    }
+
     /// Takes the whole list: what is not in it was removed.
     pub fn replaced(&mut self, endpoints: Vec<Endpoint>, now_ms: u64) {
         let listed: BTreeSet<EndpointName> =
@@ -124,10 +198,15 @@
 
     /// Notes whether the store could be read.
     pub fn read(&mut self, was_read: bool, now_ms: u64) {
-        if was_read && self.is_unread {
-            self.read_again_ms = Some(now_ms);
+        if !was_read {
+            self.unread_since_ms.get_or_insert(now_ms);
+            return;
+        }
+        if let Some(since_ms) = self.unread_since_ms.take() {
+            let length_ms = now_ms.saturating_sub(since_ms);
+            self.gap = Some(Gap { known_ms: self.read_ms, length_ms, over_ms: now_ms });
         }
-        self.is_unread = !was_read;
+        self.read_ms = now_ms;
     }
 
     /// Drops entries that had time to come back and did not.
@@ -152,7 +231,7 @@
 
     /// Whether a start of an endpoint was ever seen leaving.
     pub fn was_leaving(&self, life: &Life) -> bool {
-        self.leaving.contains(life)
+        self.past.get(life).is_some_and(|past| past.has_left)
     }
 
     /// The endpoint with a name.
@@ -160,6 +239,12 @@
         self.endpoints.get(name).map(AsRef::as_ref)
     }
 
+    /// Whether a start of an endpoint is listed and not leaving.
+    pub fn is_usable(&self, life: &Life) -> bool {
+        let known = self.get(&life.name).filter(|known| known.born_ms == life.born_ms);
+        known.is_some_and(|known| !known.is_leaving)
+    }
+
     /// All endpoints that are listed.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values().map(AsRef::as_ref)
--- a/crates/trestle-dispatch/src/endpoint.rs
+++ b/crates/trestle-dispatch/src/endpoint.rs
@@ -53,6 +53,17 @@
         Life { name: self.name.clone(), born_ms: self.born_ms }
     }
 
+    /// Whether it says when it started.
+    pub fn tells_start(&self) -> bool {
+        self.born_ms != 0
+    }
+
+    /// Whether two identities differ in nothing but the numbers of their messages.
+    pub fn is_alike(&self, other: &Self) -> bool {
+        let renumbered = Self { entry_number: other.entry_number, ..self.clone() };
+        renumbered == *other
+    }
+
     /// The same without what it holds and has copies of.
     pub fn identity(&self) -> Self {
         Self {
@@ -63,7 +74,7 @@
             domain: self.domain.clone(),
             slots: self.slots,
             is_leaving: self.is_leaving,
-            entry_number: 0,
+            entry_number: self.entry_number,
             held: Held::new(),
             in_memory: BTreeSet::new(),
             on_disk: BTreeSet::new(),
--- a/crates/trestle-dispatch/tests/directory.rs
+++ b/crates/trestle-dispatch/tests/directory.rs
@@ -76,6 +76,41 @@
         assert!(usable(&directory).is_empty());
     }
 
+    // Entries lapse after some seconds of silence only: what is removed after a short time without
+    // the store has left, and may have done so when the list was last known.
+    what_is_removed_after_a_short_time_without_the_store_has_left => {
+        let mut directory = listed(&["x", "y"]);
+        directory.read(true, 10_000);
+        directory.read(false, 10_400);
+        directory.read(true, 10_700);
+        directory.removed(&name("x"), 10_800);
+        assert_eq!(directory.tick(10_000 + LEAVING_MS - 300), [name("x")]);
+        assert_eq!(usable(&directory), ["y"]);
+    }
+
+    one_that_comes_back_with_an_entry_of_before_its_removal_is_gone => {
+        let mut directory = listed(&[]);
+        let mut entry = endpoint("x", "z", &[]);
+        (entry.born_ms, entry.entry_number) = (10, 7);
+        assert!(directory.written(entry.clone()));
+        directory.removed(&name("x"), 10_000);
+        assert!(!directory.written(entry.clone()));
+        assert!(usable(&directory).is_empty());
+        entry.entry_number = 8;
+        assert!(directory.written(entry.clone()));
+        assert!(directory.is_usable(&entry.life()));
+        entry.is_leaving = true;
+        directory.written(entry.clone());
+        assert!(!directory.is_usable(&entry.life()));
+    }
+
+    where_starts_cannot_be_told_apart_numbers_may_begin_anew => {
+        let mut directory = listed(&["x"]);
+        directory.removed(&name("x"), 10_000);
+        assert!(directory.written(endpoint("x", "z", &[])));
+        assert_eq!(usable(&directory), ["x"]);
+    }
+
     an_endpoint_that_was_seen_leaving_stays_so => {
         let mut directory = listed(&["x"]);
         let mut leaving = endpoint("x", "z", &[]);
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -65,7 +65,7 @@
 fn relay(daemon: &Daemon, have: WireHave) -> WireRelay {
     let age_ms = daemon.freshness.age_ms(daemon.knowledge.now_ms());
     daemon.knowledge.with(|beliefs| WireRelay {
-        endpoints: WireNews::from(beliefs.identities.after(have.endpoints)),
+        endpoints: WireNews::from(beliefs.list_after(have.endpoints)),
         config: beliefs.config_texts.news(have.config).map(WireConfig::from),
         age_ms,
     })
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -187,7 +187,7 @@
         let placements =
             placements.map(|(service, mirror)| (service.to_string(), mirror.position().into()));
         daemon.knowledge.with(|beliefs| WireHave {
-            endpoints: beliefs.identities.version(),
+            endpoints: beliefs.listing.version(),
             config: beliefs.catalog.as_ref().map_or(0, |catalog| catalog.version),
             refused: 0,
             placements: placements.collect(),
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -5,13 +5,12 @@
     daemon::Daemon,
     store::follow::{self, Followed},
 };
-use std::{collections::BTreeSet, sync::Arc};
+use std::sync::Arc;
 use trestle_core::names::EndpointName;
 use trestle_dispatch::{
     beliefs::{Beliefs, ListHeard, ListWay},
-    directory::Directory,
     endpoint::Endpoint,
-    mirror::News,
+    listing::{ListedEntry, News, Source},
     store::{Row, RowChange, RowPage},
 };
 
@@ -35,14 +34,19 @@
             false => ALONE_GATHER_MS,
         },
         after: |last: Option<u64>| {
-            let version = daemon.knowledge.with(|beliefs| beliefs.mirror.version());
+            let version = daemon.knowledge.with(|beliefs| beliefs.listing.version());
             last.filter(|_| !daemon.freshness.must_reread()).map(|_| version)
         },
         on_read: |page: RowPage| {
-            read(&daemon, to_news(&daemon, page.rows.into_iter(), page.version));
-            daemon.freshness.whole_list_read();
+            let version = page.version;
+            match read(&daemon, to_news(&daemon, page.rows.into_iter(), version)) {
+                true => daemon.freshness.whole_list_read(),
+                false => tracing::info!(version, "endpoint: An older list was read."),
+            }
+        },
+        on_changes: |changes, version| {
+            read(&daemon, changed(&daemon, changes, version));
         },
-        on_changes: |changes, version| read(&daemon, changed(&daemon, changes, version)),
         on_failure: || {
             let now_ms = daemon.knowledge.now_ms();
             daemon.knowledge.with(|beliefs| beliefs.directory.read(false, now_ms));
@@ -56,131 +60,93 @@
     (GATHER_MS * endpoints / 100).clamp(GATHER_MS, MOST_GATHER_MS)
 }
 
-fn read(daemon: &Daemon, news: News<Endpoint>) {
-    daemon.freshness.endpoints_read(daemon.knowledge.now_ms());
-    take(daemon, news);
-}
-
-/// Takes what this daemon has read of endpoints.
-fn take(daemon: &Daemon, news: News<Endpoint>) {
+/// Takes what this daemon has read of endpoints; returns whether it is a whole list that is not
+/// older than what is known.
+fn read(daemon: &Daemon, news: News) -> bool {
     let now_ms = daemon.knowledge.now_ms();
-    let is_news = daemon.knowledge.with(|beliefs| {
-        beliefs.directory.read(true, now_ms);
-        beliefs.list_heard = ListHeard { way: ListWay::Store, known_ms: now_ms };
-        let fresh = beliefs.mirror.take(news);
-        let identities = identities(beliefs, &fresh);
-        beliefs.identities.take(identities);
-        let is_news = has_news(&fresh);
-        if is_news {
-            apply(beliefs, fresh, Directory::written, now_ms);
-        }
-        is_news
-    });
-    forget_gone(daemon, is_news);
+    daemon.freshness.endpoints_read(now_ms);
+    take(daemon, news, Source::Store, ListHeard { way: ListWay::Store, known_ms: now_ms })
 }
 
 /// Takes what another daemon passes on of endpoints, without what engines hold.
-pub(crate) fn take_passed_on(daemon: &Daemon, news: News<Endpoint>, age_ms: u64) {
+pub(crate) fn take_passed_on(daemon: &Daemon, news: News, age_ms: u64) {
+    let known_ms = daemon.knowledge.now_ms().saturating_sub(age_ms);
+    take(daemon, news, Source::Leader, ListHeard { way: ListWay::Leader, known_ms });
+}
+
+fn take(daemon: &Daemon, news: News, source: Source, heard: ListHeard) -> bool {
     let now_ms = daemon.knowledge.now_ms();
-    let is_news = daemon.knowledge.with(|beliefs| {
+    let (is_whole, is_news) = daemon.knowledge.with(|beliefs| {
         beliefs.directory.read(true, now_ms);
-        let known_ms = now_ms.saturating_sub(age_ms);
-        beliefs.list_heard = ListHeard { way: ListWay::Leader, known_ms };
-        let fresh = beliefs.identities.take(news);
-        let is_news = has_news(&fresh);
-        if is_news {
-            apply(beliefs, fresh, Directory::listed, now_ms);
-        }
-        is_news
+        beliefs.list_heard = heard;
+        let fresh = beliefs.listing.take(news, source);
+        let is_whole = fresh.is_whole;
+        let is_news = is_whole || !fresh.written.is_empty() || !fresh.removed.is_empty();
+        apply(beliefs, fresh, source, now_ms);
+        (is_whole, is_news)
     });
-    forget_gone(daemon, is_news);
-}
-
-fn has_news(fresh: &News<Endpoint>) -> bool {
-    fresh.is_whole || !fresh.written.is_empty() || !fresh.removed.is_empty()
-}
-
-fn forget_gone(daemon: &Daemon, is_news: bool) {
     if is_news {
         broken::note_gone(daemon);
         daemon.knowledge.change(|beliefs| beliefs.forget_gone());
     }
+    is_whole
 }
 
-/// Of what was read, that which is new to daemons which do not hear what engines hold.
-fn identities(beliefs: &Beliefs, fresh: &News<Endpoint>) -> News<Endpoint> {
-    let written =
-        fresh.written.iter().map(|(key, endpoint, at)| (key.clone(), endpoint.identity(), *at));
-    let is_new = |key: &str, identity: &Endpoint| beliefs.identities.get(key) != Some(identity);
-    let written =
-        written.filter(|(key, identity, _)| fresh.is_whole || is_new(key, identity)).collect();
-    News {
-        is_whole: fresh.is_whole,
-        written,
-        removed: fresh.removed.clone(),
-        version: fresh.version,
+fn apply(beliefs: &mut Beliefs, fresh: News, source: Source, now_ms: u64) {
+    let News { is_whole, written, removed, version } = fresh;
+    if is_whole {
+        note_whole(beliefs, &written, &removed, version);
+        beliefs.is_listed = true;
     }
-}
-
-fn apply(
-    beliefs: &mut Beliefs,
-    news: News<Endpoint>,
-    take: impl Fn(&mut Directory, Endpoint),
-    now_ms: u64,
-) {
-    let version = news.version;
-    let count = news.written.len();
-    let listed: Option<BTreeSet<EndpointName>> = news
-        .is_whole
-        .then(|| news.written.iter().map(|(_, endpoint, _)| endpoint.name.clone()).collect());
-    let is_new = |name: &EndpointName| beliefs.directory.get(name).is_none();
-    let new = listed.iter().flatten().filter(|name| is_new(name));
-    let came: Vec<String> = new.take(MOST_NAMED).map(ToString::to_string).collect();
-    for (_, endpoint, _) in news.written {
+    for entry in written {
+        let (endpoint, version) = (&entry.endpoint, entry.version);
+        let (name, number) = (endpoint.name.clone(), endpoint.entry_number);
         // A whole list is one line: it names hundreds, at every daemon.
-        if listed.is_none() || endpoint.is_leaving {
-            log_change(beliefs.directory.get(&endpoint.name), &endpoint, version);
+        if !is_whole || endpoint.is_leaving {
+            log_change(beliefs.directory.get(&name), endpoint, version);
         }
-        let known = beliefs.directory.get(&endpoint.name);
-        if known.is_some_and(|known| known.born_ms != endpoint.born_ms) {
-            beliefs.records.started_again(&endpoint.name);
+        if !beliefs.take_entry(entry, source) {
+            let message = "endpoint: An entry of before its removal came late.";
+            tracing::info!(endpoint = %name, number, version, "{message}");
         }
-        take(&mut beliefs.directory, endpoint);
     }
-    if let Some(listed) = listed {
-        let gone = differing(beliefs, |endpoint| !listed.contains(&endpoint.name));
-        beliefs.directory.keep_listed(&listed, now_ms);
-        beliefs.is_listed = true;
-        tracing::info!(count, version, ?came, ?gone, "endpoint: The list was read.");
-    }
-    for (name, _) in news.removed {
+    for (name, at) in removed {
         let name = EndpointName::from(name);
-        tracing::info!(endpoint = %name, version, "endpoint: Gone from the list.");
+        if !is_whole {
+            tracing::info!(endpoint = %name, version = at, "endpoint: Gone from the list.");
+        }
         beliefs.directory.removed(&name, now_ms);
     }
 }
 
-/// Some of the endpoints in the directory that differ from a list.
-fn differing(beliefs: &Beliefs, differs: impl Fn(&Endpoint) -> bool) -> Vec<String> {
-    let differing = beliefs.directory.iter().filter(|endpoint| differs(endpoint));
-    differing.take(MOST_NAMED).map(|endpoint| endpoint.name.to_string()).collect()
+/// Notes a whole list, and some of the endpoints that come and go with it.
+fn note_whole(beliefs: &Beliefs, written: &[ListedEntry], removed: &[(String, u64)], version: u64) {
+    let count = written.len();
+    let is_new = |entry: &&ListedEntry| beliefs.directory.get(&entry.endpoint.name).is_none();
+    let new = written.iter().filter(is_new).take(MOST_NAMED);
+    let came: Vec<&str> = new.map(|entry| entry.key.as_str()).collect();
+    let gone: Vec<&str> = removed.iter().take(MOST_NAMED).map(|(key, _)| key.as_str()).collect();
+    tracing::info!(count, version, ?came, ?gone, "endpoint: The list was read.");
 }
 
-fn to_news(daemon: &Daemon, rows: impl Iterator<Item = Row>, version: u64) -> News<Endpoint> {
+fn to_news(daemon: &Daemon, rows: impl Iterator<Item = Row>, version: u64) -> News {
     let written = rows.filter_map(|row| {
         let endpoint = understood(daemon, &row)?;
-        Some((row.key.key, endpoint, row.version))
+        Some(ListedEntry { key: row.key.key, endpoint, version: row.version })
     });
     News { is_whole: true, written: written.collect(), removed: Vec::new(), version }
 }
 
-fn changed(daemon: &Daemon, changes: Vec<RowChange>, version: u64) -> News<Endpoint> {
+fn changed(daemon: &Daemon, changes: Vec<RowChange>, version: u64) -> News {
     let mut news = News { is_whole: false, written: Vec::new(), removed: Vec::new(), version };
     for change in changes {
         match change {
             RowChange::Written(row) => {
                 match understood(daemon, &row) {
-                    Some(endpoint) => news.written.push((row.key.key, endpoint, row.version)),
+                    Some(endpoint) => {
+                        let (key, version) = (row.key.key, row.version);
+                        news.written.push(ListedEntry { key, endpoint, version });
+                    }
                     // What it said before is no longer there, and this names no endpoint to use.
                     None => news.removed.push((row.key.key, row.version)),
                 }
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -57,7 +57,7 @@
                         beliefs.records.denied(name, loadable, now_ms);
                     }
                 }
-                Unanswered::NotRun(_) => {}
+                Unanswered::NotRun(_) | Unanswered::Left => {}
                 Unanswered::Unreachable(_) => beliefs.records.unreachable(name, now_ms),
                 Unanswered::Broke(_) | Unanswered::MayHaveRun(_) | Unanswered::TimedOut(_) => {
                     beliefs.records.failed(name, now_ms);
@@ -88,6 +88,10 @@
         let connection = pool.connection(endpoint).await;
         let mut connection =
             connection.map_err(|error| Unanswered::Unreachable(error.to_string()))?;
+        // Opening a connection takes up to 300 ms, in which the endpoint may have left.
+        if !task.daemon.knowledge.with(|beliefs| beliefs.directory.is_usable(&endpoint.life())) {
+            return Err(Unanswered::Left);
+        }
         match connection.send(task.request(endpoint, last_event_id)).await {
             Ok(response) => return check(task, connection, response).await,
             // A kept connection had been closed; the request never left.
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -82,7 +82,7 @@
     /// Notes the list that its endpoint was chosen from.
     pub(crate) fn note_list(&self, beliefs: &Beliefs, now_ms: u64) {
         let heard = beliefs.list_heard;
-        let (version, way) = (beliefs.identities.version(), heard.way.name());
+        let (version, way) = (beliefs.listing.version(), heard.way.name());
         let age_ms = now_ms.saturating_sub(heard.known_ms);
         *self.list.lock().unwrap_or_else(PoisonError::into_inner) =
             ListSeen { version, age_ms, way };
--- a/crates/trestle-lab/src/sim/leading.rs
+++ b/crates/trestle-lab/src/sim/leading.rs
@@ -395,7 +395,9 @@
 
 fn take_entry(directory: &mut trestle_dispatch::directory::Directory, entry: Entry, now_ms: u64) {
     match entry {
-        Entry::Written(endpoint) => directory.written(endpoint),
+        Entry::Written(endpoint) => {
+            directory.written(endpoint);
+        }
         Entry::Removed(name) => directory.removed(&name, now_ms),
     }
 }
--- a/crates/trestle-wire/src/relay.rs
+++ b/crates/trestle-wire/src/relay.rs
@@ -3,7 +3,10 @@
 use crate::placements::WirePosition;
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 use trestle_dispatch::{
-    config_texts::ConfigNews, endpoint::Endpoint, mirror::News, text_delta::TextPiece,
+    config_texts::ConfigNews,
+    endpoint::Endpoint,
+    listing::{ListedEntry, News},
+    text_delta::TextPiece,
 };
 
 /// What a daemon already has of the store.
@@ -84,6 +87,8 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// Number of the message by which it entered this.
+    pub entry_number: u64,
 }
 
 impl From<ConfigNews> for WireConfig {
@@ -128,9 +133,10 @@
     }
 }
 
-impl From<News<Endpoint>> for WireNews {
-    fn from(news: News<Endpoint>) -> Self {
-        let written = news.written.into_iter().map(|(_, row, at)| (WireEndpoint::from(row), at));
+impl From<News> for WireNews {
+    fn from(news: News) -> Self {
+        let written = news.written.into_iter();
+        let written = written.map(|entry| (WireEndpoint::from(entry.endpoint), entry.version));
         Self {
             is_whole: news.is_whole,
             written: written.collect(),
@@ -140,12 +146,13 @@
     }
 }
 
-impl From<WireNews> for News<Endpoint> {
+impl From<WireNews> for News {
     fn from(wire: WireNews) -> Self {
-        let written = wire
-            .written
-            .into_iter()
-            .map(|(endpoint, at)| (endpoint.name.clone(), Endpoint::from(endpoint), at));
+        let written = wire.written.into_iter().map(|(endpoint, version)| ListedEntry {
+            key: endpoint.name.clone(),
+            endpoint: Endpoint::from(endpoint),
+            version,
+        });
         Self {
             is_whole: wire.is_whole,
             written: written.collect(),
@@ -165,6 +172,7 @@
             domain: endpoint.domain.to_string(),
             slots: endpoint.slots,
             is_leaving: endpoint.is_leaving,
+            entry_number: endpoint.entry_number,
         }
     }
 }
@@ -179,7 +187,7 @@
             domain: wire.domain.into(),
             slots: wire.slots,
             is_leaving: wire.is_leaving,
-            entry_number: 0,
+            entry_number: wire.entry_number,
             held: Default::default(),
             in_memory: Default::default(),
             on_disk: Default::default(),
