--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -83,9 +83,10 @@
     }
 
     /// Takes an entry that was written. One that its endpoint had written before its last one
-    /// was removed names nothing to use; returns whether it is taken.
+    /// was removed names nothing to use, and neither does another writer's; returns whether it
+    /// is taken.
     pub fn written(&mut self, mut endpoint: Endpoint) -> bool {
-        if self.is_of_before(&endpoint) {
+        if self.is_of_before(&endpoint) || self.is_foreign(&endpoint) {
             return false;
         }
         self.lapsed_until_ms.remove(&endpoint.name);
@@ -128,6 +129,13 @@
         !is_kept && last.is_some_and(|last| endpoint.entry_number <= last)
     }
 
+    /// Whether an entry does not say when its endpoint started, though it once did.
+    fn is_foreign(&self, endpoint: &Endpoint) -> bool {
+        let first = Life { name: endpoint.name.clone(), born_ms: 1 };
+        let told = self.past.range(first..).next();
+        !endpoint.tells_start() && told.is_some_and(|(life, _)| life.name == endpoint.name)
+    }
+
     fn note_past(&mut self, life: Life, note: impl FnOnce(&mut Past)) {
         self.past_count += 1;
         let past = self.past.entry(life).or_default();
--- a/crates/trestle-dispatch/src/listing.rs
+++ b/crates/trestle-dispatch/src/listing.rs
@@ -52,8 +52,6 @@
     /// The version of the newest whole list; what it does not name was gone by then.
     complete_at: u64,
     version: u64,
-    /// Whether endpoints of this fleet say when they started.
-    tells_starts: bool,
 }
 
 /// One entry, as it is passed on.
@@ -80,7 +78,8 @@
         }
         // The gaps of a list that is older than what is known say nothing.
         let is_whole = news.is_whole && news.version >= self.version;
-        let named: BTreeSet<String> = news.written.iter().map(|entry| entry.key.clone()).collect();
+        let names = news.written.iter().filter(|_| is_whole).map(|entry| entry.key.clone());
+        let named: BTreeSet<String> = names.collect();
         let written = news.written.into_iter().filter(|entry| {
             let known_at = self.known_at(&entry.key, is_whole);
             // Of what a leader has passed on, the entry itself says more.
@@ -150,14 +149,12 @@
         self.entries.insert(entry.key.clone(), Known { identity, at, identity_at });
     }
 
-    /// Takes entries that do not say when their endpoints started, in a fleet whose endpoints
-    /// do, for those of another writer: they name nothing to use.
-    fn pass_over_foreign(&mut self, news: &mut News) {
-        self.tells_starts |= news.written.iter().any(|entry| entry.endpoint.tells_start());
-        if !self.tells_starts {
-            return;
-        }
-        let is_foreign = |entry: &mut ListedEntry| !entry.endpoint.tells_start();
+    /// Takes an entry that does not say when its endpoint started, where the one before did, for
+    /// another writer's: it names nothing to use.
+    fn pass_over_foreign(&self, news: &mut News) {
+        let told = |key: &str| self.entries.get(key).is_some_and(|k| k.identity.tells_start());
+        let is_foreign =
+            |entry: &mut ListedEntry| !entry.endpoint.tells_start() && told(&entry.key);
         let foreign = news.written.extract_if(.., is_foreign);
         news.removed.extend(foreign.map(|entry| (entry.key, entry.version)));
     }
