--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -5,7 +5,8 @@
 //! the time on a clock that never stands still, and carries out what comes back.
 //!
 //! - What one daemon knows: [`beliefs`], made up of [`catalog`] (the operators'
-//!   configuration), [`directory`] (live endpoints), [`replicas`] (what the leader says),
+//!   configuration), [`listing`] (the store's list of endpoints, in one order whichever way it is
+//!   heard of), [`directory`] (which of them may be used), [`replicas`] (what the leader says),
 //!   [`record`] (how endpoints behaved), [`suspects`] and [`crashes`] (under which requests they
 //!   ended), [`asked`] (what its own callers ask for).
 //! - Traffic: [`selection`] says what becomes of a request now. It asks [`choice`] for an
