--- a/crates/trestle-lab/src/control/asking.rs
+++ b/crates/trestle-lab/src/control/asking.rs
@@ -35,7 +35,7 @@
 /// An answer on its way.
 #[derive(Debug)]
 pub(super) struct Answer {
-    to: usize,
+    pub(super) to: usize,
     question: u64,
     is_leader: bool,
     delta: PlacementDelta,
@@ -48,7 +48,7 @@
     /// Where the leader is that a daemon asks next.
     fn leader(&self, number: usize) -> Option<usize> {
         let vm = &self.vms[number];
-        let now_ms = self.now_ms();
+        let now_ms = self.clock_ms(number);
         if !vm.led(now_ms).is_empty() {
             return Some(number);
         }
@@ -110,7 +110,7 @@
         if !self.vms[to].is_alive {
             return;
         }
-        let now_ms = self.now_ms();
+        let now_ms = self.clock_ms(to);
         let asker = &self.vms[from];
         let (position, asker_config, asker_name) =
             (asker.mirror.position(), asker.config, asker.name.clone());
@@ -154,7 +154,7 @@
     }
 
     pub(super) fn answered(&mut self, number: usize) {
-        let now_ms = self.now_ms();
+        let now_ms = self.clock_ms(self.answers[number].to);
         let answer = &mut self.answers[number];
         let vm = &mut self.vms[answer.to];
         if !vm.is_alive || !vm.is_waiting || vm.question != answer.question {
@@ -185,7 +185,7 @@
         if !self.is_current(number, start) {
             return;
         }
-        let now_ms = self.now_ms();
+        let now_ms = self.clock_ms(number);
         let is_leader = !self.vms[number].led(now_ms).is_empty();
         if is_leader || now_ms >= self.vms[number].relayed_until_ms {
             let size = if is_leader { 1.0 } else { self.plan.engines as f64 };
--- a/crates/trestle-lab/src/control/faults.rs
+++ b/crates/trestle-lab/src/control/faults.rs
@@ -10,7 +10,6 @@
     pub(super) fn fault(&mut self, number: usize) {
         let plan = self.plan;
         let for_us = (for_s(&plan.faults[number]) * 1e6) as u64;
-        let now_ms = self.now_ms();
         match &plan.faults[number] {
             ControlFault::KillAll { .. } => {
                 for vm in 0..self.vms.len() {
@@ -18,10 +17,13 @@
                 }
             }
             ControlFault::KillLeaders { .. } => {
-                for vm in 0..self.vms.len() {
-                    if !self.vms[vm].led(now_ms).is_empty() {
-                        self.kill(vm, for_us);
-                    }
+                for vm in self.leaders() {
+                    self.kill(vm, for_us);
+                }
+            }
+            ControlFault::SuspendLeaders { .. } => {
+                for vm in self.leaders() {
+                    self.suspend(vm, for_us);
                 }
             }
             ControlFault::SlowStore { times, .. } => self.store_times = *times,
@@ -36,6 +38,18 @@
         self.push(self.now_us + for_us, Event::FaultEnds { number });
     }
 
+    fn leaders(&self) -> Vec<usize> {
+        let all = 0..self.vms.len();
+        all.filter(|vm| !self.vms[*vm].led(self.clock_ms(*vm)).is_empty()).collect()
+    }
+
+    fn suspend(&mut self, vm: usize, for_us: u64) {
+        let now_us = self.now_us;
+        let of = &mut self.vms[vm];
+        of.slept_us = of.slept_us(now_us);
+        of.suspended_us = now_us..now_us + for_us;
+    }
+
     fn kill(&mut self, vm: usize, for_us: u64) {
         self.vms[vm].is_alive = false;
         let spread_us = self.lots.random_range(0..300_000);
@@ -56,6 +70,7 @@
         ControlFault::KillAll { at_s, .. }
         | ControlFault::CutFromStore { at_s, .. }
         | ControlFault::SlowStore { at_s, .. }
+        | ControlFault::SuspendLeaders { at_s, .. }
         | ControlFault::KillLeaders { at_s, .. } => *at_s,
     }
 }
@@ -65,6 +80,7 @@
         ControlFault::KillAll { for_s, .. }
         | ControlFault::CutFromStore { for_s, .. }
         | ControlFault::SlowStore { for_s, .. }
+        | ControlFault::SuspendLeaders { for_s, .. }
         | ControlFault::KillLeaders { for_s, .. } => *for_s,
     }
 }
--- a/crates/trestle-lab/src/control/leasing.rs
+++ b/crates/trestle-lab/src/control/leasing.rs
@@ -26,7 +26,7 @@
 /// A write on its way.
 #[derive(Debug)]
 pub(super) struct Write {
-    vm: usize,
+    pub(super) vm: usize,
     start: u64,
     group: DomainName,
     write: LeaseWrite,
@@ -53,7 +53,7 @@
         if !self.is_current(number, start) {
             return;
         }
-        let now_ms = self.now_ms();
+        let now_ms = self.clock_ms(number);
         let mut due = Vec::new();
         let vm = &mut self.vms[number];
         let led = vm.led(now_ms);
@@ -111,7 +111,7 @@
     /// A leader tells the others which leases it holds; its word arrives at once, but costs both
     /// sides its bytes and the time of a message.
     fn tell_leaders(&mut self, number: usize) {
-        let (now_ms, now_us) = (self.now_ms(), self.now_us);
+        let (now_ms, now_us) = (self.clock_ms(number), self.now_us);
         let held = self.vms[number].leases.iter();
         let held = held.filter(|(_, lease)| lease.is_holder(now_ms));
         let rows = held.filter_map(|(group, lease)| {
@@ -121,15 +121,18 @@
         let rows: Vec<(DomainName, LeaseRow, u64)> = rows.collect();
         let is_told = |vm: &Vm| vm.is_alive && vm.was_leader;
         let others = (0..self.vms.len()).filter(|other| *other != number);
-        let others: Vec<usize> = others.filter(|other| is_told(&self.vms[*other])).collect();
+        let others =
+            others.filter(|other| is_told(&self.vms[*other]) && !self.is_suspended(*other));
+        let others: Vec<usize> = others.collect();
         for other in others {
             self.vms[number].link.add(LEADER_BYTES, now_us);
             for vm in [number, other] {
                 self.vms[vm].processor.add(MESSAGE_CORE_S, now_us);
             }
+            let heard_ms = self.clock_ms(other);
             for (group, row, version) in &rows {
                 if let Some(lease) = self.vms[other].leases.get_mut(group) {
-                    lease.observed(Some(row.clone()), *version, now_ms);
+                    lease.observed(Some(row.clone()), *version, heard_ms);
                 }
             }
         }
@@ -148,7 +151,7 @@
     }
 
     fn send_write(&mut self, vm: usize, group: DomainName, write: LeaseWrite) {
-        let (start, sent_ms) = (self.vms[vm].start, self.now_ms());
+        let (start, sent_ms) = (self.vms[vm].start, self.clock_ms(vm));
         let (is_ended, outcome) = (false, None);
         self.writes.push(Write { vm, start, group, write, sent_ms, is_ended, outcome });
         let number = self.writes.len() - 1;
@@ -201,7 +204,7 @@
     }
 
     pub(super) fn write_answered(&mut self, number: usize) {
-        let (now_ms, now_us) = (self.now_ms(), self.now_us);
+        let (now_ms, now_us) = (self.clock_ms(self.writes[number].vm), self.now_us);
         let Write { vm, start, group, write, sent_ms, is_ended, outcome } =
             &mut self.writes[number];
         // The first that comes, of the answer and of the end of waiting for it, counts.
@@ -242,7 +245,7 @@
         if !self.is_current(number, start) {
             return;
         }
-        let now_ms = self.now_ms();
+        let now_ms = self.clock_ms(number);
         let reaches = self.reaches_store(number);
         let vm = &mut self.vms[number];
         vm.is_reading = false;
--- a/crates/trestle-lab/src/control/mod.rs
+++ b/crates/trestle-lab/src/control/mod.rs
@@ -18,5 +18,5 @@
 mod world;
 
 pub use outcome::Outcome;
-pub use plan::{ControlFault, ControlPlan, Leaders, LeaseRows, Telling, VmKind};
+pub use plan::{Clocks, ControlFault, ControlPlan, Leaders, LeaseRows, Telling, VmKind};
 pub use world::play;
--- a/crates/trestle-lab/src/control/plan.rs
+++ b/crates/trestle-lab/src/control/plan.rs
@@ -39,6 +39,9 @@
     pub leaders: Leaders,
     /// What leaders tell.
     pub telling: Telling,
+    /// Whether daemons' clocks count the time for which their VMs are suspended.
+    #[serde(default)]
+    pub clocks: Clocks,
     /// What goes wrong.
     #[serde(default)]
     pub faults: Vec<ControlFault>,
@@ -92,6 +95,18 @@
     ByChange,
 }
 
+/// What a daemon's clock counts.
+#[trestle_macros::wire]
+#[derive(Copy, Eq, Default)]
+#[serde(rename_all = "snake_case")]
+pub enum Clocks {
+    /// All time that passes.
+    #[default]
+    Counting,
+    /// The time for which its VM runs.
+    Standing,
+}
+
 /// Something that goes wrong.
 #[trestle_macros::wire]
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
@@ -128,6 +143,13 @@
         /// For how long they are away.
         for_s: f64,
     },
+    /// The VMs of all leaders are suspended, and go on where they were.
+    SuspendLeaders {
+        /// When.
+        at_s: f64,
+        /// For how long.
+        for_s: f64,
+    },
 }
 
 impl ControlPlan {
@@ -176,7 +198,9 @@
                 ControlFault::SlowStore { times, .. } => {
                     need(*times >= 1.0, &field("times"), "must be at least 1")?;
                 }
-                ControlFault::KillAll { .. } | ControlFault::KillLeaders { .. } => {}
+                ControlFault::KillAll { .. }
+                | ControlFault::KillLeaders { .. }
+                | ControlFault::SuspendLeaders { .. } => {}
             }
         }
         Ok(())
--- a/crates/trestle-lab/src/control/vm.rs
+++ b/crates/trestle-lab/src/control/vm.rs
@@ -1,6 +1,6 @@
 //! One VM: its processor and link, and what its daemon knows.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Range};
 use trestle_core::names::{DomainName, VmName};
 use trestle_dispatch::{
     groups::Groups,
@@ -55,6 +55,10 @@
     pub(super) start: u64,
     pub(super) started_ms: u64,
     pub(super) reaches_store_from_us: u64,
+    /// From when to when it is, or was last, suspended.
+    pub(super) suspended_us: Range<u64>,
+    /// Time for which it was suspended before.
+    pub(super) slept_us: u64,
     pub(super) groups: Groups,
     pub(super) leases: BTreeMap<DomainName, Lease>,
     pub(super) must_read: bool,
@@ -95,6 +99,8 @@
             start: 0,
             started_ms: 0,
             reaches_store_from_us: 0,
+            suspended_us: 0..0,
+            slept_us: 0,
             groups: Groups::default(),
             leases: BTreeMap::new(),
             must_read: true,
@@ -148,6 +154,12 @@
         }
     }
 
+    /// Time for which it has been suspended by now.
+    pub(super) fn slept_us(&self, now_us: u64) -> u64 {
+        let Range { start, end } = self.suspended_us;
+        self.slept_us + now_us.clamp(start, end) - start
+    }
+
     /// The groups whose leases it holds.
     pub(super) fn led(&self, now_ms: u64) -> std::collections::BTreeSet<DomainName> {
         let led = self.leases.iter().filter(|(_, lease)| lease.is_holder(now_ms));
--- a/crates/trestle-lab/src/control/world.rs
+++ b/crates/trestle-lab/src/control/world.rs
@@ -5,7 +5,7 @@
     faults::at_s,
     leasing::Write,
     outcome::Outcome,
-    plan::{ControlPlan, Leaders},
+    plan::{Clocks, ControlPlan, Leaders},
     vm::Vm,
 };
 use rand::{RngExt, SeedableRng};
@@ -158,7 +158,46 @@
         self.now_us / 1_000
     }
 
+    /// The time on a daemon's clock.
+    pub(super) fn clock_ms(&self, vm: usize) -> u64 {
+        let uncounted_us = match self.plan.clocks {
+            Clocks::Counting => 0,
+            Clocks::Standing => self.vms[vm].slept_us(self.now_us),
+        };
+        (self.now_us - uncounted_us) / 1_000
+    }
+
+    pub(super) fn is_suspended(&self, vm: usize) -> bool {
+        self.vms[vm].suspended_us.contains(&self.now_us)
+    }
+
+    /// The VM that has to do something about an event.
+    fn doer(&self, event: &Event) -> Option<usize> {
+        match event {
+            Event::Start { vm }
+            | Event::Look { vm, .. }
+            | Event::Ask { vm, .. }
+            | Event::GiveUp { vm, .. }
+            | Event::Alone { vm, .. }
+            | Event::Read { vm, .. } => Some(*vm),
+            Event::Question { to, .. } | Event::AnswerMade { to, .. } => Some(*to),
+            Event::Answer { number } => Some(self.answers[*number].to),
+            Event::WriteAnswered { number } => Some(self.writes[*number].vm),
+            Event::Write { .. }
+            | Event::Committed { .. }
+            | Event::Change
+            | Event::Config
+            | Event::Fault { .. }
+            | Event::FaultEnds { .. }
+            | Event::Measure => None,
+        }
+    }
+
     fn take(&mut self, event: Event) {
+        // What comes to a VM that is suspended waits there.
+        if let Some(vm) = self.doer(&event).filter(|vm| self.is_suspended(*vm)) {
+            return self.push(self.vms[vm].suspended_us.end, event);
+        }
         match event {
             Event::Start { vm } => self.start(vm),
             Event::Look { vm, start } => self.look(vm, start),
@@ -228,16 +267,18 @@
     /// Looks at who may give orders, and what is in force.
     fn measure(&mut self) {
         let now_ms = self.now_ms();
+        let clocks: Vec<u64> = (0..self.vms.len()).map(|vm| self.clock_ms(vm)).collect();
         let groups: Vec<DomainName> = match self.plan.leaders {
             Leaders::One => vec![domain(0)],
             Leaders::EachDomain => (0..self.plan.domains).map(domain).collect(),
         };
         for group in groups {
-            let may_order = |vm: &Vm| {
-                vm.is_alive && vm.leases.get(&group).is_some_and(|l| l.may_order(now_ms).is_some())
+            let may_order = |number: &usize| {
+                let lease = self.vms[*number].leases.get(&group);
+                let is_running = self.vms[*number].is_alive && !self.is_suspended(*number);
+                is_running && lease.is_some_and(|l| l.may_order(clocks[*number]).is_some())
             };
-            let able: Vec<usize> =
-                (0..self.vms.len()).filter(|number| may_order(&self.vms[*number])).collect();
+            let able: Vec<usize> = (0..self.vms.len()).filter(may_order).collect();
             self.outcome.overlaps += u64::from(able.len() > 1);
             let Some(leader) = able.first() else {
                 let orderless_s = self.outcome.orderless_s.entry(group).or_default();
--- a/crates/trestle-lab/tests/control.rs
+++ b/crates/trestle-lab/tests/control.rs
@@ -1,6 +1,11 @@
 //! Control of hundreds of daemons, with links and processors in virtual time.
 
-use trestle_lab::control::{ControlFault, ControlPlan, Leaders, LeaseRows, Outcome, Telling, play};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::env;
+use trestle_lab::control::{
+    Clocks, ControlFault, ControlPlan, Leaders, LeaseRows, Outcome, Telling, play,
+};
 
 const LARGE: &str = include_str!("../../../examples/lab/control-large.jsonc");
 const ONE_LEADER: &str = include_str!("../../../examples/lab/control-one-leader.jsonc");
@@ -12,6 +17,34 @@
     plan
 }
 
+/// The same with few daemons in three failure domains.
+fn small() -> ControlPlan {
+    let mut plan = large(LARGE);
+    (plan.vms[0].count, plan.domains, plan.engines, plan.models) = (6, 3, 9, 50);
+    plan.changes_per_s = 4.0;
+    plan
+}
+
+/// A plan whose leaders are suspended once or twice, for 0.5 to 30 s, as a seed says.
+fn suspended(mut plan: ControlPlan, seed: u64) -> ControlPlan {
+    let mut lots = ChaCha8Rng::seed_from_u64(seed);
+    let for_s = lots.random_range(0.5..30.0);
+    let at_s = lots.random_range(9.0..11.0);
+    plan.faults.push(ControlFault::SuspendLeaders { at_s, for_s });
+    if for_s < 8.0 {
+        let again_s = at_s + for_s + lots.random_range(0.0..6.0);
+        plan.faults.push(ControlFault::SuspendLeaders { at_s: again_s, for_s: 1.0 + for_s });
+    }
+    plan.duration_s = 52.0;
+    plan
+}
+
+/// Seeds that a test plays; `TRESTLE_SEEDS` has it play so many times as many.
+fn seeds(few: u64) -> std::ops::Range<u64> {
+    let times = env::var("TRESTLE_SEEDS").ok().and_then(|text| text.parse().ok());
+    0..few * times.unwrap_or(1)
+}
+
 fn longest_without_orders_s(outcome: &Outcome) -> f64 {
     outcome.orderless_s.values().copied().fold(0.0, f64::max)
 }
@@ -96,6 +129,30 @@
         }
     }
 
+    // A leader that wakes finds its lease run out, whatever its successors did meanwhile.
+    leaders_that_were_suspended_give_no_orders_beside_their_successors => {
+        for seed in seeds(20) {
+            let outcome = play(&suspended(small(), seed), seed);
+            assert_eq!(outcome.overlaps, 0, "seed {seed}: {outcome}");
+        }
+    }
+
+    nor_do_those_of_hundreds_of_daemons => {
+        for seed in seeds(1) {
+            let outcome = play(&suspended(large(LARGE), seed), seed);
+            assert_eq!(outcome.overlaps, 0, "seed {seed}: {outcome}");
+        }
+    }
+
+    // The same by clocks that stand still meanwhile: this is what the clock is for.
+    by_clocks_that_stand_still_they_do => {
+        let overlaps = seeds(5).map(|seed| {
+            let plan = ControlPlan { clocks: Clocks::Standing, ..suspended(small(), seed) };
+            play(&plan, seed).overlaps
+        });
+        assert!(overlaps.sum::<u64>() > 0);
+    }
+
     // The load of a store that took 384 ms for a transaction: five leaders that renew in one
     // partition stand behind each other, and the last waits for longer than its lease holds.
     a_slow_store_costs_no_leader_its_lease_where_each_has_its_own_partition => {
