Let one attempt run at a time of a request that ended two endpoints

The news of the second end was everywhere; nothing followed from it before the third.

Ruled out: refusing from the second end on (refuses what only ran beside such a request), daemons that open one after the other by lot (8 attempts a second still reach it twice in 0.6 s, and whoever comes back first is refused), a row in the store (two calls an attempt, and nothing while the store is away).

Change: from the second end on a daemon asks before it sends, and one leader, the same for all daemons, lets one attempt run at a time (trestle_dispatch:: trials). An attempt that broke keeps others away for 3 s, in which its end is told. What had a whole answer is not asked about any more. Without a leader it is refused with a time to come back.

--- a/crates/trestle-dispatch/src/admission.rs
+++ b/crates/trestle-dispatch/src/admission.rs
@@ -97,6 +97,8 @@
 pub enum Reason {
     /// Endpoints ended under it.
     EndsEndpoints,
+    /// Endpoints may have ended under it, and another attempt shows whether they did.
+    OnTrial,
     /// The model will be ready too late for this caller.
     ReadyTooLate,
     /// Nobody can tell when it will be ready.
@@ -110,6 +112,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::EndsEndpoints => "ends_endpoints",
+            Self::OnTrial => "on_trial",
             Self::ReadyTooLate => "ready_too_late",
             Self::ReadyUnknown => "ready_unknown",
             Self::Disagreement => "disagreement",
--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -328,6 +328,11 @@
         self.crashes.refused_for_ms(request?, now_ms)
     }
 
+    /// Whether one attempt of a request may run at a time.
+    pub fn must_be_tried(&self, request: Option<Fingerprint>) -> bool {
+        request.is_some_and(|request| self.crashes.must_be_tried(request))
+    }
+
     /// Forgets endpoints that are no longer listed.
     pub fn forget_gone(&mut self) {
         let live: BTreeSet<EndpointName> =
--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -18,6 +18,9 @@
 /// only ran beside such a one would have been refused as well; with one more, it costs another
 /// endpoint with all that runs there.
 pub const MOST_ENDS: usize = 3;
+/// Ends from which on one attempt runs at a time: what ends endpoints then ends one more, not as
+/// many as its callers reach at once.
+const TRIED_ENDS: usize = MOST_ENDS - 1;
 /// Time for which it is refused at first, from the last end on. What ended three endpoints at
 /// once by another cause is over by then, and engines have loaded their models, for 6 to 13 s.
 const FIRST_REFUSED_MS: u64 = 30_000;
@@ -102,6 +105,13 @@
         until_ms.checked_sub(now_ms).filter(|for_ms| *for_ms > 0)
     }
 
+    /// Whether one attempt of a request may run at a time, so that it is found out whether it
+    /// ends endpoints.
+    pub fn must_be_tried(&self, request: Fingerprint) -> bool {
+        let record = self.by_request.get(&request);
+        record.is_some_and(|record| record.ends.len() >= TRIED_ENDS && !record.is_served)
+    }
+
     /// What has changed after a change, and the number of the last one.
     pub fn news(&self, after: u64, now_ms: u64) -> (Vec<CrashReport>, u64) {
         let changed = self.by_request.iter().filter(|(_, record)| record.changed > after);
--- a/crates/trestle-dispatch/src/fingerprint.rs
+++ b/crates/trestle-dispatch/src/fingerprint.rs
@@ -47,7 +47,7 @@
     }
 
     /// The fingerprint with these bytes.
-    pub fn from_bytes(bytes: [u8; BYTES]) -> Self {
+    pub const fn from_bytes(bytes: [u8; BYTES]) -> Self {
         Self(bytes)
     }
 
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -11,7 +11,8 @@
 //!   ended), [`asked`] (what its own callers ask for).
 //! - Traffic: [`selection`] says what becomes of a request now. It asks [`choice`] for an
 //!   endpoint and [`admission`] whether to wait or refuse; [`sends`] says where the next send
-//!   may go, and [`retry_share`] bounds them.
+//!   may go, and [`retry_share`] bounds them. [`trials`] has a leader let one attempt run at a
+//!   time of a request that ended endpoints.
 //! - Replicas: [`lease`] says who may give orders, [`groups`] to which engines, [`candidate`] who
 //!   should rather, [`member_count`] how many daemons share budgets, [`demand`]
 //!   what all daemons ask for, [`service_state`] what the leader knows of the engines,
@@ -60,4 +61,5 @@
 pub mod store;
 pub mod suspects;
 pub mod text_delta;
+pub mod trials;
 pub mod usage;
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -36,6 +36,8 @@
     pub elapsed_ms: u64,
     /// The number of its wish, while it waits.
     pub wish: Option<u64>,
+    /// Whether it may run although endpoints may have ended under it.
+    pub is_trial: bool,
 }
 
 /// What becomes of a request now.
@@ -43,6 +45,9 @@
 pub enum Selection {
     /// It goes to this endpoint.
     Send(Endpoint),
+    /// There is an endpoint for it; whether it may run has to be asked for, since endpoints may
+    /// have ended under it.
+    Try,
     /// It waits for a change of what is known, at most until this long after its arrival.
     Wait {
         /// When waiting must end, from its arrival.
@@ -70,7 +75,8 @@
         return Selection::Refuse { retry_after_ms, reason: Some(Reason::EndsEndpoints) };
     }
     if let Some(endpoint) = choose_allowed(beliefs, asking, sends, lot, now_ms) {
-        return Selection::Send(endpoint);
+        let must_ask = !asking.is_trial && beliefs.must_be_tried(asking.head.fingerprint);
+        return if must_ask { Selection::Try } else { Selection::Send(endpoint) };
     }
     if asking.head.model.is_none() {
         return Selection::Refuse { retry_after_ms: PLAIN_RETRY_MS, reason: None };
--- a/crates/trestle-dispatch/tests/selection.rs
+++ b/crates/trestle-dispatch/tests/selection.rs
@@ -51,13 +51,21 @@
             allowed_ms: ALLOWED_MS,
             elapsed_ms,
             wish: self.wish,
+            is_trial: false,
         }
     }
 
     fn select(&mut self, elapsed_ms: u64) -> Selection {
         let Self { beliefs, route, service, head, sends, wish } = self;
-        let asking =
-            Asking { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms, wish: *wish };
+        let asking = Asking {
+            route,
+            service,
+            head,
+            allowed_ms: ALLOWED_MS,
+            elapsed_ms,
+            wish: *wish,
+            is_trial: false,
+        };
         selection::select(beliefs, asking, sends, 1, NOW_MS + elapsed_ms)
     }
 
@@ -178,7 +186,7 @@
         let has_other = |scene: &mut Scene| {
             let Scene { beliefs, route, service, head, sends, wish } = scene;
             let asking =
-                Asking { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, wish: *wish };
+                Asking { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, wish: *wish, is_trial: false };
             selection::has_other(beliefs, asking, sends, NOW_MS)
         };
         scene.beliefs.daemons = 1;
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -330,6 +330,15 @@
         all.get(attempt % all.len().max(1)).cloned().unwrap_or(Leader::Nobody)
     }
 
+    /// Where the leader is that decides for all daemons on what has this name. Leaders know of
+    /// the same groups, so they agree on it.
+    pub(crate) fn leader_for(&self, name: &str, now_ms: u64) -> Leader {
+        let led = self.by_group.iter().map(|(group, leasing)| (group, leasing.leader(now_ms)));
+        let led = led.filter(|(_, leader)| *leader != Leader::Nobody);
+        let first = led.max_by_key(|(group, _)| groups::rank(name, group));
+        first.map_or(Leader::Nobody, |(_, leader)| leader)
+    }
+
     /// Where other leaders answer, each with a group that it leads.
     pub(crate) fn others(&self, now_ms: u64) -> BTreeMap<SocketAddr, DomainName> {
         let each = self.by_group.values().filter_map(|leasing| match leasing.leader(now_ms) {
--- a/crates/trestle-entry/src/control/message.rs
+++ b/crates/trestle-entry/src/control/message.rs
@@ -58,6 +58,13 @@
         /// Takes the answer.
         reply: Sender<Leader>,
     },
+    /// Asks where the leader is that decides for all daemons on something.
+    LeaderFor {
+        /// The name of that.
+        name: String,
+        /// Takes the answer.
+        reply: Sender<Leader>,
+    },
     /// Asks where other leaders answer, if this daemon leads.
     OtherLeaders(Sender<BTreeMap<SocketAddr, DomainName>>),
     /// Asks what another leader is to be told.
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -128,6 +128,9 @@
             Message::Leader { attempt, reply } => {
                 let _ = reply.try_send(self.leases.leader(attempt, now_ms));
             }
+            Message::LeaderFor { name, reply } => {
+                let _ = reply.try_send(self.leases.leader_for(&name, now_ms));
+            }
             Message::OtherLeaders(reply) => {
                 let _ = reply.try_send(self.other_leaders(now_ms));
             }
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -5,6 +5,7 @@
     knowledge::Knowledge,
     metrics::Metrics,
     net::pool::Pool,
+    peer::calls::LeaderCalls,
     stopping::Stopping,
     store::{client::Store, freshness::Freshness},
     wire::Wire,
@@ -20,7 +21,7 @@
 };
 use trestle_config::entry_settings::{Bounds, EntrySettings};
 use trestle_core::names::{EndpointName, ServiceName};
-use trestle_dispatch::{endpoint::Endpoint, order_log::OrderLog, policy::Policy};
+use trestle_dispatch::{endpoint::Endpoint, order_log::OrderLog, policy::Policy, trials::Trials};
 
 /// What the parts of the daemon share.
 #[derive(Debug)]
@@ -34,6 +35,8 @@
     pub(crate) control: Sender<Message>,
     pub(crate) order_permits: OrderPermits,
     order_log: Mutex<OrderLog>,
+    trials: Mutex<Trials>,
+    pub(crate) calls: LeaderCalls,
     pub(crate) freshness: Freshness,
     pub(crate) stopping: Stopping,
     pub(crate) in_flight: AtomicUsize,
@@ -57,6 +60,8 @@
             control,
             order_permits: OrderPermits::default(),
             order_log: Mutex::default(),
+            trials: Mutex::default(),
+            calls: LeaderCalls::default(),
             freshness: Freshness::new(&settings.bounds),
             stopping: Stopping::new(&settings.bounds),
             in_flight: AtomicUsize::new(0),
@@ -91,6 +96,11 @@
         look(&mut self.order_log.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Looks at, or changes, which attempts run of requests that ended endpoints.
+    pub(crate) fn with_trials<R>(&self, look: impl FnOnce(&mut Trials) -> R) -> R {
+        look(&mut self.trials.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// The endpoints of a service that may get new work.
     pub(crate) fn usable(&self, service: &ServiceName) -> BTreeMap<EndpointName, Arc<Endpoint>> {
         self.knowledge.with(|beliefs| {
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod store;
 mod tidy;
 mod traffic;
+mod trial;
 pub mod wire;
 
 use crate::{
--- a/crates/trestle-entry/src/peer/client.rs
+++ b/crates/trestle-entry/src/peer/client.rs
@@ -62,7 +62,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> io::Result<ReplicasClient> {
+/// Opens a connection to another daemon.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<ReplicasClient> {
     let stream = connect::open(address, CONNECT_MS).await?;
     let framed = LengthDelimitedCodec::builder().new_framed(stream.compat());
     let transport = serde_transport::new(framed, Bincode::default());
--- a/crates/trestle-entry/src/peer/mod.rs
+++ b/crates/trestle-entry/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! What daemons tell each other.
 
+pub(crate) mod calls;
 pub(crate) mod client;
 pub(crate) mod leaders;
 pub(crate) mod server;
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -1,6 +1,6 @@
 //! Serves other daemons.
 
-use crate::{control::message::Message, crashes, daemon::Daemon};
+use crate::{control::message::Message, crashes, daemon::Daemon, trial};
 use async_compat::{Compat, CompatExt};
 use futures_util::StreamExt;
 use smol::net::{TcpListener, TcpStream};
@@ -15,8 +15,12 @@
 use trestle_wire::{
     relay::{WireConfig, WireHave, WireNews, WireRelay},
     replicas::{Replicas, WireAsking, WireSynced},
+    trials::{WireTrial, WireTrialAnswer},
 };
 
+/// Questions of one connection that are answered at the same time.
+const MOST_ANSWERING: usize = 16;
+
 /// Serves other daemons until the process ends.
 pub(crate) async fn run(daemon: Arc<Daemon>, listener: TcpListener) {
     loop {
@@ -34,8 +38,8 @@
     let framed = LengthDelimitedCodec::builder().new_framed(stream.compat());
     let transport = serde_transport::new(framed, Bincode::default());
     let requests = BaseChannel::with_defaults(transport).execute(Server(daemon).serve());
-    // One after the other: a daemon asks again only when it has its answer.
-    let each = requests.for_each(|answering| answering);
+    // Most daemons ask again only when they have their answer.
+    let each = requests.for_each_concurrent(MOST_ANSWERING, |answering| answering);
     Compat::new(each).await;
 }
 
@@ -59,6 +63,10 @@
         }
         synced
     }
+
+    async fn try_out(self, _: Context, trial: WireTrial) -> WireTrialAnswer {
+        trial::decide(&self.0, trial).await
+    }
 }
 
 /// What has changed in the store since what a daemon has.
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -4,7 +4,7 @@
     control::message::{Leader, Message},
     crashes::CrashExchange,
     daemon::Daemon,
-    peer::client::LeaderClient,
+    peer::{calls, client::LeaderClient},
     store::{config, endpoints},
 };
 use futures_lite::{FutureExt, future};
@@ -127,7 +127,7 @@
     /// Tells once; returns whether a leader answered.
     async fn step(&mut self, daemon: &Arc<Daemon>) -> bool {
         let asked_ms = daemon.knowledge.now_ms();
-        let (answer, leader) = match leader(daemon, self.attempt).await {
+        let (answer, leader) = match calls::leader(daemon, self.attempt).await {
             Leader::Here { group, token } => {
                 let asking = self.asking(daemon, &group, token);
                 (tell_here(daemon, asking).await, Some((group, token)))
@@ -248,12 +248,6 @@
     }
 }
 
-async fn leader(daemon: &Daemon, attempt: usize) -> Leader {
-    let (reply, answer) = async_channel::bounded(1);
-    daemon.tell(Message::Leader { attempt, reply });
-    answer.recv().await.unwrap_or(Leader::Nobody)
-}
-
 async fn tell_here(daemon: &Daemon, asking: WireAsking) -> Option<WireSynced> {
     let (reply, answer) = async_channel::bounded(1);
     daemon.tell(Message::Sync { asking, reply });
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -1,7 +1,6 @@
 //! One send of a request to one endpoint.
 
 use crate::{
-    broken,
     net::pool::{Connection, SendError},
     traffic::{
         outcome::{Unanswered, WholeAnswer},
@@ -64,7 +63,7 @@
                 }
             });
             if matches!(unanswered, Unanswered::Broke(_)) {
-                broken::note(&task.daemon, &taken.endpoint, task.head.fingerprint);
+                task.note_broken(&taken.endpoint);
             }
             let list = task.list();
             tracing::info!(
@@ -168,7 +167,7 @@
                 let now_ms = knowledge.now_ms();
                 knowledge.with(|beliefs| beliefs.records.failed(name, now_ms));
                 if matches!(unanswered, Unanswered::Broke(_)) {
-                    broken::note(&task.daemon, &taken.endpoint, task.head.fingerprint);
+                    task.note_broken(&taken.endpoint);
                 }
                 Err(unanswered)
             }
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -9,6 +9,7 @@
         stream,
         task::{NOT_SENT, Task},
     },
+    trial::Trial,
 };
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -126,6 +127,7 @@
         config_version: catalog.version,
         sent_after_ms: AtomicU64::new(NOT_SENT),
         list: Mutex::default(),
+        trial: Trial::default(),
     })
 }
 
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -41,6 +41,10 @@
         let number = wish.as_ref().map(|wish| wish.number);
         let until_ms = match look(task, sends, number) {
             Selection::Send(endpoint) => return Ok(Taken { endpoint, task: Arc::clone(task) }),
+            Selection::Try => {
+                try_out(task).await?;
+                continue;
+            }
             Selection::Refuse { retry_after_ms, reason } => {
                 if reason != Some(Reason::EndsEndpoints) {
                     expect_back(task, retry_after_ms);
@@ -64,6 +68,14 @@
     }
 }
 
+/// Asks whether a request may run although endpoints may have ended under it.
+async fn try_out(task: &Task) -> Result<(), Failure> {
+    let Some(request) = task.head.fingerprint else { return Ok(()) };
+    let begun = task.trial.begin(&task.daemon, request).await;
+    let why = Reason::OnTrial.name();
+    begun.map_err(|retry_after_ms| Failure::NotRun { retry_after_ms, why })
+}
+
 fn look(task: &Task, sends: &Sends, wish: Option<u64>) -> Selection {
     let lot = fastrand::u64(..);
     let now_ms = task.daemon.knowledge.now_ms();
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -5,19 +5,16 @@
 //! another endpoint behind the last event that was passed on, if its route
 //! allows that; otherwise its connection is closed without an end.
 
-use crate::{
-    broken,
-    traffic::{
-        answer::{Broken, Failure, RETRY_SOON_MS, whole},
-        attempt::{self, Attempt},
-        events::EventBuffer,
-        outcome::WholeAnswer,
-        patience::Patience,
-        plain::Outcome,
-        report::{self, Ended, StreamSeen},
-        select::{self, Taken},
-        task::Task,
-    },
+use crate::traffic::{
+    answer::{Broken, Failure, RETRY_SOON_MS, whole},
+    attempt::{self, Attempt},
+    events::EventBuffer,
+    outcome::WholeAnswer,
+    patience::Patience,
+    plain::Outcome,
+    report::{self, Ended, StreamSeen},
+    select::{self, Taken},
+    task::Task,
 };
 use bytes::Bytes;
 use futures_lite::stream;
@@ -263,7 +260,7 @@
             reason = breach.reason(), last_id = self.buffer.last_id(), elapsed_ms = self.task.elapsed_ms(), "request: A stream broke."
         );
         if matches!(breach, Breach::Connection(_)) {
-            broken::note(&self.task.daemon, &source.taken.endpoint, self.task.head.fingerprint);
+            self.task.note_broken(&source.taken.endpoint);
         }
     }
 
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -1,6 +1,6 @@
 //! One request on its way.
 
-use crate::daemon::Daemon;
+use crate::{broken, daemon::Daemon, trial::Trial};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
@@ -41,6 +41,8 @@
     pub(crate) sent_after_ms: AtomicU64,
     /// The list that its endpoint was last chosen from.
     pub(crate) list: Mutex<ListSeen>,
+    /// Whether it may run although endpoints may have ended under it.
+    pub(crate) trial: Trial,
 }
 
 /// The list that an endpoint was chosen from, for logs.
@@ -64,6 +66,7 @@
             allowed_ms: self.allowed_ms,
             elapsed_ms: self.elapsed_ms(),
             wish: None,
+            is_trial: self.trial.is_begun(),
         }
     }
 
@@ -79,6 +82,12 @@
         self.head.fingerprint.map(|fingerprint| fingerprint.to_string())
     }
 
+    /// Notes that its connection to an endpoint broke.
+    pub(crate) fn note_broken(&self, endpoint: &Endpoint) {
+        self.trial.broke();
+        broken::note(&self.daemon, endpoint, self.head.fingerprint);
+    }
+
     /// Notes the list that its endpoint was chosen from.
     pub(crate) fn note_list(&self, beliefs: &Beliefs, now_ms: u64) {
         let heard = beliefs.list_heard;
--- /dev/null
+++ b/crates/trestle-entry/src/trial.rs
@@ -0,0 +1,142 @@
+//! Asks whether an attempt of a request that ended endpoints may run, and decides on it where
+//! this daemon leads.
+
+use crate::{
+    control::message::Leader,
+    daemon::Daemon,
+    peer::calls::{self, LEADERS_TRIED},
+};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+use trestle_core::names::VmName;
+use trestle_dispatch::fingerprint::Fingerprint;
+use trestle_wire::trials::{WireTrial, WireTrialAnswer};
+
+/// Said to callers while no leader can be asked: about the time that a new one takes.
+const NO_LEADER_MS: u64 = 1_000;
+
+/// Whether one request has been allowed to run although endpoints may have ended under it.
+#[derive(Debug, Default)]
+pub(crate) struct Trial {
+    begun: Mutex<Option<Begun>>,
+}
+
+/// An attempt that was allowed; says that it has ended when it is dropped.
+#[derive(Debug)]
+struct Begun {
+    daemon: Arc<Daemon>,
+    request: Fingerprint,
+    number: u64,
+    /// Whether its connection broke. Others stay away then until its endpoint's end would be
+    /// known.
+    is_broken: bool,
+}
+
+impl Trial {
+    /// Whether it may run.
+    pub(crate) fn is_begun(&self) -> bool {
+        self.begun.lock().unwrap_or_else(PoisonError::into_inner).is_some()
+    }
+
+    /// Asks for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller should come back, in ms.
+    pub(crate) async fn begin(
+        &self,
+        daemon: &Arc<Daemon>,
+        request: Fingerprint,
+    ) -> Result<(), u64> {
+        let number = daemon.next_number();
+        let asked = ask(daemon, of_this_vm(daemon, request, number, false)).await;
+        tracing::info!(%request, answer = ?asked, "request: It may end endpoints; a leader was asked.");
+        match asked {
+            WireTrialAnswer::Runs => {
+                let begun = Begun { daemon: Arc::clone(daemon), request, number, is_broken: false };
+                *self.begun.lock().unwrap_or_else(PoisonError::into_inner) = Some(begun);
+                Ok(())
+            }
+            WireTrialAnswer::Waits { for_ms } => Err(for_ms),
+            WireTrialAnswer::Undecided => Err(NO_LEADER_MS),
+        }
+    }
+
+    /// Takes that the connection of the attempt broke; it has to ask again.
+    pub(crate) fn broke(&self) {
+        let begun = self.begun.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(mut begun) = begun {
+            begun.is_broken = true;
+        }
+    }
+}
+
+impl Drop for Begun {
+    fn drop(&mut self) {
+        if self.is_broken {
+            return;
+        }
+        let (daemon, request, number) = (Arc::clone(&self.daemon), self.request, self.number);
+        let told = async move { ask(&daemon, of_this_vm(&daemon, request, number, true)).await };
+        smol::spawn(told).detach();
+    }
+}
+
+fn of_this_vm(daemon: &Daemon, request: Fingerprint, number: u64, has_ended: bool) -> WireTrial {
+    let request = *request.as_bytes();
+    let vm = daemon.settings.vm.clone();
+    WireTrial { vm, request, number, has_ended, is_passed_on: false }
+}
+
+/// Asks this daemon's leader, or another one if that does not answer.
+async fn ask(daemon: &Arc<Daemon>, trial: WireTrial) -> WireTrialAnswer {
+    for attempt in 0..LEADERS_TRIED {
+        let answer = match calls::leader(daemon, attempt).await {
+            Leader::Here { .. } => decide(daemon, trial.clone()).await,
+            Leader::At { address, .. } => ask_at(daemon, address, trial.clone()).await,
+            Leader::Nobody => WireTrialAnswer::Undecided,
+        };
+        if answer != WireTrialAnswer::Undecided {
+            return answer;
+        }
+    }
+    WireTrialAnswer::Undecided
+}
+
+async fn ask_at(daemon: &Daemon, address: SocketAddr, trial: WireTrial) -> WireTrialAnswer {
+    let Ok(client) = daemon.calls.client(address).await else { return WireTrialAnswer::Undecided };
+    let answer = client.try_out(calls::context(), trial).await;
+    daemon.calls.checked(address, answer).unwrap_or(WireTrialAnswer::Undecided)
+}
+
+/// Decides on an attempt, or asks the leader that does: one for each request, whoever leads the
+/// daemon where it came.
+pub(crate) async fn decide(daemon: &Daemon, mut trial: WireTrial) -> WireTrialAnswer {
+    let request = Fingerprint::from_bytes(trial.request);
+    match calls::leader_for(daemon, request.to_string()).await {
+        Leader::Here { .. } => decide_here(daemon, &trial),
+        Leader::At { address, .. } if !trial.is_passed_on => {
+            trial.is_passed_on = true;
+            ask_at(daemon, address, trial).await
+        }
+        Leader::At { .. } | Leader::Nobody => WireTrialAnswer::Undecided,
+    }
+}
+
+fn decide_here(daemon: &Daemon, trial: &WireTrial) -> WireTrialAnswer {
+    let request = Fingerprint::from_bytes(trial.request);
+    let vm = VmName::from(trial.vm.as_str());
+    let now_ms = daemon.knowledge.now_ms();
+    daemon.with_trials(|trials| {
+        if trial.has_ended {
+            trials.end(request, &vm, trial.number);
+            return WireTrialAnswer::Runs;
+        }
+        match trials.begin(request, vm, trial.number, now_ms) {
+            Ok(()) => WireTrialAnswer::Runs,
+            Err(for_ms) => WireTrialAnswer::Waits { for_ms },
+        }
+    })
+}
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -155,11 +155,13 @@
             allowed_ms: of.allowed_ms,
             elapsed_ms,
             wish: of.wish,
+            is_trial: false,
         };
         let beliefs = &mut self.daemons[of.daemon].beliefs;
         match selection::select(beliefs, asking, &of.sends, lot, now_ms) {
             Selection::Send(endpoint) => self.send(request, endpoint),
             Selection::Wait { until_ms } => self.wait(request, until_ms, elapsed_ms),
+            Selection::Try => unreachable!("engines here do not end under requests"),
             Selection::Refuse { retry_after_ms, .. } => self.refuse(request, retry_after_ms),
         }
     }
@@ -184,6 +186,7 @@
             allowed_ms: of.allowed_ms,
             elapsed_ms: 0,
             wish: None,
+            is_trial: false,
         };
         let Some(wish) = selection::wish(asking, due_ms) else { return };
         daemon.next_number += 1;
@@ -371,6 +374,7 @@
             allowed_ms: of.allowed_ms,
             elapsed_ms: (self.now_us - of.arrived_us) / 1_000,
             wish: None,
+            is_trial: false,
         };
         let beliefs = &mut self.daemons[of.daemon].beliefs;
         let moves =
@@ -428,6 +432,7 @@
             allowed_ms: of.allowed_ms,
             elapsed_ms: (self.now_us - of.arrived_us) / 1_000,
             wish: None,
+            is_trial: false,
         };
         let daemon = &mut self.daemons[of.daemon];
         let wish = selection::wish_of_returning(self.policy, asking, retry_after_ms, now_ms);
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`replicas`]: what daemons and the leader tell each other.
 //! - [`placements`]: where models are, by change.
 //! - [`relay`]: what the leader passes on of the store.
-//! - [`crashes`]: requests under which endpoints ended.
+//! - [`crashes`]: requests under which endpoints ended; [`trials`]: which attempt of one may run.
 //! - [`claim`]: calls that may not be repeated.
 //! - [`admin`]: what operators ask a daemon.
 //! - [`habits`]: what is kept of the times at which models are used.
@@ -29,5 +29,6 @@
 pub mod replicas;
 pub mod row;
 pub mod table;
+pub mod trials;
 
 pub use error::{Error, Result};
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -4,6 +4,7 @@
     crashes::{WireCrash, WireRefused},
     placements::{WireDelta, WireName},
     relay::{WireHave, WireRelay},
+    trials::{WireTrial, WireTrialAnswer},
 };
 use std::{collections::BTreeMap, iter, net::SocketAddr, sync::Arc};
 use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
@@ -22,6 +23,8 @@
 pub trait Replicas {
     /// Tells what callers ask for, and learns where models are.
     async fn sync(asking: WireAsking) -> WireSynced;
+    /// Asks whether an attempt of a request that ended endpoints may run, or says that it has ended.
+    async fn try_out(trial: WireTrial) -> WireTrialAnswer;
 }
 
 /// What a daemon tells a leader, and what it has heard already.
