Ask callers for their team's key, and let no key count longer than it can be proved

Cause: the users' platform has teams now; the daemon knew none.

Change: a catalog has teams, keys by digest alone (trestle_dispatch::team); identity says who asks, once, when the head is read, and again when a request leaves its wait. Endpoints get the team's name, never the key; a team's priority goes before its route's. A key counts for a request that came before the configuration's proof runs out: the moment at which the question to the store was sent whose answer it was, passed on by leaders with its age, plus what is agreed on (key_withdrawal_ms, from the platform's settings where it is strict). After it: 503 with a time to come back; open routes go on; no 401 while a newer configuration may bind.

Ruled out: counting from the answer's arrival (up to a wait for changes of 1 s too late).

Tests: identity.rs, platform/tests/keys.rs, platform/tests/teams.rs (real daemons: forged team, two keys, a key rolled over and taken away, a store that is away, and nothing that the programs write holds the key).

--- a/crates/trestle-config/src/config.rs
+++ b/crates/trestle-config/src/config.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use trestle_core::{
     catalog::{Catalog, EngineSpec, Fencing, ModelSpec},
-    names::{DomainName, EndpointName, ModelName, TenantName},
+    names::{DomainName, EndpointName, ModelName, TeamName},
 };
 
 /// A configuration that was checked.
@@ -25,9 +25,9 @@
     /// Classes of requests.
     pub classes: BTreeMap<String, Class>,
     /// Tenants.
-    pub tenants: BTreeMap<TenantName, Tenant>,
+    pub tenants: BTreeMap<TeamName, Tenant>,
     /// The tenant of each token, by its digest.
-    pub tokens: BTreeMap<String, TenantName>,
+    pub tokens: BTreeMap<String, TeamName>,
     /// Adapters.
     pub adapters: BTreeMap<String, Adapter>,
     /// Plain services.
@@ -115,7 +115,7 @@
             file.engines.iter().map(|(name, engine)| (name.as_str().into(), engine.url.clone()));
         let tokens = file.tenants.iter().flat_map(|(name, tenant)| {
             let digests = tenant.token_sha256.iter();
-            digests.map(|digest| (digest.to_lowercase(), TenantName::from(name.as_str())))
+            digests.map(|digest| (digest.to_lowercase(), TeamName::from(name.as_str())))
         });
         Self {
             engine_urls: engine_urls.collect(),
--- a/crates/trestle-config/src/entry_settings.rs
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -63,6 +63,10 @@
     /// Further sends beyond the ratio in a window.
     #[serde(deserialize_with = "whole::below")]
     pub retry_fixed: u32,
+    /// Between the acceptance of a configuration that takes a team's key away and the last
+    /// request with it, also at VMs that are cut off; none where nothing is agreed on.
+    #[serde(default)]
+    pub key_withdrawal_ms: Option<u64>,
 }
 
 impl Bounds {
--- a/crates/trestle-core/src/names.rs
+++ b/crates/trestle-core/src/names.rs
@@ -67,8 +67,8 @@
     EndpointName;
     /// A model, as the configuration names it.
     ModelName;
-    /// A tenant, whose callers share limits.
-    TenantName;
+    /// A team, whose callers share limits.
+    TeamName;
     /// A service: engines, or servers of a plain application, that stand for each other.
     ServiceName;
     /// An adapter of a model, by the name it has there.
--- a/crates/trestle-core/src/permit.rs
+++ b/crates/trestle-core/src/permit.rs
@@ -1,6 +1,6 @@
 //! Permits to send one request to an endpoint.
 
-use crate::names::{EndpointName, ModelName, TenantName, VmName};
+use crate::names::{EndpointName, ModelName, TeamName, VmName};
 
 /// Time within which an entry daemon has to use a permit, or give it back.
 pub const PERMIT_USE_MS: u64 = 1_000;
@@ -25,7 +25,7 @@
     /// The model it needs.
     pub model: ModelName,
     /// The caller's tenant.
-    pub tenant: TenantName,
+    pub tenant: TeamName,
     /// Urgency of its class, 0 the most urgent.
     pub urgency: u8,
     /// When the whole answer is due, on the owner's clock.
--- a/crates/trestle-core/src/queue.rs
+++ b/crates/trestle-core/src/queue.rs
@@ -4,7 +4,7 @@
 //! least goes first, and within a tenant the request whose answer is due first.
 
 use crate::{
-    names::{ModelName, TenantName},
+    names::{ModelName, TeamName},
     permit::{PermitAsk, Ticket},
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,14 +15,14 @@
 pub struct Queue {
     asks: BTreeMap<Ticket, PermitAsk>,
     lanes: BTreeMap<Lane, BTreeSet<(u64, Ticket)>>,
-    served: BTreeMap<TenantName, u64>,
+    served: BTreeMap<TeamName, u64>,
 }
 
 #[trestle_macros::key]
 struct Lane {
     model: ModelName,
     urgency: u8,
-    tenant: TenantName,
+    tenant: TeamName,
 }
 
 impl Lane {
@@ -43,7 +43,7 @@
     }
 
     /// Requests of a tenant that wait.
-    pub fn waiting_of(&self, tenant: &TenantName) -> usize {
+    pub fn waiting_of(&self, tenant: &TeamName) -> usize {
         self.lanes.iter().filter(|(lane, _)| lane.tenant == *tenant).map(|(_, set)| set.len()).sum()
     }
 
@@ -130,12 +130,12 @@
         self.lanes.iter().filter_map(|(lane, set)| Some((lane, *set.first()?)))
     }
 
-    fn served_of(&self, tenant: &TenantName) -> u64 {
+    fn served_of(&self, tenant: &TeamName) -> u64 {
         self.served.get(tenant).copied().unwrap_or(0)
     }
 
     /// Lets a tenant that comes back start level with the others.
-    fn catch_up(&mut self, tenant: &TenantName) {
+    fn catch_up(&mut self, tenant: &TeamName) {
         if self.waiting_of(tenant) > 0 {
             return;
         }
--- a/crates/trestle-dispatch/src/catalog.rs
+++ b/crates/trestle-dispatch/src/catalog.rs
@@ -3,6 +3,7 @@
 use crate::{
     endpoint::{Endpoint, Held},
     route::RouteTable,
+    team::Teams,
 };
 use std::{collections::BTreeMap, sync::Arc};
 use trestle_core::names::{ModelName, ServiceName};
@@ -18,6 +19,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// What callers may do.
     pub limits: CallerLimits,
+    /// Who may ask; empty where anybody may.
+    pub teams: Teams,
 }
 
 /// Limits towards callers.
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //!   heard of), [`directory`] (which of them may be used), [`replicas`] (what the leader says),
 //!   [`record`] (how endpoints behaved), [`suspects`] and [`crashes`] (under which requests they
 //!   ended), [`asked`] (what its own callers ask for).
+//! - Callers: [`team`] has who may ask and for how much, [`identity`] says who asks.
 //! - Traffic: [`selection`] says what becomes of a request now. It asks [`choice`] for an
 //!   endpoint and [`admission`] whether to wait or refuse; [`sends`] says where the next send
 //!   may go, and [`retry_share`] bounds them. [`trials`] has a leader let one attempt run at a
@@ -35,6 +36,7 @@
 pub mod endpoint;
 pub mod fingerprint;
 pub mod groups;
+pub mod identity;
 pub mod learnt;
 pub mod lease;
 pub mod listing;
@@ -60,6 +62,7 @@
 pub mod sharing;
 pub mod store;
 pub mod suspects;
+pub mod team;
 pub mod text_delta;
 pub mod trials;
 pub mod usage;
--- a/crates/trestle-dispatch/src/request.rs
+++ b/crates/trestle-dispatch/src/request.rs
@@ -1,6 +1,6 @@
 //! The head of one request, as far as decisions depend on it.
 
-use crate::fingerprint::Fingerprint;
+use crate::{fingerprint::Fingerprint, identity::Identity, team::Credential};
 use trestle_core::names::{AdapterName, EndpointName, ModelName};
 
 /// The head of one request.
@@ -17,6 +17,10 @@
     pub adapter: Option<AdapterName>,
     /// The last event that the caller already has of this stream.
     pub last_event_id: Option<u64>,
+    /// Tokens of the prompt and of the longest answer, if it says so.
+    pub tokens: Option<u64>,
+    /// What the caller gave to say who asks.
+    pub credential: Credential,
     /// What all attempts of the request have in common, once its body is there.
     pub fingerprint: Option<Fingerprint>,
 }
@@ -32,6 +36,8 @@
     pub priority: u8,
     /// The last event that the caller already has.
     pub last_event_id: Option<u64>,
+    /// Who asks.
+    pub identity: &'a Identity,
 }
 
 /// The head of an endpoint's answer, as far as decisions depend on it.
--- a/crates/trestle-dispatch/src/route.rs
+++ b/crates/trestle-dispatch/src/route.rs
@@ -49,6 +49,8 @@
     pub attempts: u32,
     /// Urgency; 0 goes first.
     pub priority: u8,
+    /// Whether it is open to callers without a key.
+    pub is_public: bool,
     /// The services behind the route.
     pub targets: Vec<Target>,
 }
--- a/crates/trestle-dispatch/tests/common/mod.rs
+++ b/crates/trestle-dispatch/tests/common/mod.rs
@@ -72,6 +72,7 @@
         pause_ms: 300,
         attempts: 2,
         priority: 1,
+        is_public: false,
         targets: vec![Target { service: "s".into(), weight: 1 }],
     }
 }
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -71,10 +71,16 @@
 
 /// What has changed in the store since what a daemon has.
 fn relay(daemon: &Daemon, have: WireHave) -> WireRelay {
-    let age_ms = daemon.freshness.age_ms(daemon.knowledge.now_ms());
+    let now_ms = daemon.knowledge.now_ms();
+    let age_ms = daemon.freshness.age_ms(now_ms);
     daemon.knowledge.with(|beliefs| WireRelay {
         endpoints: WireNews::from(beliefs.list_after(have.endpoints)),
         config: beliefs.config_texts.news(have.config).map(WireConfig::from),
         age_ms,
+        config_age_ms: beliefs
+            .catalog
+            .as_ref()
+            .filter(|catalog| !catalog.teams.is_empty())
+            .map(|_| daemon.freshness.config_proven_age_ms(now_ms)),
     })
 }
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -236,8 +236,10 @@
 /// store must be followed here depends on it. An answer says how old its news were when it was
 /// made, which was after it was asked for.
 fn take_relay(daemon: &Daemon, relay: WireRelay, asked_ms: u64) {
-    if let Some(news) = relay.config {
-        config::take_passed_on(daemon, &news.into());
+    let taken = relay.config.is_none_or(|news| config::take_passed_on(daemon, &news.into()));
+    // The sender's proof was so old when it answered, which was after it was asked.
+    if let Some(age_ms) = relay.config_age_ms.filter(|_| taken) {
+        daemon.freshness.config_proven(asked_ms.saturating_sub(age_ms));
     }
     let next_ms = pace(daemon).calm_ms();
     let now_ms = daemon.knowledge.now_ms();
--- a/crates/trestle-entry/src/store/config.rs
+++ b/crates/trestle-entry/src/store/config.rs
@@ -18,22 +18,33 @@
         table,
         gather_ms: || 0,
         after: |last| last,
-        on_read: |page: RowPage| {
+        on_read: |page: RowPage, asked_ms| {
             note_read(&daemon);
-            page.rows.iter().for_each(|row| take(&daemon, row));
+            let taken = page.rows.iter().fold(true, |all, row| all & take(&daemon, row));
+            note_proven(&daemon, taken, asked_ms);
         },
-        on_changes: |changes: Vec<RowChange>, _| {
+        on_changes: |changes: Vec<RowChange>, _, asked_ms| {
             note_read(&daemon);
-            changes.iter().for_each(|change| take_change(&daemon, change));
+            let each = changes.iter().map(|change| take_change(&daemon, change));
+            let taken = each.fold(true, |all, one| all & one);
+            note_proven(&daemon, taken, asked_ms);
         },
         on_failure: || {},
     };
     follow::run(&daemon, followed).await;
 }
 
-fn take_change(daemon: &Daemon, change: &RowChange) {
-    if let RowChange::Written(row) = change {
-        take(daemon, row);
+fn take_change(daemon: &Daemon, change: &RowChange) -> bool {
+    match change {
+        RowChange::Written(row) => take(daemon, row),
+        RowChange::Removed(..) => true,
+    }
+}
+
+/// Notes since when the configuration in force was the newest, unless one was not understood.
+fn note_proven(daemon: &Daemon, taken: bool, asked_ms: u64) {
+    if taken {
+        daemon.freshness.config_proven(asked_ms);
     }
 }
 
@@ -41,39 +52,42 @@
     daemon.freshness.config_read(daemon.knowledge.now_ms());
 }
 
-fn take(daemon: &Daemon, row: &Row) {
+/// Takes a row; returns whether it was understood.
+fn take(daemon: &Daemon, row: &Row) -> bool {
     let (_, key) = daemon.wire.store.config_row;
-    if row.key.key == key {
-        take_text(daemon, &row.value);
-    }
+    row.key.key != key || take_text(daemon, &row.value)
 }
 
-/// Takes what another daemon passes on of the configuration.
-pub(crate) fn take_passed_on(daemon: &Daemon, news: &ConfigNews) {
+/// Takes what another daemon passes on of the configuration; returns whether it was understood.
+pub(crate) fn take_passed_on(daemon: &Daemon, news: &ConfigNews) -> bool {
     match news {
         ConfigNews::Whole(text) => take_text(daemon, text),
         ConfigNews::Changes { from, pieces } => {
             let old = daemon.knowledge.with(|beliefs| beliefs.config_texts.text(*from).cloned());
             match old.and_then(|old| apply_delta(&old, pieces)) {
                 Some(text) => take_text(daemon, &text),
-                None => tracing::error!(from, "config: Changes do not fit what is known."),
+                None => {
+                    tracing::error!(from, "config: Changes do not fit what is known.");
+                    false
+                }
             }
         }
     }
 }
 
-/// Puts a configuration in force if it is newer than the one that is.
-fn take_text(daemon: &Daemon, text: &[u8]) {
+/// Puts a configuration in force if it is newer than the one that is; returns whether it was
+/// understood.
+fn take_text(daemon: &Daemon, text: &[u8]) -> bool {
     let catalog = match (daemon.wire.store.read_config)(text) {
         Ok(catalog) => catalog,
         Err(error) => {
             tracing::error!(%error, "config: A configuration is not understood; the old one stays.");
-            return;
+            return false;
         }
     };
     let in_force = daemon.knowledge.catalog().map_or(0, |catalog| catalog.version);
     if catalog.version <= in_force {
-        return;
+        return true;
     }
     let (version, routes) = (catalog.version, catalog.routes.iter().count());
     daemon.knowledge.change(|beliefs| {
@@ -83,4 +97,5 @@
     daemon.metrics.config_version(version);
     let bytes = text.len();
     tracing::info!(version, routes, bytes, from = in_force, "config: A configuration is in force.");
+    true
 }
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -37,14 +37,14 @@
             let version = daemon.knowledge.with(|beliefs| beliefs.listing.version());
             last.filter(|_| !daemon.freshness.must_reread()).map(|_| version)
         },
-        on_read: |page: RowPage| {
+        on_read: |page: RowPage, _| {
             let version = page.version;
             match read(&daemon, to_news(&daemon, page.rows.into_iter(), version)) {
                 true => daemon.freshness.whole_list_read(),
                 false => tracing::info!(version, "endpoint: An older list was read."),
             }
         },
-        on_changes: |changes, version| {
+        on_changes: |changes, version, _| {
             read(&daemon, changed(&daemon, changes, version));
         },
         on_failure: || {
--- a/crates/trestle-entry/src/store/follow.rs
+++ b/crates/trestle-entry/src/store/follow.rs
@@ -18,9 +18,10 @@
     /// The transaction to go on from, given where this daemon read last; `None` to read
     /// the whole table.
     pub(crate) after: A,
-    /// Takes the whole table, after each reading of all of it.
+    /// Takes the whole table, after each reading of all of it, and when that was asked for.
     pub(crate) on_read: R,
-    /// Takes changes, also none, and the transaction that they lead up to.
+    /// Takes changes, also none, the transaction that they lead up to, and when they were asked
+    /// for.
     pub(crate) on_changes: C,
     /// Takes that the store could not be read.
     pub(crate) on_failure: F,
@@ -31,8 +32,8 @@
 where
     G: Fn() -> u64,
     A: Fn(Option<u64>) -> Option<u64>,
-    R: Fn(RowPage),
-    C: Fn(Vec<RowChange>, u64),
+    R: Fn(RowPage, u64),
+    C: Fn(Vec<RowChange>, u64, u64),
     F: Fn(),
 {
     let follower = daemon.store.follower(followed.table);
@@ -57,7 +58,7 @@
         // While it does not answer, others wait for this try.
         let wait_ms = if is_lost { 0 } else { daemon.freshness.wait_ms() };
         let after = (followed.after)(last);
-        let step = async { Some(step(&followed, &follower, after, wait_ms).await) };
+        let step = async { Some(step(daemon, &followed, &follower, after, wait_ms).await) };
         let interrupted = async {
             began_to_lead.await;
             None
@@ -90,19 +91,21 @@
 
 /// One read or wait; returns where to go on, `None` if everything must be read anew.
 async fn step<G, A, R, C, F>(
+    daemon: &Daemon,
     followed: &Followed<G, A, R, C, F>,
     follower: &Follower<'_>,
     after: Option<u64>,
     wait_ms: u64,
 ) -> Result<Option<u64>, Error>
 where
-    R: Fn(RowPage),
-    C: Fn(Vec<RowChange>, u64),
+    R: Fn(RowPage, u64),
+    C: Fn(Vec<RowChange>, u64, u64),
 {
+    let asked_ms = daemon.knowledge.now_ms();
     let Some(after) = after else {
         let page = follower.read().await?;
         let version = page.version;
-        (followed.on_read)(page);
+        (followed.on_read)(page, asked_ms);
         return Ok(Some(version));
     };
     match follower.follow(after, wait_ms).await? {
@@ -112,7 +115,7 @@
             Ok(None)
         }
         Feed::Changes(changes, version) => {
-            (followed.on_changes)(changes, version);
+            (followed.on_changes)(changes, version, asked_ms);
             Ok(Some(version))
         }
     }
--- a/crates/trestle-entry/src/store/freshness.rs
+++ b/crates/trestle-entry/src/store/freshness.rs
@@ -18,6 +18,8 @@
 const AGE_GRACE_MS: u64 = 450;
 /// Time that is kept of the shortest bound for reading the store here.
 const READ_MS: u64 = 500;
+/// Time that is kept of the bound on keys, for clocks that differ in pace.
+const KEY_MARGIN_MS: u64 = 50;
 /// Relays that may be missing before the store is followed here.
 const MISSING_RELAYS: u64 = 3;
 
@@ -35,6 +37,10 @@
     config_read_ms: AtomicU64,
     /// When the configuration in force was the newest for certain.
     config_known_ms: AtomicU64,
+    /// The same, provably: when the question was sent that the store answered so.
+    config_proven_ms: AtomicU64,
+    /// Time for which that proves who holds a key; `u64::MAX` where nothing is agreed on.
+    keys_bound_ms: AtomicU64,
     shortest_bound_ms: AtomicU64,
     config_bound_ms: AtomicU64,
 }
@@ -51,6 +57,8 @@
             endpoints_read_ms: AtomicU64::new(0),
             config_read_ms: AtomicU64::new(0),
             config_known_ms: AtomicU64::new(0),
+            config_proven_ms: AtomicU64::new(0),
+            keys_bound_ms: AtomicU64::new(bounds.key_withdrawal_ms.unwrap_or(u64::MAX)),
             shortest_bound_ms: AtomicU64::new(bounds.shortest_ms()),
             config_bound_ms: AtomicU64::new(bounds.config_ms),
         }
@@ -60,6 +68,8 @@
     pub(crate) fn take_bounds(&self, bounds: &Bounds) {
         self.shortest_bound_ms.store(bounds.shortest_ms(), Ordering::SeqCst);
         self.config_bound_ms.store(bounds.config_ms, Ordering::SeqCst);
+        let keys_bound_ms = bounds.key_withdrawal_ms.unwrap_or(u64::MAX);
+        self.keys_bound_ms.store(keys_bound_ms, Ordering::SeqCst);
     }
 
     /// Notes whether this daemon leads.
@@ -115,6 +125,23 @@
         self.config_known_ms.fetch_max(now_ms, Ordering::SeqCst);
     }
 
+    /// Notes that the configuration in force was the newest at some moment after this one.
+    pub(crate) fn config_proven(&self, since_ms: u64) {
+        self.config_proven_ms.fetch_max(since_ms, Ordering::SeqCst);
+    }
+
+    /// Whether a key that the configuration has counts for a request that came at this time.
+    pub(crate) fn proves_keys(&self, arrived_ms: u64) -> bool {
+        let proven_ms = self.config_proven_ms.load(Ordering::SeqCst);
+        let bound_ms = self.keys_bound_ms.load(Ordering::SeqCst);
+        arrived_ms < proven_ms.saturating_add(bound_ms.saturating_sub(KEY_MARGIN_MS))
+    }
+
+    /// Time since the configuration in force was provably the newest.
+    pub(crate) fn config_proven_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.config_proven_ms.load(Ordering::SeqCst))
+    }
+
     /// Whether a newer configuration than the one in force may already bind. A daemon that
     /// cannot know does not say that there is no such route.
     pub(crate) fn may_lack_config(&self, now_ms: u64) -> bool {
--- a/crates/trestle-entry/src/traffic/answer.rs
+++ b/crates/trestle-entry/src/traffic/answer.rs
@@ -16,6 +16,9 @@
 /// Shortest time that a refused caller is told to stay away.
 const LEAST_RETRY_AFTER_MS: u64 = 50;
 
+/// How callers give their keys.
+const KEY_SCHEME: &str = "Bearer";
+
 /// When a caller should come back if all endpoints that were tried refused.
 pub(crate) const RETRY_SOON_MS: u64 = 250;
 
@@ -24,6 +27,8 @@
 pub(crate) enum Failure {
     /// The request is not one that can be passed on.
     BadRequest,
+    /// The caller gave no key that is known.
+    NoKey,
     /// No route leads anywhere.
     NoRoute,
     /// The body is larger than allowed.
@@ -46,6 +51,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::BadRequest => "bad_request",
+            Self::NoKey => "no_key",
             Self::NoRoute => "no_route",
             Self::TooLarge => "too_large",
             Self::NotRun { .. } => "not_run",
@@ -58,6 +64,7 @@
     pub(crate) fn answer(self, wire: &HeadWire, request_id: Option<&str>) -> Response<Body> {
         let status = match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -66,6 +73,10 @@
         };
         let mut response = Response::new(whole(Bytes::from_static(self.name().as_bytes())));
         *response.status_mut() = status;
+        if self == Self::NoKey {
+            let scheme = HeaderValue::from_static(KEY_SCHEME);
+            response.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
+        }
         if let Self::NotRun { retry_after_ms, .. } = self {
             let seconds = retry_after_ms.max(LEAST_RETRY_AFTER_MS) as f64 / 1e3;
             if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -27,12 +27,18 @@
 use trestle_dispatch::{
     catalog::Catalog,
     fingerprint::{Fingerprint, RequestContent},
+    identity::{ConfigCertainty, Identity, NotAdmitted},
     request::RequestHead,
+    route::Route,
+    team::Credential,
 };
 
 /// When a caller should come back while the daemon knows no configuration yet.
 const UNKNOWN_RETRY_MS: u64 = 500;
 
+/// The same while it cannot tell whether a key counts; another daemon may.
+const UNSURE_RETRY_MS: u64 = 250;
+
 /// The same while the daemon is stopping; another daemon takes the next attempt.
 const STOPPING_RETRY_MS: u64 = 100;
 
@@ -98,7 +104,11 @@
     let host = host.ok_or(Failure::BadRequest)?;
     let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
     let route = catalog.routes.find(host, parts.uri.path());
-    let route = route.ok_or_else(|| no_route(daemon, arrived_ms))?;
+    let mut route = route.ok_or_else(|| no_route(daemon, arrived_ms))?.clone();
+    let identity = identify(daemon, catalog, &route, head.credential, arrived_ms)?;
+    if let Some(priority) = identity.team().and_then(|team| team.priority) {
+        route.priority = priority;
+    }
     let service = route.target(&head.id).ok_or(Failure::NoRoute)?.clone();
     let allowed_ms = route.timeout_ms.min(head.deadline_ms.unwrap_or(u64::MAX));
     if !daemon.stopping.can_take(arrived_ms, allowed_ms) {
@@ -117,8 +127,9 @@
         daemon: Arc::clone(daemon),
         service,
         allowed_ms,
-        route: route.clone(),
+        route,
         head,
+        identity,
         method: parts.method,
         uri,
         headers: parts.headers,
@@ -140,6 +151,27 @@
     }
 }
 
+/// Who asks for a route.
+fn identify(
+    daemon: &Daemon,
+    catalog: &Catalog,
+    route: &Route,
+    credential: Credential,
+    arrived_ms: u64,
+) -> Result<Identity, Failure> {
+    let freshness = &daemon.freshness;
+    let certainty = ConfigCertainty {
+        proves_keys: freshness.proves_keys(arrived_ms),
+        may_lack_newer: freshness.may_lack_config(arrived_ms),
+    };
+    Identity::of(catalog, route, credential, certainty).map_err(|not_admitted| match not_admitted {
+        NotAdmitted::UnknownKey => Failure::NoKey,
+        NotAdmitted::Unsure => {
+            Failure::NotRun { retry_after_ms: UNSURE_RETRY_MS, why: "key_unsure" }
+        }
+    })
+}
+
 async fn read_body(body: Incoming, catalog: &Catalog) -> Result<Bytes, Failure> {
     let collected = async {
         match Limited::new(body, catalog.limits.body_bytes).collect().await {
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -38,6 +38,9 @@
     let mut wish: Option<WishGuard> = None;
     loop {
         let changed = task.daemon.knowledge.changed();
+        if !task.still_counts() {
+            return Err(Failure::NoKey);
+        }
         let number = wish.as_ref().map(|wish| wish.number);
         let until_ms = match look(task, sends, number) {
             Selection::Send(endpoint) => return Ok(Taken { endpoint, task: Arc::clone(task) }),
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -12,6 +12,7 @@
 use trestle_dispatch::{
     beliefs::Beliefs,
     endpoint::Endpoint,
+    identity::Identity,
     request::{Forwarded, RequestHead},
     route::Route,
     selection::Asking,
@@ -28,6 +29,8 @@
     pub(crate) route: Route,
     pub(crate) service: ServiceName,
     pub(crate) head: RequestHead,
+    /// Who asks.
+    pub(crate) identity: Identity,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -82,6 +85,12 @@
         self.head.fingerprint.map(|fingerprint| fingerprint.to_string())
     }
 
+    /// Whether the caller's key has not been taken away since it was routed.
+    pub(crate) fn still_counts(&self) -> bool {
+        let Some(catalog) = self.daemon.knowledge.catalog() else { return true };
+        catalog.version == self.config_version || self.identity.still_counts(&catalog)
+    }
+
     /// Notes that its connection to an endpoint broke.
     pub(crate) fn note_broken(&self, endpoint: &Endpoint) {
         self.trial.broke();
@@ -142,6 +151,7 @@
             deadline_ms: self.left_ms(),
             priority: self.route.priority.clamp(PRIORITIES.0, PRIORITIES.1),
             last_event_id,
+            identity: &self.identity,
         };
         (self.daemon.wire.head.forward_request)(&mut headers, &forwarded);
         *request.headers_mut() = headers;
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -78,8 +78,7 @@
             deadline_ms: Some(self.deployment.classes[class].deadline_ms),
             model: Some(self.names[arrival.model].clone()),
             adapter: arrival.adapter.map(adapter_name),
-            last_event_id: None,
-            fingerprint: None,
+            ..RequestHead::default()
         };
         let model = arrival.model;
         self.served.entry(model).or_insert((0, false)).0 += 1;
--- a/crates/trestle-lab/src/sim/world.rs
+++ b/crates/trestle-lab/src/sim/world.rs
@@ -501,6 +501,7 @@
         pause_ms: class.pause_ms,
         attempts: class.attempts,
         priority: class.priority,
+        is_public: true,
         targets: vec![Target { service: service.clone(), weight: 1 }],
     });
     routes.collect()
--- a/crates/trestle-wire/src/relay.rs
+++ b/crates/trestle-wire/src/relay.rs
@@ -31,6 +31,9 @@
     pub config: Option<WireConfig>,
     /// Time since the store last answered the sender about both.
     pub age_ms: u64,
+    /// Time since the sender asked the question by whose answer its configuration was the
+    /// newest, where teams' keys depend on it.
+    pub config_age_ms: Option<u64>,
 }
 
 /// What a daemon is told of the configuration.
--- a/crates/trestled/src/asking.rs
+++ b/crates/trestled/src/asking.rs
@@ -15,7 +15,7 @@
 };
 use trestle_core::{
     event::Event,
-    names::{EndpointName, ModelName, TenantName},
+    names::{EndpointName, ModelName, TeamName},
     node::CHAIN_LENGTH,
     permit::{PERMIT_USE_MS, Ticket},
 };
@@ -33,7 +33,7 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Wish<'a> {
     pub(crate) model: &'a ModelName,
-    pub(crate) tenant: &'a TenantName,
+    pub(crate) tenant: &'a TeamName,
     pub(crate) urgency: u8,
     pub(crate) deadline: Instant,
     pub(crate) patience_ms: Option<u64>,
--- a/crates/trestled/src/daemon.rs
+++ b/crates/trestled/src/daemon.rs
@@ -19,7 +19,7 @@
 use trestle_core::{
     event::Event,
     health::Health,
-    names::{DomainName, EndpointName, TenantName, VmName},
+    names::{DomainName, EndpointName, TeamName, VmName},
     permit::Ticket,
     retry_budget::RetryBudget,
 };
@@ -60,7 +60,7 @@
 pub(crate) struct TrafficState {
     pub(crate) health: BTreeMap<EndpointName, Health>,
     pub(crate) retries: RetryBudget,
-    pub(crate) by_tenant: BTreeMap<TenantName, usize>,
+    pub(crate) by_tenant: BTreeMap<TeamName, usize>,
     pub(crate) by_endpoint: BTreeMap<EndpointName, usize>,
     pub(crate) places: Places,
 }
--- a/crates/trestled/src/entry/call.rs
+++ b/crates/trestled/src/entry/call.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 use trestle_config::{Class, Config, Tenant};
-use trestle_core::names::TenantName;
+use trestle_core::names::TeamName;
 use trestle_wire::headers;
 use trillium::Conn;
 
@@ -19,7 +19,7 @@
 /// What is known of a request before its body is read.
 pub(crate) struct Call {
     pub(crate) request_id: String,
-    pub(crate) tenant: TenantName,
+    pub(crate) tenant: TeamName,
     pub(crate) class: String,
     pub(crate) urgency: u8,
     pub(crate) deadline: Instant,
@@ -61,7 +61,7 @@
     }
 }
 
-fn tenant_of(config: &Config, conn: &Conn) -> Result<TenantName, Failure> {
+fn tenant_of(config: &Config, conn: &Conn) -> Result<TeamName, Failure> {
     let header = conn.request_headers().get_str("authorization").unwrap_or("");
     let token = header.strip_prefix("Bearer ").unwrap_or("");
     config.tokens.get(&trestle_config::digest(token)).cloned().ok_or_else(|| {
@@ -119,11 +119,11 @@
 /// One of the requests a tenant may have at this daemon.
 struct TenantShare {
     daemon: Arc<Daemon>,
-    tenant: TenantName,
+    tenant: TeamName,
 }
 
 impl TenantShare {
-    fn take(daemon: &Arc<Daemon>, tenant: &TenantName, limit: usize) -> Result<Self, Failure> {
+    fn take(daemon: &Arc<Daemon>, tenant: &TeamName, limit: usize) -> Result<Self, Failure> {
         let mut traffic = daemon.traffic();
         let count = traffic.by_tenant.entry(tenant.clone()).or_default();
         if *count >= limit {
