Keep the limits of teams: leaders lend what they have earned, daemons spend it at once

Change: the leader of each group earns one part of the limit while it holds the group's lease, into a bucket that starts empty with the lease. A daemon asks its leader for each request that has an endpoint, spends what it got within a time that follows from what is agreed on, and passes nothing on without. A leader that is short asks the others, who give half of what they have at most. Beyond the limit: 429 at once with the time until there is enough, and no further question until then (half a second at most). A request that did not run gives back what it took.

Ruled out: equal parts for each daemon (the smallest team's part of 71 is 59 tokens a second, a request 1,000), parts that last (a daemon that is lost holds them, and the agreed excess covers 247 tokens a daemon of such a team).

--- a/crates/trestle-config/src/entry_settings.rs
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -67,6 +67,22 @@
     /// request with it, also at VMs that are cut off; none where nothing is agreed on.
     #[serde(default)]
     pub key_withdrawal_ms: Option<u64>,
+    /// How far teams may exceed their limits; none where nothing is agreed on.
+    #[serde(default)]
+    pub quota: Option<QuotaSettings>,
+}
+
+/// How far the requests of a team that all VMs pass on may exceed its limit.
+#[trestle_macros::wire]
+#[derive(Copy)]
+#[serde(deny_unknown_fields)]
+pub struct QuotaSettings {
+    /// The window over which requests are counted.
+    pub window_s: f64,
+    /// Part of what the limit allows in a window.
+    pub excess: f64,
+    /// Requests or tokens beyond that.
+    pub fixed: f64,
 }
 
 impl Bounds {
@@ -98,6 +114,11 @@
         check(has_processor, &["processor_cores"], "must be above 0");
         let is_ratio = self.bounds.retry_ratio >= 0.0;
         check(is_ratio, &["bounds", "retry_ratio"], "must not be negative");
+        if let Some(quota) = &self.bounds.quota {
+            check(quota.window_s > 0.0, &["bounds", "quota", "window_s"], "must be above 0");
+            check(quota.excess >= 0.0, &["bounds", "quota", "excess"], "must not be negative");
+            check(quota.fixed >= 0.0, &["bounds", "quota", "fixed"], "must not be negative");
+        }
         check(self.bounds.stop_s >= 1, &["bounds", "stop_s"], "must be at least 1");
         found
     }
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //!   [`record`] (how endpoints behaved), [`suspects`] and [`crashes`] (under which requests they
 //!   ended), [`asked`] (what its own callers ask for).
 //! - Callers: [`team`] has who may ask and for how much, [`identity`] says who asks.
+//!   [`quota`] is how a limit is kept: a [`lender`] at each leader, an [`allowance`] at each daemon.
 //! - Traffic: [`selection`] says what becomes of a request now. It asks [`choice`] for an
 //!   endpoint and [`admission`] whether to wait or refuse; [`sends`] says where the next send
 //!   may go, and [`retry_share`] bounds them. [`trials`] has a leader let one attempt run at a
@@ -22,6 +23,7 @@
 //!   leader tells where models are.
 
 pub mod admission;
+pub mod allowance;
 pub mod asked;
 mod average;
 pub mod beliefs;
@@ -39,6 +41,7 @@
 pub mod identity;
 pub mod learnt;
 pub mod lease;
+pub mod lender;
 pub mod listing;
 pub mod loadable;
 pub mod member_count;
@@ -50,6 +53,7 @@
 pub mod placement_log;
 pub mod placing;
 pub mod policy;
+pub mod quota;
 pub mod rates;
 pub mod record;
 pub mod replicas;
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -38,6 +38,8 @@
     pub wish: Option<u64>,
     /// Whether it may run although endpoints may have ended under it.
     pub is_trial: bool,
+    /// Whether its team's limit allows it.
+    pub is_paid: bool,
 }
 
 /// What becomes of a request now.
@@ -48,6 +50,8 @@
     /// There is an endpoint for it; whether it may run has to be asked for, since endpoints may
     /// have ended under it.
     Try,
+    /// There is an endpoint for it; it has to be taken from its team's limit first.
+    Pay,
     /// It waits for a change of what is known, at most until this long after its arrival.
     Wait {
         /// When waiting must end, from its arrival.
@@ -76,7 +80,11 @@
     }
     if let Some(endpoint) = choose_allowed(beliefs, asking, sends, lot, now_ms) {
         let must_ask = !asking.is_trial && beliefs.must_be_tried(asking.head.fingerprint);
-        return if must_ask { Selection::Try } else { Selection::Send(endpoint) };
+        return match (must_ask, asking.is_paid) {
+            (true, _) => Selection::Try,
+            (false, false) => Selection::Pay,
+            (false, true) => Selection::Send(endpoint),
+        };
     }
     if asking.head.model.is_none() {
         return Selection::Refuse { retry_after_ms: PLAIN_RETRY_MS, reason: None };
--- /dev/null
+++ b/crates/trestle-dispatch/tests/quota.rs
@@ -0,0 +1,259 @@
+//! Limits of teams: what leaders lend and daemons spend stays within what is agreed on, and what
+//! is within the limit is lent.
+
+use std::collections::BTreeMap;
+use trestle_core::names::{DomainName, TeamName};
+use trestle_dispatch::{
+    allowance::Allowances,
+    lender::{Lender, Loan},
+    quota::{QuotaBounds, QuotaPlan},
+    team::{LimitUnit, TeamLimit},
+};
+
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => { $(#[test] fn $name() $body)+ };
+}
+
+const BOUNDS: QuotaBounds = QuotaBounds { window_ms: 8_000, excess: 0.1, fixed: 17_000.0 };
+/// Groups that share a limit.
+const GROUPS: usize = 3;
+/// Units of most requests.
+const USUAL: u64 = 1_000;
+
+fn limit(per_s: u64) -> TeamLimit {
+    TeamLimit { unit: LimitUnit::Tokens { of_plain: 200 }, per_s, burst: per_s }
+}
+
+fn plan(per_s: u64) -> QuotaPlan {
+    QuotaPlan::new(&limit(per_s), &BOUNDS, GROUPS)
+}
+
+fn groups(count: usize) -> BTreeMap<DomainName, u64> {
+    (0..count).map(|group| (format!("z{group}").into(), 1)).collect()
+}
+
+fn team() -> TeamName {
+    "red".into()
+}
+
+/// Leaders and daemons of one team in virtual time, under random histories.
+struct World {
+    plan: QuotaPlan,
+    now_ms: u64,
+    /// For each group the daemon that leads it.
+    leaders: [usize; GROUPS],
+    /// The tokens of their leases.
+    tokens: [u64; GROUPS],
+    lenders: Vec<Lender>,
+    allowances: Vec<Allowances>,
+    spent: Vec<(u64, u64)>,
+    refused: u64,
+    /// Whether leaders change and their answers get lost.
+    is_troubled: bool,
+    random: fastrand::Rng,
+}
+
+const DAEMONS: usize = 12;
+
+impl World {
+    fn new(per_s: u64, is_troubled: bool, seed: u64) -> Self {
+        let mut world = Self {
+            plan: plan(per_s),
+            now_ms: 1_000,
+            leaders: [0, 1, 2],
+            tokens: [1; GROUPS],
+            lenders: (0..DAEMONS).map(|_| Lender::default()).collect(),
+            allowances: (0..DAEMONS).map(|_| Allowances::default()).collect(),
+            spent: Vec::new(),
+            refused: 0,
+            is_troubled,
+            random: fastrand::Rng::with_seed(seed),
+        };
+        world.set_groups();
+        world
+    }
+
+    fn set_groups(&mut self) {
+        for (daemon, lender) in self.lenders.iter_mut().enumerate() {
+            let led = (0..GROUPS).filter(|group| self.leaders[*group] == daemon);
+            let led = led.map(|group| (format!("z{group}").into(), self.tokens[group]));
+            lender.set_groups(led.collect(), self.now_ms);
+        }
+    }
+
+    /// A group gets another leader; one that starts anew has forgotten everything.
+    fn change_leader(&mut self) {
+        let group = self.random.usize(..GROUPS);
+        let leader = self.random.usize(..DAEMONS);
+        if self.random.bool() {
+            self.lenders[self.leaders[group]] = Lender::default();
+        }
+        self.leaders[group] = leader;
+        self.tokens[group] += 1;
+        self.set_groups();
+    }
+
+    /// A request at a daemon, whose lender may ask the others.
+    fn request(&mut self, daemon: usize, units: u64) -> bool {
+        let (team, plan, now_ms) = (team(), self.plan, self.now_ms);
+        if self.allowances[daemon].spend(&team, units, now_ms).is_some() {
+            self.spent.push((now_ms, units));
+            return true;
+        }
+        if self.allowances[daemon].spent_out_for_ms(&team, now_ms).is_some() {
+            self.refused += units;
+            return false;
+        }
+        let leader = self.leaders[daemon % GROUPS];
+        let mut loan = self.lenders[leader].lend(&team, units, &plan, now_ms);
+        if matches!(loan, Loan::Refused { .. })
+            && let Some(wanted) = self.lenders[leader].to_ask_others(&team, units, &plan, now_ms)
+        {
+            let others: Vec<usize> =
+                self.leaders.iter().copied().filter(|l| *l != leader).collect();
+            let given: u64 =
+                others.iter().map(|o| self.lenders[*o].give(&team, wanted, &plan, now_ms)).sum();
+            if given == 0 {
+                self.lenders[leader].nothing_given(&team, now_ms);
+            }
+            // Some answers are lost, and what they gave with them.
+            if !self.is_troubled || self.random.u32(..10) > 0 {
+                self.lenders[leader].receive(&team, given, &plan, now_ms);
+            }
+            loan = self.lenders[leader].lend(&team, units, &plan, now_ms);
+        }
+        match loan {
+            Loan::Lent(lent) => {
+                // What was lent is spent at once, or at any time until it no longer can be.
+                let late_ms = if self.random.bool() { self.random.u64(..plan.valid_ms) } else { 0 };
+                self.spent.push((now_ms + late_ms, lent));
+                true
+            }
+            Loan::Refused { in_ms } => {
+                self.allowances[daemon].refused(&team, in_ms, now_ms);
+                self.refused += units;
+                false
+            }
+        }
+    }
+
+    /// The most that was spent in any window.
+    fn most_in_window(&mut self) -> u64 {
+        self.spent.sort_unstable();
+        let (mut most, mut sum, mut first) = (0, 0, 0);
+        for index in 0..self.spent.len() {
+            sum += self.spent[index].1;
+            while self.spent[first].0 + BOUNDS.window_ms <= self.spent[index].0 {
+                sum -= self.spent[first].1;
+                first += 1;
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+}
+
+fn allowed(per_s: u64) -> u64 {
+    let units = per_s as f64 * BOUNDS.window_ms as f64 / 1e3 + per_s as f64;
+    (units * (1.0 + BOUNDS.excess) + BOUNDS.fixed) as u64
+}
+
+/// Plays 40 s in which a team asks for a multiple of its limit; `uneven` is the part of it that
+/// comes to one daemon.
+fn play(per_s: u64, demand: f64, uneven: f64, is_troubled: bool, seed: u64) -> World {
+    let mut world = World::new(per_s, is_troubled, seed);
+    let gap_ms = USUAL as f64 * 1e3 / (per_s as f64 * demand);
+    let mut due_ms = 1_000.0;
+    // Buckets are full when callers begin.
+    world.now_ms = 14_000;
+    while due_ms < 40_000.0 {
+        due_ms += gap_ms * world.random.f64() * 2.0;
+        world.now_ms = 14_000 + due_ms as u64;
+        if is_troubled && world.random.u32(..40) == 0 {
+            world.change_leader();
+        }
+        let at_one = world.random.f64() < uneven;
+        let daemon = if at_one { 4 } else { world.random.usize(..DAEMONS) };
+        let units = world.random.u64(USUAL / 2..USUAL * 3 / 2);
+        world.request(daemon, units);
+    }
+    world
+}
+
+cases! {
+    no_history_spends_more_in_a_window_than_is_agreed_on => {
+        for seed in 0..60 {
+            for per_s in [4_200, 30_000, 273_068] {
+                let mut world = play(per_s, 8.0, 0.5, true, seed);
+                let most = world.most_in_window();
+                assert!(most <= allowed(per_s), "seed {seed}: {most} of {}", allowed(per_s));
+            }
+        }
+    }
+
+    a_calm_team_is_refused_next_to_nothing_however_uneven_it_sits => {
+        for per_s in [4_200, 30_000, 273_068] {
+            let (mut refused, mut asked) = (0, 0);
+            for seed in 0..20 {
+                let world = play(per_s, 0.55, 0.5, false, seed);
+                refused += world.refused;
+                asked += world.refused + world.spent.iter().map(|(_, units)| units).sum::<u64>();
+            }
+            assert!(refused * 200 <= asked, "{per_s}: {refused} of {asked}");
+        }
+    }
+
+    a_team_beyond_its_limit_gets_nearly_all_of_it => {
+        for per_s in [4_200, 30_000, 273_068] {
+            let world = play(per_s, 6.0, 0.5, false, 1);
+            let spent: u64 = world.spent.iter().map(|(_, units)| units).sum();
+            let owed = per_s * 40;
+            assert!(spent * 50 >= owed * 49, "{per_s}: {spent} of {owed}");
+        }
+    }
+
+    a_leader_starts_with_nothing => {
+        let (plan, mut lender) = (plan(30_000), Lender::default());
+        lender.set_groups(groups(1), 10_000);
+        assert!(matches!(lender.lend(&team(), USUAL, &plan, 10_000), Loan::Refused { .. }));
+        assert_eq!(lender.lend(&team(), USUAL, &plan, 10_200), Loan::Lent(USUAL));
+    }
+
+    what_is_told_a_refused_caller_comes_true => {
+        let (plan, mut lender) = (plan(4_200), Lender::default());
+        lender.set_groups(groups(GROUPS), 0);
+        let Loan::Refused { in_ms } = lender.lend(&team(), USUAL, &plan, 0) else { panic!("lent") };
+        assert!((200..300).contains(&in_ms), "{in_ms}");
+        assert_eq!(lender.lend(&team(), USUAL, &plan, in_ms), Loan::Lent(USUAL));
+    }
+
+    a_limit_that_is_lowered_empties_its_bucket => {
+        let mut lender = Lender::default();
+        lender.set_groups(groups(1), 0);
+        assert_eq!(lender.lend(&team(), USUAL, &plan(273_068), 9_000), Loan::Lent(USUAL));
+        let low = plan(600);
+        let mut lent = 0;
+        while let Loan::Lent(units) = lender.lend(&team(), 100, &low, 9_000) {
+            lent += units;
+        }
+        assert!(lent as f64 <= low.most_units);
+    }
+
+    what_is_lent_cannot_be_spent_later => {
+        let mut allowances = Allowances::default();
+        allowances.add(&team(), USUAL, 1_400);
+        assert_eq!(allowances.spend(&team(), USUAL, 1_400), None);
+        allowances.add(&team(), USUAL, 1_800);
+        assert_eq!(allowances.spend(&team(), USUAL, 1_700), Some(1_800));
+        assert_eq!(allowances.spend(&team(), 1, 1_700), None);
+    }
+
+    a_daemon_does_not_ask_again_while_nothing_is_left => {
+        let mut allowances = Allowances::default();
+        allowances.refused(&team(), 300, 1_000);
+        assert_eq!(allowances.spent_out_for_ms(&team(), 1_100), Some(200));
+        assert_eq!(allowances.spent_out_for_ms(&team(), 1_300), None);
+        allowances.refused(&team(), 60_000, 2_000);
+        assert_eq!(allowances.spent_out_for_ms(&team(), 2_000), Some(500));
+    }
+}
--- a/crates/trestle-dispatch/tests/selection.rs
+++ b/crates/trestle-dispatch/tests/selection.rs
@@ -52,6 +52,7 @@
             elapsed_ms,
             wish: self.wish,
             is_trial: false,
+            is_paid: true,
         }
     }
 
@@ -65,6 +66,7 @@
             elapsed_ms,
             wish: *wish,
             is_trial: false,
+            is_paid: true,
         };
         selection::select(beliefs, asking, sends, 1, NOW_MS + elapsed_ms)
     }
@@ -186,7 +188,7 @@
         let has_other = |scene: &mut Scene| {
             let Scene { beliefs, route, service, head, sends, wish } = scene;
             let asking =
-                Asking { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, wish: *wish, is_trial: false };
+                Asking { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, wish: *wish, is_trial: false, is_paid: true };
             selection::has_other(beliefs, asking, sends, NOW_MS)
         };
         scene.beliefs.daemons = 1;
--- a/crates/trestle-entry/src/control/permit.rs
+++ b/crates/trestle-entry/src/control/permit.rs
@@ -47,6 +47,13 @@
         (window.from_ms <= now_ms && now_ms < window.until_ms).then_some(window.token)
     }
 
+    /// The groups whose leases this daemon holds for certain, with their fencing numbers.
+    pub(crate) fn held(&self, now_ms: u64) -> BTreeMap<DomainName, u64> {
+        let windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        let held = windows.iter().filter(|(_, window)| now_ms < window.until_ms);
+        held.map(|(group, window)| (group.clone(), window.token)).collect()
+    }
+
     fn window(&self, group: &DomainName) -> Window {
         let windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
         windows.get(group).copied().unwrap_or_default()
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -19,9 +19,12 @@
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
 };
-use trestle_config::entry_settings::{Bounds, EntrySettings};
+use trestle_config::entry_settings::{Bounds, EntrySettings, QuotaSettings};
 use trestle_core::names::{EndpointName, ServiceName};
-use trestle_dispatch::{endpoint::Endpoint, order_log::OrderLog, policy::Policy, trials::Trials};
+use trestle_dispatch::{
+    allowance::Allowances, endpoint::Endpoint, lender::Lender, order_log::OrderLog, policy::Policy,
+    trials::Trials,
+};
 
 /// What the parts of the daemon share.
 #[derive(Debug)]
@@ -36,6 +39,9 @@
     pub(crate) order_permits: OrderPermits,
     order_log: Mutex<OrderLog>,
     trials: Mutex<Trials>,
+    lender: Mutex<Lender>,
+    allowances: Mutex<Allowances>,
+    quota_bounds: Mutex<Option<QuotaSettings>>,
     pub(crate) calls: LeaderCalls,
     pub(crate) freshness: Freshness,
     pub(crate) stopping: Stopping,
@@ -61,6 +67,9 @@
             order_permits: OrderPermits::default(),
             order_log: Mutex::default(),
             trials: Mutex::default(),
+            lender: Mutex::default(),
+            allowances: Mutex::default(),
+            quota_bounds: Mutex::new(settings.bounds.quota),
             calls: LeaderCalls::default(),
             freshness: Freshness::new(&settings.bounds),
             stopping: Stopping::new(&settings.bounds),
@@ -82,6 +91,7 @@
         self.knowledge.take_bounds(bounds);
         self.freshness.take_bounds(bounds);
         self.store.take_bounds(bounds);
+        *self.quota_bounds.lock().unwrap_or_else(PoisonError::into_inner) = bounds.quota;
         self.stopping.take_bounds(bounds);
         self.tell(Message::QuietTime(bounds.order_quiet_ms));
     }
@@ -101,6 +111,21 @@
         look(&mut self.trials.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Looks at, or changes, what this daemon has to lend while it leads.
+    pub(crate) fn with_lender<R>(&self, look: impl FnOnce(&mut Lender) -> R) -> R {
+        look(&mut self.lender.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Looks at, or changes, what it may spend of the limits of teams.
+    pub(crate) fn with_allowances<R>(&self, look: impl FnOnce(&mut Allowances) -> R) -> R {
+        look(&mut self.allowances.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// How far teams may exceed their limits, as settings say.
+    pub(crate) fn quota_bounds(&self) -> Option<QuotaSettings> {
+        *self.quota_bounds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The endpoints of a service that may get new work.
     pub(crate) fn usable(&self, service: &ServiceName) -> BTreeMap<EndpointName, Arc<Endpoint>> {
         self.knowledge.with(|beliefs| {
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod crashes;
 mod daemon;
 mod knowledge;
+mod lending;
 pub mod logs;
 mod metrics;
 mod net;
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -1,6 +1,6 @@
 //! Serves other daemons.
 
-use crate::{control::message::Message, crashes, daemon::Daemon, trial};
+use crate::{control::message::Message, crashes, daemon::Daemon, lending, trial};
 use async_compat::{Compat, CompatExt};
 use futures_util::StreamExt;
 use smol::net::{TcpListener, TcpStream};
@@ -13,6 +13,7 @@
 };
 use tokio_util::codec::LengthDelimitedCodec;
 use trestle_wire::{
+    lending::{WireBorrowing, WireLoan},
     relay::{WireConfig, WireHave, WireNews, WireRelay},
     replicas::{Replicas, WireAsking, WireSynced},
     trials::{WireTrial, WireTrialAnswer},
@@ -64,6 +65,10 @@
         synced
     }
 
+    async fn lend(self, _: Context, borrowing: WireBorrowing) -> WireLoan {
+        lending::lend(&self.0, borrowing).await
+    }
+
     async fn try_out(self, _: Context, trial: WireTrial) -> WireTrialAnswer {
         trial::decide(&self.0, trial).await
     }
--- a/crates/trestle-entry/src/traffic/answer.rs
+++ b/crates/trestle-entry/src/traffic/answer.rs
@@ -29,6 +29,11 @@
     BadRequest,
     /// The caller gave no key that is known.
     NoKey,
+    /// Its team has used up its limit; it did not run and will not.
+    OverLimit {
+        /// When the caller should come back.
+        retry_after_ms: u64,
+    },
     /// No route leads anywhere.
     NoRoute,
     /// The body is larger than allowed.
@@ -52,6 +57,7 @@
         match self {
             Self::BadRequest => "bad_request",
             Self::NoKey => "no_key",
+            Self::OverLimit { .. } => "over_limit",
             Self::NoRoute => "no_route",
             Self::TooLarge => "too_large",
             Self::NotRun { .. } => "not_run",
@@ -65,6 +71,7 @@
         let status = match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -77,7 +84,7 @@
             let scheme = HeaderValue::from_static(KEY_SCHEME);
             response.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
         }
-        if let Self::NotRun { retry_after_ms, .. } = self {
+        if let Self::NotRun { retry_after_ms, .. } | Self::OverLimit { retry_after_ms } = self {
             let seconds = retry_after_ms.max(LEAST_RETRY_AFTER_MS) as f64 / 1e3;
             if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
                 response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -46,6 +46,9 @@
     let sent = waited.unwrap_or_else(|| Err(Unanswered::TimedOut(task.elapsed_ms() - sent_ms)));
     let now_ms = task.daemon.knowledge.now_ms();
     let name = &taken.endpoint.name;
+    let may_have_run =
+        sent.as_ref().map_or_else(|unanswered| unanswered.end().may_have_run(), |_| true);
+    task.payment.ended(may_have_run);
     match sent {
         Ok((connection, response, head)) => Ok(Attempt { taken, connection, response, head }),
         Err(unanswered) => {
@@ -91,6 +94,9 @@
         if !task.daemon.knowledge.with(|beliefs| beliefs.directory.is_usable(&endpoint.life())) {
             return Err(Unanswered::Left);
         }
+        if !task.payment.send(task, task.daemon.knowledge.now_ms()) {
+            return Err(Unanswered::Left);
+        }
         match connection.send(task.request(endpoint, last_event_id)).await {
             Ok(response) => return check(task, connection, response).await,
             // A kept connection had been closed; the request never left.
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -4,6 +4,7 @@
     daemon::Daemon,
     traffic::{
         answer::{Body, Failure},
+        payment::Payment,
         plain,
         report::{self, Ended, StreamSeen},
         stream,
@@ -139,6 +140,7 @@
         sent_after_ms: AtomicU64::new(NOT_SENT),
         list: Mutex::default(),
         trial: Trial::default(),
+        payment: Payment::default(),
     })
 }
 
--- a/crates/trestle-entry/src/traffic/mod.rs
+++ b/crates/trestle-entry/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod handle;
 pub(crate) mod outcome;
 pub(crate) mod patience;
+pub(crate) mod payment;
 mod plain;
 pub(crate) mod report;
 pub(crate) mod select;
--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -45,6 +45,7 @@
     let took_ms = task.elapsed_ms();
     let (retry_after_ms, why) = match end {
         Ended::Failed(Failure::NotRun { retry_after_ms, why }) => (Some(retry_after_ms), Some(why)),
+        Ended::Failed(Failure::OverLimit { retry_after_ms }) => (Some(retry_after_ms), None),
         _ => (None, None),
     };
     let list = endpoint.map(|_| task.list());
@@ -55,6 +56,8 @@
         config = task.config_version,
         model = task.head.model.as_ref().map(AsRef::<str>::as_ref),
         adapter = task.head.adapter.as_ref().map(AsRef::<str>::as_ref),
+        team = task.identity.team().map(|team| team.name.as_str()),
+        tokens = task.head.tokens,
         priority = task.route.priority,
         objective_ms = task.route.objective_ms,
         end = end.name(),
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -4,6 +4,7 @@
     daemon::Daemon,
     traffic::{
         answer::{Failure, RETRY_SOON_MS},
+        payment,
         task::Task,
     },
 };
@@ -36,6 +37,7 @@
 /// Fails at once where none will be there in time; the request did not run by this.
 pub(crate) async fn select(task: &Arc<Task>, sends: &Sends) -> Result<Taken, Failure> {
     let mut wish: Option<WishGuard> = None;
+    payment::check(task)?;
     loop {
         let changed = task.daemon.knowledge.changed();
         if !task.still_counts() {
@@ -55,6 +57,10 @@
                 let why = reason.map_or("no_endpoint", Reason::name);
                 return Err(Failure::NotRun { retry_after_ms, why });
             }
+            Selection::Pay => {
+                payment::pay(task).await?;
+                continue;
+            }
             Selection::Wait { until_ms } => until_ms,
         };
         if !task.daemon.stopping.can_begin(task.daemon.knowledge.now_ms()) {
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -1,6 +1,11 @@
 //! One request on its way.
 
-use crate::{broken, daemon::Daemon, trial::Trial};
+use crate::{
+    broken,
+    daemon::Daemon,
+    traffic::payment::{self, Payment},
+    trial::Trial,
+};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
@@ -46,6 +51,8 @@
     pub(crate) list: Mutex<ListSeen>,
     /// Whether it may run although endpoints may have ended under it.
     pub(crate) trial: Trial,
+    /// What it has taken from its team's limit.
+    pub(crate) payment: Payment,
 }
 
 /// The list that an endpoint was chosen from, for logs.
@@ -70,6 +77,7 @@
             elapsed_ms: self.elapsed_ms(),
             wish: None,
             is_trial: self.trial.is_begun(),
+            is_paid: self.payment.is_made(self, self.daemon.knowledge.now_ms()),
         }
     }
 
@@ -158,3 +166,9 @@
         request
     }
 }
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        payment::give_back(self);
+    }
+}
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -155,12 +155,14 @@
             elapsed_ms,
             wish: of.wish,
             is_trial: false,
+            is_paid: true,
         };
         let beliefs = &mut self.daemons[of.daemon].beliefs;
         match selection::select(beliefs, asking, &of.sends, lot, now_ms) {
             Selection::Send(endpoint) => self.send(request, endpoint),
             Selection::Wait { until_ms } => self.wait(request, until_ms, elapsed_ms),
             Selection::Try => unreachable!("engines here do not end under requests"),
+            Selection::Pay => unreachable!("teams here have no limits"),
             Selection::Refuse { retry_after_ms, .. } => self.refuse(request, retry_after_ms),
         }
     }
@@ -186,6 +188,7 @@
             elapsed_ms: 0,
             wish: None,
             is_trial: false,
+            is_paid: true,
         };
         let Some(wish) = selection::wish(asking, due_ms) else { return };
         daemon.next_number += 1;
@@ -374,6 +377,7 @@
             elapsed_ms: (self.now_us - of.arrived_us) / 1_000,
             wish: None,
             is_trial: false,
+            is_paid: true,
         };
         let beliefs = &mut self.daemons[of.daemon].beliefs;
         let moves =
@@ -432,6 +436,7 @@
             elapsed_ms: (self.now_us - of.arrived_us) / 1_000,
             wish: None,
             is_trial: false,
+            is_paid: true,
         };
         let daemon = &mut self.daemons[of.daemon];
         let wish = selection::wish_of_returning(self.policy, asking, retry_after_ms, now_ms);
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`placements`]: where models are, by change.
 //! - [`relay`]: what the leader passes on of the store.
 //! - [`crashes`]: requests under which endpoints ended; [`trials`]: which attempt of one may run.
+//! - [`lending`]: parts of the limits of teams.
 //! - [`claim`]: calls that may not be repeated.
 //! - [`admin`]: what operators ask a daemon.
 //! - [`habits`]: what is kept of the times at which models are used.
@@ -22,6 +23,7 @@
 mod error;
 pub mod habits;
 pub mod headers;
+pub mod lending;
 pub mod order;
 pub mod peer;
 pub mod placements;
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     crashes::{WireCrash, WireRefused},
+    lending::{WireBorrowing, WireLoan},
     placements::{WireDelta, WireName},
     relay::{WireHave, WireRelay},
     trials::{WireTrial, WireTrialAnswer},
@@ -25,6 +26,8 @@
     async fn sync(asking: WireAsking) -> WireSynced;
     /// Asks whether an attempt of a request that ended endpoints may run, or says that it has ended.
     async fn try_out(trial: WireTrial) -> WireTrialAnswer;
+    /// Asks for a part of a team's limit.
+    async fn lend(borrowing: WireBorrowing) -> WireLoan;
 }
 
 /// What a daemon tells a leader, and what it has heard already.
