--- a/crates/trestle-dispatch/tests/text_delta.rs
+++ b/crates/trestle-dispatch/tests/text_delta.rs
@@ -13,6 +13,23 @@
     format!("{{\"version\":{version},\"routes\":[{}]}}", each.join(",")).into_bytes()
 }
 
+/// A configuration whose routes and models all have names of their own.
+fn configuration(version: u64, count: u32, timeout_ms: u64, key: &str) -> Vec<u8> {
+    let name = |number: u32| number.wrapping_mul(2_654_435_761);
+    let routes = (0..count).map(|route| {
+        let (name, fields) = (name(route), "\"route_kind\":\"streaming\",\"attempts\":2,\"public\":false");
+        format!("{{\"name\":\"r-{name:x}\",\"prefix\":\"/lohu{route}/\",\"timeout_ms\":{timeout_ms},{fields}}},")
+    });
+    let models = (0..778).map(|model| {
+        let (name, adapters) = (name(model), model % 20);
+        format!("{{\"name\":\"daka{name:x}\",\"weights_mb\":72700.0,\"adapters\":{adapters}}},")
+    });
+    let (routes, models): (String, String) = (routes.collect(), models.collect());
+    let teams = format!("\"tenants\":[{{\"name\":\"red\",\"keys\":[\"{key}\"]}}]");
+    format!("{{\"version\":{version},\"routes\":[{routes}],\"models\":[{models}],{teams}}}")
+        .into_bytes()
+}
+
 fn new_bytes(pieces: &[TextPiece]) -> usize {
     let each = pieces.iter().map(|piece| match piece {
         TextPiece::New(bytes) => bytes.len(),
@@ -64,15 +81,14 @@
 
     // By fields this took 2,000 times as long as a changed route, for which a leader stood still.
     a_thousand_new_routes_and_another_change_take_little_longer_than_a_few => {
-        let tail = |key: &str| format!("{:?}{{\"keys\":[\"{key}\"]}}", routes(0, &[1; 60])).into_bytes();
-        let few = [routes(7, &[4_000; 100]), tail("a")].concat();
-        let many = [routes(8, &[4_000; 1_400]), tail("b")].concat();
+        let few = configuration(7, 50, 4_000, "a");
+        let many = configuration(8, 1_338, 4_000, "b");
         let time = |old: &[u8], new: &[u8]| {
             let begun = std::time::Instant::now();
             let delta = text_delta(old, new);
             (begun.elapsed(), delta.is_some())
         };
-        let (one, _) = time(&few, &[routes(9, &[5_000; 100]), tail("b")].concat());
+        let (one, _) = time(&few, &configuration(9, 50, 5_000, "b"));
         let (all, _) = time(&few, &many);
         assert!(all < one * 200, "{all:?} against {one:?}");
     }
