Lend on what was earned while no leader can follow

Change: a lease counts for lending until it runs out, not until orders must stop leaving; what lay in buckets then is lent on, as long as nobody who follows can have earned as much since (one burst's time). Nothing is earned after the lease, and nothing given to other leaders.

--- a/crates/trestle-dispatch/src/lender.rs
+++ b/crates/trestle-dispatch/src/lender.rs
@@ -17,16 +17,36 @@
 /// Time for which other leaders are not asked again that had nothing to give.
 const NOTHING_GIVEN_MS: u64 = 150;
 
+/// Time after which a lease that has run out leaves nothing behind.
+const FORGOTTEN_MS: u64 = 10_000;
+
 /// What a leader has of each team's limit.
 #[derive(Debug, Default)]
 pub struct Lender {
     by_team: BTreeMap<TeamName, Bucket>,
-    /// Groups whose parts are earned, with the tokens of their leases.
-    groups: BTreeMap<DomainName, u64>,
-    /// Since when.
+    /// Leases that are held, or were lately, by group.
+    leases: BTreeMap<DomainName, GroupLease>,
+    /// When they last changed.
     since_ms: u64,
 }
 
+/// One lease, as far as lending depends on it.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub struct HeldLease {
+    /// Its token.
+    pub token: u64,
+    /// Until when it is held for certain.
+    pub until_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct GroupLease {
+    held: HeldLease,
+    /// Since when it is no longer held.
+    lapsed_ms: Option<u64>,
+}
+
 #[derive(Debug)]
 struct Bucket {
     units: f64,
@@ -47,45 +67,79 @@
         /// Time until there will be enough, for whoever asked.
         in_ms: u64,
     },
+    /// There are too few, and this daemon does not lead.
+    NotLending,
 }
 
 impl Lender {
-    /// Sets which groups this daemon leads, with the tokens of their leases. What is earned for
-    /// a further group starts at nothing; with a group that is lost goes what lay in its bucket.
-    pub fn set_groups(&mut self, groups: BTreeMap<DomainName, u64>, now_ms: u64) {
-        if groups == self.groups {
-            return;
+    /// Sets which leases this daemon holds now. What is earned for a further group starts at
+    /// nothing. What was earned under a lease that has run out is still lent, as long as nobody
+    /// else can have earned as much since: with the store away no other leader follows.
+    pub fn set_leases(&mut self, held: &BTreeMap<DomainName, HeldLease>, now_ms: u64) {
+        let mut has_changed = false;
+        for (group, lease) in held {
+            let known = self.leases.get(group).copied();
+            let is_held = known
+                .is_some_and(|known| known.lapsed_ms.is_none() && known.held.token == lease.token);
+            // Another one may have held it since, and have earned for it.
+            if !is_held && known.is_some_and(|known| known.held.token + 1 != lease.token) {
+                self.drop_part();
+            }
+            has_changed |= !is_held;
+            self.leases.insert(group.clone(), GroupLease { held: *lease, lapsed_ms: None });
+        }
+        for (group, lease) in &mut self.leases {
+            if lease.lapsed_ms.is_none() && !held.contains_key(group) {
+                lease.lapsed_ms = Some(lease.held.until_ms.min(now_ms));
+                has_changed = true;
+            }
         }
-        let is_kept = |(group, token): (&DomainName, &u64)| groups.get(group) == Some(token);
-        let before = self.groups.len();
-        let kept = self.groups.iter().filter(|held| is_kept(*held)).count();
-        for bucket in self.by_team.values_mut() {
-            bucket.units *= kept as f64 / before.max(1) as f64;
+        self.leases.retain(|_, lease| {
+            lease.lapsed_ms.is_none_or(|lapsed_ms| now_ms < lapsed_ms + FORGOTTEN_MS)
+        });
+        if has_changed {
             // What is not settled yet is given up: it may have been earned by another.
-            bucket.at_ms = now_ms;
+            self.by_team.values_mut().for_each(|bucket| bucket.at_ms = now_ms);
+            self.since_ms = now_ms;
         }
-        self.groups = groups;
-        self.since_ms = now_ms;
     }
 
-    /// Whether this daemon lends.
-    pub fn lends(&self) -> bool {
-        !self.groups.is_empty()
+    /// Gives up what may lie in buckets for one of the groups.
+    fn drop_part(&mut self) {
+        let groups = self.leases.len().max(1) as f64;
+        self.by_team.values_mut().for_each(|bucket| bucket.units *= (groups - 1.0) / groups);
+    }
+
+    /// Groups for which this daemon earns.
+    fn earning(&self) -> usize {
+        self.leases.values().filter(|lease| lease.lapsed_ms.is_none()).count()
+    }
+
+    /// Most that may lie in a bucket now.
+    fn most_units(&self, plan: &QuotaPlan, now_ms: u64) -> f64 {
+        let each = self.leases.values().map(|lease| {
+            let lapsed_ms = lease.lapsed_ms.map_or(0, |at_ms| now_ms.saturating_sub(at_ms));
+            (plan.most_units - plan.units_per_ms * lapsed_ms as f64).max(0.0)
+        });
+        each.sum()
     }
 
     /// Lends a team's daemon some units.
     pub fn lend(&mut self, team: &TeamName, units: u64, plan: &QuotaPlan, now_ms: u64) -> Loan {
-        let groups = self.groups.len();
+        let groups = self.earning();
         let bucket = self.settled(team, plan, now_ms);
         let wanted = units as f64;
         if bucket.units >= wanted {
             bucket.units -= wanted;
             return Loan::Lent(units);
         }
+        if groups == 0 {
+            return Loan::NotLending;
+        }
         let earned = plan.units_per_ms * groups as f64;
         let missing = wanted - bucket.units + bucket.refused;
         bucket.refused += wanted;
-        Loan::Refused { in_ms: (missing / earned.max(f64::MIN_POSITIVE)).ceil() as u64 }
+        Loan::Refused { in_ms: (missing / earned).ceil() as u64 }
     }
 
     /// Takes that a refused question was met after all, by what another leader gave.
@@ -97,6 +151,9 @@
 
     /// What another leader gets that has too little.
     pub fn give(&mut self, team: &TeamName, units: u64, plan: &QuotaPlan, now_ms: u64) -> u64 {
+        if self.earning() == 0 {
+            return 0;
+        }
         let bucket = self.settled(team, plan, now_ms);
         let given = (bucket.units * MOST_GIVEN).min(units as f64).floor();
         bucket.units -= given;
@@ -130,12 +187,13 @@
 
     /// A team's bucket with everything in it that was earned until now.
     fn settled(&mut self, team: &TeamName, plan: &QuotaPlan, now_ms: u64) -> &mut Bucket {
-        let (groups, since_ms) = (self.groups.len() as f64, self.since_ms);
+        let (groups, since_ms) = (self.earning() as f64, self.since_ms);
+        let most_units = self.most_units(plan, now_ms);
         let new = || Bucket { units: 0.0, at_ms: since_ms, refused: 0.0, ask_others_ms: 0 };
         let bucket = self.by_team.entry(team.clone()).or_insert_with(new);
         let passed_ms = now_ms.saturating_sub(bucket.at_ms) as f64;
         let earned = plan.units_per_ms * groups * passed_ms;
-        bucket.units = (bucket.units + earned).min(plan.most_units * groups);
+        bucket.units = (bucket.units + earned).min(most_units);
         bucket.refused *= (-passed_ms / REFUSED_COUNTS_MS).exp();
         bucket.at_ms = now_ms;
         bucket
--- a/crates/trestle-dispatch/tests/quota.rs
+++ b/crates/trestle-dispatch/tests/quota.rs
@@ -5,7 +5,7 @@
 use trestle_core::names::{DomainName, TeamName};
 use trestle_dispatch::{
     allowance::Allowances,
-    lender::{Lender, Loan},
+    lender::{HeldLease, Lender, Loan},
     quota::{QuotaBounds, QuotaPlan},
     team::{LimitUnit, TeamLimit},
 };
@@ -28,8 +28,10 @@
     QuotaPlan::new(&limit(per_s), &BOUNDS, GROUPS)
 }
 
-fn groups(count: usize) -> BTreeMap<DomainName, u64> {
-    (0..count).map(|group| (format!("z{group}").into(), 1)).collect()
+/// Leases on so many groups that do not run out.
+fn leases(count: usize) -> BTreeMap<DomainName, HeldLease> {
+    let lease = HeldLease { token: 1, until_ms: u64::MAX };
+    (0..count).map(|group| (format!("z{group}").into(), lease)).collect()
 }
 
 fn team() -> TeamName {
@@ -42,6 +44,8 @@
     now_ms: u64,
     /// For each group the daemon that leads it.
     leaders: [usize; GROUPS],
+    /// The daemons that led before, which some others still ask.
+    former: [usize; GROUPS],
     /// The tokens of their leases.
     tokens: [u64; GROUPS],
     lenders: Vec<Lender>,
@@ -61,6 +65,7 @@
             plan: plan(per_s),
             now_ms: 1_000,
             leaders: [0, 1, 2],
+            former: [0, 1, 2],
             tokens: [1; GROUPS],
             lenders: (0..DAEMONS).map(|_| Lender::default()).collect(),
             allowances: (0..DAEMONS).map(|_| Allowances::default()).collect(),
@@ -76,8 +81,11 @@
     fn set_groups(&mut self) {
         for (daemon, lender) in self.lenders.iter_mut().enumerate() {
             let led = (0..GROUPS).filter(|group| self.leaders[*group] == daemon);
-            let led = led.map(|group| (format!("z{group}").into(), self.tokens[group]));
-            lender.set_groups(led.collect(), self.now_ms);
+            let led = led.map(|group| {
+                let lease = HeldLease { token: self.tokens[group], until_ms: u64::MAX };
+                (format!("z{group}").into(), lease)
+            });
+            lender.set_leases(&led.collect(), self.now_ms);
         }
     }
 
@@ -88,6 +96,7 @@
         if self.random.bool() {
             self.lenders[self.leaders[group]] = Lender::default();
         }
+        self.former[group] = self.leaders[group];
         self.leaders[group] = leader;
         self.tokens[group] += 1;
         self.set_groups();
@@ -104,7 +113,9 @@
             self.refused += units;
             return false;
         }
-        let leader = self.leaders[daemon % GROUPS];
+        let asks_former = self.random.u32(..4) == 0;
+        let asked = if asks_former { &self.former } else { &self.leaders };
+        let leader = asked[daemon % GROUPS];
         let mut loan = self.lenders[leader].lend(&team, units, &plan, now_ms);
         if matches!(loan, Loan::Refused { .. })
             && let Some(wanted) = self.lenders[leader].to_ask_others(&team, units, &plan, now_ms)
@@ -129,6 +140,10 @@
                 self.spent.push((now_ms + late_ms, lent));
                 true
             }
+            Loan::NotLending => {
+                self.refused += units;
+                false
+            }
             Loan::Refused { in_ms } => {
                 self.allowances[daemon].refused(&team, in_ms, now_ms);
                 self.refused += units;
@@ -214,14 +229,26 @@
 
     a_leader_starts_with_nothing => {
         let (plan, mut lender) = (plan(30_000), Lender::default());
-        lender.set_groups(groups(1), 10_000);
+        lender.set_leases(&leases(1), 10_000);
         assert!(matches!(lender.lend(&team(), USUAL, &plan, 10_000), Loan::Refused { .. }));
         assert_eq!(lender.lend(&team(), USUAL, &plan, 10_200), Loan::Lent(USUAL));
     }
 
+    // The store is away: nobody renews, and nobody can follow.
+    a_leader_whose_lease_ran_out_lends_what_it_had_for_a_while => {
+        let (plan, mut lender) = (plan(30_000), Lender::default());
+        lender.set_leases(&leases(1), 0);
+        assert_eq!(lender.lend(&team(), 1, &plan, 9_000), Loan::Lent(1));
+        lender.set_leases(&BTreeMap::new(), 9_000);
+        assert_eq!(lender.lend(&team(), USUAL, &plan, 9_500), Loan::Lent(USUAL));
+        assert_eq!(lender.give(&team(), USUAL, &plan, 9_500), 0);
+        let emptied_ms = 9_000 + (plan.most_units / plan.units_per_ms) as u64;
+        assert_eq!(lender.lend(&team(), USUAL, &plan, emptied_ms), Loan::NotLending);
+    }
+
     what_is_told_a_refused_caller_comes_true => {
         let (plan, mut lender) = (plan(4_200), Lender::default());
-        lender.set_groups(groups(GROUPS), 0);
+        lender.set_leases(&leases(GROUPS), 0);
         let Loan::Refused { in_ms } = lender.lend(&team(), USUAL, &plan, 0) else { panic!("lent") };
         assert!((200..300).contains(&in_ms), "{in_ms}");
         assert_eq!(lender.lend(&team(), USUAL, &plan, in_ms), Loan::Lent(USUAL));
@@ -229,7 +256,7 @@
 
     a_limit_that_is_lowered_empties_its_bucket => {
         let mut lender = Lender::default();
-        lender.set_groups(groups(1), 0);
+        lender.set_leases(&leases(1), 0);
         assert_eq!(lender.lend(&team(), USUAL, &plan(273_068), 9_000), Loan::Lent(USUAL));
         let low = plan(600);
         let mut lent = 0;
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -114,10 +114,10 @@
             let (daemon, group) = (Arc::clone(&self.daemon), self.group.clone());
             smol::spawn(send(daemon, group, write, now_ms)).detach();
         }
-        let (from_ms, until_ms) = self.lease.order_window();
+        let (from_ms, held_until_ms) = self.lease.order_window();
         let token = self.lease.seen().map_or(0, |(row, _)| row.token);
-        let until_ms = until_ms.saturating_sub(FLIGHT_MS);
-        self.daemon.order_permits.set(&self.group, token, from_ms, until_ms);
+        let window = (from_ms, held_until_ms.saturating_sub(FLIGHT_MS));
+        self.daemon.order_permits.set(&self.group, token, window, held_until_ms);
         self.note_change(now_ms);
     }
 
--- a/crates/trestle-entry/src/control/permit.rs
+++ b/crates/trestle-entry/src/control/permit.rs
@@ -8,6 +8,7 @@
     sync::{Mutex, PoisonError},
 };
 use trestle_core::names::DomainName;
+use trestle_dispatch::lender::HeldLease;
 
 /// Said of when orders may leave while a lease is not certain; a renewal takes about as long.
 const UNKNOWN_MS: u64 = 1_000;
@@ -23,13 +24,21 @@
     token: u64,
     from_ms: u64,
     until_ms: u64,
+    /// Until when the lease is held; orders stop leaving before.
+    held_until_ms: u64,
 }
 
 impl OrderPermits {
-    /// Sets the window of a group.
-    pub(crate) fn set(&self, group: &DomainName, token: u64, from_ms: u64, until_ms: u64) {
+    /// Sets the window of a group, and until when its lease is held.
+    pub(crate) fn set(
+        &self,
+        group: &DomainName,
+        token: u64,
+        (from_ms, until_ms): (u64, u64),
+        held_until_ms: u64,
+    ) {
         let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
-        windows.insert(group.clone(), Window { token, from_ms, until_ms });
+        windows.insert(group.clone(), Window { token, from_ms, until_ms, held_until_ms });
     }
 
     /// Time until orders to a group may leave, as far as that is known.
@@ -47,11 +56,15 @@
         (window.from_ms <= now_ms && now_ms < window.until_ms).then_some(window.token)
     }
 
-    /// The groups whose leases this daemon holds for certain, with their fencing numbers.
-    pub(crate) fn held(&self, now_ms: u64) -> BTreeMap<DomainName, u64> {
+    /// The leases that this daemon holds for certain, by group.
+    pub(crate) fn held(&self, now_ms: u64) -> BTreeMap<DomainName, HeldLease> {
         let windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
-        let held = windows.iter().filter(|(_, window)| now_ms < window.until_ms);
-        held.map(|(group, window)| (group.clone(), window.token)).collect()
+        let held = windows.iter().filter(|(_, window)| now_ms < window.held_until_ms);
+        let held = held.map(|(group, window)| {
+            let (token, until_ms) = (window.token, window.held_until_ms);
+            (group.clone(), HeldLease { token, until_ms })
+        });
+        held.collect()
     }
 
     fn window(&self, group: &DomainName) -> Window {
--- a/crates/trestle-entry/src/lending.rs
+++ b/crates/trestle-entry/src/lending.rs
@@ -67,7 +67,8 @@
         let loan = match calls::leader(daemon, attempt).await {
             Leader::Here { .. } => lend(daemon, borrowing.clone()).await,
             Leader::At { address, .. } => borrow_at(daemon, address, borrowing.clone()).await,
-            Leader::Nobody => WireLoan::NotLending,
+            // It may have led until a moment ago.
+            Leader::Nobody => lend(daemon, borrowing.clone()).await,
         };
         if loan != WireLoan::NotLending {
             return loan;
@@ -88,35 +89,29 @@
     let Some(plan) = plan(daemon, &team) else { return WireLoan::NotLending };
     let units = borrowing.units;
     if borrowing.is_leader {
-        let given = with_lender(daemon, |lender, now_ms| lender.give(&team, units, &plan, now_ms));
-        return given.map_or(WireLoan::NotLending, |units| WireLoan::Lent { units });
+        let units = with_lender(daemon, |lender, now_ms| lender.give(&team, units, &plan, now_ms));
+        return WireLoan::Lent { units };
     }
-    let loan =
-        with_lender(daemon, |lender, now_ms| match lender.lend(&team, units, &plan, now_ms) {
-            Loan::Refused { in_ms } => {
-                (Loan::Refused { in_ms }, lender.to_ask_others(&team, units, &plan, now_ms))
-            }
-            lent => (lent, None),
-        });
-    match loan {
-        None => WireLoan::NotLending,
-        Some((loan, None)) => loan.into(),
-        Some((refused, Some(wanted))) => {
-            let given = ask_others(daemon, &team, wanted).await;
-            let again = with_lender(daemon, |lender, now_ms| {
-                lender.receive(&team, given, &plan, now_ms);
-                if given == 0 {
-                    lender.nothing_given(&team, now_ms);
-                    return refused;
-                }
-                let again = lender.lend(&team, units, &plan, now_ms);
-                // Both questions are one.
-                lender.met(&team, units);
-                again
-            });
-            again.map_or(WireLoan::NotLending, WireLoan::from)
+    let (loan, wanted) = with_lender(daemon, |lender, now_ms| {
+        let loan = lender.lend(&team, units, &plan, now_ms);
+        let is_short = matches!(loan, Loan::Refused { .. });
+        let wanted = is_short.then(|| lender.to_ask_others(&team, units, &plan, now_ms));
+        (loan, wanted.flatten())
+    });
+    let Some(wanted) = wanted else { return loan.into() };
+    let given = ask_others(daemon, &team, wanted).await;
+    let again = with_lender(daemon, |lender, now_ms| {
+        if given == 0 {
+            lender.nothing_given(&team, now_ms);
+            return loan;
         }
-    }
+        lender.receive(&team, given, &plan, now_ms);
+        let again = lender.lend(&team, units, &plan, now_ms);
+        // Both questions are one.
+        lender.met(&team, units);
+        again
+    });
+    again.into()
 }
 
 /// Asks other leaders, one after the other, until there is enough.
@@ -139,11 +134,11 @@
 }
 
 /// Looks at what this daemon may lend, as of the leases that it holds at this moment.
-fn with_lender<R>(daemon: &Daemon, look: impl FnOnce(&mut Lender, u64) -> R) -> Option<R> {
+fn with_lender<R>(daemon: &Daemon, look: impl FnOnce(&mut Lender, u64) -> R) -> R {
     daemon.with_lender(|lender| {
         let now_ms = daemon.knowledge.now_ms();
-        lender.set_groups(daemon.order_permits.held(now_ms), now_ms);
-        lender.lends().then(|| look(lender, now_ms))
+        lender.set_leases(&daemon.order_permits.held(now_ms), now_ms);
+        look(lender, now_ms)
     })
 }
 
--- a/crates/trestle-wire/src/lending.rs
+++ b/crates/trestle-wire/src/lending.rs
@@ -36,6 +36,7 @@
         match loan {
             Loan::Lent(units) => Self::Lent { units },
             Loan::Refused { in_ms } => Self::Refused { in_ms },
+            Loan::NotLending => Self::NotLending,
         }
     }
 }
