--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -37,8 +37,9 @@
 /// When a caller should come back while the daemon knows no configuration yet.
 const UNKNOWN_RETRY_MS: u64 = 500;
 
-/// The same while it cannot tell whether a key counts; another daemon may.
-const UNSURE_RETRY_MS: u64 = 250;
+/// The same while it cannot tell whether a key counts. The store has been away for seconds then;
+/// whoever comes back at once is refused again.
+const UNSURE_RETRY_MS: u64 = 2_000;
 
 /// The same while the daemon is stopping; another daemon takes the next attempt.
 const STOPPING_RETRY_MS: u64 = 100;
--- a/crates/trestle-entry/src/traffic/payment.rs
+++ b/crates/trestle-entry/src/traffic/payment.rs
@@ -16,8 +16,9 @@
 const WAIT_PART: u64 = 8;
 /// Time by which a request may reach its endpoint after it must have left.
 const SEND_MS: u64 = 300;
-/// When a caller should come back while nobody can be asked for its team.
-const NO_LENDER_MS: u64 = 500;
+/// When a caller should come back while nobody can be asked for its team: a lease whose holder was
+/// lost is free after about that time. Sooner it is refused again.
+const NO_LENDER_MS: u64 = 2_000;
 
 /// What one request has taken from its team's limit.
 #[derive(Debug, Default)]
