Tell daemons of requests that are tried, not only of those that are refused

Cause: leaders told daemons only of requests under which three endpoints had ended.

Change: what is tried is told like what is refused; leases' rows keep the refused ones alone.

Tests: trials.rs, two cases, red before.

--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -118,12 +118,13 @@
         (changed.map(|(request, record)| record.report(*request, now_ms)).collect(), self.changes)
     }
 
-    /// Number of the last change of a request that is refused, or was until it had an answer.
+    /// Number of the last change of a request that is tried or refused, or was until it had an
+    /// answer.
     pub fn refused_changes(&self) -> u64 {
         self.refused_changes
     }
 
-    /// Requests that are refused, or were until they had an answer, the last ones first, and the
+    /// Requests that are tried or refused, or were until they had an answer, the last ones first, and the
     /// number of their last change.
     pub fn refused(&self, now_ms: u64) -> (Vec<CrashReport>, u64) {
         let mut refused: Vec<(u64, CrashReport)> = self
@@ -131,7 +132,7 @@
             .iter()
             .filter_map(|(request, record)| {
                 let last_ms = record.last_ms();
-                let is_told = record.ends.len() >= MOST_ENDS && now_ms < last_ms + FORGOTTEN_MS;
+                let is_told = record.ends.len() >= TRIED_ENDS && now_ms < last_ms + FORGOTTEN_MS;
                 is_told.then(|| (last_ms, record.report(*request, now_ms)))
             })
             .collect();
@@ -165,7 +166,7 @@
         self.changes += 1;
         let Some(record) = self.by_request.get_mut(&request) else { return };
         record.changed = self.changes;
-        if record.ends.len() >= MOST_ENDS {
+        if record.ends.len() >= TRIED_ENDS {
             self.refused_changes = self.changes;
         }
     }
--- a/crates/trestle-dispatch/tests/trials.rs
+++ b/crates/trestle-dispatch/tests/trials.rs
@@ -71,4 +71,30 @@
         crashes.served(REQUEST);
         assert!(!crashes.must_be_tried(REQUEST));
     }
+
+    // Attempts of three to five daemons that had seen neither end reached the third engine at once.
+    a_daemon_that_saw_neither_end_hears_of_both_from_its_leader => {
+        let (mut leader, mut other) = (Crashes::default(), Crashes::default());
+        leader.ended(REQUEST, &life(0), 0);
+        let (_, before) = leader.refused(50);
+        leader.ended(REQUEST, &life(1), 100);
+        let (told, number) = leader.refused(200);
+        assert!(number > before, "it is news for askers");
+        other.heard(&told, 200);
+        assert!(other.must_be_tried(REQUEST));
+        assert_eq!(other.refused_for_ms(REQUEST, 200), None);
+    }
+
+    an_answer_takes_back_what_askers_were_told => {
+        let (mut leader, mut other) = (Crashes::default(), Crashes::default());
+        leader.ended(REQUEST, &life(0), 0);
+        leader.ended(REQUEST, &life(1), 100);
+        let (told, before) = leader.refused(200);
+        other.heard(&told, 200);
+        leader.served(REQUEST);
+        let (told, number) = leader.refused(300);
+        assert!(number > before);
+        other.heard(&told, 300);
+        assert!(!other.must_be_tried(REQUEST));
+    }
 }
--- a/crates/trestle-entry/src/crashes.rs
+++ b/crates/trestle-entry/src/crashes.rs
@@ -100,6 +100,7 @@
 pub(crate) fn refused_for_row(daemon: &Daemon) -> Vec<CrashReport> {
     let now_ms = daemon.knowledge.now_ms();
     let (mut refused, _) = daemon.knowledge.with(|beliefs| beliefs.crashes.refused(now_ms));
+    refused.retain(|report| report.ends.len() >= MOST_ENDS);
     refused.truncate(MOST_IN_ROW);
     refused
 }
