Read the bound on keys like all bounds, with or without a fraction

Found on rereading the change: the bound on how long a key counts was read as a whole number, past the reader that all other bounds have. A daemon whose settings gave it with a fraction would have ended at its start, on every VM at once. Test: the case in bounds_with_fractions_are_kept_by_whole_numbers, red before.

--- a/crates/trestle-config/src/entry_settings.rs
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -65,7 +65,7 @@
     pub retry_fixed: u32,
     /// Between the acceptance of a configuration that takes a team's key away and the last
     /// request with it, also at VMs that are cut off; none where nothing is agreed on.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole::below_if_given")]
     pub key_withdrawal_ms: Option<u64>,
     /// How far teams may exceed their limits; none where nothing is agreed on.
     #[serde(default)]
--- a/crates/trestle-config/src/whole.rs
+++ b/crates/trestle-config/src/whole.rs
@@ -17,6 +17,15 @@
     whole(f64::deserialize(input)?.floor())
 }
 
+/// The same of one that may be left out, which the field's default stands for then.
+pub(crate) fn below_if_given<'de, D, T>(input: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: TryFrom<u64>,
+{
+    Option::<f64>::deserialize(input)?.map(|number| whole(number.floor())).transpose()
+}
+
 /// Reads a lower bound: the next whole number above.
 pub(crate) fn above<'de, D, T>(input: D) -> Result<T, D::Error>
 where
--- a/crates/trestle-config/tests/files.rs
+++ b/crates/trestle-config/tests/files.rs
@@ -112,6 +112,7 @@
     assert_eq!(bounds("retry_fixed", "33.1578947368421").retry_fixed, 33);
     assert_eq!(bounds("leaving_ms", "2000.5").leaving_ms, 2_000);
     assert_eq!(bounds("stop_s", "8.0").stop_s, 8);
+    assert_eq!(bounds("key_withdrawal_ms", "5000.5").key_withdrawal_ms, Some(5_000));
     assert_eq!(bounds("order_quiet_ms", "3000.5").order_quiet_ms, 3_001);
     assert_eq!(bounds("retry_window_s", "9.1").retry_window_s, 10);
     for wrong in ["-1", "1e40", "\"10\""] {
