Ask the control thread and leaders by one piece of code each

Now Daemon::ask, calls::first_answer, LeaderCalls::call and client::context_for. Nothing else changes.

--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -144,6 +144,13 @@
         self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Asks the control thread something; `None` if it takes no questions any more.
+    pub(crate) async fn ask<T>(&self, question: impl FnOnce(Sender<T>) -> Message) -> Option<T> {
+        let (reply, answer) = async_channel::bounded(1);
+        self.tell(question(reply));
+        answer.recv().await.ok()
+    }
+
     /// Tells the control thread something.
     pub(crate) fn tell(&self, message: Message) {
         // The channel closes only when the control thread has ended with the process.
--- a/crates/trestle-entry/src/lending.rs
+++ b/crates/trestle-entry/src/lending.rs
@@ -4,7 +4,7 @@
 use crate::{
     control::message::{Leader, Message},
     daemon::Daemon,
-    peer::calls::{self, LEADERS_TRIED},
+    peer::calls,
 };
 use std::net::SocketAddr;
 use trestle_core::names::TeamName;
@@ -13,7 +13,10 @@
     quota::{QuotaBounds, QuotaPlan},
     team::Team,
 };
-use trestle_wire::lending::{WireBorrowing, WireLoan};
+use trestle_wire::{
+    lending::{WireBorrowing, WireLoan},
+    replicas::ReplicasClient,
+};
 
 /// What limits are kept to where settings say nothing.
 const NOT_AGREED: QuotaBounds = QuotaBounds { window_ms: 10_000, excess: 0.1, fixed: 0.0 };
@@ -60,27 +63,23 @@
     }
 }
 
-/// Asks this daemon's leader, or another one if that does not answer.
+/// Asks this daemon's leader, or another one if that does not lend.
 async fn borrow(daemon: &Daemon, team: &TeamName, units: u64) -> WireLoan {
     let borrowing = WireBorrowing { team: team.to_string(), units, is_leader: false };
-    for attempt in 0..LEADERS_TRIED {
-        let loan = match calls::leader(daemon, attempt).await {
-            Leader::Here { .. } => lend(daemon, borrowing.clone()).await,
+    let ask = async |leader: Leader| {
+        let loan = match leader {
             Leader::At { address, .. } => borrow_at(daemon, address, borrowing.clone()).await,
-            // It may have led until a moment ago.
-            Leader::Nobody => lend(daemon, borrowing.clone()).await,
+            // It may also have led until a moment ago.
+            Leader::Here { .. } | Leader::Nobody => lend(daemon, borrowing.clone()).await,
         };
-        if loan != WireLoan::NotLending {
-            return loan;
-        }
-    }
-    WireLoan::NotLending
+        Some(loan).filter(|loan| *loan != WireLoan::NotLending)
+    };
+    calls::first_answer(daemon, ask).await.unwrap_or(WireLoan::NotLending)
 }
 
 async fn borrow_at(daemon: &Daemon, address: SocketAddr, borrowing: WireBorrowing) -> WireLoan {
-    let Ok(client) = daemon.calls.client(address).await else { return WireLoan::NotLending };
-    let loan = client.lend(calls::context(), borrowing).await;
-    daemon.calls.checked(address, loan).unwrap_or(WireLoan::NotLending)
+    let ask = async |client: ReplicasClient, context| client.lend(context, borrowing).await;
+    daemon.calls.call(address, ask).await.unwrap_or(WireLoan::NotLending)
 }
 
 /// Lends, if this daemon leads, what it has, or what other leaders have.
@@ -116,9 +115,7 @@
 
 /// Asks other leaders, one after the other, until there is enough.
 async fn ask_others(daemon: &Daemon, team: &TeamName, wanted: u64) -> u64 {
-    let (reply, answer) = async_channel::bounded(1);
-    daemon.tell(Message::OtherLeaders(reply));
-    let others = answer.recv().await.unwrap_or_default();
+    let others = daemon.ask(Message::OtherLeaders).await.unwrap_or_default();
     let mut given = 0;
     for address in others.into_keys() {
         let units = wanted.saturating_sub(given);
--- a/crates/trestle-entry/src/peer/calls.rs
+++ b/crates/trestle-entry/src/peer/calls.rs
@@ -4,14 +4,13 @@
 use crate::{
     control::message::{Leader, Message},
     daemon::Daemon,
-    peer::client::connect,
+    peer::client::{connect, context_for},
 };
 use std::{
     collections::BTreeMap,
     io,
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
 };
 use tarpc::{client::RpcError, context::Context};
 use trestle_wire::replicas::ReplicasClient;
@@ -19,7 +18,7 @@
 /// Time for an answer. One that comes later helps no caller of a short objective.
 const ANSWER_MS: u64 = 250;
 /// Leaders that a daemon asks in a row before it gives a question up.
-pub(crate) const LEADERS_TRIED: usize = 2;
+const LEADERS_TRIED: usize = 2;
 /// Connections that are kept: leaders of all groups, and some that were.
 const MOST_OPEN: usize = 16;
 
@@ -30,8 +29,26 @@
 }
 
 impl LeaderCalls {
+    /// Makes a call to an address; `None` if it is not answered in time. A connection over which
+    /// one was not is not used again.
+    pub(crate) async fn call<T, A>(
+        &self,
+        address: SocketAddr,
+        call: impl FnOnce(ReplicasClient, Context) -> A,
+    ) -> Option<T>
+    where
+        A: Future<Output = Result<T, RpcError>>,
+    {
+        let client = self.client(address).await.ok()?;
+        let answer = call(client, context_for(ANSWER_MS)).await;
+        if answer.is_err() {
+            self.open().remove(&address);
+        }
+        answer.ok()
+    }
+
     /// The connection to an address, opened if there is none.
-    pub(crate) async fn client(&self, address: SocketAddr) -> io::Result<ReplicasClient> {
+    async fn client(&self, address: SocketAddr) -> io::Result<ReplicasClient> {
         if let Some(client) = self.open().get(&address) {
             return Ok(client.clone());
         }
@@ -44,40 +61,33 @@
         Ok(client)
     }
 
-    /// Forgets the connection to an address if a call over it failed.
-    pub(crate) fn checked<T>(
-        &self,
-        address: SocketAddr,
-        answer: Result<T, RpcError>,
-    ) -> Result<T, RpcError> {
-        if answer.is_err() {
-            self.open().remove(&address);
-        }
-        answer
-    }
-
     fn open(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, ReplicasClient>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// The context of a call.
-pub(crate) fn context() -> Context {
-    let mut context = tarpc::context::current();
-    context.deadline = Instant::now() + Duration::from_millis(ANSWER_MS);
-    context
+/// What this daemon's leader answers, or another one if that does not.
+pub(crate) async fn first_answer<T, A>(daemon: &Daemon, ask: impl Fn(Leader) -> A) -> Option<T>
+where
+    A: Future<Output = Option<T>>,
+{
+    for attempt in 0..LEADERS_TRIED {
+        let answer = ask(leader(daemon, attempt).await).await;
+        if answer.is_some() {
+            return answer;
+        }
+    }
+    None
 }
 
 /// The leader that this daemon asks, after so many that did not answer.
 pub(crate) async fn leader(daemon: &Daemon, attempt: usize) -> Leader {
-    let (reply, answer) = async_channel::bounded(1);
-    daemon.tell(Message::Leader { attempt, reply });
-    answer.recv().await.unwrap_or(Leader::Nobody)
+    let leader = daemon.ask(|reply| Message::Leader { attempt, reply }).await;
+    leader.unwrap_or(Leader::Nobody)
 }
 
 /// The leader that decides for all daemons on what has this name.
 pub(crate) async fn leader_for(daemon: &Daemon, name: String) -> Leader {
-    let (reply, answer) = async_channel::bounded(1);
-    daemon.tell(Message::LeaderFor { name, reply });
-    answer.recv().await.unwrap_or(Leader::Nobody)
+    let leader = daemon.ask(|reply| Message::LeaderFor { name, reply }).await;
+    leader.unwrap_or(Leader::Nobody)
 }
--- a/crates/trestle-entry/src/peer/client.rs
+++ b/crates/trestle-entry/src/peer/client.rs
@@ -10,7 +10,8 @@
 };
 use tarpc::{
     client::{self, RpcError},
-    context, serde_transport,
+    context::{self, Context},
+    serde_transport,
     tokio_serde::formats::Bincode,
 };
 use tokio_util::codec::LengthDelimitedCodec;
@@ -52,9 +53,7 @@
             _ => connect(address).await.context(ConnectSnafu { address })?,
         };
         self.open = Some((address, client.clone()));
-        let mut context = context::current();
-        context.deadline = Instant::now() + Duration::from_millis(ANSWER_MS);
-        let answer = client.sync(context, asking).await;
+        let answer = client.sync(context_for(ANSWER_MS), asking).await;
         if answer.is_err() {
             self.open = None;
         }
@@ -62,6 +61,13 @@
     }
 }
 
+/// The context of a call that must be answered within a time.
+pub(crate) fn context_for(answer_ms: u64) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + Duration::from_millis(answer_ms);
+    context
+}
+
 /// Opens a connection to another daemon.
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<ReplicasClient> {
     let stream = connect::open(address, CONNECT_MS).await?;
--- a/crates/trestle-entry/src/peer/leaders.rs
+++ b/crates/trestle-entry/src/peer/leaders.rs
@@ -20,9 +20,7 @@
 pub(crate) async fn run(daemon: Arc<Daemon>) {
     let mut tasks: BTreeMap<SocketAddr, Task<()>> = BTreeMap::new();
     loop {
-        let (reply, answer) = async_channel::bounded(1);
-        daemon.tell(Message::OtherLeaders(reply));
-        let others = answer.recv().await.unwrap_or_default();
+        let others = daemon.ask(Message::OtherLeaders).await.unwrap_or_default();
         tasks.retain(|address, _| others.contains_key(address));
         for (address, group) in others {
             let daemon = Arc::clone(&daemon);
@@ -38,9 +36,8 @@
     loop {
         // What is told now is heard of by this.
         daemon.knowledge.must_hear(address);
-        let (reply, asking) = async_channel::bounded(1);
-        daemon.tell(Message::AskOther { address, group: group.clone(), reply });
-        let Ok((mut asking, is_new)) = asking.recv().await else { return };
+        let ask = |reply| Message::AskOther { address, group: group.clone(), reply };
+        let Some((mut asking, is_new)) = daemon.ask(ask).await else { return };
         exchange.ask(&daemon, &mut asking);
         let waits = asking.digests.iter().any(|digest| !digest.waiting.is_empty());
         let answered = async { Some(client.sync(address, asking).await) };
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -50,11 +50,10 @@
 
 impl Replicas for Server {
     async fn sync(self, _: Context, mut asking: WireAsking) -> WireSynced {
-        let (reply, answer) = async_channel::bounded(1);
         let (have, is_leader) = (asking.have.clone(), asking.is_leader);
         crashes::heard_wire(&self.0, std::mem::take(&mut asking.crashes));
-        self.0.tell(Message::Sync { asking, reply });
-        let mut synced = answer.recv().await.unwrap_or_default();
+        let synced = self.0.ask(|reply| Message::Sync { asking, reply }).await;
+        let mut synced = synced.unwrap_or_default();
         if synced.is_leader {
             synced.refused = crashes::refused_after(&self.0, have.refused);
         }
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -16,7 +16,7 @@
 };
 use trestle_wire::{
     relay::{WireHave, WireRelay},
-    replicas::{WireAsking, WireDigest, WireSynced, WireView},
+    replicas::{WireAsking, WireDigest, WireView},
 };
 
 /// Time for which what the leader said is believed after it fell silent. The list
@@ -130,7 +130,7 @@
         let (answer, leader) = match calls::leader(daemon, self.attempt).await {
             Leader::Here { group, token } => {
                 let asking = self.asking(daemon, &group, token);
-                (tell_here(daemon, asking).await, Some((group, token)))
+                (daemon.ask(|reply| Message::Sync { asking, reply }).await, Some((group, token)))
             }
             Leader::At { address, group, token } => {
                 let mut asking = self.asking(daemon, &group, token);
@@ -249,9 +249,3 @@
         endpoints::take_passed_on(daemon, relay.endpoints.into(), age_ms);
     }
 }
-
-async fn tell_here(daemon: &Daemon, asking: WireAsking) -> Option<WireSynced> {
-    let (reply, answer) = async_channel::bounded(1);
-    daemon.tell(Message::Sync { asking, reply });
-    answer.recv().await.ok()
-}
--- a/crates/trestle-entry/src/stop.rs
+++ b/crates/trestle-entry/src/stop.rs
@@ -64,10 +64,9 @@
 }
 
 async fn leave(daemon: &Daemon) {
-    let (reply, left) = async_channel::bounded(1);
-    daemon.tell(Message::Stop(reply));
     let left = async {
-        let _ = left.recv().await;
+        // Without a control thread there is no lease to give up.
+        let _ = daemon.ask(Message::Stop).await;
     };
     let timed_out = async {
         Timer::after(Duration::from_millis(LEAVE_MS)).await;
--- a/crates/trestle-entry/src/trial.rs
+++ b/crates/trestle-entry/src/trial.rs
@@ -1,18 +1,17 @@
 //! Asks whether an attempt of a request that ended endpoints may run, and decides on it where
 //! this daemon leads.
 
-use crate::{
-    control::message::Leader,
-    daemon::Daemon,
-    peer::calls::{self, LEADERS_TRIED},
-};
+use crate::{control::message::Leader, daemon::Daemon, peer::calls};
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
 };
 use trestle_core::names::VmName;
 use trestle_dispatch::fingerprint::Fingerprint;
-use trestle_wire::trials::{WireTrial, WireTrialAnswer};
+use trestle_wire::{
+    replicas::ReplicasClient,
+    trials::{WireTrial, WireTrialAnswer},
+};
 
 /// Said to callers while no leader can be asked: about the time that a new one takes.
 const NO_LEADER_MS: u64 = 1_000;
@@ -90,25 +89,22 @@
     WireTrial { vm, request, number, has_ended, is_passed_on: false }
 }
 
-/// Asks this daemon's leader, or another one if that does not answer.
-async fn ask(daemon: &Arc<Daemon>, trial: WireTrial) -> WireTrialAnswer {
-    for attempt in 0..LEADERS_TRIED {
-        let answer = match calls::leader(daemon, attempt).await {
+/// Asks this daemon's leader, or another one if that does not decide.
+async fn ask(daemon: &Daemon, trial: WireTrial) -> WireTrialAnswer {
+    let ask = async |leader: Leader| {
+        let answer = match leader {
             Leader::Here { .. } => decide(daemon, trial.clone()).await,
             Leader::At { address, .. } => ask_at(daemon, address, trial.clone()).await,
             Leader::Nobody => WireTrialAnswer::Undecided,
         };
-        if answer != WireTrialAnswer::Undecided {
-            return answer;
-        }
-    }
-    WireTrialAnswer::Undecided
+        Some(answer).filter(|answer| *answer != WireTrialAnswer::Undecided)
+    };
+    calls::first_answer(daemon, ask).await.unwrap_or(WireTrialAnswer::Undecided)
 }
 
 async fn ask_at(daemon: &Daemon, address: SocketAddr, trial: WireTrial) -> WireTrialAnswer {
-    let Ok(client) = daemon.calls.client(address).await else { return WireTrialAnswer::Undecided };
-    let answer = client.try_out(calls::context(), trial).await;
-    daemon.calls.checked(address, answer).unwrap_or(WireTrialAnswer::Undecided)
+    let ask = async |client: ReplicasClient, context| client.try_out(context, trial).await;
+    daemon.calls.call(address, ask).await.unwrap_or(WireTrialAnswer::Undecided)
 }
 
 /// Decides on an attempt, or asks the leader that does: one for each request, whoever leads the
