Work out how a limit is kept once and where it is known

Found on rereading the change: each request with a limit read the configuration and walked the whole list of endpoints for its failure domains twice, at its daemon and at the leader, under the lock of all that is believed. How long a loan lasts does not depend on them, and the groups are known to the control thread, which now tells the lender at each look. What is agreed on stands beside the retry bounds that it resembles, in place of a lock of its own.

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -11,6 +11,7 @@
     listing::{ListedEntry, Listing, News, Source},
     loadable::{self, Loadable},
     policy::Policy,
+    quota::QuotaBounds,
     record::Records,
     replicas::ReplicaView,
     retry_share::{RetryBounds, RetryShare},
@@ -110,6 +111,8 @@
     pub domain: DomainName,
     /// What bounds further sends.
     pub retry_bounds: RetryBounds,
+    /// How far teams may exceed their limits.
+    pub quota_bounds: QuotaBounds,
 }
 
 impl Beliefs {
@@ -137,6 +140,7 @@
             askers: 1,
             domain,
             retry_bounds,
+            quota_bounds: QuotaBounds::default(),
         }
     }
 
--- a/crates/trestle-dispatch/src/groups.rs
+++ b/crates/trestle-dispatch/src/groups.rs
@@ -65,6 +65,11 @@
         &self.all
     }
 
+    /// How many groups there may be, with a leader each: every failure domain may have engines.
+    pub fn most(&self) -> usize {
+        self.all.union(&self.configured).count()
+    }
+
     /// The group whose leader the daemons of a failure domain ask. Before engines are known it
     /// is the first domain's for all, as it will be where they are few: a leader also passes on
     /// what the store says.
--- a/crates/trestle-dispatch/src/lender.rs
+++ b/crates/trestle-dispatch/src/lender.rs
@@ -5,7 +5,10 @@
 //! time, so nothing lies at daemons that do not need it; a team without any left costs others
 //! nothing but the question.
 
-use crate::quota::QuotaPlan;
+use crate::{
+    quota::{QuotaBounds, QuotaPlan},
+    team::TeamLimit,
+};
 use std::collections::BTreeMap;
 use trestle_core::names::{DomainName, TeamName};
 
@@ -28,6 +31,8 @@
     leases: BTreeMap<DomainName, GroupLease>,
     /// When they last changed.
     since_ms: u64,
+    /// Groups whose leaders share each limit.
+    sharing: usize,
 }
 
 /// One lease, as far as lending depends on it.
@@ -72,6 +77,16 @@
 }
 
 impl Lender {
+    /// Sets how many groups there may be, whose leaders share each limit.
+    pub fn set_sharing(&mut self, groups: usize) {
+        self.sharing = groups;
+    }
+
+    /// How a limit is kept here.
+    pub fn plan(&self, limit: &TeamLimit, bounds: &QuotaBounds) -> QuotaPlan {
+        QuotaPlan::new(limit, bounds, self.sharing)
+    }
+
     /// Sets which leases this daemon holds now. What is earned for a further group starts at
     /// nothing. What was earned under a lease that has run out is still lent, as long as nobody
     /// else can have earned as much since: with the store away no other leader follows.
--- a/crates/trestle-dispatch/src/quota.rs
+++ b/crates/trestle-dispatch/src/quota.rs
@@ -33,28 +33,41 @@
     pub fixed: f64,
 }
 
-/// How one team's limit is kept.
+/// What the leader of one group has of a team's limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaPlan {
     /// What the leader of one group earns.
     pub units_per_ms: f64,
     /// Most that lies in the bucket of one group.
     pub most_units: f64,
-    /// Time for which something lent can be spent, from when it was asked for.
-    pub valid_ms: u64,
+}
+
+impl Default for QuotaBounds {
+    /// What limits are kept to where nothing is agreed on.
+    fn default() -> Self {
+        Self { window_ms: 10_000, excess: 0.1, fixed: 0.0 }
+    }
+}
+
+impl QuotaBounds {
+    /// Units in a window beyond what a limit allows by itself.
+    fn excess_units(&self, limit: &TeamLimit) -> f64 {
+        let allowed = limit.units_per_ms() * self.window_ms as f64 + limit.burst as f64;
+        allowed * self.excess + self.fixed
+    }
+
+    /// Time for which something lent of a limit can be spent, from when it was asked for.
+    pub fn valid_ms(&self, limit: &TeamLimit) -> u64 {
+        let lent_units = self.excess_units(limit) * LENT_PART;
+        (lent_units / limit.units_per_ms()).min(MOST_VALID_MS) as u64
+    }
 }
 
 impl QuotaPlan {
     /// The plan for a limit that the leaders of so many groups share.
     pub fn new(limit: &TeamLimit, bounds: &QuotaBounds, groups: usize) -> Self {
         let groups = groups.max(1) as f64;
-        let (units_per_ms, burst) = (limit.per_s as f64 / 1e3, limit.burst as f64);
-        let allowed = units_per_ms * bounds.window_ms as f64 + burst;
-        let excess = allowed * bounds.excess + bounds.fixed;
-        Self {
-            units_per_ms: units_per_ms / groups,
-            most_units: (burst + excess * BUCKET_PART) / groups,
-            valid_ms: (excess * LENT_PART / units_per_ms).min(MOST_VALID_MS) as u64,
-        }
+        let most_units = limit.burst as f64 + bounds.excess_units(limit) * BUCKET_PART;
+        Self { units_per_ms: limit.units_per_ms() / groups, most_units: most_units / groups }
     }
 }
--- a/crates/trestle-dispatch/src/team.rs
+++ b/crates/trestle-dispatch/src/team.rs
@@ -70,6 +70,11 @@
 }
 
 impl TeamLimit {
+    /// Units a millisecond.
+    pub fn units_per_ms(&self) -> f64 {
+        self.per_s as f64 / 1e3
+    }
+
     /// What a request with so many tokens counts.
     pub fn cost(&self, tokens: Option<u64>) -> u64 {
         match self.unit {
--- a/crates/trestle-dispatch/tests/quota.rs
+++ b/crates/trestle-dispatch/tests/quota.rs
@@ -41,6 +41,8 @@
 /// Leaders and daemons of one team in virtual time, under random histories.
 struct World {
     plan: QuotaPlan,
+    /// Time for which something lent can be spent.
+    valid_ms: u64,
     now_ms: u64,
     /// For each group the daemon that leads it.
     leaders: [usize; GROUPS],
@@ -63,6 +65,7 @@
     fn new(per_s: u64, is_troubled: bool, seed: u64) -> Self {
         let mut world = Self {
             plan: plan(per_s),
+            valid_ms: BOUNDS.valid_ms(&limit(per_s)),
             now_ms: 1_000,
             leaders: [0, 1, 2],
             former: [0, 1, 2],
@@ -136,7 +139,7 @@
         match loan {
             Loan::Lent(lent) => {
                 // What was lent is spent at once, or at any time until it no longer can be.
-                let late_ms = if self.random.bool() { self.random.u64(..plan.valid_ms) } else { 0 };
+                let late_ms = if self.random.bool() { self.random.u64(..self.valid_ms) } else { 0 };
                 self.spent.push((now_ms + late_ms, lent));
                 true
             }
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -203,7 +203,11 @@
             leasing.look(may_take, now_ms);
         }
         let held = self.daemon.order_permits.held(now_ms);
-        self.daemon.with_lender(|lender| lender.set_leases(&held, now_ms));
+        let groups = self.groups.most();
+        self.daemon.with_lender(|lender| {
+            lender.set_sharing(groups);
+            lender.set_leases(&held, now_ms);
+        });
         self.note_acting(now_ms);
         let has_left = self.by_group.values().all(Leasing::has_left);
         if let Some(left) = self.left.take_if(|_| has_left) {
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -19,7 +19,7 @@
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
 };
-use trestle_config::entry_settings::{Bounds, EntrySettings, QuotaSettings};
+use trestle_config::entry_settings::{Bounds, EntrySettings};
 use trestle_core::names::{EndpointName, ServiceName};
 use trestle_dispatch::{
     allowance::Allowances, endpoint::Endpoint, lender::Lender, order_log::OrderLog, policy::Policy,
@@ -41,7 +41,6 @@
     trials: Mutex<Trials>,
     lender: Mutex<Lender>,
     allowances: Mutex<Allowances>,
-    quota_bounds: Mutex<Option<QuotaSettings>>,
     pub(crate) calls: LeaderCalls,
     pub(crate) freshness: Freshness,
     pub(crate) stopping: Stopping,
@@ -69,7 +68,6 @@
             trials: Mutex::default(),
             lender: Mutex::default(),
             allowances: Mutex::default(),
-            quota_bounds: Mutex::new(settings.bounds.quota),
             calls: LeaderCalls::default(),
             freshness: Freshness::new(&settings.bounds),
             stopping: Stopping::new(&settings.bounds),
@@ -91,7 +89,6 @@
         self.knowledge.take_bounds(bounds);
         self.freshness.take_bounds(bounds);
         self.store.take_bounds(bounds);
-        *self.quota_bounds.lock().unwrap_or_else(PoisonError::into_inner) = bounds.quota;
         self.stopping.take_bounds(bounds);
         self.tell(Message::QuietTime(bounds.order_quiet_ms));
     }
@@ -121,11 +118,6 @@
         look(&mut self.allowances.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// How far teams may exceed their limits, as settings say.
-    pub(crate) fn quota_bounds(&self) -> Option<QuotaSettings> {
-        *self.quota_bounds.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// The endpoints of a service that may get new work.
     pub(crate) fn usable(&self, service: &ServiceName) -> BTreeMap<EndpointName, Arc<Endpoint>> {
         self.knowledge.with(|beliefs| {
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -12,7 +12,8 @@
 };
 use trestle_config::entry_settings::{Bounds, EntrySettings};
 use trestle_dispatch::{
-    beliefs::Beliefs, catalog::Catalog, crashes::Crashes, policy::Policy, retry_share::RetryBounds,
+    beliefs::Beliefs, catalog::Catalog, crashes::Crashes, policy::Policy, quota::QuotaBounds,
+    retry_share::RetryBounds,
 };
 
 /// Longest time by which one daemon lets a refused request through later than another: some
@@ -38,6 +39,7 @@
         let domain = settings.domain.as_str().into();
         let mut beliefs = Beliefs::new(domain, bounds.leaving_ms, retry_bounds(bounds));
         beliefs.policy = policy;
+        beliefs.quota_bounds = quota_bounds(bounds);
         beliefs.crashes = Crashes::late_by(fastrand::u64(..MOST_LATE_MS));
         Self {
             beliefs: Mutex::new(beliefs),
@@ -53,6 +55,7 @@
     pub(crate) fn take_bounds(&self, bounds: &Bounds) {
         self.with(|beliefs| {
             beliefs.retry_bounds = retry_bounds(bounds);
+            beliefs.quota_bounds = quota_bounds(bounds);
             beliefs.directory.set_leaving_ms(bounds.leaving_ms);
         });
     }
@@ -131,3 +134,12 @@
         fixed: bounds.retry_fixed,
     }
 }
+
+/// How far teams may exceed their limits, by the settings.
+fn quota_bounds(bounds: &Bounds) -> QuotaBounds {
+    bounds.quota.map_or_else(QuotaBounds::default, |quota| QuotaBounds {
+        window_ms: (quota.window_s * 1e3) as u64,
+        excess: quota.excess,
+        fixed: quota.fixed,
+    })
+}
--- a/crates/trestle-entry/src/lending.rs
+++ b/crates/trestle-entry/src/lending.rs
@@ -11,16 +11,13 @@
 use trestle_dispatch::{
     lender::{Lender, Loan},
     quota::{QuotaBounds, QuotaPlan},
-    team::Team,
+    team::TeamLimit,
 };
 use trestle_wire::{
     lending::{WireBorrowing, WireLoan},
     replicas::ReplicasClient,
 };
 
-/// What limits are kept to where settings say nothing.
-const NOT_AGREED: QuotaBounds = QuotaBounds { window_ms: 10_000, excess: 0.1, fixed: 0.0 };
-
 /// Why nothing was lent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum NotLent {
@@ -33,30 +30,35 @@
     NoLender,
 }
 
-/// Takes a request from its team's limit; returns until when it must have been sent.
+/// Takes so much from a team's limit; returns until when the request must have been sent.
 ///
 /// # Errors
 ///
 /// Fails where the limit is used up, or nobody can be asked.
-pub(crate) async fn spend(daemon: &Daemon, team: &Team, units: u64) -> Result<u64, NotLent> {
+pub(crate) async fn spend(
+    daemon: &Daemon,
+    team: &TeamName,
+    limit: &TeamLimit,
+    units: u64,
+) -> Result<u64, NotLent> {
     let now_ms = daemon.knowledge.now_ms();
     let at_hand = daemon.with_allowances(|allowances| {
-        let spent = allowances.spend(&team.name, units, now_ms);
-        spent.ok_or_else(|| allowances.spent_out_for_ms(&team.name, now_ms))
+        let spent = allowances.spend(team, units, now_ms);
+        spent.ok_or_else(|| allowances.spent_out_for_ms(team, now_ms))
     });
     match at_hand {
         Ok(until_ms) => return Ok(until_ms),
         Err(Some(in_ms)) => return Err(NotLent::SpentOut { in_ms }),
         Err(None) => {}
     }
-    match borrow(daemon, &team.name, units).await {
+    match borrow(daemon, team, units).await {
         WireLoan::Lent { .. } => {
-            let valid_ms = plan(daemon, &team.name).map_or(0, |plan| plan.valid_ms);
-            Ok(now_ms + valid_ms)
+            let bounds = daemon.knowledge.with(|beliefs| beliefs.quota_bounds);
+            Ok(now_ms + bounds.valid_ms(limit))
         }
         WireLoan::Refused { in_ms } => {
             let now_ms = daemon.knowledge.now_ms();
-            daemon.with_allowances(|allowances| allowances.refused(&team.name, in_ms, now_ms));
+            daemon.with_allowances(|allowances| allowances.refused(team, in_ms, now_ms));
             Err(NotLent::SpentOut { in_ms })
         }
         WireLoan::NotLending => Err(NotLent::NoLender),
@@ -85,27 +87,27 @@
 /// Lends, if this daemon leads, what it has, or what other leaders have.
 pub(crate) async fn lend(daemon: &Daemon, borrowing: WireBorrowing) -> WireLoan {
     let team = TeamName::from(borrowing.team);
-    let Some(plan) = plan(daemon, &team) else { return WireLoan::NotLending };
+    let Some(limited) = Limited::of(daemon, &team) else { return WireLoan::NotLending };
     let units = borrowing.units;
     if borrowing.is_leader {
-        let units = with_lender(daemon, |lender, now_ms| lender.give(&team, units, &plan, now_ms));
-        return WireLoan::Lent { units };
+        let give = |lender: &mut Lender, plan: &_, now_ms| lender.give(&team, units, plan, now_ms);
+        return WireLoan::Lent { units: with_lender(daemon, &limited, give) };
     }
-    let (loan, wanted) = with_lender(daemon, |lender, now_ms| {
-        let loan = lender.lend(&team, units, &plan, now_ms);
+    let (loan, wanted) = with_lender(daemon, &limited, |lender, plan, now_ms| {
+        let loan = lender.lend(&team, units, plan, now_ms);
         let is_short = matches!(loan, Loan::Refused { .. });
-        let wanted = is_short.then(|| lender.to_ask_others(&team, units, &plan, now_ms));
+        let wanted = is_short.then(|| lender.to_ask_others(&team, units, plan, now_ms));
         (loan, wanted.flatten())
     });
     let Some(wanted) = wanted else { return loan.into() };
     let given = ask_others(daemon, &team, wanted).await;
-    let again = with_lender(daemon, |lender, now_ms| {
+    let again = with_lender(daemon, &limited, |lender, plan, now_ms| {
         if given == 0 {
             lender.nothing_given(&team, now_ms);
             return loan;
         }
-        lender.receive(&team, given, &plan, now_ms);
-        let again = lender.lend(&team, units, &plan, now_ms);
+        lender.receive(&team, given, plan, now_ms);
+        let again = lender.lend(&team, units, plan, now_ms);
         // Both questions are one.
         lender.met(&team, units);
         again
@@ -130,29 +132,32 @@
     given
 }
 
-/// Looks at what this daemon may lend, as of the leases that it holds at this moment.
-fn with_lender<R>(daemon: &Daemon, look: impl FnOnce(&mut Lender, u64) -> R) -> R {
+/// Looks at what this daemon may lend of a limit, as of the leases that it holds at this moment.
+fn with_lender<R>(
+    daemon: &Daemon,
+    limited: &Limited,
+    look: impl FnOnce(&mut Lender, &QuotaPlan, u64) -> R,
+) -> R {
     daemon.with_lender(|lender| {
         let now_ms = daemon.knowledge.now_ms();
         lender.set_leases(&daemon.order_permits.held(now_ms), now_ms);
-        look(lender, now_ms)
+        let plan = lender.plan(&limited.limit, &limited.bounds);
+        look(lender, &plan, now_ms)
     })
 }
 
-/// How a team's limit is kept; none if it has none, or is not known.
-fn plan(daemon: &Daemon, team: &TeamName) -> Option<QuotaPlan> {
-    let limit = daemon.knowledge.catalog()?.teams.get(team)?.limit?;
-    let agreed = daemon.quota_bounds().map_or(NOT_AGREED, |quota| QuotaBounds {
-        window_ms: (quota.window_s * 1e3) as u64,
-        excess: quota.excess,
-        fixed: quota.fixed,
-    });
-    Some(QuotaPlan::new(&limit, &agreed, groups(daemon)))
+/// A team's limit, and how far it may be exceeded.
+struct Limited {
+    limit: TeamLimit,
+    bounds: QuotaBounds,
 }
 
-/// Groups whose leaders share limits: each failure domain may have engines, and so a leader.
-fn groups(daemon: &Daemon) -> usize {
-    let mut groups = daemon.knowledge.with(|beliefs| beliefs.directory.domains());
-    groups.extend(daemon.settings.domains.iter().map(|domain| domain.as_str().into()));
-    groups.len()
+impl Limited {
+    /// That of a team; none if it has none, or is not known.
+    fn of(daemon: &Daemon, team: &TeamName) -> Option<Self> {
+        daemon.knowledge.with(|beliefs| {
+            let limit = beliefs.catalog.as_ref()?.teams.get(team)?.limit?;
+            Some(Self { limit, bounds: beliefs.quota_bounds })
+        })
+    }
 }
--- a/crates/trestle-entry/src/traffic/payment.rs
+++ b/crates/trestle-entry/src/traffic/payment.rs
@@ -9,7 +9,8 @@
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use trestle_dispatch::team::Team;
+use trestle_core::names::TeamName;
+use trestle_dispatch::team::TeamLimit;
 
 /// Part of its objective for which a request waits until its team's limit allows it; a calm team
 /// is short of it for some moments at most.
@@ -41,12 +42,12 @@
     /// Whether the request may be sent.
     pub(crate) fn is_made(&self, task: &Task, now_ms: u64) -> bool {
         let state = *self.state();
-        limited(task).is_none() || matches!(state, State::Taken { until_ms } if now_ms < until_ms)
+        cost(task).is_none() || matches!(state, State::Taken { until_ms } if now_ms < until_ms)
     }
 
     /// Notes that it leaves; returns whether it still may.
     pub(crate) fn send(&self, task: &Task, now_ms: u64) -> bool {
-        if limited(task).is_none() {
+        if cost(task).is_none() {
             return true;
         }
         let mut state = self.state();
@@ -72,10 +73,18 @@
     }
 }
 
-/// The team whose limit a request counts against, and what it counts.
-fn limited(task: &Task) -> Option<(&Team, u64)> {
+/// What a request counts against its team's limit.
+struct Cost<'a> {
+    team: &'a TeamName,
+    limit: TeamLimit,
+    units: u64,
+}
+
+/// What a request counts, if its team has a limit.
+fn cost(task: &Task) -> Option<Cost<'_>> {
     let team = task.identity.team()?;
-    Some((team, team.limit?.cost(task.head.tokens)))
+    let limit = team.limit?;
+    Some(Cost { team: &team.name, limit, units: limit.cost(task.head.tokens) })
 }
 
 /// Turns a request away whose team has used up its limit for longer than the request would wait.
@@ -84,14 +93,14 @@
 ///
 /// Fails then.
 pub(crate) fn check(task: &Task) -> Result<(), Failure> {
-    let Some((team, _)) = limited(task) else { return Ok(()) };
+    let Some(cost) = cost(task) else { return Ok(()) };
     let daemon = &task.daemon;
     let now_ms = daemon.knowledge.now_ms();
     if task.payment.is_made(task, now_ms) {
         return Ok(());
     }
     let spent_out =
-        daemon.with_allowances(|allowances| allowances.spent_out_for_ms(&team.name, now_ms));
+        daemon.with_allowances(|allowances| allowances.spent_out_for_ms(cost.team, now_ms));
     match spent_out {
         Some(in_ms) if in_ms > wait_ms(task) => Err(Failure::OverLimit { retry_after_ms: in_ms }),
         _ => Ok(()),
@@ -104,10 +113,10 @@
 ///
 /// Fails where the limit does not allow it soon, or nobody can be asked.
 pub(crate) async fn pay(task: &Task) -> Result<(), Failure> {
-    let Some((team, units)) = limited(task) else { return Ok(()) };
+    let Some(Cost { team, limit, units }) = cost(task) else { return Ok(()) };
     let mut waits_ms = wait_ms(task);
     loop {
-        match lending::spend(&task.daemon, team, units).await {
+        match lending::spend(&task.daemon, team, &limit, units).await {
             // The answer took longer than what it lends can be spent.
             Ok(until_ms) if task.daemon.knowledge.now_ms() >= until_ms => {
                 return Err(Failure::NotRun { retry_after_ms: NO_LENDER_MS, why: "no_lender" });
@@ -137,9 +146,9 @@
 
 /// Gives back what a request has taken that was not sent.
 pub(crate) fn give_back(task: &Task) {
-    let Some((team, units)) = limited(task) else { return };
+    let Some(Cost { team, units, .. }) = cost(task) else { return };
     let state = *task.payment.state();
     if let State::Taken { until_ms } = state {
-        task.daemon.with_allowances(|allowances| allowances.add(&team.name, units, until_ms));
+        task.daemon.with_allowances(|allowances| allowances.add(team, units, until_ms));
     }
 }
