Make large configurations of tests in one place and in our own words

Found on rereading the change: an example and a test had a generator each for the same text, with names of the platform's configuration outside platform/.

Also a comment over the width of lines, and a reader that was moved to be changed.

--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -124,8 +124,8 @@
         self.refused_changes
     }
 
-    /// Requests that are tried or refused, or were until they had an answer, the last ones first, and the
-    /// number of their last change.
+    /// Requests that are tried or refused, or were until they had an answer, the last ones first,
+    /// and the number of their last change.
     pub fn refused(&self, now_ms: u64) -> (Vec<CrashReport>, u64) {
         let mut refused: Vec<(u64, CrashReport)> = self
             .by_request
--- a/crates/trestle-dispatch/src/packed.rs
+++ b/crates/trestle-dispatch/src/packed.rs
@@ -29,8 +29,8 @@
     /// The text; `None` if it was not packed like this, or is too large.
     pub fn text(&self) -> Option<Vec<u8>> {
         let mut text = Vec::new();
-        let unpacked = DeflateDecoder::new(self.0.as_slice()).take(MOST_BYTES + 1);
-        { unpacked }.read_to_end(&mut text).ok()?;
+        let mut unpacked = DeflateDecoder::new(self.0.as_slice()).take(MOST_BYTES + 1);
+        unpacked.read_to_end(&mut text).ok()?;
         (text.len() as u64 <= MOST_BYTES).then_some(text)
     }
 
--- a/crates/trestle-dispatch/tests/text_delta.rs
+++ b/crates/trestle-dispatch/tests/text_delta.rs
@@ -1,5 +1,9 @@
 //! Texts by what has changed in them.
 
+#[path = "common/large_configuration.rs"]
+mod large_configuration;
+
+use large_configuration::configuration;
 use trestle_dispatch::{
     packed::Packed,
     text_delta::{TextPiece, apply_delta, text_delta},
@@ -13,23 +17,6 @@
     format!("{{\"version\":{version},\"routes\":[{}]}}", each.join(",")).into_bytes()
 }
 
-/// A configuration whose routes and models all have names of their own.
-fn configuration(version: u64, count: u32, timeout_ms: u64, key: &str) -> Vec<u8> {
-    let name = |number: u32| number.wrapping_mul(2_654_435_761);
-    let routes = (0..count).map(|route| {
-        let (name, fields) = (name(route), "\"route_kind\":\"streaming\",\"attempts\":2,\"public\":false");
-        format!("{{\"name\":\"r-{name:x}\",\"prefix\":\"/lohu{route}/\",\"timeout_ms\":{timeout_ms},{fields}}},")
-    });
-    let models = (0..778).map(|model| {
-        let (name, adapters) = (name(model), model % 20);
-        format!("{{\"name\":\"daka{name:x}\",\"weights_mb\":72700.0,\"adapters\":{adapters}}},")
-    });
-    let (routes, models): (String, String) = (routes.collect(), models.collect());
-    let teams = format!("\"tenants\":[{{\"name\":\"red\",\"keys\":[\"{key}\"]}}]");
-    format!("{{\"version\":{version},\"routes\":[{routes}],\"models\":[{models}],{teams}}}")
-        .into_bytes()
-}
-
 fn new_bytes(pieces: &[TextPiece]) -> usize {
     let each = pieces.iter().map(|piece| match piece {
         TextPiece::New(bytes) => bytes.len(),
