Read what endpoints say of themselves in answers, and log it

Cause: the head of an answer was read for its id, signature, encoding, whether it ran and the idle time; a limit, a leaving and a rest in it left no line, so logs could not tell whether a daemon had heard of them. No decision looks at it yet.

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     asked::Asked,
+    backpressure::Backpressure,
     catalog::Catalog,
     config_texts::ConfigTexts,
     crashes::Crashes,
@@ -93,6 +94,8 @@
     pub policy: Policy,
     /// How endpoints behaved.
     pub records: Records,
+    /// What they ask for in their answers.
+    pub backpressure: Backpressure,
     /// Requests whose connection broke at endpoints that may have ended.
     pub suspects: Suspects,
     /// Requests under which endpoints ended.
@@ -131,6 +134,7 @@
             leader_lost_ms: None,
             policy: Policy::default(),
             records: Records::default(),
+            backpressure: Backpressure::default(),
             suspects: Suspects::default(),
             crashes: Crashes::default(),
             retries: BTreeMap::new(),
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -7,7 +7,8 @@
 //! - What one daemon knows: [`beliefs`], made up of [`catalog`] (the operators'
 //!   configuration), [`listing`] (the store's list of endpoints, in one order whichever way it is
 //!   heard of), [`directory`] (which of them may be used), [`replicas`] (what the leader says),
-//!   [`record`] (how endpoints behaved), [`suspects`] and [`crashes`] (under which requests they
+//!   [`record`] (how endpoints behaved), [`backpressure`] (what they ask for in their answers, read
+//!   as a [`notice`]), [`suspects`] and [`crashes`] (under which requests they
 //!   ended), [`asked`] (what its own callers ask for).
 //! - Callers: [`team`] has who may ask and for how much, [`identity`] says who asks.
 //!   [`quota`] is how a limit is kept: a [`lender`] at each leader, an [`allowance`] at each daemon.
@@ -26,6 +27,7 @@
 pub mod allowance;
 pub mod asked;
 mod average;
+pub mod backpressure;
 pub mod beliefs;
 pub mod candidate;
 pub mod catalog;
@@ -45,6 +47,7 @@
 pub mod listing;
 pub mod loadable;
 pub mod member_count;
+pub mod notice;
 pub mod order_log;
 pub mod orders;
 pub mod outage;
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod logs;
 mod metrics;
 mod net;
+mod notices;
 mod peer;
 mod settings_watch;
 mod stop;
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     net::pool::{Connection, SendError},
+    notices,
     traffic::{
         outcome::{Unanswered, WholeAnswer},
         patience::Patience,
@@ -98,7 +99,16 @@
             return Err(Unanswered::Left);
         }
         match connection.send(task.request(endpoint, last_event_id)).await {
-            Ok(response) => return check(task, connection, response).await,
+            Ok(response) => {
+                notices::hear(
+                    &task.daemon,
+                    endpoint,
+                    response.status(),
+                    response.headers(),
+                    &task.head.id,
+                );
+                return check(task, connection, response).await;
+            }
             // A kept connection had been closed; the request never left.
             Err(SendError::NotSent(_)) if !connection.is_fresh() => {}
             Err(SendError::NotSent(reason)) => return Err(Unanswered::Unreachable(reason)),
--- a/crates/trestle-entry/src/wire.rs
+++ b/crates/trestle-entry/src/wire.rs
@@ -4,11 +4,12 @@
 //! caller spells things is given to it as plain functions. So the same daemon
 //! runs before any surroundings for which such functions exist.
 
-use http::{HeaderMap, Request};
+use http::{HeaderMap, Request, StatusCode};
 use trestle_core::names::EndpointName;
 use trestle_dispatch::{
     catalog::Catalog,
     endpoint::{Endpoint, EngineReport},
+    notice::Notice,
     orders::{Order, OrderAnswer},
     request::{AnswerHead, Forwarded, RequestHead},
     store::{ConditionalWrite, Feed, RowPage, WriteOutcome},
@@ -80,6 +81,8 @@
     pub forward_request: fn(&mut HeaderMap, &Forwarded<'_>),
     /// Reads an endpoint's answer.
     pub read_answer: fn(&HeaderMap) -> AnswerHead,
+    /// Reads what an endpoint says of itself in an answer with a status.
+    pub read_notice: fn(StatusCode, &HeaderMap) -> Notice,
     /// Makes an endpoint's headers those for the caller.
     pub forward_answer: fn(&mut HeaderMap),
     /// Sets the headers of an answer of the daemon's own to a request with an id.
