Keep the limits that endpoints name in answers, over all daemons together

What callers saw: nothing; an endpoint in need got all that came, and what it could not serve was late. Ruled out: retries (each request had one send), a limit kept by each daemon for itself (one daemon alone exceeded it), bursts after loads. Change: a daemon that has heard a limit sends nothing there without a place, one for each send, repeats and resumed streams too, looked at again when the request leaves. Places are lent by the holder of the lease of the endpoint's group out of a bucket that starts empty with the lease (the lender of teams' limits, now by any key), so the bound holds whoever is lost or cut off. Work goes elsewhere first; what nobody may take is refused at once with the time of the next place. A limit that answers no longer name is lifted step by step.

--- a/crates/trestle-dispatch/src/backpressure.rs
+++ b/crates/trestle-dispatch/src/backpressure.rs
@@ -1,11 +1,35 @@
 //! What endpoints have asked of this daemon in their answers, by their lives.
+//!
+//! The load that this answers: an endpoint in need, with callers who go on asking for what it
+//! has. What it says in an answer counts at once for the daemon that has the answer, whatever the
+//! list of endpoints, a leader or another daemon says or leaves out, until this life of it ends.
 
 use crate::{
     endpoint::Life,
+    endpoint_limits::LimitHeard,
     notice::{Notice, Said},
 };
 use std::collections::BTreeMap;
 
+/// Lives of which more is kept than that; those of which least was heard lately go first.
+const MOST_LIVES: usize = 4_096;
+/// Time for which what a life has said is kept after it is no longer listed: its entry may only
+/// have lapsed.
+const KEPT_MS: u64 = 600_000;
+/// Time after which one request of this daemon tries an endpoint with a limit although others
+/// could take it, while few daemons do: without any, nobody would hear that the limit is lifted.
+const TRIED_MS: u64 = 1_000;
+/// Daemons that try it so often; more of them do more seldom, so that all together ask for as
+/// many places.
+const FEW_DAEMONS: u64 = 16;
+/// Longest time for which a refused daemon does not ask for a place again: the limit may be
+/// raised or lifted meanwhile.
+const MOST_CLOSED_MS: u64 = 5_000;
+/// Time after which a daemon asks again that could not ask anybody.
+const ASKED_IN_VAIN_MS: u64 = 500;
+/// What callers are told then: a lease whose holder was lost is free after about that time.
+const NO_LENDER_MS: u64 = 2_000;
+
 /// What endpoints have asked of this daemon.
 #[derive(Debug, Default)]
 pub struct Backpressure {
@@ -21,16 +45,27 @@
     rest_until_ms: u64,
     /// The last thing that could not be read.
     unreadable: Option<String>,
+    heard_ms: u64,
 }
 
 /// A limit that an endpoint has named.
 #[trestle_macros::plain]
-#[derive(Copy)]
 pub struct NamedLimit {
     /// Requests that it takes in 1,000 s, from all daemons together.
     pub per_ks: u64,
     /// When an answer last named one.
     pub heard_ms: u64,
+    /// The request in whose answer this one was first named.
+    pub heard_in: String,
+    /// Answers since that did not name one, and of which no leader knows.
+    silent: u32,
+    silent_ms: u64,
+    /// When a request last tried it that another endpoint could have taken.
+    tried_ms: u64,
+    /// Until when no place is asked for.
+    closed_until_ms: u64,
+    /// When there should be a place.
+    place_at_ms: u64,
 }
 
 /// Something that is new of an endpoint.
@@ -57,19 +92,31 @@
     },
 }
 
+/// One answer of an endpoint, as far as it tells what the endpoint asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct Answer<'a> {
+    /// What it says.
+    pub notice: &'a Notice,
+    /// Whether the request has run and succeeded.
+    pub is_success: bool,
+    /// The request that it answers.
+    pub id: &'a str,
+    /// When that left.
+    pub sent_ms: u64,
+}
+
 impl Backpressure {
     /// Takes what a life of an endpoint says in an answer; returns what is new of it.
-    pub fn hear(&mut self, life: &Life, notice: &Notice, now_ms: u64) -> Vec<Heard> {
+    pub fn hear(&mut self, life: &Life, answer: Answer<'_>, now_ms: u64) -> Vec<Heard> {
+        let notice = answer.notice;
         if *notice == Notice::default() && !self.by_life.contains_key(life) {
             return Vec::new();
         }
+        self.make_room(life);
         let asked = self.by_life.entry(life.clone()).or_default();
+        asked.heard_ms = now_ms;
         let mut heard = Vec::new();
-        if let Some(&per_ks) = notice.limit_per_ks.value() {
-            let before = asked.limit.replace(NamedLimit { per_ks, heard_ms: now_ms });
-            let is_new = before.is_none_or(|before| before.per_ks != per_ks);
-            heard.extend(is_new.then_some(Heard::Limit { per_ks }));
-        }
+        heard.extend(asked.hear_limit(answer, now_ms));
         if notice.leaves.value().is_some() && !asked.has_left {
             asked.has_left = true;
             heard.push(Heard::Leaves);
@@ -83,17 +130,126 @@
     }
 
     /// The limit that a life of an endpoint has named.
-    pub fn limit(&self, life: &Life) -> Option<NamedLimit> {
-        self.by_life.get(life)?.limit
+    pub fn limit(&self, life: &Life) -> Option<&NamedLimit> {
+        self.by_life.get(life)?.limit.as_ref()
+    }
+
+    /// Whether nothing was asked by anybody.
+    pub fn is_empty(&self) -> bool {
+        self.by_life.is_empty()
+    }
+
+    /// Time for which no request is sent to a life of an endpoint that has no place there;
+    /// `None` if there is nothing against it, or a place may be asked for.
+    pub fn closed_for_ms(&self, life: &Life, now_ms: u64) -> Option<u64> {
+        let limit = self.limit(life).filter(|limit| now_ms < limit.closed_until_ms)?;
+        Some(limit.place_at_ms.max(now_ms + 1) - now_ms)
     }
 
-    /// Forgets lives that are over.
-    pub fn retain(&mut self, is_live: impl Fn(&Life) -> bool) {
-        self.by_life.retain(|life, _| is_live(life));
+    /// Whether it is time that a request tries an endpoint with a limit which others could take.
+    /// So many daemons share the limit.
+    pub fn is_trial_due(&self, life: &Life, daemons: usize, now_ms: u64) -> bool {
+        let every_ms = TRIED_MS * (daemons as u64).div_ceil(FEW_DAEMONS).max(1);
+        let limit = self.limit(life).filter(|limit| now_ms >= limit.closed_until_ms);
+        limit.is_some_and(|limit| now_ms >= limit.tried_ms + every_ms)
+    }
+
+    /// Notes that a place is about to be asked for; returns what the leader is to be told.
+    pub fn asking(&mut self, life: &Life, now_ms: u64) -> Option<LimitHeard> {
+        let limit = self.limit_mut(life)?;
+        limit.tried_ms = now_ms;
+        let NamedLimit { per_ks, heard_ms, silent_ms, .. } = *limit;
+        let silent = std::mem::take(&mut limit.silent);
+        Some(LimitHeard { per_ks, heard_ms, silent, silent_ms })
+    }
+
+    /// Notes that there is no place for a time.
+    pub fn refused(&mut self, life: &Life, in_ms: u64, now_ms: u64) {
+        if let Some(limit) = self.limit_mut(life) {
+            limit.closed_until_ms = now_ms + in_ms.min(MOST_CLOSED_MS);
+            limit.place_at_ms = now_ms + in_ms;
+        }
+    }
+
+    /// Notes that nobody could be asked who lends places.
+    pub fn asked_in_vain(&mut self, life: &Life, now_ms: u64) {
+        if let Some(limit) = self.limit_mut(life) {
+            limit.closed_until_ms = now_ms + ASKED_IN_VAIN_MS;
+            limit.place_at_ms = now_ms + NO_LENDER_MS;
+        }
+    }
+
+    /// Notes that a leader knows of no limit any more; returns whether that is news. What an
+    /// answer named after it was asked counts more.
+    pub fn lifted(&mut self, life: &Life, asked_ms: u64) -> bool {
+        let Some(asked) = self.by_life.get_mut(life) else { return false };
+        asked.limit.take_if(|limit| limit.heard_ms <= asked_ms).is_some()
+    }
+
+    /// Lives that have named a limit.
+    pub fn limited(&self) -> usize {
+        self.by_life.values().filter(|asked| asked.limit.is_some()).count()
+    }
+
+    /// Forgets lives that have not been listed for long.
+    pub fn retain(&mut self, is_listed: impl Fn(&Life) -> bool, now_ms: u64) {
+        self.by_life.retain(|life, asked| is_listed(life) || now_ms < asked.heard_ms + KEPT_MS);
+    }
+
+    fn limit_mut(&mut self, life: &Life) -> Option<&mut NamedLimit> {
+        self.by_life.get_mut(life)?.limit.as_mut()
+    }
+
+    fn make_room(&mut self, life: &Life) {
+        if self.by_life.len() < MOST_LIVES || self.by_life.contains_key(life) {
+            return;
+        }
+        let oldest = self.by_life.iter().min_by_key(|(_, asked)| asked.heard_ms);
+        if let Some(life) = oldest.map(|(life, _)| life.clone()) {
+            self.by_life.remove(&life);
+        }
     }
 }
 
 impl Asked {
+    /// Takes the limit that an answer names, or that it names none.
+    fn hear_limit(&mut self, answer: Answer<'_>, now_ms: u64) -> Option<Heard> {
+        match (&answer.notice.limit_per_ks, &mut self.limit) {
+            (Said::Value(per_ks), Some(limit)) => {
+                let is_new = limit.per_ks != *per_ks;
+                if is_new {
+                    limit.heard_in = answer.id.to_owned();
+                }
+                limit.per_ks = *per_ks;
+                limit.heard_ms = now_ms;
+                limit.silent = 0;
+                is_new.then_some(Heard::Limit { per_ks: *per_ks })
+            }
+            (Said::Value(per_ks), None) => {
+                self.limit = Some(NamedLimit {
+                    per_ks: *per_ks,
+                    heard_ms: now_ms,
+                    heard_in: answer.id.to_owned(),
+                    silent: 0,
+                    silent_ms: 0,
+                    tried_ms: now_ms,
+                    closed_until_ms: 0,
+                    place_at_ms: 0,
+                });
+                Some(Heard::Limit { per_ks: *per_ks })
+            }
+            // An answer to a request that had left before says what was true before.
+            (Said::Nothing, Some(limit))
+                if answer.is_success && answer.sent_ms >= limit.heard_ms =>
+            {
+                limit.silent += 1;
+                limit.silent_ms = now_ms;
+                None
+            }
+            (Said::Nothing | Said::Unreadable(_), _) => None,
+        }
+    }
+
     /// What cannot be read, unless it was the same before.
     fn unreadable(&mut self, notice: &Notice) -> Option<Heard> {
         let limit = (unreadable_text(&notice.limit_per_ks), "limit");
--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -1,6 +1,11 @@
 //! The choice of an endpoint for one request.
 
-use crate::{beliefs::Beliefs, endpoint::Endpoint, policy::Mechanism, replicas::ReplicaView};
+use crate::{
+    beliefs::Beliefs,
+    endpoint::{Endpoint, Life},
+    policy::Mechanism,
+    replicas::ReplicaView,
+};
 use std::collections::BTreeSet;
 use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
 
@@ -39,15 +44,49 @@
     pub now_ms: u64,
 }
 
+/// What an endpoint has asked of this daemon, as far as it says whether a request may go there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// Nothing.
+    Open,
+    /// It names a limit, and a place there may be asked for.
+    Limited,
+    /// It gets nothing for a time.
+    Closed {
+        /// For how long.
+        for_ms: u64,
+    },
+}
+
+/// An endpoint that could run a request if it had not asked for less.
+#[trestle_macros::plain]
+pub struct HeldBack {
+    /// The endpoint.
+    pub life: Life,
+    /// Time until it takes the next request.
+    pub for_ms: u64,
+}
+
 /// The endpoint for a request: of two that can run it, picked by `lot`, the less loaded.
 ///
-/// Endpoints that failed lately are taken only if there is no other. The lot must differ
-/// from request to request and from daemon to daemon.
+/// Endpoints that have named a limit are taken only if there is no other, but for a trial now and
+/// then; those that failed lately only if there is none of these either. The lot must differ from
+/// request to request and from daemon to daemon.
 pub fn choose<'a>(known: Known<'a>, need: Need<'_>, lot: u64) -> Option<&'a Endpoint> {
     let directory = &known.beliefs.directory;
     let able = directory.iter().filter(|endpoint| is_able(&known, &need, endpoint));
-    let (sound, avoided): (Vec<_>, Vec<_>) = able.partition(|endpoint| is_sound(&known, endpoint));
-    let mut picked = if sound.is_empty() { avoided } else { sound };
+    let (mut sound, mut limited, mut avoided) = (Vec::new(), Vec::new(), Vec::new());
+    for endpoint in able {
+        match standing(&known, endpoint) {
+            Standing::Closed { .. } => {}
+            _ if !is_sound(&known, endpoint) => avoided.push(endpoint),
+            Standing::Limited if is_trial_due(&known, endpoint) => return Some(endpoint),
+            Standing::Limited => limited.push(endpoint),
+            Standing::Open => sound.push(endpoint),
+        }
+    }
+    let mut picked =
+        [sound, limited, avoided].into_iter().find(|some| !some.is_empty()).unwrap_or_default();
     let policy = &known.beliefs.policy;
     if policy.has(Mechanism::TwoChoices) {
         picked.sort_by_key(|endpoint| mix(lot, &endpoint.name));
@@ -63,11 +102,53 @@
     usable.any(|endpoint| known.replicas.can_run(endpoint, model, need.adapter))
 }
 
-/// Whether there is an endpoint for a request that did not fail lately.
+/// Whether there is an endpoint for a request that did not fail lately and has asked for nothing.
 pub fn has_sound(known: Known<'_>, need: Need<'_>) -> bool {
     let directory = &known.beliefs.directory;
     let mut able = directory.iter().filter(|endpoint| is_able(&known, &need, endpoint));
-    able.any(|endpoint| is_sound(&known, endpoint))
+    able.any(|endpoint| is_sound(&known, endpoint) && standing(&known, endpoint) == Standing::Open)
+}
+
+/// The endpoint that takes a request soonest, if every one that could run it has asked for less.
+pub fn held_back(known: Known<'_>, need: Need<'_>) -> Option<HeldBack> {
+    if known.beliefs.backpressure.is_empty() {
+        return None;
+    }
+    let directory = &known.beliefs.directory;
+    let mut soonest: Option<HeldBack> = None;
+    for endpoint in directory.iter().filter(|endpoint| is_able(&known, &need, endpoint)) {
+        let Standing::Closed { for_ms } = standing(&known, endpoint) else { return None };
+        if soonest.as_ref().is_none_or(|soonest| for_ms < soonest.for_ms) {
+            soonest = Some(HeldBack { life: endpoint.life(), for_ms });
+        }
+    }
+    soonest
+}
+
+/// Whether a request may be sent to a life of an endpoint at which it has a place.
+pub fn is_open_with_place(known: Known<'_>, need: Need<'_>, life: &Life) -> bool {
+    let endpoint = known.beliefs.directory.get(&life.name);
+    let endpoint = endpoint.filter(|endpoint| endpoint.born_ms == life.born_ms);
+    endpoint.is_some_and(|endpoint| is_able(&known, &need, endpoint))
+}
+
+fn standing(known: &Known<'_>, endpoint: &Endpoint) -> Standing {
+    let backpressure = &known.beliefs.backpressure;
+    if backpressure.is_empty() {
+        return Standing::Open;
+    }
+    let life = endpoint.life();
+    match backpressure.closed_for_ms(&life, known.now_ms) {
+        Some(for_ms) => Standing::Closed { for_ms },
+        None if backpressure.limit(&life).is_some() => Standing::Limited,
+        None => Standing::Open,
+    }
+}
+
+/// Whether a request should try an endpoint with a limit though another could take it.
+fn is_trial_due(known: &Known<'_>, endpoint: &Endpoint) -> bool {
+    let Known { beliefs, now_ms, .. } = known;
+    beliefs.backpressure.is_trial_due(&endpoint.life(), beliefs.daemons, *now_ms)
 }
 
 fn is_sound(known: &Known<'_>, endpoint: &Endpoint) -> bool {
--- a/crates/trestle-dispatch/src/lender.rs
+++ b/crates/trestle-dispatch/src/lender.rs
@@ -1,4 +1,5 @@
-//! What a leader has of each team's limit, to lend to daemons.
+//! What a leader has of each limit that all daemons share, to lend to them: those of teams, and
+//! those that endpoints name.
 //!
 //! The load that this answers: callers of a team who sit unevenly, half of them perhaps at one
 //! daemon, beside a team that sends many times its limit. Who asks first gets it, a request at a
@@ -23,10 +24,10 @@
 /// Time after which a lease that has run out leaves nothing behind.
 const FORGOTTEN_MS: u64 = 10_000;
 
-/// What a leader has of each team's limit.
-#[derive(Debug, Default)]
-pub struct Lender {
-    by_team: BTreeMap<TeamName, Bucket>,
+/// What a leader has of each limit, by whose it is.
+#[derive(Debug)]
+pub struct Lender<K = TeamName> {
+    by_key: BTreeMap<K, Bucket>,
     /// Leases that are held, or were lately, by group.
     leases: BTreeMap<DomainName, GroupLease>,
     /// When they last changed.
@@ -76,7 +77,13 @@
     NotLending,
 }
 
-impl Lender {
+impl<K> Default for Lender<K> {
+    fn default() -> Self {
+        Self { by_key: BTreeMap::new(), leases: BTreeMap::new(), since_ms: 0, sharing: 0 }
+    }
+}
+
+impl<K: Ord + Clone> Lender<K> {
     /// Sets how many groups there may be, whose leaders share each limit.
     pub fn set_sharing(&mut self, groups: usize) {
         self.sharing = groups;
@@ -114,7 +121,7 @@
         });
         if has_changed {
             // What is not settled yet is given up: it may have been earned by another.
-            self.by_team.values_mut().for_each(|bucket| bucket.at_ms = now_ms);
+            self.by_key.values_mut().for_each(|bucket| bucket.at_ms = now_ms);
             self.since_ms = now_ms;
         }
     }
@@ -122,7 +129,12 @@
     /// Gives up what may lie in buckets for one of the groups.
     fn drop_part(&mut self) {
         let groups = self.leases.len().max(1) as f64;
-        self.by_team.values_mut().for_each(|bucket| bucket.units *= (groups - 1.0) / groups);
+        self.by_key.values_mut().for_each(|bucket| bucket.units *= (groups - 1.0) / groups);
+    }
+
+    /// Forgets limits that are no longer kept.
+    pub fn retain(&mut self, is_kept: impl Fn(&K) -> bool) {
+        self.by_key.retain(|key, _| is_kept(key));
     }
 
     /// Groups for which this daemon earns.
@@ -139,10 +151,10 @@
         each.sum()
     }
 
-    /// Lends a team's daemon some units.
-    pub fn lend(&mut self, team: &TeamName, units: u64, plan: &QuotaPlan, now_ms: u64) -> Loan {
+    /// Lends a daemon some units of a limit.
+    pub fn lend(&mut self, key: &K, units: u64, plan: &QuotaPlan, now_ms: u64) -> Loan {
         let groups = self.earning();
-        let bucket = self.settled(team, plan, now_ms);
+        let bucket = self.settled(key, plan, now_ms);
         let wanted = units as f64;
         if bucket.units >= wanted {
             bucket.units -= wanted;
@@ -158,54 +170,54 @@
     }
 
     /// Takes that a refused question was met after all, by what another leader gave.
-    pub fn met(&mut self, team: &TeamName, units: u64) {
-        if let Some(bucket) = self.by_team.get_mut(team) {
+    pub fn met(&mut self, key: &K, units: u64) {
+        if let Some(bucket) = self.by_key.get_mut(key) {
             bucket.refused = (bucket.refused - units as f64).max(0.0);
         }
     }
 
     /// What another leader gets that has too little.
-    pub fn give(&mut self, team: &TeamName, units: u64, plan: &QuotaPlan, now_ms: u64) -> u64 {
+    pub fn give(&mut self, key: &K, units: u64, plan: &QuotaPlan, now_ms: u64) -> u64 {
         if self.earning() == 0 {
             return 0;
         }
-        let bucket = self.settled(team, plan, now_ms);
+        let bucket = self.settled(key, plan, now_ms);
         let given = (bucket.units * MOST_GIVEN).min(units as f64).floor();
         bucket.units -= given;
         given as u64
     }
 
     /// Takes what another leader gave.
-    pub fn receive(&mut self, team: &TeamName, units: u64, plan: &QuotaPlan, now_ms: u64) {
-        self.settled(team, plan, now_ms).units += units as f64;
+    pub fn receive(&mut self, key: &K, units: u64, plan: &QuotaPlan, now_ms: u64) {
+        self.settled(key, plan, now_ms).units += units as f64;
     }
 
     /// How much to ask of other leaders for somebody who wants so much, if they may be asked:
     /// what is missing, and as much again for the next.
     pub fn to_ask_others(
         &mut self,
-        team: &TeamName,
+        key: &K,
         units: u64,
         plan: &QuotaPlan,
         now_ms: u64,
     ) -> Option<u64> {
-        let bucket = self.settled(team, plan, now_ms);
+        let bucket = self.settled(key, plan, now_ms);
         (now_ms >= bucket.ask_others_ms).then_some(2 * units)
     }
 
     /// Notes that other leaders had nothing to give.
-    pub fn nothing_given(&mut self, team: &TeamName, now_ms: u64) {
-        if let Some(bucket) = self.by_team.get_mut(team) {
+    pub fn nothing_given(&mut self, key: &K, now_ms: u64) {
+        if let Some(bucket) = self.by_key.get_mut(key) {
             bucket.ask_others_ms = now_ms + NOTHING_GIVEN_MS;
         }
     }
 
-    /// A team's bucket with everything in it that was earned until now.
-    fn settled(&mut self, team: &TeamName, plan: &QuotaPlan, now_ms: u64) -> &mut Bucket {
+    /// A limit's bucket with everything in it that was earned until now.
+    fn settled(&mut self, key: &K, plan: &QuotaPlan, now_ms: u64) -> &mut Bucket {
         let (groups, since_ms) = (self.earning() as f64, self.since_ms);
         let most_units = self.most_units(plan, now_ms);
         let new = || Bucket { units: 0.0, at_ms: since_ms, refused: 0.0, ask_others_ms: 0 };
-        let bucket = self.by_team.entry(team.clone()).or_insert_with(new);
+        let bucket = self.by_key.entry(key.clone()).or_insert_with(new);
         let passed_ms = now_ms.saturating_sub(bucket.at_ms) as f64;
         let earned = plan.units_per_ms * groups * passed_ms;
         bucket.units = (bucket.units + earned).min(most_units);
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod demand;
 pub mod directory;
 pub mod endpoint;
+pub mod endpoint_limits;
 pub mod fingerprint;
 pub mod groups;
 pub mod identity;
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -4,8 +4,8 @@
     admission::{self, Admission, Outlook, Reason, Wait},
     asked::Wish,
     beliefs::Beliefs,
-    choice::{self, Known, Need},
-    endpoint::Endpoint,
+    choice::{self, HeldBack, Known, Need},
+    endpoint::{Endpoint, Life},
     loadable::Loadable,
     policy::{Mechanism, Policy},
     replicas::ReplicaView,
@@ -40,6 +40,8 @@
     pub is_trial: bool,
     /// Whether its team's limit allows it.
     pub is_paid: bool,
+    /// The life of an endpoint with a limit that has a place for it.
+    pub place: Option<&'a Life>,
 }
 
 /// What becomes of a request now.
@@ -52,6 +54,10 @@
     Try,
     /// There is an endpoint for it; it has to be taken from its team's limit first.
     Pay,
+    /// This endpoint could run it, and has named a limit; a place there has to be asked for first.
+    AskPlace(Endpoint),
+    /// Every endpoint that could run it has asked for less; it is refused now.
+    HeldBack(HeldBack),
     /// It waits for a change of what is known, at most until this long after its arrival.
     Wait {
         /// When waiting must end, from its arrival.
@@ -80,12 +86,20 @@
     }
     if let Some(endpoint) = choose_allowed(beliefs, asking, sends, lot, now_ms) {
         let must_ask = !asking.is_trial && beliefs.must_be_tried(asking.head.fingerprint);
+        let life = endpoint.life();
+        let needs_place =
+            beliefs.backpressure.limit(&life).is_some() && asking.place != Some(&life);
         return match (must_ask, asking.is_paid) {
             (true, _) => Selection::Try,
             (false, false) => Selection::Pay,
+            (false, true) if needs_place => Selection::AskPlace(endpoint),
             (false, true) => Selection::Send(endpoint),
         };
     }
+    let everywhere = sends.allowed_at_all(asking.route);
+    if let Some(held_back) = look(beliefs, asking, &everywhere, now_ms, choice::held_back) {
+        return Selection::HeldBack(held_back);
+    }
     if asking.head.model.is_none() {
         return Selection::Refuse { retry_after_ms: PLAIN_RETRY_MS, reason: None };
     }
@@ -141,7 +155,13 @@
     now_ms: u64,
 ) -> Option<Endpoint> {
     let mut choose = |allowed: &Allowed| {
-        let chosen = |known: Known<'_>, need: Need<'_>| choice::choose(known, need, lot).cloned();
+        let chosen = |known: Known<'_>, need: Need<'_>| {
+            let place = asking.place.filter(|life| choice::is_open_with_place(known, need, life));
+            match place {
+                Some(life) => known.beliefs.directory.get(&life.name).cloned(),
+                None => choice::choose(known, need, lot).cloned(),
+            }
+        };
         look(beliefs, asking, allowed, now_ms, chosen)
     };
     let chosen = choose(&sends.allowed(asking.route, now_ms));
--- a/crates/trestle-dispatch/src/sends.rs
+++ b/crates/trestle-dispatch/src/sends.rs
@@ -16,6 +16,8 @@
     NotRun,
     /// The endpoint could not be reached; it knows nothing of it.
     Unreachable,
+    /// It did not leave: what was known of the endpoint has changed.
+    NotSent,
     /// It may have run.
     MayHaveRun,
     /// It may have run, and took too long.
@@ -43,6 +45,10 @@
     sent_to: BTreeSet<EndpointName>,
     /// Endpoints that get no further send before a time; `u64::MAX` if there is another.
     set_aside: BTreeMap<EndpointName, u64>,
+    /// Whether the last send was the first to its endpoint.
+    is_last_new: bool,
+    /// Whether a further send was taken from the budget and not made.
+    has_unspent: bool,
     /// Endpoints that took too long; asking them again would only add to their load.
     too_slow: BTreeSet<EndpointName>,
 }
@@ -60,13 +66,16 @@
     /// Notes a send.
     pub fn sent(&mut self, endpoint: &EndpointName) {
         self.count += 1;
-        self.sent_to.insert(endpoint.clone());
+        self.is_last_new = self.sent_to.insert(endpoint.clone());
         self.last = Some(endpoint.clone());
     }
 
     /// Notes that the last send got no answer that can be passed on.
     pub fn ended(&mut self, end: SendEnd, now_ms: u64) {
         self.may_have_run |= end.may_have_run();
+        if end == SendEnd::NotSent {
+            return self.take_back();
+        }
         let Some(last) = &self.last else { return };
         let until_ms = if end == SendEnd::NotRun { now_ms + REFUSED_PAUSE_MS } else { u64::MAX };
         self.set_aside.insert(last.clone(), until_ms);
@@ -75,6 +84,21 @@
         }
     }
 
+    /// Takes back a send that was not made; the next needs nothing more of the budget.
+    fn take_back(&mut self) {
+        let Some(last) = &self.last else { return };
+        if self.is_last_new {
+            self.sent_to.remove(last);
+        }
+        self.count = self.count.saturating_sub(1);
+        self.has_unspent = self.count > 0;
+    }
+
+    /// Where a send may go at all, now or later.
+    pub fn allowed_at_all(&self, route: &Route) -> Allowed {
+        Allowed { excluded: self.too_slow.clone(), only: self.only(route) }
+    }
+
     /// Where the next send may go.
     pub fn allowed(&self, route: &Route, now_ms: u64) -> Allowed {
         let aside = self.set_aside.iter().filter(|(_, until_ms)| now_ms < **until_ms);
@@ -85,7 +109,7 @@
     /// about its endpoint, which may be the only one with the model.
     pub fn allowed_again(&self, route: &Route) -> Option<Allowed> {
         let may_repeat = self.may_have_run && route.is_idempotent();
-        may_repeat.then(|| Allowed { excluded: self.too_slow.clone(), only: self.only(route) })
+        may_repeat.then(|| self.allowed_at_all(route))
     }
 
     /// Where it may go that is not the endpoint of the last send.
@@ -102,14 +126,15 @@
 
     /// Takes a further send from the budget; the first needs none.
     pub fn take_next(
-        &self,
+        &mut self,
         route: &Route,
         service: &ServiceName,
         beliefs: &mut Beliefs,
         now_ms: u64,
     ) -> bool {
         let is_spent = self.may_have_run && !self.has_more(route);
-        self.count == 0 || (!is_spent && beliefs.take_retry(service, now_ms))
+        let is_taken = std::mem::take(&mut self.has_unspent);
+        self.count == 0 || (!is_spent && (is_taken || beliefs.take_retry(service, now_ms)))
     }
 
     fn only(&self, route: &Route) -> Option<BTreeSet<EndpointName>> {
--- a/crates/trestle-dispatch/tests/selection.rs
+++ b/crates/trestle-dispatch/tests/selection.rs
@@ -53,6 +53,7 @@
             wish: self.wish,
             is_trial: false,
             is_paid: true,
+            place: None,
         }
     }
 
@@ -67,6 +68,7 @@
             wish: *wish,
             is_trial: false,
             is_paid: true,
+            place: None,
         };
         selection::select(beliefs, asking, sends, 1, NOW_MS + elapsed_ms)
     }
@@ -188,7 +190,7 @@
         let has_other = |scene: &mut Scene| {
             let Scene { beliefs, route, service, head, sends, wish } = scene;
             let asking =
-                Asking { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, wish: *wish, is_trial: false, is_paid: true };
+                Asking { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, wish: *wish, is_trial: false, is_paid: true, place: None };
             selection::has_other(beliefs, asking, sends, NOW_MS)
         };
         scene.beliefs.daemons = 1;
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -345,6 +345,12 @@
         first.map_or(Leader::Nobody, |(_, leader)| leader)
     }
 
+    /// Where the leader of a group is.
+    pub(crate) fn leader_of(&self, group: &DomainName, now_ms: u64) -> Leader {
+        let leasing = self.by_group.get(group);
+        leasing.map_or(Leader::Nobody, |leasing| leasing.leader(now_ms))
+    }
+
     /// Where other leaders answer, each with a group that it leads.
     pub(crate) fn others(&self, now_ms: u64) -> BTreeMap<SocketAddr, DomainName> {
         let each = self.by_group.values().filter_map(|leasing| match leasing.leader(now_ms) {
--- a/crates/trestle-entry/src/control/message.rs
+++ b/crates/trestle-entry/src/control/message.rs
@@ -65,6 +65,13 @@
         /// Takes the answer.
         reply: Sender<Leader>,
     },
+    /// Asks where the leader of a group is.
+    LeaderOf {
+        /// The group.
+        group: DomainName,
+        /// Takes the answer.
+        reply: Sender<Leader>,
+    },
     /// Asks where other leaders answer, if this daemon leads.
     OtherLeaders(Sender<BTreeMap<SocketAddr, DomainName>>),
     /// Asks what another leader is to be told.
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -131,6 +131,9 @@
             Message::LeaderFor { name, reply } => {
                 let _ = reply.try_send(self.leases.leader_for(&name, now_ms));
             }
+            Message::LeaderOf { group, reply } => {
+                let _ = reply.try_send(self.leases.leader_of(&group, now_ms));
+            }
             Message::OtherLeaders(reply) => {
                 let _ = reply.try_send(self.other_leaders(now_ms));
             }
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -22,8 +22,8 @@
 use trestle_config::entry_settings::{Bounds, EntrySettings};
 use trestle_core::names::{EndpointName, ServiceName};
 use trestle_dispatch::{
-    allowance::Allowances, endpoint::Endpoint, lender::Lender, order_log::OrderLog, policy::Policy,
-    trials::Trials,
+    allowance::Allowances, endpoint::Endpoint, endpoint_limits::EndpointLimits, lender::Lender,
+    order_log::OrderLog, policy::Policy, trials::Trials,
 };
 
 /// What the parts of the daemon share.
@@ -40,6 +40,7 @@
     order_log: Mutex<OrderLog>,
     trials: Mutex<Trials>,
     lender: Mutex<Lender>,
+    endpoint_limits: Mutex<EndpointLimits>,
     allowances: Mutex<Allowances>,
     pub(crate) calls: LeaderCalls,
     pub(crate) freshness: Freshness,
@@ -67,6 +68,7 @@
             order_log: Mutex::default(),
             trials: Mutex::default(),
             lender: Mutex::default(),
+            endpoint_limits: Mutex::default(),
             allowances: Mutex::default(),
             calls: LeaderCalls::default(),
             freshness: Freshness::new(&settings.bounds),
@@ -113,6 +115,11 @@
         look(&mut self.lender.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Looks at, or changes, what this daemon decides on limits of endpoints while it leads.
+    pub(crate) fn with_endpoint_limits<R>(&self, look: impl FnOnce(&mut EndpointLimits) -> R) -> R {
+        look(&mut self.endpoint_limits.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Looks at, or changes, what it may spend of the limits of teams.
     pub(crate) fn with_allowances<R>(&self, look: impl FnOnce(&mut Allowances) -> R) -> R {
         look(&mut self.allowances.lock().unwrap_or_else(PoisonError::into_inner))
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod net;
 mod notices;
 mod peer;
+mod places;
 mod settings_watch;
 mod stop;
 mod stopping;
--- a/crates/trestle-entry/src/notices.rs
+++ b/crates/trestle-entry/src/notices.rs
@@ -1,21 +1,27 @@
 //! Takes what endpoints say of themselves in the heads of their answers.
 
 use crate::daemon::Daemon;
-use http::{HeaderMap, StatusCode};
-use trestle_dispatch::{backpressure::Heard, endpoint::Endpoint};
+use http::Response;
+use trestle_dispatch::{
+    backpressure::{Answer, Heard},
+    endpoint::Endpoint,
+};
 
-/// Takes what an answer of an endpoint says of it. `id` is that of the request that it answers.
-pub(crate) fn hear(
+/// Takes what an answer of an endpoint says of it. `id` is that of the request that it answers,
+/// which left at `sent_ms`.
+pub(crate) fn hear<B>(
     daemon: &Daemon,
     endpoint: &Endpoint,
-    status: StatusCode,
-    headers: &HeaderMap,
+    response: &Response<B>,
     id: &str,
+    sent_ms: u64,
 ) {
-    let notice = (daemon.wire.head.read_notice)(status, headers);
+    let notice = (daemon.wire.head.read_notice)(response.status(), response.headers());
+    let is_success = response.status().is_success();
+    let answer = Answer { notice: &notice, is_success, id, sent_ms };
     let now_ms = daemon.knowledge.now_ms();
     let life = endpoint.life();
-    let heard = daemon.knowledge.with(|beliefs| beliefs.backpressure.hear(&life, &notice, now_ms));
+    let heard = daemon.knowledge.with(|beliefs| beliefs.backpressure.hear(&life, answer, now_ms));
     for news in heard {
         log(endpoint, &news, id);
     }
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -1,6 +1,6 @@
 //! Serves other daemons.
 
-use crate::{control::message::Message, crashes, daemon::Daemon, lending, trial};
+use crate::{control::message::Message, crashes, daemon::Daemon, lending, places, trial};
 use async_compat::{Compat, CompatExt};
 use futures_util::StreamExt;
 use smol::net::{TcpListener, TcpStream};
@@ -14,6 +14,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 use trestle_wire::{
     lending::{WireBorrowing, WireLoan},
+    places::{WirePlace, WirePlaceAsking},
     relay::{WireConfig, WireHave, WireNews, WireRelay},
     replicas::{Replicas, WireAsking, WireSynced},
     trials::{WireTrial, WireTrialAnswer},
@@ -68,6 +69,10 @@
         lending::lend(&self.0, borrowing).await
     }
 
+    async fn lend_place(self, _: Context, asking: WirePlaceAsking) -> WirePlace {
+        places::lend(&self.0, asking).await
+    }
+
     async fn try_out(self, _: Context, trial: WireTrial) -> WireTrialAnswer {
         trial::decide(&self.0, trial).await
     }
--- a/crates/trestle-entry/src/tidy.rs
+++ b/crates/trestle-entry/src/tidy.rs
@@ -32,6 +32,10 @@
         }
         let live: BTreeSet<Life> =
             daemon.knowledge.with(|beliefs| beliefs.directory.iter().map(Endpoint::life).collect());
+        daemon.knowledge.with(|beliefs| {
+            beliefs.backpressure.retain(|life| live.contains(life), now_ms);
+        });
+        daemon.with_endpoint_limits(|limits| limits.tidy(now_ms));
         daemon.pool.tidy(|start| live.contains(start));
     }
 }
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -50,6 +50,9 @@
     let may_have_run =
         sent.as_ref().map_or_else(|unanswered| unanswered.end().may_have_run(), |_| true);
     task.payment.ended(may_have_run);
+    if !matches!(sent, Err(Unanswered::Unreachable(_) | Unanswered::NotSent)) {
+        task.place.use_up();
+    }
     match sent {
         Ok((connection, response, head)) => Ok(Attempt { taken, connection, response, head }),
         Err(unanswered) => {
@@ -60,7 +63,7 @@
                         beliefs.records.denied(name, loadable, now_ms);
                     }
                 }
-                Unanswered::NotRun(_) | Unanswered::Left => {}
+                Unanswered::NotRun(_) | Unanswered::NotSent => {}
                 Unanswered::Unreachable(_) => beliefs.records.unreachable(name, now_ms),
                 Unanswered::Broke(_) | Unanswered::MayHaveRun(_) | Unanswered::TimedOut(_) => {
                     beliefs.records.failed(name, now_ms);
@@ -91,22 +94,13 @@
         let connection = pool.connection(endpoint).await;
         let mut connection =
             connection.map_err(|error| Unanswered::Unreachable(error.to_string()))?;
-        // Opening a connection takes up to 300 ms, in which the endpoint may have left.
-        if !task.daemon.knowledge.with(|beliefs| beliefs.directory.is_usable(&endpoint.life())) {
-            return Err(Unanswered::Left);
-        }
-        if !task.payment.send(task, task.daemon.knowledge.now_ms()) {
-            return Err(Unanswered::Left);
+        if !task.may_leave(endpoint) {
+            return Err(Unanswered::NotSent);
         }
+        let sent_ms = task.daemon.knowledge.now_ms();
         match connection.send(task.request(endpoint, last_event_id)).await {
             Ok(response) => {
-                notices::hear(
-                    &task.daemon,
-                    endpoint,
-                    response.status(),
-                    response.headers(),
-                    &task.head.id,
-                );
+                notices::hear(&task.daemon, endpoint, &response, &task.head.id, sent_ms);
                 return check(task, connection, response).await;
             }
             // A kept connection had been closed; the request never left.
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -5,6 +5,7 @@
     traffic::{
         answer::{Body, Failure},
         payment::Payment,
+        place::Place,
         plain,
         report::{self, Ended, StreamSeen},
         stream,
@@ -142,6 +143,8 @@
         list: Mutex::default(),
         trial: Trial::default(),
         payment: Payment::default(),
+        place: Place::default(),
+        held_back: Mutex::default(),
     })
 }
 
--- a/crates/trestle-entry/src/traffic/mod.rs
+++ b/crates/trestle-entry/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod outcome;
 pub(crate) mod patience;
 pub(crate) mod payment;
+mod place;
 mod plain;
 pub(crate) mod report;
 pub(crate) mod select;
--- a/crates/trestle-entry/src/traffic/outcome.rs
+++ b/crates/trestle-entry/src/traffic/outcome.rs
@@ -15,8 +15,8 @@
 pub(crate) enum Unanswered {
     /// The endpoint could not be connected to; it knows nothing of the request.
     Unreachable(String),
-    /// The endpoint left before the request did.
-    Left,
+    /// The endpoint left, or asked for less, before the request left.
+    NotSent,
     /// The endpoint says that it did not run the request.
     NotRun(StatusCode),
     /// The connection broke; it may have run.
@@ -31,7 +31,8 @@
     /// What that says of the request.
     pub(crate) fn end(&self) -> SendEnd {
         match self {
-            Self::Unreachable(_) | Self::Left => SendEnd::Unreachable,
+            Self::Unreachable(_) => SendEnd::Unreachable,
+            Self::NotSent => SendEnd::NotSent,
             Self::NotRun(_) => SendEnd::NotRun,
             Self::Broke(_) | Self::MayHaveRun(_) => SendEnd::MayHaveRun,
             Self::TimedOut(_) => SendEnd::TimedOut,
@@ -42,7 +43,7 @@
     pub(crate) fn reason(&self) -> String {
         match self {
             Self::Unreachable(reason) => format!("not reached: {reason}"),
-            Self::Left => "it has left".to_owned(),
+            Self::NotSent => "it has left, or takes less".to_owned(),
             Self::NotRun(status) => format!("refused with {status}"),
             Self::Broke(reason) | Self::MayHaveRun(reason) => reason.clone(),
             Self::TimedOut(timeout_ms) => format!("no answer within {timeout_ms} ms"),
--- a/crates/trestle-entry/src/traffic/plain.rs
+++ b/crates/trestle-entry/src/traffic/plain.rs
@@ -34,7 +34,7 @@
             Ok(taken) => taken,
             Err(failure) => break Err(failure),
         };
-        if !task.take_next(&sends) {
+        if !task.take_next(&mut sends) {
             break Err(Failure::NotRun { retry_after_ms: RETRY_SOON_MS, why: "retries_spent" });
         }
         match send(task, taken, &mut sends).await {
--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -49,6 +49,8 @@
         _ => (None, None),
     };
     let list = endpoint.map(|_| task.list());
+    let held_back = task.held_back();
+    let held_back = held_back.as_ref();
     tracing::info!(
         id = task.head.id,
         request = task.fingerprint(),
@@ -63,6 +65,10 @@
         end = end.name(),
         why,
         endpoint,
+        held_back_by = held_back.map(|seen| seen.endpoint.as_str()),
+        limit_per_s = held_back.and_then(|seen| seen.limit_per_s),
+        heard_ago_ms = held_back.map(|seen| seen.heard_ago_ms),
+        heard_in = held_back.map(|seen| seen.heard_in.as_str()),
         list_version = list.map(|list| list.version),
         list_age_ms = list.map(|list| list.age_ms),
         list_from = list.map(|list| list.way),
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     daemon::Daemon,
+    places,
     traffic::{
         answer::{Failure, RETRY_SOON_MS},
         payment,
@@ -61,6 +62,16 @@
                 payment::pay(task).await?;
                 continue;
             }
+            Selection::AskPlace(endpoint) => {
+                if let Some(until_ms) = places::ask(&task.daemon, &endpoint, &task.head.id).await {
+                    task.place.take(endpoint.life(), until_ms);
+                }
+                continue;
+            }
+            Selection::HeldBack(held_back) => {
+                let retry_after_ms = held_back.for_ms;
+                return Err(Failure::NotRun { retry_after_ms, why: "held_back" });
+            }
             Selection::Wait { until_ms } => until_ms,
         };
         if !task.daemon.stopping.can_begin(task.daemon.knowledge.now_ms()) {
@@ -88,9 +99,13 @@
 fn look(task: &Task, sends: &Sends, wish: Option<u64>) -> Selection {
     let lot = fastrand::u64(..);
     let now_ms = task.daemon.knowledge.now_ms();
+    let place = task.place.life(now_ms);
     task.daemon.knowledge.with(|beliefs| {
-        let asking = Asking { wish, ..task.asking() };
+        let asking = Asking { wish, place: place.as_ref(), ..task.asking() };
         let selection = selection::select(beliefs, asking, sends, lot, now_ms);
+        if let Selection::HeldBack(held_back) = &selection {
+            task.note_held_back(beliefs, &held_back.life, now_ms);
+        }
         if let Selection::Send(endpoint) = &selection {
             beliefs.sent(endpoint, task.head.model.as_ref(), task.head.adapter.as_ref());
             task.note_list(beliefs, now_ms);
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -168,7 +168,7 @@
             return Err(Some(Failure::OutOfTime));
         }
         let taken = select::select(&self.task, &self.sends).await.map_err(Some)?;
-        if !self.task.take_next(&self.sends) {
+        if !self.task.take_next(&mut self.sends) {
             let why = "retries_spent";
             return Err(Some(Failure::NotRun { retry_after_ms: RETRY_SOON_MS, why }));
         }
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -3,7 +3,10 @@
 use crate::{
     broken,
     daemon::Daemon,
-    traffic::payment::{self, Payment},
+    traffic::{
+        payment::{self, Payment},
+        place::Place,
+    },
     trial::Trial,
 };
 use bytes::Bytes;
@@ -13,10 +16,10 @@
     Arc, Mutex, PoisonError,
     atomic::{AtomicU64, Ordering},
 };
-use trestle_core::names::ServiceName;
+use trestle_core::names::{EndpointName, ServiceName};
 use trestle_dispatch::{
     beliefs::Beliefs,
-    endpoint::Endpoint,
+    endpoint::{Endpoint, Life},
     identity::Identity,
     request::{Forwarded, RequestHead},
     route::Route,
@@ -53,6 +56,10 @@
     pub(crate) trial: Trial,
     /// What it has taken from its team's limit.
     pub(crate) payment: Payment,
+    /// Its place at an endpoint that has named a limit.
+    pub(crate) place: Place,
+    /// The endpoint that held it back, with what was known of it, for logs.
+    pub(crate) held_back: Mutex<Option<HeldBackSeen>>,
 }
 
 /// The list that an endpoint was chosen from, for logs.
@@ -63,6 +70,16 @@
     pub(crate) way: &'static str,
 }
 
+/// What was known of an endpoint that held a request back, for logs.
+#[derive(Debug, Clone)]
+pub(crate) struct HeldBackSeen {
+    pub(crate) endpoint: EndpointName,
+    pub(crate) limit_per_s: Option<f64>,
+    pub(crate) heard_ago_ms: u64,
+    /// The request in whose answer it was heard.
+    pub(crate) heard_in: String,
+}
+
 /// Stands for a request that was not sent to an endpoint.
 pub(crate) const NOT_SENT: u64 = u64::MAX;
 
@@ -78,11 +95,12 @@
             wish: None,
             is_trial: self.trial.is_begun(),
             is_paid: self.payment.is_made(self, self.daemon.knowledge.now_ms()),
+            place: None,
         }
     }
 
     /// Takes a further send from the budget, if the request may go out once more.
-    pub(crate) fn take_next(&self, sends: &Sends) -> bool {
+    pub(crate) fn take_next(&self, sends: &mut Sends) -> bool {
         let knowledge = &self.daemon.knowledge;
         let now_ms = knowledge.now_ms();
         knowledge.with(|beliefs| sends.take_next(&self.route, &self.service, beliefs, now_ms))
@@ -93,6 +111,36 @@
         self.head.fingerprint.map(|fingerprint| fingerprint.to_string())
     }
 
+    /// Whether it may leave for an endpoint, by what is known at this moment. An endpoint may have
+    /// left, or named a limit, while a connection was opened.
+    pub(crate) fn may_leave(&self, endpoint: &Endpoint) -> bool {
+        let now_ms = self.daemon.knowledge.now_ms();
+        let life = endpoint.life();
+        let (is_usable, is_limited) = self.daemon.knowledge.with(|beliefs| {
+            let is_limited = beliefs.backpressure.limit(&life).is_some();
+            (beliefs.directory.is_usable(&life), is_limited)
+        });
+        is_usable
+            && (!is_limited || self.place.may_leave(&life, now_ms))
+            && self.payment.send(self, now_ms)
+    }
+
+    /// Notes the endpoint that held it back.
+    pub(crate) fn note_held_back(&self, beliefs: &Beliefs, life: &Life, now_ms: u64) {
+        let seen = beliefs.backpressure.limit(life).map(|limit| HeldBackSeen {
+            endpoint: life.name.clone(),
+            limit_per_s: Some(limit.per_ks as f64 / 1e3),
+            heard_ago_ms: now_ms.saturating_sub(limit.heard_ms),
+            heard_in: limit.heard_in.clone(),
+        });
+        *self.held_back.lock().unwrap_or_else(PoisonError::into_inner) = seen;
+    }
+
+    /// The endpoint that held it back.
+    pub(crate) fn held_back(&self) -> Option<HeldBackSeen> {
+        self.held_back.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Whether the caller's key has not been taken away since it was routed.
     pub(crate) fn still_counts(&self) -> bool {
         let Some(catalog) = self.daemon.knowledge.catalog() else { return true };
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -156,6 +156,7 @@
             wish: of.wish,
             is_trial: false,
             is_paid: true,
+            place: None,
         };
         let beliefs = &mut self.daemons[of.daemon].beliefs;
         match selection::select(beliefs, asking, &of.sends, lot, now_ms) {
@@ -163,6 +164,9 @@
             Selection::Wait { until_ms } => self.wait(request, until_ms, elapsed_ms),
             Selection::Try => unreachable!("engines here do not end under requests"),
             Selection::Pay => unreachable!("teams here have no limits"),
+            Selection::AskPlace(_) | Selection::HeldBack(_) => {
+                unreachable!("engines here name no limits")
+            }
             Selection::Refuse { retry_after_ms, .. } => self.refuse(request, retry_after_ms),
         }
     }
@@ -189,6 +193,7 @@
             wish: None,
             is_trial: false,
             is_paid: true,
+            place: None,
         };
         let Some(wish) = selection::wish(asking, due_ms) else { return };
         daemon.next_number += 1;
@@ -378,6 +383,7 @@
             wish: None,
             is_trial: false,
             is_paid: true,
+            place: None,
         };
         let beliefs = &mut self.daemons[of.daemon].beliefs;
         let moves =
@@ -437,6 +443,7 @@
             wish: None,
             is_trial: false,
             is_paid: true,
+            place: None,
         };
         let daemon = &mut self.daemons[of.daemon];
         let wish = selection::wish_of_returning(self.policy, asking, retry_after_ms, now_ms);
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod order;
 pub mod peer;
 pub mod placements;
+pub mod places;
 pub mod relay;
 pub mod replicas;
 pub mod row;
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -4,6 +4,7 @@
     crashes::{WireCrash, WireRefused},
     lending::{WireBorrowing, WireLoan},
     placements::{WireDelta, WireName},
+    places::{WirePlace, WirePlaceAsking},
     relay::{WireHave, WireRelay},
     trials::{WireTrial, WireTrialAnswer},
 };
@@ -28,6 +29,8 @@
     async fn try_out(trial: WireTrial) -> WireTrialAnswer;
     /// Asks for a part of a team's limit.
     async fn lend(borrowing: WireBorrowing) -> WireLoan;
+    /// Asks for a place at an endpoint that has named a limit.
+    async fn lend_place(asking: WirePlaceAsking) -> WirePlace;
 }
 
 /// What a daemon tells a leader, and what it has heard already.
