Send nothing to an endpoint that has said in an answer that it leaves

What callers saw: answers from an engine that was about to end, 2.8 to 5.6 s after it had said so; where it ended first, a broken stream. The store took the engine's leaving 12 s late, and all that time the list called it ready. Ruled out: that the list undid it (nothing was there to undo), and choices made before the answer (the late requests came seconds after it). Change: Beliefs::hear tells the directory, which keeps it by life as it keeps what entries say: no entry, leader or whole list undoes it, a start anew does. It is heard in answers to requests, orders and reports; a leader breaks a change off there before its next order. Conclusion: an answer is as good a source as the list, and nearer.

--- a/crates/trestle-dispatch/src/backpressure.rs
+++ b/crates/trestle-dispatch/src/backpressure.rs
@@ -40,7 +40,6 @@
 #[derive(Debug, Default)]
 struct Asked {
     limit: Option<NamedLimit>,
-    has_left: bool,
     /// Until when it wants nothing.
     rest_until_ms: u64,
     /// The last thing that could not be read.
@@ -117,10 +116,6 @@
         asked.heard_ms = now_ms;
         let mut heard = Vec::new();
         heard.extend(asked.hear_limit(answer, now_ms));
-        if notice.leaves.value().is_some() && !asked.has_left {
-            asked.has_left = true;
-            heard.push(Heard::Leaves);
-        }
         if let Some(&for_ms) = notice.rest_ms.value() {
             asked.rest_until_ms = asked.rest_until_ms.max(now_ms + for_ms);
             heard.push(Heard::Rest { for_ms });
--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     asked::Asked,
-    backpressure::Backpressure,
+    backpressure::{Answer, Backpressure, Heard},
     catalog::Catalog,
     config_texts::ConfigTexts,
     crashes::Crashes,
     directory::Directory,
-    endpoint::Endpoint,
+    endpoint::{Endpoint, Life},
     fingerprint::Fingerprint,
     listing::{ListedEntry, Listing, News, Source},
     loadable::{self, Loadable},
@@ -292,6 +292,15 @@
         is_taken
     }
 
+    /// Takes what a life of an endpoint says in an answer; returns what is new of it.
+    pub fn hear(&mut self, life: &Life, answer: Answer<'_>, now_ms: u64) -> Vec<Heard> {
+        let mut heard = self.backpressure.hear(life, answer, now_ms);
+        if answer.notice.leaves.value().is_some() && self.directory.leaves(life) {
+            heard.push(Heard::Leaves);
+        }
+        heard
+    }
+
     /// What has changed in the list of endpoints since a version, as this daemon believes it: one
     /// that it has seen leaving is no more usable to a daemon that has not.
     pub fn list_after(&self, version: u64) -> News {
--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -149,6 +149,20 @@
         }
     }
 
+    /// Takes that a start of an endpoint has said in an answer that it leaves; returns whether
+    /// that is news. No entry says more of it than the endpoint does.
+    pub fn leaves(&mut self, life: &Life) -> bool {
+        if self.was_leaving(life) {
+            return false;
+        }
+        self.note_past(life.clone(), |past| past.has_left = true);
+        let listed = self.endpoints.get_mut(&life.name);
+        if let Some(endpoint) = listed.filter(|endpoint| endpoint.born_ms == life.born_ms) {
+            Arc::make_mut(endpoint).is_leaving = true;
+        }
+        true
+    }
+
     /// Takes what an engine is thought to hold.
     pub fn assume_held(&mut self, name: &EndpointName, held: Held) {
         if let Some(endpoint) = self.endpoints.get_mut(name) {
--- a/crates/trestle-dispatch/tests/directory.rs
+++ b/crates/trestle-dispatch/tests/directory.rs
@@ -4,7 +4,10 @@
 
 use common::endpoint;
 use trestle_core::names::{EndpointName, ServiceName};
-use trestle_dispatch::directory::Directory;
+use trestle_dispatch::{
+    directory::Directory,
+    endpoint::{Endpoint, Life},
+};
 
 const LEAVING_MS: u64 = 2_000;
 
@@ -124,6 +127,25 @@
         assert!(usable(&directory).is_empty());
     }
 
+    no_entry_undoes_what_an_endpoint_said_in_an_answer => {
+        let mut directory = listed(&["x", "y"]);
+        let life = endpoint("x", "z", &[]).life();
+        assert!(directory.leaves(&life), "it is news");
+        assert!(!directory.leaves(&life), "it is no news any more");
+        assert_eq!(usable(&directory), ["y"]);
+        directory.written(Endpoint { entry_number: 9, ..endpoint("x", "z", &[]) });
+        directory.listed(Endpoint { entry_number: 10, ..endpoint("x", "z", &[]) });
+        directory.replaced(vec![endpoint("x", "z", &[]), endpoint("y", "z", &[])], 100);
+        assert_eq!(usable(&directory), ["y"]);
+        // It is not even listed yet where the answer is heard.
+        let early = Life { name: name("early"), born_ms: 7 };
+        assert!(directory.leaves(&early));
+        directory.written(Endpoint { born_ms: 7, ..endpoint("early", "z", &[]) });
+        assert_eq!(usable(&directory), ["y"]);
+        directory.written(Endpoint { born_ms: 8, ..endpoint("early", "z", &[]) });
+        assert_eq!(usable(&directory), ["early", "y"]);
+    }
+
     an_older_message_does_not_undo_a_newer_one => {
         let mut directory = listed(&[]);
         let mut newer = endpoint("x", "z", &["a"]);
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -1,6 +1,6 @@
 //! Carries out one change at one engine, order by order.
 
-use crate::{control::message::Message, daemon::Daemon, net::exchange::CallClient};
+use crate::{control::message::Message, daemon::Daemon, net::exchange::CallClient, notices};
 use smol::Timer;
 use std::{sync::Arc, time::Duration};
 use trestle_core::names::ServiceName;
@@ -19,6 +19,9 @@
 /// Why a change ends whose orders were for an earlier start of the engine.
 const STARTED_AGAIN: &str = "the engine has started again, or is gone";
 
+/// Why one ends at an engine that has said meanwhile that it leaves.
+const LEAVES: &str = "the engine leaves";
+
 /// Begins a change in a task of its own.
 pub(crate) fn start(
     daemon: &Arc<Daemon>,
@@ -58,6 +61,9 @@
         if !daemon.is_listed_start(&endpoint) {
             break Some(STARTED_AGAIN.to_owned());
         }
+        if matches!(next, Next::Send(..)) && !daemon.is_usable_start(&endpoint) {
+            break Some(LEAVES.to_owned());
+        }
         match next {
             Next::Done => break None,
             Next::Failed(failure) => break Some(format!("{failure:?}")),
@@ -100,6 +106,7 @@
             return None;
         }
     };
+    notices::hear_call(daemon, endpoint, &answer);
     match (daemon.wire.endpoint.report_answer)(answer.status, &answer.body) {
         Ok(report) => Some(report),
         Err(error) => {
@@ -126,7 +133,10 @@
     daemon.with_order_log(|log| log.sent(&endpoint.name, now_ms + CALL_MS));
     let call = (daemon.wire.endpoint.order_call)(&endpoint.name, order, count, leader, token);
     let answer = match client.exchange(call, CALL_MS).await {
-        Ok(answer) => (daemon.wire.endpoint.order_answer)(answer.status),
+        Ok(answer) => {
+            notices::hear_call(daemon, endpoint, &answer);
+            (daemon.wire.endpoint.order_answer)(answer.status)
+        }
         Err(error) => {
             tracing::warn!(endpoint = %endpoint.name, %error, "order: No answer.");
             OrderAnswer::Unknown
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -138,6 +138,11 @@
         self.knowledge.with(|beliefs| beliefs.directory.lists(&endpoint.life()))
     }
 
+    /// The same, and it is not leaving.
+    pub(crate) fn is_usable_start(&self, endpoint: &Endpoint) -> bool {
+        self.knowledge.with(|beliefs| beliefs.directory.is_usable(&endpoint.life()))
+    }
+
     /// A number that nothing else in this process has.
     pub(crate) fn next_number(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
--- a/crates/trestle-entry/src/net/exchange.rs
+++ b/crates/trestle-entry/src/net/exchange.rs
@@ -3,7 +3,7 @@
 use crate::{net::connect, wire::Call};
 use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::Incoming,
@@ -52,6 +52,7 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
@@ -76,10 +77,10 @@
         let address = self.address;
         let sender = kept.take();
         let (response, sender) = within(timeout_ms, address, send(sender, address, call)).await?;
-        let status = response.status().as_u16();
-        let body = read_body(response.into_body(), address, timeout_ms).await?;
+        let (head, body) = response.into_parts();
+        let body = read_body(body, address, timeout_ms).await?;
         *kept = Some(sender);
-        Ok(Answer { status, body })
+        Ok(Answer { status: head.status.as_u16(), headers: head.headers, body })
     }
 }
 
--- a/crates/trestle-entry/src/notices.rs
+++ b/crates/trestle-entry/src/notices.rs
@@ -1,14 +1,16 @@
 //! Takes what endpoints say of themselves in the heads of their answers.
 
-use crate::daemon::Daemon;
-use http::Response;
+use crate::{daemon::Daemon, net::exchange};
+use http::{Response, StatusCode};
 use trestle_dispatch::{
     backpressure::{Answer, Heard},
     endpoint::Endpoint,
 };
 
-/// Takes what an answer of an endpoint says of it. `id` is that of the request that it answers,
-/// which left at `sent_ms`.
+/// Stands in logs for the id of a request where an order or a report was answered.
+const ORDER_ID: &str = "order";
+
+/// Takes what the answer to a request says of its endpoint. The request left at `sent_ms`.
 pub(crate) fn hear<B>(
     daemon: &Daemon,
     endpoint: &Endpoint,
@@ -16,14 +18,30 @@
     id: &str,
     sent_ms: u64,
 ) {
-    let notice = (daemon.wire.head.read_notice)(response.status(), response.headers());
-    let is_success = response.status().is_success();
-    let answer = Answer { notice: &notice, is_success, id, sent_ms };
+    let (status, headers) = (response.status(), response.headers());
+    let notice = (daemon.wire.head.read_notice)(status, headers);
+    let is_success = status.is_success();
+    take(daemon, endpoint, Answer { notice: &notice, is_success, id, sent_ms });
+}
+
+/// Takes what the answer to a call of control says of its endpoint. That it says nothing means
+/// nothing: it is no request.
+pub(crate) fn hear_call(daemon: &Daemon, endpoint: &Endpoint, answer: &exchange::Answer) {
+    let Ok(status) = StatusCode::from_u16(answer.status) else { return };
+    let notice = (daemon.wire.head.read_notice)(status, &answer.headers);
+    let said = Answer { notice: &notice, is_success: false, id: ORDER_ID, sent_ms: 0 };
+    take(daemon, endpoint, said);
+}
+
+fn take(daemon: &Daemon, endpoint: &Endpoint, answer: Answer<'_>) {
     let now_ms = daemon.knowledge.now_ms();
     let life = endpoint.life();
-    let heard = daemon.knowledge.with(|beliefs| beliefs.backpressure.hear(&life, answer, now_ms));
-    for news in heard {
-        log(endpoint, &news, id);
+    let heard = daemon.knowledge.with(|beliefs| beliefs.hear(&life, answer, now_ms));
+    for news in &heard {
+        log(endpoint, news, answer.id);
+    }
+    if !heard.is_empty() {
+        daemon.knowledge.say_changed();
     }
 }
 
