Leave an endpoint alone for as long as it asks for rest

What callers saw: requests sent four times to an engine that turned all away, held 0.3 to 0.5 s each time and refused in the end. Ruled out: the retry budget (it bounds repeats over all endpoints, not what one gets), a choice that was not looked at again (the sends were 0.4 s apart). Change: the rest is kept by life and daemon, looked at when an endpoint is chosen and when the request leaves. Where all that could run a request rest, it is refused at once with the first end; nothing is taken from the retry budget and no model is moved for it; orders wait. After a rest requests come step by step. A send that was not made, since what was known of its endpoint had changed, now costs nothing of the budget and sets nothing aside.

--- a/crates/trestle-dispatch/src/backpressure.rs
+++ b/crates/trestle-dispatch/src/backpressure.rs
@@ -22,6 +22,15 @@
 /// Daemons that try it so often; more of them do more seldom, so that all together ask for as
 /// many places.
 const FEW_DAEMONS: u64 = 16;
+/// Longest time after a rest for which an endpoint gets few requests at once, more with each that
+/// it has served: callers who were turned away come back together.
+const RETURNING_MS: u64 = 3_000;
+/// Requests at once that each served one allows.
+const RETURNING_STEP: u32 = 2;
+/// Requests served after a rest from which on it is over.
+const RETURNED_SERVED: u32 = 4;
+/// When callers should come back who find an endpoint at work on the first requests after a rest.
+const RETURNING_RETRY_MS: u64 = 200;
 /// Longest time for which a refused daemon does not ask for a place again: the limit may be
 /// raised or lifted meanwhile.
 const MOST_CLOSED_MS: u64 = 5_000;
@@ -40,13 +49,25 @@
 #[derive(Debug, Default)]
 struct Asked {
     limit: Option<NamedLimit>,
-    /// Until when it wants nothing.
-    rest_until_ms: u64,
+    rest: Option<Rest>,
     /// The last thing that could not be read.
     unreadable: Option<String>,
     heard_ms: u64,
 }
 
+/// A rest that an endpoint has asked of this daemon.
+#[trestle_macros::plain]
+pub struct Rest {
+    /// Until when it wants nothing.
+    pub until_ms: u64,
+    /// When it last asked for it.
+    pub heard_ms: u64,
+    /// The request in whose answer it did.
+    pub heard_in: String,
+    /// Requests that it has served since.
+    served: u32,
+}
+
 /// A limit that an endpoint has named.
 #[trestle_macros::plain]
 pub struct NamedLimit {
@@ -116,10 +137,7 @@
         asked.heard_ms = now_ms;
         let mut heard = Vec::new();
         heard.extend(asked.hear_limit(answer, now_ms));
-        if let Some(&for_ms) = notice.rest_ms.value() {
-            asked.rest_until_ms = asked.rest_until_ms.max(now_ms + for_ms);
-            heard.push(Heard::Rest { for_ms });
-        }
+        heard.extend(asked.hear_rest(answer, now_ms));
         heard.extend(asked.unreadable(notice));
         heard
     }
@@ -129,6 +147,29 @@
         self.by_life.get(life)?.limit.as_ref()
     }
 
+    /// The rest that a life of an endpoint has asked for, until it serves again as before.
+    pub fn rest(&self, life: &Life) -> Option<&Rest> {
+        self.by_life.get(life)?.rest.as_ref()
+    }
+
+    /// Time until a rest that a life of an endpoint has asked for is over.
+    pub fn rests_for_ms(&self, life: &Life, now_ms: u64) -> Option<u64> {
+        let rest = self.rest(life)?;
+        Some(rest.until_ms.saturating_sub(now_ms)).filter(|left_ms| *left_ms > 0)
+    }
+
+    /// Time for which no more requests are sent to a life of an endpoint that rests, or comes
+    /// back from a rest with so many requests of this daemon already.
+    pub fn rest_closed_for_ms(&self, life: &Life, in_flight: u32, now_ms: u64) -> Option<u64> {
+        let rest = self.rest(life)?;
+        if now_ms < rest.until_ms {
+            return Some(rest.until_ms - now_ms);
+        }
+        let is_returning = now_ms < rest.until_ms + RETURNING_MS;
+        let most = 1 + RETURNING_STEP * rest.served;
+        (is_returning && in_flight >= most).then_some(RETURNING_RETRY_MS)
+    }
+
     /// Whether nothing was asked by anybody.
     pub fn is_empty(&self) -> bool {
         self.by_life.is_empty()
@@ -186,6 +227,12 @@
         self.by_life.values().filter(|asked| asked.limit.is_some()).count()
     }
 
+    /// Lives that rest.
+    pub fn resting(&self, now_ms: u64) -> usize {
+        let rests = self.by_life.values().filter_map(|asked| asked.rest.as_ref());
+        rests.filter(|rest| now_ms < rest.until_ms).count()
+    }
+
     /// Forgets lives that have not been listed for long.
     pub fn retain(&mut self, is_listed: impl Fn(&Life) -> bool, now_ms: u64) {
         self.by_life.retain(|life, asked| is_listed(life) || now_ms < asked.heard_ms + KEPT_MS);
@@ -207,6 +254,22 @@
 }
 
 impl Asked {
+    /// Takes the rest that an answer asks for, or that it asks for none.
+    fn hear_rest(&mut self, answer: Answer<'_>, now_ms: u64) -> Option<Heard> {
+        if let Some(&for_ms) = answer.notice.rest_ms.value() {
+            // A shorter one that is asked for later does not end a longer one.
+            let before_ms = self.rest.as_ref().map_or(0, |rest| rest.until_ms);
+            let until_ms = before_ms.max(now_ms + for_ms);
+            let heard_in = answer.id.to_owned();
+            self.rest = Some(Rest { until_ms, heard_ms: now_ms, heard_in, served: 0 });
+            return Some(Heard::Rest { for_ms });
+        }
+        let rest = self.rest.as_mut()?;
+        rest.served += u32::from(answer.is_success && answer.sent_ms >= rest.until_ms);
+        self.rest.take_if(|rest| rest.served >= RETURNED_SERVED);
+        None
+    }
+
     /// Takes the limit that an answer names, or that it names none.
     fn hear_limit(&mut self, answer: Answer<'_>, now_ms: u64) -> Option<Heard> {
         match (&answer.notice.limit_per_ks, &mut self.limit) {
--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -129,7 +129,8 @@
 pub fn is_open_with_place(known: Known<'_>, need: Need<'_>, life: &Life) -> bool {
     let endpoint = known.beliefs.directory.get(&life.name);
     let endpoint = endpoint.filter(|endpoint| endpoint.born_ms == life.born_ms);
-    endpoint.is_some_and(|endpoint| is_able(&known, &need, endpoint))
+    let rests = known.beliefs.backpressure.rests_for_ms(life, known.now_ms).is_some();
+    !rests && endpoint.is_some_and(|endpoint| is_able(&known, &need, endpoint))
 }
 
 fn standing(known: &Known<'_>, endpoint: &Endpoint) -> Standing {
@@ -138,7 +139,10 @@
         return Standing::Open;
     }
     let life = endpoint.life();
-    match backpressure.closed_for_ms(&life, known.now_ms) {
+    let in_flight = known.beliefs.records.of(&endpoint.name).in_flight;
+    let by_rest_ms = backpressure.rest_closed_for_ms(&life, in_flight, known.now_ms);
+    let by_limit_ms = backpressure.closed_for_ms(&life, known.now_ms);
+    match by_rest_ms.max(by_limit_ms) {
         Some(for_ms) => Standing::Closed { for_ms },
         None if backpressure.limit(&life).is_some() => Standing::Limited,
         None => Standing::Open,
--- /dev/null
+++ b/crates/trestle-dispatch/tests/rest.rs
@@ -0,0 +1,144 @@
+//! Endpoints that ask one daemon for rest: nothing is sent to them until it is over, work goes
+//! elsewhere, and they come back step by step.
+
+mod common;
+
+use common::{endpoint, route};
+use trestle_dispatch::{
+    backpressure::Answer,
+    beliefs::Beliefs,
+    choice::HeldBack,
+    endpoint::Life,
+    notice::{Notice, Said},
+    request::RequestHead,
+    retry_share::RetryBounds,
+    route::RouteKind,
+    selection::{self, Asking, Selection},
+    sends::{SendEnd, Sends},
+};
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $body:block)+) => { $($(#[$doc])* #[test] fn $name() $body)+ };
+}
+
+const NOW_MS: u64 = 10_000;
+const REST_MS: u64 = 3_000;
+
+/// A daemon that knows these servers of a plain service.
+fn knowing(names: &[&str]) -> Beliefs {
+    let bounds = RetryBounds { ratio: 0.2, window_ms: 10_000, fixed: 52 };
+    let mut beliefs = Beliefs::new("z".into(), 2_000, bounds);
+    beliefs.directory.replaced(names.iter().map(|name| endpoint(name, "z", &[])).collect(), 0);
+    beliefs
+}
+
+fn life(name: &str) -> Life {
+    endpoint(name, "z", &[]).life()
+}
+
+/// An answer of a server, which may ask for rest.
+fn answered(beliefs: &mut Beliefs, name: &str, rest_ms: Option<u64>, sent_ms: u64, now_ms: u64) {
+    let rest_ms = rest_ms.map_or(Said::Nothing, Said::Value);
+    let is_success = rest_ms == Said::Nothing;
+    let notice = Notice { rest_ms, ..Notice::default() };
+    beliefs.hear(&life(name), Answer { notice: &notice, is_success, id: "1", sent_ms }, now_ms);
+}
+
+fn select(beliefs: &mut Beliefs, sends: &Sends, lot: u64, now_ms: u64) -> Selection {
+    let route = route("/", RouteKind::Idempotent);
+    let head = RequestHead::default();
+    let asking = Asking {
+        route: &route,
+        service: &"s".into(),
+        head: &head,
+        allowed_ms: 4_000,
+        elapsed_ms: 0,
+        wish: None,
+        is_trial: false,
+        is_paid: true,
+        place: None,
+    };
+    selection::select(beliefs, asking, sends, lot, now_ms)
+}
+
+/// Whether a request would be sent to a server, of so many.
+fn sent_to(beliefs: &mut Beliefs, name: &str, now_ms: u64) -> usize {
+    let each = (0..100).filter(|lot| {
+        let selection = select(beliefs, &Sends::default(), *lot, now_ms);
+        matches!(selection, Selection::Send(endpoint) if *endpoint.name.as_str() == *name)
+    });
+    each.count()
+}
+
+cases! {
+    work_goes_elsewhere_until_the_rest_is_over => {
+        let mut beliefs = knowing(&["x", "y"]);
+        answered(&mut beliefs, "x", Some(REST_MS), NOW_MS - 5, NOW_MS);
+        assert_eq!(sent_to(&mut beliefs, "x", NOW_MS + REST_MS - 1), 0);
+        assert_eq!(sent_to(&mut beliefs, "y", NOW_MS + REST_MS - 1), 100);
+        assert!(sent_to(&mut beliefs, "x", NOW_MS + REST_MS) > 0);
+    }
+
+    where_all_rest_a_request_is_refused_with_the_first_end => {
+        let mut beliefs = knowing(&["x", "y"]);
+        answered(&mut beliefs, "x", Some(REST_MS), NOW_MS, NOW_MS);
+        answered(&mut beliefs, "y", Some(1_000), NOW_MS, NOW_MS);
+        // One that has just been turned away is refused no later than others.
+        let mut sends = Sends::default();
+        sends.sent(&"y".into());
+        sends.ended(SendEnd::NotRun, NOW_MS);
+        let first = Selection::HeldBack(HeldBack { life: life("y"), for_ms: 900 });
+        assert_eq!(select(&mut beliefs, &sends, 1, NOW_MS + 100), first);
+    }
+
+    a_shorter_rest_that_is_asked_for_later_does_not_end_a_longer_one => {
+        let mut beliefs = knowing(&["x"]);
+        answered(&mut beliefs, "x", Some(REST_MS), NOW_MS, NOW_MS);
+        answered(&mut beliefs, "x", Some(100), NOW_MS, NOW_MS + 50);
+        assert_eq!(sent_to(&mut beliefs, "x", NOW_MS + REST_MS - 1), 0);
+    }
+
+    /// Callers who were turned away come back together at the end of the rest.
+    after_a_rest_requests_come_step_by_step => {
+        let mut beliefs = knowing(&["x"]);
+        answered(&mut beliefs, "x", Some(REST_MS), NOW_MS, NOW_MS);
+        let over_ms = NOW_MS + REST_MS;
+        let mut most = Vec::new();
+        for turn in 0..5 {
+            let mut sent = 0;
+            while sent_to(&mut beliefs, "x", over_ms) > 0 && sent < 50 {
+                let server = endpoint("x", "z", &[]);
+                beliefs.sent(&server, None, None);
+                sent += 1;
+            }
+            most.push(sent);
+            for _ in 0..sent {
+                beliefs.ended(&endpoint("x", "z", &[]), None, None);
+            }
+            answered(&mut beliefs, "x", None, over_ms + turn, over_ms + turn);
+        }
+        assert_eq!(most, [1, 3, 5, 7, 50]);
+    }
+
+    /// A server that answers nothing after its rest is no worse off than others.
+    a_rest_leaves_nothing_behind => {
+        let mut beliefs = knowing(&["x"]);
+        answered(&mut beliefs, "x", Some(REST_MS), NOW_MS, NOW_MS);
+        beliefs.sent(&endpoint("x", "z", &[]), None, None);
+        assert_eq!(sent_to(&mut beliefs, "x", NOW_MS + REST_MS), 0);
+        assert_eq!(sent_to(&mut beliefs, "x", NOW_MS + 2 * REST_MS), 100);
+    }
+
+    a_send_that_was_not_made_needs_nothing_of_the_budget => {
+        let mut beliefs = knowing(&["x", "y"]);
+        beliefs.daemons = 1;
+        let route = route("/", RouteKind::Idempotent);
+        let mut sends = Sends::default();
+        assert!(sends.take_next(&route, &"s".into(), &mut beliefs, NOW_MS));
+        sends.sent(&"x".into());
+        sends.ended(SendEnd::NotSent, NOW_MS);
+        assert_eq!((sends.count, sends.may_have_run), (0, false));
+        // The endpoint is not set aside by it either.
+        assert!(sends.allowed(&route, NOW_MS).excluded.is_empty());
+    }
+}
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -22,6 +22,9 @@
 /// Why one ends at an engine that has said meanwhile that it leaves.
 const LEAVES: &str = "the engine leaves";
 
+/// Why one ends at an engine that wants nothing for longer than it may take.
+const RESTS: &str = "the engine asks for rest";
+
 /// Begins a change in a task of its own.
 pub(crate) fn start(
     daemon: &Arc<Daemon>,
@@ -50,9 +53,15 @@
     let limit_ms = change.done_at_ms + OVERTIME_MS;
     let failure = loop {
         let (next, not_before_ms) = chain.next();
-        let wait_ms = not_before_ms.saturating_sub(daemon.knowledge.now_ms());
+        let rests_until_ms = daemon.rests_until_ms(&endpoint);
+        if rests_until_ms > limit_ms {
+            break Some(RESTS.to_owned());
+        }
+        let wait_ms = not_before_ms.max(rests_until_ms).saturating_sub(daemon.knowledge.now_ms());
         if wait_ms > 0 {
             Timer::after(Duration::from_millis(wait_ms)).await;
+            // It may have asked for more rest meanwhile.
+            continue;
         }
         let now_ms = daemon.knowledge.now_ms();
         if now_ms > limit_ms {
--- a/crates/trestle-entry/src/control/planning.rs
+++ b/crates/trestle-entry/src/control/planning.rs
@@ -68,9 +68,9 @@
             known.sharing.update(others);
             let daemon = &self.daemon;
             let may_order_at = |name: &EndpointName| {
-                let group = own.get(name).map(|endpoint| &endpoint.domain);
-                group.is_some_and(|group| {
-                    daemon.order_permits.opens_in_ms(group, now_ms) <= orders_in_ms
+                own.get(name).is_some_and(|endpoint| {
+                    let opens_in_ms = daemon.order_permits.opens_in_ms(&endpoint.domain, now_ms);
+                    opens_in_ms <= orders_in_ms && now_ms >= daemon.rests_until_ms(endpoint)
                 }) && daemon.with_order_log(|log| log.may_order(name, now_ms))
             };
             let changes = known.plan(spec, &policy, &own, orders_in_ms, may_order_at, now_ms);
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -143,6 +143,13 @@
         self.knowledge.with(|beliefs| beliefs.directory.is_usable(&endpoint.life()))
     }
 
+    /// Until when an endpoint wants nothing of this daemon; 0 if it has not said so.
+    pub(crate) fn rests_until_ms(&self, endpoint: &Endpoint) -> u64 {
+        let life = endpoint.life();
+        self.knowledge
+            .with(|beliefs| beliefs.backpressure.rest(&life).map_or(0, |rest| rest.until_ms))
+    }
+
     /// A number that nothing else in this process has.
     pub(crate) fn next_number(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -75,6 +75,7 @@
 pub(crate) struct HeldBackSeen {
     pub(crate) endpoint: EndpointName,
     pub(crate) limit_per_s: Option<f64>,
+    pub(crate) rest_left_ms: Option<u64>,
     pub(crate) heard_ago_ms: u64,
     /// The request in whose answer it was heard.
     pub(crate) heard_in: String,
@@ -118,7 +119,8 @@
         let life = endpoint.life();
         let (is_usable, is_limited) = self.daemon.knowledge.with(|beliefs| {
             let is_limited = beliefs.backpressure.limit(&life).is_some();
-            (beliefs.directory.is_usable(&life), is_limited)
+            let rests = beliefs.backpressure.rests_for_ms(&life, now_ms).is_some();
+            (beliefs.directory.is_usable(&life) && !rests, is_limited)
         });
         is_usable
             && (!is_limited || self.place.may_leave(&life, now_ms))
@@ -127,12 +129,25 @@
 
     /// Notes the endpoint that held it back.
     pub(crate) fn note_held_back(&self, beliefs: &Beliefs, life: &Life, now_ms: u64) {
-        let seen = beliefs.backpressure.limit(life).map(|limit| HeldBackSeen {
-            endpoint: life.name.clone(),
-            limit_per_s: Some(limit.per_ks as f64 / 1e3),
-            heard_ago_ms: now_ms.saturating_sub(limit.heard_ms),
-            heard_in: limit.heard_in.clone(),
-        });
+        let endpoint = life.name.clone();
+        let (rest, limit) = (beliefs.backpressure.rest(life), beliefs.backpressure.limit(life));
+        let seen = match (rest, limit) {
+            (Some(rest), _) => Some(HeldBackSeen {
+                endpoint,
+                limit_per_s: None,
+                rest_left_ms: Some(rest.until_ms.saturating_sub(now_ms)),
+                heard_ago_ms: now_ms.saturating_sub(rest.heard_ms),
+                heard_in: rest.heard_in.clone(),
+            }),
+            (None, Some(limit)) => Some(HeldBackSeen {
+                endpoint,
+                limit_per_s: Some(limit.per_ks as f64 / 1e3),
+                rest_left_ms: None,
+                heard_ago_ms: now_ms.saturating_sub(limit.heard_ms),
+                heard_in: limit.heard_in.clone(),
+            }),
+            (None, None) => None,
+        };
         *self.held_back.lock().unwrap_or_else(PoisonError::into_inner) = seen;
     }
 
