--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -57,12 +57,14 @@
         Ok((connection, response, head)) => Ok(Attempt { taken, connection, response, head }),
         Err(unanswered) => {
             task.daemon.knowledge.with(|beliefs| match &unanswered {
-                Unanswered::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
-                    if let Some(model) = &task.head.model {
+                Unanswered::NotRun(StatusCode::MISDIRECTED_REQUEST) => match &task.head.model {
+                    Some(model) => {
                         let loadable = Loadable::new(model, task.head.adapter.as_ref());
                         beliefs.records.denied(name, loadable, now_ms);
                     }
-                }
+                    // Its address is another endpoint's now.
+                    None => beliefs.records.unreachable(name, now_ms),
+                },
                 Unanswered::NotRun(_) | Unanswered::NotSent => {}
                 Unanswered::Unreachable(_) => beliefs.records.unreachable(name, now_ms),
                 Unanswered::Broke(_) | Unanswered::MayHaveRun(_) | Unanswered::TimedOut(_) => {
