--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -40,7 +40,7 @@
 use crate::{
     daemon::Daemon,
     logs::Logs,
-    metrics::Metrics,
+    metrics::{Counted, Metrics},
     settings_watch::SettingsWatch,
     traffic::{
         answer::{self, Body},
@@ -192,12 +192,24 @@
 fn serve_metrics(daemon: &Arc<Daemon>, logs: Arc<Logs>, listener: TcpListener) {
     let daemon = Arc::clone(daemon);
     let handle = move |_: Request<Incoming>| {
-        let text = daemon.metrics.to_text(daemon.store.calls(), logs.dropped());
+        let text = daemon.metrics.to_text(counted(&daemon, &logs));
         async move { own_answer(StatusCode::OK, Bytes::from(text)) }
     };
     smol::spawn(serve::run(listener, Arc::default(), || OWN_LIMITS, handle)).detach();
 }
 
+/// What metrics tell that is counted elsewhere.
+fn counted(daemon: &Daemon, logs: &Logs) -> Counted {
+    let now_ms = daemon.knowledge.now_ms();
+    daemon.knowledge.with(|beliefs| Counted {
+        store_calls: daemon.store.calls(),
+        log_drops: logs.dropped(),
+        limited: beliefs.backpressure.limited(),
+        resting: beliefs.backpressure.resting(now_ms),
+        leaving: beliefs.directory.iter().filter(|endpoint| endpoint.is_leaving).count(),
+    })
+}
+
 fn own_answer(status: StatusCode, content: Bytes) -> Response<Body> {
     let mut response = Response::new(answer::whole(content));
     *response.status_mut() = status;
--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -24,6 +24,22 @@
     config_version: Gauge<u64>,
     store_calls: Gauge<u64>,
     log_drops: Gauge<u64>,
+    asking_endpoints: Gauge<u64>,
+}
+
+/// What is counted elsewhere, as it is when metrics are asked for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Counted {
+    /// Calls to the store since the start.
+    pub(crate) store_calls: u64,
+    /// Log lines dropped since the start.
+    pub(crate) log_drops: usize,
+    /// Endpoints that have named a limit.
+    pub(crate) limited: usize,
+    /// Endpoints that rest.
+    pub(crate) resting: usize,
+    /// Listed endpoints that leave.
+    pub(crate) leaving: usize,
 }
 
 impl Metrics {
@@ -60,6 +76,10 @@
             config_version: gauge("trestle_config_version", "Configuration in force"),
             store_calls: gauge("trestle_store_calls", "Calls to the store since the start"),
             log_drops: gauge("trestle_log_drops", "Log lines dropped since the start"),
+            asking_endpoints: gauge(
+                "trestle_asking_endpoints",
+                "Endpoints that this daemon knows to limit requests, to rest or to leave",
+            ),
             registry,
             _provider: provider,
         })
@@ -98,9 +118,14 @@
     }
 
     /// All metrics as text, with what is counted elsewhere.
-    pub(crate) fn to_text(&self, store_calls: u64, log_drops: usize) -> String {
-        self.store_calls.record(store_calls, &[]);
-        self.log_drops.record(log_drops as u64, &[]);
+    pub(crate) fn to_text(&self, counted: Counted) -> String {
+        self.store_calls.record(counted.store_calls, &[]);
+        self.log_drops.record(counted.log_drops as u64, &[]);
+        let asking =
+            [("limit", counted.limited), ("rest", counted.resting), ("leaving", counted.leaving)];
+        for (what, count) in asking {
+            self.asking_endpoints.record(count as u64, &[KeyValue::new("asks", what)]);
+        }
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             tracing::warn!(%error, "metrics: They cannot be written as text.");
