Say what takes the refusal of a request that ends endpoints back

No line said so. Now there is one at the daemon that had the answer, with the endpoint and the ends so far, and one at each that hears of it.

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -333,11 +333,10 @@
         Some(broke)
     }
 
-    /// Notes that a request had a whole answer.
-    pub fn served(&mut self, request: Option<Fingerprint>) {
-        if let Some(request) = request {
-            self.crashes.served(request);
-        }
+    /// Notes that a request had a whole answer; returns how many endpoints had ended under it, if
+    /// it was tried or refused until now.
+    pub fn served(&mut self, request: Option<Fingerprint>) -> Option<usize> {
+        self.crashes.served(request?)
     }
 
     /// For how long a request is refused because endpoints ended under it.
--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -90,13 +90,17 @@
         !self.heard(&[CrashReport { request, ends, is_served: false }], now_ms).is_empty()
     }
 
-    /// Notes that a request had a whole answer.
-    pub fn served(&mut self, request: Fingerprint) {
-        let Some(record) = self.by_request.get_mut(&request) else { return };
-        if !record.is_served {
-            record.is_served = true;
-            self.note_changed(request);
+    /// Notes that a request had a whole answer; returns how many endpoints had ended under it, if
+    /// it was tried or refused until now.
+    pub fn served(&mut self, request: Fingerprint) -> Option<usize> {
+        let record = self.by_request.get_mut(&request)?;
+        if record.is_served {
+            return None;
         }
+        record.is_served = true;
+        let ends = record.ends.len();
+        self.note_changed(request);
+        Some(ends).filter(|ends| *ends >= TRIED_ENDS)
     }
 
     /// For how long a request is refused.
--- a/crates/trestle-entry/src/crashes.rs
+++ b/crates/trestle-entry/src/crashes.rs
@@ -7,7 +7,7 @@
 use crate::daemon::Daemon;
 use std::collections::BTreeSet;
 use trestle_dispatch::{
-    crashes::{CrashReport, MOST_ENDS},
+    crashes::{CrashReport, Crashes, MOST_ENDS},
     endpoint::Life,
     fingerprint::Fingerprint,
 };
@@ -71,7 +71,19 @@
         return;
     }
     let now_ms = daemon.knowledge.now_ms();
-    let refused = daemon.knowledge.with(|beliefs| beliefs.crashes.heard(reports, now_ms));
+    let (refused, taken_back) = daemon.knowledge.with(|beliefs| {
+        let is_refused = |report: &&CrashReport, crashes: &Crashes| {
+            crashes.refused_for_ms(report.request, now_ms).is_some()
+        };
+        let before = reports.iter().filter(|report| is_refused(report, &beliefs.crashes));
+        let before: Vec<&CrashReport> = before.collect();
+        let refused = beliefs.crashes.heard(reports, now_ms);
+        let after = before.into_iter().filter(|report| !is_refused(report, &beliefs.crashes));
+        (refused, after.map(|report| report.request).collect::<Vec<Fingerprint>>())
+    });
+    for request in taken_back {
+        tracing::warn!(%request, "request: Another daemon had a whole answer; it is refused no more.");
+    }
     if !refused.is_empty() {
         // Those that wait are refused now.
         daemon.knowledge.say_changed();
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -161,15 +161,13 @@
             Ok(content) => {
                 let is_sound = !parts.status.is_server_error();
                 let now_ms = knowledge.now_ms();
-                knowledge.with(|beliefs| {
-                    match is_sound {
-                        true => beliefs.records.succeeded(name, now_ms),
-                        false => beliefs.records.failed(name, now_ms),
-                    }
-                    if parts.status.is_success() {
-                        beliefs.served(task.head.fingerprint);
-                    }
+                knowledge.with(|beliefs| match is_sound {
+                    true => beliefs.records.succeeded(name, now_ms),
+                    false => beliefs.records.failed(name, now_ms),
                 });
+                if parts.status.is_success() {
+                    task.note_served(&taken.endpoint);
+                }
                 task.daemon.pool.keep(&taken.endpoint, connection, head.idle_ms);
                 (task.daemon.wire.head.forward_answer)(&mut parts.headers);
                 parts.headers.remove(http::header::CONTENT_LENGTH);
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -234,10 +234,8 @@
             let daemon = &self.task.daemon;
             let name = &source.taken.endpoint.name;
             let now_ms = daemon.knowledge.now_ms();
-            daemon.knowledge.with(|beliefs| {
-                beliefs.served(self.task.head.fingerprint);
-                beliefs.records.succeeded(name, now_ms);
-            });
+            daemon.knowledge.with(|beliefs| beliefs.records.succeeded(name, now_ms));
+            self.task.note_served(&source.taken.endpoint);
             daemon.pool.keep(&source.taken.endpoint, source.connection, source.idle_ms);
         }
         Step::End
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -168,6 +168,17 @@
         broken::note(&self.daemon, endpoint, self.head.fingerprint);
     }
 
+    /// Notes that it had a whole answer of an endpoint, so that it ends none.
+    pub(crate) fn note_served(&self, endpoint: &Endpoint) {
+        let served = |beliefs: &mut Beliefs| beliefs.served(self.head.fingerprint);
+        if let Some(ends) = self.daemon.knowledge.with(served) {
+            tracing::warn!(
+                id = self.head.id, request = self.fingerprint(), endpoint = %endpoint.name, ends,
+                "request: It had a whole answer, and is tried or refused no more."
+            );
+        }
+    }
+
     /// Notes the list that its endpoint was chosen from.
     pub(crate) fn note_list(&self, beliefs: &Beliefs, now_ms: u64) {
         let heard = beliefs.list_heard;
