Count the groups that share a limit by the leases too

Seen by the soak (20 s, six daemons): 75 requests of the limited team in 4 s where 60 are allowed. Logs: one leader held the leases of three failure domains, and at 11.1 s the only server of one lapsed from the list; from 11.6 s on it earned a half of the limit for each of three. Ruled out: repeats (one send each but for 11 of 395) and lost leaders (one held all leases over the whole stretch). Change: a lender's part is no larger than one of the leases that it holds, and failure domains that ever had endpoints count, as those in the settings do. Where settings name all failure domains, as the deployed ones do, nothing changes. Before: a lender of three leases among two groups lent 59,528 units where 42,000 are allowed (quota.rs); after: within.

--- a/crates/trestle-dispatch/src/groups.rs
+++ b/crates/trestle-dispatch/src/groups.rs
@@ -37,6 +37,8 @@
     /// All failure domains that there are, as settings say.
     configured: BTreeSet<DomainName>,
     all: BTreeSet<DomainName>,
+    /// Those that ever had engines.
+    ever: BTreeSet<DomainName>,
     engines: usize,
     /// When engines were last added.
     grew_ms: u64,
@@ -55,6 +57,7 @@
             self.grew_ms = now_ms;
         }
         self.engines = engines;
+        self.ever.extend(domains.iter().cloned());
         self.all = domains;
         let most = if self.is_shared_out { FEW_ENGINES } else { MOST_ENGINES_OF_ONE };
         self.is_shared_out = engines > most;
@@ -65,9 +68,10 @@
         &self.all
     }
 
-    /// How many groups there may be, with a leader each: every failure domain may have engines.
+    /// How many groups there may be, with a leader each: every failure domain may have engines,
+    /// and the lease of one whose engines are gone from the list may still be held.
     pub fn most(&self) -> usize {
-        self.all.union(&self.configured).count()
+        self.ever.union(&self.configured).count()
     }
 
     /// The group whose leader the daemons of a failure domain ask. Before engines are known it
--- a/crates/trestle-dispatch/src/lender.rs
+++ b/crates/trestle-dispatch/src/lender.rs
@@ -89,9 +89,10 @@
         self.sharing = groups;
     }
 
-    /// How a limit is kept here.
+    /// How a limit is kept here. The leases that this daemon holds share it, also those of groups
+    /// whose endpoints are not listed at the moment.
     pub fn plan(&self, limit: &TeamLimit, bounds: &QuotaBounds) -> QuotaPlan {
-        QuotaPlan::new(limit, bounds, self.sharing)
+        QuotaPlan::new(limit, bounds, self.sharing.max(self.leases.len()))
     }
 
     /// Sets which leases this daemon holds now. What is earned for a further group starts at
--- a/crates/trestle-dispatch/tests/quota.rs
+++ b/crates/trestle-dispatch/tests/quota.rs
@@ -237,6 +237,23 @@
         assert_eq!(lender.lend(&team(), USUAL, &plan, 10_200), Loan::Lent(USUAL));
     }
 
+    // The entries of all endpoints of a failure domain lapsed, and the leader of all earned a
+    // half for each of three.
+    a_leader_of_more_groups_than_are_listed_earns_the_limit_at_most => {
+        let mut lender: Lender = Lender::default();
+        lender.set_sharing(2);
+        lender.set_leases(&leases(3), 0);
+        let (limit, bounds) = (limit(4_200), QuotaBounds { fixed: 0.0, ..BOUNDS });
+        let plan = lender.plan(&limit, &bounds);
+        let mut lent = 0;
+        for now_ms in 10_000..18_000 {
+            while let Loan::Lent(units) = lender.lend(&team(), 1, &plan, now_ms) {
+                lent += units;
+            }
+        }
+        assert!(lent <= 8 * 4_200 + 2 * 4_200, "{lent}");
+    }
+
     // The store is away: nobody renews, and nobody can follow.
     a_leader_whose_lease_ran_out_lends_what_it_had_for_a_while => {
         let (plan, mut lender) = (plan(30_000), Lender::default());
--- a/crates/trestle-dispatch/tests/sharing.rs
+++ b/crates/trestle-dispatch/tests/sharing.rs
@@ -270,6 +270,14 @@
         assert_eq!(groups.home(&other), &one);
     }
 
+    // A leader that counted one group less lent half as much again of each team's limit.
+    a_group_whose_engines_are_gone_from_the_list_still_counts => {
+        let mut groups = Groups::default();
+        groups.update(domains(&["z1", "z2", "z3"]), 9, 0);
+        groups.update(domains(&["z1", "z2"]), 6, 1_000);
+        assert_eq!(groups.most(), 3);
+    }
+
     // Wrong once: daemons take leases before the engines have entered the list, so each domain's
     // led its own, and nine engines had three leaders (worth 0.743 to 0.592 on a quiet day).
     before_engines_are_known_all_ask_the_same_leader => {
