Bring models in elsewhere whose engine names a limit

Callers of a model whose only engine named a limit were refused for as long as it did, however many asked: for the plan the model was there. Change: a refusal for a limit is a wish like that of any caller who will come back, and the leader's plan looks at engines with limits of which somebody asked in the last 10 s as if they could not be changed and held nothing. What they hold is told to daemons as before, and where nobody is turned away nothing is moved; a rest moves nothing at all. Shown: a_model_whose_engine_names_a_limit_is_brought_in_elsewhere_for_who_is_turned_away (service_state.rs): before, no change is begun.

--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -65,6 +65,8 @@
     pub life: Life,
     /// Time until it takes the next request.
     pub for_ms: u64,
+    /// Whether that is because of a limit.
+    pub is_limited: bool,
 }
 
 /// The endpoint for a request: of two that can run it, picked by `lot`, the less loaded.
@@ -119,7 +121,9 @@
     for endpoint in directory.iter().filter(|endpoint| is_able(&known, &need, endpoint)) {
         let Standing::Closed { for_ms } = standing(&known, endpoint) else { return None };
         if soonest.as_ref().is_none_or(|soonest| for_ms < soonest.for_ms) {
-            soonest = Some(HeldBack { life: endpoint.life(), for_ms });
+            let life = endpoint.life();
+            let is_limited = known.beliefs.backpressure.limit(&life).is_some();
+            soonest = Some(HeldBack { life, for_ms, is_limited });
         }
     }
     soonest
--- a/crates/trestle-dispatch/src/endpoint_limits.rs
+++ b/crates/trestle-dispatch/src/endpoint_limits.rs
@@ -19,8 +19,8 @@
     lender::{HeldLease, Lender, Loan},
     quota::QuotaPlan,
 };
-use std::collections::BTreeMap;
-use trestle_core::names::DomainName;
+use std::collections::{BTreeMap, BTreeSet};
+use trestle_core::names::{DomainName, EndpointName};
 
 /// Time for which a place can be used, from when it was asked for.
 pub const PLACE_VALID_MS: u64 = 500;
@@ -42,6 +42,8 @@
 const MOST_DOUBLED: u64 = 16;
 /// Requests in 1,000 s from which on a limit that is being lifted is none any more.
 const LIFTED_AT_PER_KS: u64 = 64_000;
+/// Time since the last question for which a limit counts in plans.
+const ASKED_LATELY_MS: u64 = 10_000;
 /// Time after which a limit is forgotten of which nobody has asked.
 const FORGOTTEN_MS: u64 = 120_000;
 
@@ -120,6 +122,14 @@
         }
     }
 
+    /// Endpoints with limits of which somebody has asked lately.
+    pub fn limited(&self, now_ms: u64) -> BTreeSet<EndpointName> {
+        let is_kept =
+            |kept: &Kept| kept.lifting_ms.is_none() && now_ms < kept.asked_ms + ASKED_LATELY_MS;
+        let limited = self.by_life.iter().filter(|(_, kept)| is_kept(kept));
+        limited.map(|(life, _)| life.name.clone()).collect()
+    }
+
     /// Forgets limits of which nobody asks any more.
     pub fn tidy(&mut self, now_ms: u64) {
         self.by_life.retain(|_, kept| now_ms < kept.asked_ms + FORGOTTEN_MS);
--- a/crates/trestle-dispatch/src/service_state.rs
+++ b/crates/trestle-dispatch/src/service_state.rs
@@ -38,6 +38,9 @@
     /// What other leaders see to.
     pub sharing: Sharing,
     engines: BTreeMap<EndpointName, KnownEngine>,
+    /// Engines that have named a limit: what they hold is as good as not there for callers that
+    /// they turn away.
+    limited: BTreeSet<EndpointName>,
     ready_in_ms: BTreeMap<Loadable, u64>,
     planned_ms: u64,
     learnt: LearntTimes,
@@ -67,6 +70,11 @@
 }
 
 impl ServiceState {
+    /// Sets which engines have named a limit.
+    pub fn set_limited(&mut self, limited: BTreeSet<EndpointName>) {
+        self.limited = limited;
+    }
+
     /// What to change now. Orders may be given from `orders_in_ms` on; until then nothing is
     /// changed, and what would be is ready that much later.
     pub fn plan(
@@ -81,7 +89,8 @@
         self.demand.tick(now_ms);
         self.follow(directory, now_ms);
         self.share(spec, directory, now_ms);
-        let own = self.engines.values().flat_map(|known| known.held.keys());
+        let unlimited = self.engines.iter().filter(|(name, _)| !self.limited.contains(*name));
+        let own = unlimited.flat_map(|(_, known)| known.held.keys());
         let elsewhere = self.sharing.engines().flat_map(|foreign| foreign.holds.keys());
         let held = own.chain(elsewhere).cloned().collect();
         let is_planned = |wish: &Loadable| self.sharing.is_planned(wish, now_ms);
@@ -89,7 +98,9 @@
         let engines = &self.engines;
         let states = directory.values().filter_map(|endpoint| {
             let known = engines.get(&endpoint.name)?;
-            let can_change = now_ms >= known.paused_until_ms && now_ms >= known.silent_until_ms;
+            let can_change = now_ms >= known.paused_until_ms
+                && now_ms >= known.silent_until_ms
+                && !self.limited.contains(&endpoint.name);
             can_change.then_some(EngineState {
                 endpoint,
                 held: &known.held,
--- a/crates/trestle-dispatch/tests/rest.rs
+++ b/crates/trestle-dispatch/tests/rest.rs
@@ -87,7 +87,7 @@
         let mut sends = Sends::default();
         sends.sent(&"y".into());
         sends.ended(SendEnd::NotRun, NOW_MS);
-        let first = Selection::HeldBack(HeldBack { life: life("y"), for_ms: 900 });
+        let first = Selection::HeldBack(HeldBack { life: life("y"), for_ms: 900, is_limited: false });
         assert_eq!(select(&mut beliefs, &sends, 1, NOW_MS + 100), first);
     }
 
--- a/crates/trestle-dispatch/tests/service_state.rs
+++ b/crates/trestle-dispatch/tests/service_state.rs
@@ -69,6 +69,22 @@
         assert_eq!(note.holds, after[0].held, "nothing differs from the entry");
     }
 
+    // Callers of a model whose only engine names a limit were refused for as long as it did.
+    a_model_whose_engine_names_a_limit_is_brought_in_elsewhere_for_who_is_turned_away => {
+        let engines = [endpoint("x", "z", &["a"]), with_disk(endpoint("y", "z", &["b"]), &["a"])];
+        let mut state = ServiceState::default();
+        tell(&mut state, 1, &["a"], 1_000);
+        assert!(plan(&mut state, &engines, 0, 1_000).is_empty(), "it is there");
+        state.set_limited([EndpointName::from("x")].into());
+        assert!(plan(&mut ServiceState::default(), &engines, 0, 1_000).is_empty(), "nobody waits");
+        tell(&mut state, 2, &["a"], 1_100);
+        let begun = plan(&mut state, &engines, 0, 1_100);
+        assert_eq!(begun.len(), 1);
+        assert_eq!((begun[0].0.name.as_str(), begun[0].1.model.as_str()), ("y", "a"));
+        let note = &view(&state, &engines, 1_100).engines[&EndpointName::from("x")];
+        assert_eq!(note.holds, engines[0].held, "what it holds is told all the same");
+    }
+
     an_older_entry_does_not_undo_a_change => {
         let engines = [with_disk(endpoint("x", "z", &["a", "b"]), &["c"])];
         let mut state = ServiceState::default();
--- a/crates/trestle-entry/src/control/planning.rs
+++ b/crates/trestle-entry/src/control/planning.rs
@@ -60,12 +60,14 @@
         let led = self.leases.led(now_ms);
         let orders_in_ms = self.orders_in_ms(&led, now_ms);
         let policy = self.daemon.knowledge.with(|beliefs| beliefs.policy.clone());
+        let limited = self.daemon.with_endpoint_limits(|limits| limits.limited(now_ms));
         let mut groups = BTreeSet::new();
         for (service, known) in &mut self.services {
             let Some(spec) = engine_spec(&catalog, service) else { continue };
             let (own, foreign) = by_leader(self.daemon.usable(service), &led);
             let others = sharers(&self.others, service, &led, foreign, now_ms);
             known.sharing.update(others);
+            known.set_limited(limited.clone());
             let daemon = &self.daemon;
             let may_order_at = |name: &EndpointName| {
                 own.get(name).is_some_and(|endpoint| {
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -70,6 +70,10 @@
             }
             Selection::HeldBack(held_back) => {
                 let retry_after_ms = held_back.for_ms;
+                // A rest is over soon; what takes less for longer is brought in elsewhere.
+                if held_back.is_limited {
+                    expect_back(task, retry_after_ms);
+                }
                 return Err(Failure::NotRun { retry_after_ms, why: "held_back" });
             }
             Selection::Wait { until_ms } => until_ms,
