Keep others away from a request until its endpoint can no longer end under it

From the second end on one attempt runs at a time; an attempt that ended without its connection being seen to break counted as harmless, and the next one ran at once: its caller had left, or it had taken too long. Nobody then saw the endpoint end, either. Change: an attempt makes way for others only once it did not run or had a whole answer.

--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -43,6 +43,7 @@
 ) -> Result<Attempt, Unanswered> {
     let sent_ms = task.elapsed_ms();
     task.note_sent();
+    task.trial.sent(&taken.endpoint);
     let waited = patience.wait(exchange(task, &taken, last_event_id)).await;
     let sent = waited.unwrap_or_else(|| Err(Unanswered::TimedOut(task.elapsed_ms() - sent_ms)));
     let now_ms = task.daemon.knowledge.now_ms();
@@ -56,6 +57,10 @@
     match sent {
         Ok((connection, response, head)) => Ok(Attempt { taken, connection, response, head }),
         Err(unanswered) => {
+            match may_have_run {
+                true => task.trial.unanswered(),
+                false => task.trial.settled(),
+            }
             task.daemon.knowledge.with(|beliefs| match &unanswered {
                 Unanswered::NotRun(StatusCode::MISDIRECTED_REQUEST) => match &task.head.model {
                     Some(model) => {
@@ -159,6 +164,7 @@
         let name = &taken.endpoint.name;
         match collected.or(timed_out).await {
             Ok(content) => {
+                task.trial.settled();
                 let is_sound = !parts.status.is_server_error();
                 let now_ms = knowledge.now_ms();
                 knowledge.with(|beliefs| match is_sound {
@@ -174,6 +180,7 @@
                 Ok(WholeAnswer { response: Response::from_parts(parts, content) })
             }
             Err(unanswered) => {
+                task.trial.unanswered();
                 let now_ms = knowledge.now_ms();
                 knowledge.with(|beliefs| beliefs.records.failed(name, now_ms));
                 if matches!(unanswered, Unanswered::Broke(_)) {
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -231,6 +231,7 @@
 
     fn end(&mut self) -> Step {
         if let Some(source) = self.source.take() {
+            self.task.trial.settled();
             let daemon = &self.task.daemon;
             let name = &source.taken.endpoint.name;
             let now_ms = daemon.knowledge.now_ms();
@@ -248,6 +249,7 @@
     fn note_broken(&mut self, breach: &Breach) {
         self.note_failed();
         self.buffer.drop_torn();
+        self.task.trial.unanswered();
         let Some(source) = self.source.take() else { return };
         let name = &source.taken.endpoint.name;
         let daemon = &self.task.daemon;
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -164,7 +164,6 @@
 
     /// Notes that its connection to an endpoint broke.
     pub(crate) fn note_broken(&self, endpoint: &Endpoint) {
-        self.trial.broke();
         broken::note(&self.daemon, endpoint, self.head.fingerprint);
     }
 
--- a/crates/trestle-entry/src/trial.rs
+++ b/crates/trestle-entry/src/trial.rs
@@ -1,13 +1,15 @@
 //! Asks whether an attempt of a request that ended endpoints may run, and decides on it where
 //! this daemon leads.
 
-use crate::{control::message::Leader, daemon::Daemon, peer::calls};
+use crate::{broken, control::message::Leader, daemon::Daemon, peer::calls};
+use smol::Timer;
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 use trestle_core::names::VmName;
-use trestle_dispatch::fingerprint::Fingerprint;
+use trestle_dispatch::{endpoint::Endpoint, fingerprint::Fingerprint};
 use trestle_wire::{
     replicas::ReplicasClient,
     trials::{WireTrial, WireTrialAnswer},
@@ -15,6 +17,8 @@
 
 /// Said to callers while no leader can be asked: about the time that a new one takes.
 const NO_LEADER_MS: u64 = 1_000;
+/// Time by which an endpoint has ended that ends under an attempt.
+const ENDS_WITHIN_MS: u64 = 500;
 
 /// Whether one request has been allowed to run although endpoints may have ended under it.
 #[derive(Debug, Default)]
@@ -22,21 +26,21 @@
     begun: Mutex<Option<Begun>>,
 }
 
-/// An attempt that was allowed; says that it has ended when it is dropped.
+/// An attempt that was allowed. When it is dropped, others may run if no endpoint can end under
+/// it any more; else they stay away until an end would be known.
 #[derive(Debug)]
 struct Begun {
     daemon: Arc<Daemon>,
     request: Fingerprint,
     number: u64,
-    /// Whether its connection broke. Others stay away then until its endpoint's end would be
-    /// known.
-    is_broken: bool,
+    /// The endpoint that may still end under it.
+    at: Option<Endpoint>,
 }
 
 impl Trial {
     /// Whether it may run.
     pub(crate) fn is_begun(&self) -> bool {
-        self.begun.lock().unwrap_or_else(PoisonError::into_inner).is_some()
+        self.begun().is_some()
     }
 
     /// Asks for it.
@@ -54,8 +58,8 @@
         tracing::info!(%request, answer = ?asked, "request: It may end endpoints; a leader was asked.");
         match asked {
             WireTrialAnswer::Runs => {
-                let begun = Begun { daemon: Arc::clone(daemon), request, number, is_broken: false };
-                *self.begun.lock().unwrap_or_else(PoisonError::into_inner) = Some(begun);
+                let begun = Begun { daemon: Arc::clone(daemon), request, number, at: None };
+                *self.begun() = Some(begun);
                 Ok(())
             }
             WireTrialAnswer::Waits { for_ms } => Err(for_ms),
@@ -63,26 +67,49 @@
         }
     }
 
-    /// Takes that the connection of the attempt broke; it has to ask again.
-    pub(crate) fn broke(&self) {
-        let begun = self.begun.lock().unwrap_or_else(PoisonError::into_inner).take();
-        if let Some(mut begun) = begun {
-            begun.is_broken = true;
+    /// Notes that the attempt leaves for an endpoint, which may end under it from now on.
+    pub(crate) fn sent(&self, endpoint: &Endpoint) {
+        if let Some(begun) = &mut *self.begun() {
+            begun.at = Some(endpoint.clone());
         }
     }
+
+    /// Notes that the endpoint has not ended under it: it did not run there, or had an answer.
+    pub(crate) fn settled(&self) {
+        if let Some(begun) = &mut *self.begun() {
+            begun.at = None;
+        }
+    }
+
+    /// Takes that it had no whole answer though it may have run; it has to ask again.
+    pub(crate) fn unanswered(&self) {
+        drop(self.begun().take());
+    }
+
+    fn begun(&self) -> MutexGuard<'_, Option<Begun>> {
+        self.begun.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Drop for Begun {
     fn drop(&mut self) {
-        if self.is_broken {
+        let (daemon, request, number) = (Arc::clone(&self.daemon), self.request, self.number);
+        if let Some(endpoint) = self.at.take() {
+            smol::spawn(find_out(daemon, endpoint, request)).detach();
             return;
         }
-        let (daemon, request, number) = (Arc::clone(&self.daemon), self.request, self.number);
         let told = async move { ask(&daemon, of_this_vm(&daemon, request, number, true)).await };
         smol::spawn(told).detach();
     }
 }
 
+/// Looks a moment later whether an endpoint has ended under a request whose answer nobody waited
+/// for.
+async fn find_out(daemon: Arc<Daemon>, endpoint: Endpoint, request: Fingerprint) {
+    Timer::after(Duration::from_millis(ENDS_WITHIN_MS)).await;
+    broken::note(&daemon, &endpoint, Some(request));
+}
+
 fn of_this_vm(daemon: &Daemon, request: Fingerprint, number: u64, has_ended: bool) -> WireTrial {
     let request = *request.as_bytes();
     let vm = daemon.settings.vm.clone();
