Let the age of a limit be zero where it was heard while it is asked for

Found in reading: the moment of the question is taken before what is known is looked at, and another request may hear the limit a millisecond later in between. The difference then overflowed: a panic of that request in a debug build, an age of all time otherwise, which left the limit in force all the same. Its neighbour two lines on already saturated. No test: the window is between two locks.

--- a/crates/trestle-entry/src/places.rs
+++ b/crates/trestle-entry/src/places.rs
@@ -28,7 +28,7 @@
         born_ms: life.born_ms,
         group: endpoint.domain.to_string(),
         per_ks: heard.per_ks,
-        heard_ago_ms: asked_ms - heard.heard_ms,
+        heard_ago_ms: asked_ms.saturating_sub(heard.heard_ms),
         silent: heard.silent,
         silent_ago_ms: asked_ms.saturating_sub(heard.silent_ms),
         is_passed_on: false,
