Remember what was sent to an endpoint until it has an answer

What callers saw: a request that ends each engine which begins to run it was sent on after three had ended, and ended up to 22 engines, with all that ran there.

Cause, in two parts of one: what had been sent to an endpoint was forgotten unless its connection was the first to break there. - The first broken connection at a life was looked into, each further one of the next 6 s was not, also where that first look had found that the endpoint lived. A real end then showed when the entry lapsed, some 3.6 s later. - A send that timed out, or whose caller left, was no broken connection. Behind a cut the end of an engine breaks nothing; its next start was seen, and nobody asked which requests had been there. The other side of the same memory: a request whose connection had broken was blamed for whatever ended that endpoint within 6 s.

Change: `suspects` keeps each request from its sending to its answer, and 6 s longer where it was broken off or left. A life has ended once its address refuses connections (any send's), another endpoint is entered at its address or answers there, it has started again, or its entry is gone. A broken connection has its endpoint looked at until it is known: at once whether anything listens, then, while nothing shows that it lived on, every 0.5 s who that is. An answer to a request that left 0.5 s after the break, or such a look, clears what was broken off before. What was broken off at two endpoints of which that is not known is tried one attempt at a time, and run without a leader's word.

Ruled out: blaming what runs at an endpoint whose entry is gone (it may have left without a word and go on); trusting answers to tell starts under one name apart (only a connection that was open before does).

Conclusion: ends are noticed however much broke before them, and what was broken off long before is blamed no more.

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -16,7 +16,7 @@
     record::Records,
     replicas::ReplicaView,
     retry_share::{RetryBounds, RetryShare},
-    suspects::{Break, Suspects},
+    suspects::{Break, Evidence, Suspects},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -311,6 +311,11 @@
         news
     }
 
+    /// Notes that a request leaves for an endpoint, which may end under it.
+    pub fn leaves_for(&mut self, endpoint: &Endpoint, request: Fingerprint) {
+        self.suspects.sent(&endpoint.life(), endpoint.address, request);
+    }
+
     /// Notes that the connection of a request to an endpoint broke. One that is leaving, or gone
     /// from the list, ends whatever it runs.
     pub fn connection_broke(
@@ -320,23 +325,74 @@
         now_ms: u64,
     ) -> Option<Break> {
         let life = endpoint.life();
-        let is_gone = self.directory.get(&endpoint.name).is_none();
-        if is_gone || self.directory.was_leaving(&life) {
+        if self.ends_as_planned(&life) {
             return None;
         }
-        let broke = self.suspects.broke(&life, request, now_ms);
-        if broke == Break::First && !self.directory.lists(&life) {
-            // It started again before the connection was seen to break.
-            self.suspects.ended(&life);
-            return Some(Break::Ended);
+        let has_ended = !self.directory.lists(&life);
+        Some(if has_ended { Break::Ended } else { self.suspects.broke(&life, request, now_ms) })
+    }
+
+    /// Notes that nobody waits any more for a request that runs at an endpoint; returns whether
+    /// that is known to have ended, other than as planned.
+    pub fn left_unanswered(
+        &mut self,
+        endpoint: &Endpoint,
+        request: Fingerprint,
+        now_ms: u64,
+    ) -> bool {
+        let life = endpoint.life();
+        if self.ends_as_planned(&life) {
+            self.suspects.settled(&life, request);
+            return false;
         }
-        Some(broke)
+        self.suspects.left(&life, request, now_ms) || !self.directory.lists(&life)
+    }
+
+    /// Takes that a life of an endpoint has ended; returns the requests that are to be blamed.
+    pub fn has_ended(
+        &mut self,
+        life: &Life,
+        evidence: Evidence,
+        now_ms: u64,
+    ) -> BTreeSet<Fingerprint> {
+        match self.directory.was_leaving(life) {
+            true => BTreeSet::new(),
+            false => self.suspects.ended(life, evidence, now_ms),
+        }
+    }
+
+    /// Endpoints that have ended by what the list says, other than as planned, while requests
+    /// were open there.
+    pub fn ended_by_list(&self) -> Vec<(Life, Evidence)> {
+        let gone = self.suspects.gone(|life| self.directory.lists(life));
+        let gone = gone.into_iter().filter(|life| !self.directory.was_leaving(life));
+        gone.map(|life| {
+            let is_unlisted = self.directory.get(&life.name).is_none();
+            let evidence = if is_unlisted { Evidence::Unlisted } else { Evidence::StartedAgain };
+            (life, evidence)
+        })
+        .collect()
+    }
+
+    /// Endpoints that have ended, other than as planned, since another one has come to their
+    /// address.
+    pub fn replaced_by(&self, endpoint: &Endpoint) -> Vec<Life> {
+        let mut replaced = self.suspects.others_at(endpoint.address, &endpoint.name);
+        replaced.retain(|life| !self.directory.was_leaving(life));
+        replaced
+    }
+
+    /// Whether the end of a life is no surprise: it has said that it leaves, or its entry is gone.
+    fn ends_as_planned(&self, life: &Life) -> bool {
+        self.directory.get(&life.name).is_none() || self.directory.was_leaving(life)
     }
 
     /// Notes that a request had a whole answer; returns how many endpoints had ended under it, if
     /// it was tried or refused until now.
     pub fn served(&mut self, request: Option<Fingerprint>) -> Option<usize> {
-        self.crashes.served(request?)
+        let request = request?;
+        self.suspects.served(request);
+        self.crashes.served(request)
     }
 
     /// For how long a request is refused because endpoints ended under it.
@@ -344,9 +400,13 @@
         self.crashes.refused_for_ms(request?, now_ms)
     }
 
-    /// Whether one attempt of a request may run at a time.
-    pub fn must_be_tried(&self, request: Option<Fingerprint>) -> bool {
-        request.is_some_and(|request| self.crashes.must_be_tried(request))
+    /// Whether one attempt of a request may run at a time: endpoints have ended under it, or it
+    /// was broken off at some of which that is not known.
+    pub fn must_be_tried(&self, request: Option<Fingerprint>, now_ms: u64) -> bool {
+        request.is_some_and(|request| {
+            let in_doubt = self.suspects.in_doubt(request, now_ms);
+            self.crashes.must_be_tried_in_doubt(request, in_doubt)
+        })
     }
 
     /// Forgets endpoints that are no longer listed.
--- a/crates/trestle-dispatch/src/catalog.rs
+++ b/crates/trestle-dispatch/src/catalog.rs
@@ -42,6 +42,8 @@
 pub struct Service {
     /// Connections that each of its endpoints takes from all callers together.
     pub max_connections: u32,
+    /// Where an endpoint of it says who it is.
+    pub health_path: Option<String>,
     /// What its engines can hold; none for a plain service.
     pub engine: Option<Arc<EngineSpec>>,
 }
--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -112,8 +112,16 @@
     /// Whether one attempt of a request may run at a time, so that it is found out whether it
     /// ends endpoints.
     pub fn must_be_tried(&self, request: Fingerprint) -> bool {
-        let record = self.by_request.get(&request);
-        record.is_some_and(|record| record.ends.len() >= TRIED_ENDS && !record.is_served)
+        self.must_be_tried_in_doubt(request, 0)
+    }
+
+    /// The same where it is not known of so many more endpoints whether they ended under it.
+    pub fn must_be_tried_in_doubt(&self, request: Fingerprint, in_doubt: usize) -> bool {
+        let record = self.by_request.get(&request).filter(|record| !record.ends.is_empty());
+        match record {
+            Some(record) => !record.is_served && record.ends.len() + in_doubt >= TRIED_ENDS,
+            None => in_doubt >= TRIED_ENDS,
+        }
     }
 
     /// What has changed after a change, and the number of the last one.
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -85,7 +85,7 @@
         return Selection::Refuse { retry_after_ms, reason: Some(Reason::EndsEndpoints) };
     }
     if let Some(endpoint) = choose_allowed(beliefs, asking, sends, lot, now_ms) {
-        let must_ask = !asking.is_trial && beliefs.must_be_tried(asking.head.fingerprint);
+        let must_ask = !asking.is_trial && beliefs.must_be_tried(asking.head.fingerprint, now_ms);
         let life = endpoint.life();
         let needs_place =
             beliefs.backpressure.limit(&life).is_some() && asking.place != Some(&life);
--- a/crates/trestle-dispatch/src/suspects.rs
+++ b/crates/trestle-dispatch/src/suspects.rs
@@ -1,73 +1,238 @@
-//! Requests whose connection broke at endpoints that may have ended.
+//! Requests that may end the endpoints at which they are.
 //!
-//! A connection that breaks says little: links reset connections, too. That the endpoint has
-//! ended is known once its address refuses connections, or once it is gone from the list
-//! without having been seen leaving. Until then the requests that it had are remembered here.
+//! The load that this answers: a request that ends its endpoint while connections are reset, links
+//! are cut, and callers leave. A connection that breaks then says little, and the end of an
+//! endpoint may break none. So what was sent to each life of an endpoint is remembered until it
+//! has an answer: while it runs there, and for some seconds after it was broken off, by a broken
+//! connection or because nobody waited for it any more. Once a life is known to have ended, these
+//! are the requests under which it may have.
+//!
+//! What was broken off earlier must not be blamed: an endpoint that is seen to live some time
+//! after a request was broken off there did not end under it. Any answer of the same life shows
+//! that; where none comes, it is looked for.
 
 use crate::{endpoint::Life, fingerprint::Fingerprint};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+use trestle_core::names::EndpointName;
 
-/// Time for which a broken connection may prove to be the end of its endpoint: an entry
-/// vanishes after three heartbeats of 1.2 s, and the news of it takes a second more.
+/// Time for which a request that was broken off is remembered: an entry vanishes after three
+/// heartbeats of 1.2 s, and the news of it takes a second more.
 const IN_DOUBT_MS: u64 = 6_000;
+/// Time by which an endpoint has ended that ends under a request which was broken off there:
+/// it drops the request once it sees that the connection is gone.
+pub const ENDS_WITHIN_MS: u64 = 500;
 
-/// Requests whose connection broke, by endpoint.
+/// What was sent to endpoints and had no answer.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    by_life: BTreeMap<Life, Broken>,
+    by_life: BTreeMap<Life, Doubt>,
 }
 
-#[derive(Debug)]
-struct Broken {
-    until_ms: u64,
-    has_ended: bool,
-    requests: BTreeSet<Fingerprint>,
+/// What is open at one life of an endpoint.
+#[derive(Debug, Default)]
+struct Doubt {
+    /// Where it listens, if anything was sent there.
+    address: Option<SocketAddr>,
+    /// Requests that run there, as far as is known, and how many times.
+    running: BTreeMap<Fingerprint, u32>,
+    /// Requests that were broken off there, and when.
+    broken_off: BTreeMap<Fingerprint, u64>,
+    /// Whether somebody is finding out if it has ended.
+    is_looked_into: bool,
+    /// Since when it is known that it has.
+    ended_ms: Option<u64>,
 }
 
 /// What a broken connection says of its endpoint.
 #[trestle_macros::plain]
 #[derive(Copy)]
 pub enum Break {
-    /// It is the first one; whether the endpoint has ended should be found out.
+    /// Whether the endpoint has ended should be found out.
     First,
-    /// Others broke, too; that is being found out.
+    /// That is being found out.
     Further,
     /// The endpoint is known to have ended.
     Ended,
 }
 
+/// By what it is known that an endpoint has ended.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub enum Evidence {
+    /// Nothing listens at its address.
+    Refused,
+    /// Another one listens at its address.
+    Replaced,
+    /// It has started again under its name.
+    StartedAgain,
+    /// Its entry is gone, and it was not seen leaving. It may have left without a word, and then
+    /// goes on with what runs there.
+    Unlisted,
+}
+
+impl Evidence {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Replaced => "replaced",
+            Self::StartedAgain => "started_again",
+            Self::Unlisted => "unlisted",
+        }
+    }
+}
+
 impl Suspects {
-    /// Notes that the connection of a request to an endpoint broke.
-    pub fn broke(&mut self, endpoint: &Life, request: Fingerprint, now_ms: u64) -> Break {
-        self.by_life.retain(|_, broken| now_ms < broken.until_ms);
-        match self.by_life.get_mut(endpoint) {
-            Some(broken) if broken.has_ended => Break::Ended,
-            Some(broken) => {
-                broken.requests.insert(request);
-                Break::Further
-            }
-            None => {
-                let broken = Broken {
-                    until_ms: now_ms + IN_DOUBT_MS,
-                    has_ended: false,
-                    requests: BTreeSet::from([request]),
-                };
-                self.by_life.insert(endpoint.clone(), broken);
-                Break::First
+    /// Notes that a request leaves for an endpoint.
+    pub fn sent(&mut self, life: &Life, address: SocketAddr, request: Fingerprint) {
+        let doubt = self.doubt(life);
+        doubt.address = Some(address);
+        *doubt.running.entry(request).or_default() += 1;
+    }
+
+    /// Notes that a request has ended at an endpoint and is of no interest there any more.
+    pub fn settled(&mut self, life: &Life, request: Fingerprint) {
+        let Some(doubt) = self.by_life.get_mut(life) else { return };
+        if let Some(count) = doubt.running.get_mut(&request) {
+            *count -= 1;
+            if *count == 0 {
+                doubt.running.remove(&request);
             }
         }
+        if doubt.is_empty() {
+            self.by_life.remove(life);
+        }
+    }
+
+    /// Notes that nobody waits any more for a request that runs at an endpoint; returns whether
+    /// that is known to have ended.
+    pub fn left(&mut self, life: &Life, request: Fingerprint, now_ms: u64) -> bool {
+        let Some(doubt) = self.by_life.get_mut(life) else { return false };
+        let has_ended = doubt.ended_ms.is_some();
+        if !has_ended {
+            doubt.broken_off.insert(request, now_ms);
+        }
+        self.settled(life, request);
+        has_ended
+    }
+
+    /// Notes that the connection of a request to an endpoint broke.
+    pub fn broke(&mut self, life: &Life, request: Fingerprint, now_ms: u64) -> Break {
+        self.forget(now_ms);
+        let doubt = self.doubt(life);
+        if doubt.ended_ms.is_some() {
+            return Break::Ended;
+        }
+        doubt.broken_off.insert(request, now_ms);
+        match std::mem::replace(&mut doubt.is_looked_into, true) {
+            true => Break::Further,
+            false => Break::First,
+        }
+    }
+
+    /// Whether somebody who is finding out if an endpoint has ended must go on: something was
+    /// broken off there, and nothing shows that it lived later. If not, the next broken
+    /// connection has it found out again.
+    pub fn keeps_looking(&mut self, life: &Life, now_ms: u64) -> bool {
+        self.forget(now_ms);
+        let Some(doubt) = self.by_life.get_mut(life) else { return false };
+        let keeps_looking = doubt.ended_ms.is_none() && !doubt.broken_off.is_empty();
+        doubt.is_looked_into = keeps_looking;
+        if doubt.is_empty() {
+            self.by_life.remove(life);
+        }
+        keeps_looking
+    }
+
+    /// Takes that an endpoint has answered a request that left at `sent_ms`, over a connection
+    /// that was opened at `opened_ms`. Where starts cannot be told apart by the answer, they can
+    /// by the connection: one that was open before still leads to the same start.
+    pub fn answered(&mut self, life: &Life, sent_ms: u64, opened_ms: u64) {
+        let Some(doubt) = self.by_life.get_mut(life) else { return };
+        let is_named = life.born_ms == 0;
+        // It has come back, or was never gone.
+        doubt.ended_ms.take_if(|ended_ms| is_named && *ended_ms < sent_ms);
+        doubt.broken_off.retain(|_, at_ms| {
+            let is_same = is_named || opened_ms <= *at_ms;
+            !(is_same && *at_ms + ENDS_WITHIN_MS <= sent_ms)
+        });
+    }
+
+    /// Takes that a life of an endpoint was alive at a time.
+    pub fn lived(&mut self, life: &Life, at_ms: u64) {
+        let Some(doubt) = self.by_life.get_mut(life) else { return };
+        doubt.broken_off.retain(|_, broken_ms| at_ms < *broken_ms + ENDS_WITHIN_MS);
+    }
+
+    /// Takes that a request had a whole answer: nothing ends under it.
+    pub fn served(&mut self, request: Fingerprint) {
+        for doubt in self.by_life.values_mut() {
+            doubt.broken_off.remove(&request);
+        }
     }
 
-    /// Takes that an endpoint has ended; returns the requests under which it did.
-    pub fn ended(&mut self, endpoint: &Life) -> BTreeSet<Fingerprint> {
-        let Some(broken) = self.by_life.get_mut(endpoint) else { return BTreeSet::new() };
-        broken.has_ended = true;
-        std::mem::take(&mut broken.requests)
+    /// Lives at which a request was broken off, and of which it is not known whether they ended
+    /// under it.
+    pub fn in_doubt(&self, request: Fingerprint, now_ms: u64) -> usize {
+        let is_open = |doubt: &&Doubt| {
+            let broken_ms = doubt.broken_off.get(&request);
+            broken_ms.is_some_and(|at_ms| now_ms < *at_ms + IN_DOUBT_MS)
+        };
+        self.by_life.values().filter(is_open).count()
+    }
+
+    /// Takes that an endpoint has ended; returns the requests under which it may have.
+    pub fn ended(&mut self, life: &Life, evidence: Evidence, now_ms: u64) -> BTreeSet<Fingerprint> {
+        self.forget(now_ms);
+        let Some(doubt) = self.by_life.get_mut(life) else { return BTreeSet::new() };
+        if evidence == Evidence::Unlisted && doubt.broken_off.is_empty() {
+            return BTreeSet::new();
+        }
+        doubt.ended_ms = Some(now_ms);
+        let mut requests: BTreeSet<Fingerprint> =
+            std::mem::take(&mut doubt.broken_off).into_keys().collect();
+        if evidence != Evidence::Unlisted {
+            requests.extend(doubt.running.keys());
+        }
+        requests
     }
 
-    /// Endpoints in doubt that are not among these.
+    /// Lives with open requests, not known to have ended, that are not among these.
     pub fn gone(&self, is_listed: impl Fn(&Life) -> bool) -> Vec<Life> {
-        let in_doubt = self.by_life.iter().filter(|(_, broken)| !broken.has_ended);
-        in_doubt.map(|(name, _)| name.clone()).filter(|name| !is_listed(name)).collect()
+        self.open().map(|(life, _)| life).filter(|life| !is_listed(life)).cloned().collect()
+    }
+
+    /// The same of other endpoints at an address.
+    pub fn others_at(&self, address: SocketAddr, name: &EndpointName) -> Vec<Life> {
+        let others = self.open().filter(|(_, doubt)| doubt.address == Some(address));
+        others.map(|(life, _)| life).filter(|life| life.name != *name).cloned().collect()
+    }
+
+    fn open(&self) -> impl Iterator<Item = (&Life, &Doubt)> {
+        self.by_life.iter().filter(|(_, doubt)| doubt.ended_ms.is_none())
+    }
+
+    fn doubt(&mut self, life: &Life) -> &mut Doubt {
+        self.by_life.entry(life.clone()).or_default()
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        let is_past = |at_ms: u64| now_ms >= at_ms + IN_DOUBT_MS;
+        self.by_life.retain(|_, doubt| {
+            doubt.broken_off.retain(|_, at_ms| !is_past(*at_ms));
+            doubt.ended_ms.take_if(|ended_ms| is_past(*ended_ms));
+            !doubt.is_empty()
+        });
+    }
+}
+
+impl Doubt {
+    /// Whether nothing of it is needed any more.
+    fn is_empty(&self) -> bool {
+        let is_open = !self.running.is_empty() || !self.broken_off.is_empty();
+        !is_open && !self.is_looked_into && self.ended_ms.is_none()
     }
 }
--- a/crates/trestle-dispatch/tests/crashes.rs
+++ b/crates/trestle-dispatch/tests/crashes.rs
@@ -10,7 +10,7 @@
     endpoint::Life,
     fingerprint::{Fingerprint, RequestContent},
     retry_share::RetryBounds,
-    suspects::{Break, Suspects},
+    suspects::{Break, Evidence, Suspects},
 };
 
 const MINUTE_MS: u64 = 60_000;
@@ -169,7 +169,8 @@
         assert_eq!(suspects.broke(&life("e", 0), request(1), 0), Break::First);
         assert_eq!(suspects.broke(&life("e", 0), request(2), 1), Break::Further);
         assert_eq!(suspects.gone(|_| true), Vec::new());
-        assert_eq!(suspects.ended(&life("e", 0)), BTreeSet::from([request(1), request(2)]));
+        let requests = suspects.ended(&life("e", 0), Evidence::Refused, 1);
+        assert_eq!(requests, BTreeSet::from([request(1), request(2)]));
         assert_eq!(suspects.broke(&life("e", 0), request(3), 2), Break::Ended);
         assert_eq!(suspects.broke(&life("e", 7), request(3), 2), Break::First);
     }
--- a/crates/trestle-entry/src/clock.rs
+++ b/crates/trestle-entry/src/clock.rs
@@ -11,7 +11,7 @@
 const NS_PER_MS: u64 = 1_000_000;
 
 /// Time since this was made.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Clock {
     started_ms: u64,
 }
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -1,6 +1,7 @@
 //! What the parts of the daemon share.
 
 use crate::{
+    clock::Clock,
     control::{message::Message, permit::OrderPermits},
     knowledge::Knowledge,
     metrics::Metrics,
@@ -58,10 +59,11 @@
         control: Sender<Message>,
         policy: Policy,
     ) -> Self {
+        let clock = Clock::start();
         Self {
-            knowledge: Knowledge::new(&settings, policy),
+            knowledge: Knowledge::new(&settings, policy, clock),
             store: Store::new(settings.store_address, wire.store, &settings.bounds),
-            pool: Pool::new(),
+            pool: Pool::new(clock),
             metrics,
             control,
             order_permits: OrderPermits::default(),
--- a/crates/trestle-entry/src/knowledge.rs
+++ b/crates/trestle-entry/src/knowledge.rs
@@ -34,7 +34,7 @@
 
 impl Knowledge {
     /// Nothing is believed yet.
-    pub(crate) fn new(settings: &EntrySettings, policy: Policy) -> Self {
+    pub(crate) fn new(settings: &EntrySettings, policy: Policy, clock: Clock) -> Self {
         let bounds = &settings.bounds;
         let domain = settings.domain.as_str().into();
         let mut beliefs = Beliefs::new(domain, bounds.leaving_ms, retry_bounds(bounds));
@@ -47,7 +47,7 @@
             wished: Event::new(),
             forwarded: Event::new(),
             to_hear: Mutex::default(),
-            clock: Clock::start(),
+            clock,
         }
     }
 
--- a/crates/trestle-entry/src/net/exchange.rs
+++ b/crates/trestle-entry/src/net/exchange.rs
@@ -41,6 +41,13 @@
     TimedOut { address: SocketAddr, timeout_ms: u64 },
 }
 
+impl Error {
+    /// Whether nothing listens at the address.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// One kept connection to an address, used by one exchange at a time.
 #[derive(Debug)]
 pub(crate) struct CallClient {
--- a/crates/trestle-entry/src/net/pool.rs
+++ b/crates/trestle-entry/src/net/pool.rs
@@ -42,6 +42,7 @@
 struct Kept {
     sender: SendRequest<Full<Bytes>>,
     until_ms: u64,
+    opened_ms: u64,
 }
 
 /// A connection that carries one request.
@@ -49,6 +50,7 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     is_fresh: bool,
+    opened_ms: u64,
 }
 
 /// Why a request has no answer.
@@ -62,8 +64,8 @@
 
 impl Pool {
     /// No connection is kept yet.
-    pub(crate) fn new() -> Self {
-        Self { clock: Clock::start(), kept: Mutex::default() }
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self { clock, kept: Mutex::default() }
     }
 
     /// A kept connection to an endpoint, or a new one.
@@ -72,10 +74,11 @@
     ///
     /// Fails if the endpoint cannot be connected to.
     pub(crate) async fn connection(&self, endpoint: &Endpoint) -> io::Result<Connection> {
-        if let Some(sender) = self.take(&endpoint.life()) {
-            return Ok(Connection { sender, is_fresh: false });
+        if let Some(Kept { sender, opened_ms, .. }) = self.take(&endpoint.life()) {
+            return Ok(Connection { sender, is_fresh: false, opened_ms });
         }
-        open(endpoint.address).await
+        let sender = open(endpoint.address).await?;
+        Ok(Connection { sender, is_fresh: true, opened_ms: self.clock.now_ms() })
     }
 
     /// Keeps a connection for the next request, for as long as the endpoint will.
@@ -88,7 +91,8 @@
         let mut kept = self.lock();
         let of_endpoint = kept.entry(endpoint.life()).or_default();
         if of_endpoint.len() < MOST_KEPT {
-            of_endpoint.push(Kept { sender: connection.sender, until_ms });
+            let Connection { sender, opened_ms, .. } = connection;
+            of_endpoint.push(Kept { sender, until_ms, opened_ms });
         }
     }
 
@@ -102,13 +106,13 @@
         });
     }
 
-    fn take(&self, endpoint: &Life) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, endpoint: &Life) -> Option<Kept> {
         let now_ms = self.clock.now_ms();
         let mut kept = self.lock();
         let of_endpoint = kept.get_mut(endpoint)?;
         while let Some(candidate) = of_endpoint.pop() {
             if now_ms < candidate.until_ms && candidate.sender.is_ready() {
-                return Some(candidate.sender);
+                return Some(candidate);
             }
         }
         None
@@ -125,6 +129,11 @@
         self.is_fresh
     }
 
+    /// When it was opened, on the daemon's clock.
+    pub(crate) fn opened_ms(&self) -> u64 {
+        self.opened_ms
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -145,7 +154,7 @@
     }
 }
 
-async fn open(address: SocketAddr) -> io::Result<Connection> {
+async fn open(address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
     let stream = connect::open(address, CONNECT_MS).await?;
     let (sender, connection) =
         http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
@@ -154,5 +163,5 @@
         let _ = connection.await;
     })
     .detach();
-    Ok(Connection { sender, is_fresh: true })
+    Ok(sender)
 }
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -76,24 +76,28 @@
 
 fn take(daemon: &Daemon, news: News, source: Source, heard: ListHeard) -> bool {
     let now_ms = daemon.knowledge.now_ms();
+    let mut came = Vec::new();
     let (is_whole, is_news) = daemon.knowledge.with(|beliefs| {
         beliefs.directory.read(true, now_ms);
         beliefs.list_heard = heard;
         let fresh = beliefs.listing.take(news, source);
         let is_whole = fresh.is_whole;
         let is_news = is_whole || !fresh.written.is_empty() || !fresh.removed.is_empty();
-        apply(beliefs, fresh, source, now_ms);
+        came = apply(beliefs, fresh, source, now_ms);
         (is_whole, is_news)
     });
     if is_news {
+        came.iter().for_each(|endpoint| broken::note_came(daemon, endpoint));
         broken::note_gone(daemon);
         daemon.knowledge.change(|beliefs| beliefs.forget_gone());
     }
     is_whole
 }
 
-fn apply(beliefs: &mut Beliefs, fresh: News, source: Source, now_ms: u64) {
+/// Applies news; returns endpoints that have come.
+fn apply(beliefs: &mut Beliefs, fresh: News, source: Source, now_ms: u64) -> Vec<Endpoint> {
     let News { is_whole, written, removed, version } = fresh;
+    let mut came = Vec::new();
     if is_whole {
         note_whole(beliefs, &written, &removed, version);
         beliefs.is_listed = true;
@@ -105,7 +109,11 @@
         if !is_whole || endpoint.is_leaving {
             log_change(beliefs.directory.get(&name), endpoint, version);
         }
-        if !beliefs.take_entry(entry, source) {
+        let new = Some(endpoint).filter(|endpoint| !beliefs.directory.lists(&endpoint.life()));
+        let new = new.cloned();
+        if beliefs.take_entry(entry, source) {
+            came.extend(new);
+        } else {
             let message = "endpoint: An entry of before its removal came late.";
             tracing::info!(endpoint = %name, number, version, "{message}");
         }
@@ -117,6 +125,7 @@
         }
         beliefs.directory.removed(&name, now_ms);
     }
+    came
 }
 
 /// Notes a whole list, and some of the endpoints that come and go with it.
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one endpoint.
 
 use crate::{
+    broken,
     net::pool::{Connection, SendError},
     notices,
     traffic::{
@@ -15,8 +16,10 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use smol::Timer;
-use std::{sync::Arc, time::Duration};
-use trestle_dispatch::{loadable::Loadable, request::AnswerHead};
+use std::{io::ErrorKind, sync::Arc, time::Duration};
+use trestle_dispatch::{
+    endpoint::Endpoint, loadable::Loadable, request::AnswerHead, suspects::Evidence,
+};
 
 /// Largest answer of a plain call that is taken.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -37,17 +40,16 @@
 /// Fails if there is none that can be passed on within the time.
 pub(crate) async fn send(
     task: &Arc<Task>,
-    taken: Taken,
+    mut taken: Taken,
     last_event_id: Option<u64>,
     patience: Patience<'_>,
 ) -> Result<Attempt, Unanswered> {
     let sent_ms = task.elapsed_ms();
     task.note_sent();
     task.trial.sent(&taken.endpoint);
-    let waited = patience.wait(exchange(task, &taken, last_event_id)).await;
+    let waited = patience.wait(exchange(task, &mut taken, last_event_id)).await;
     let sent = waited.unwrap_or_else(|| Err(Unanswered::TimedOut(task.elapsed_ms() - sent_ms)));
     let now_ms = task.daemon.knowledge.now_ms();
-    let name = &taken.endpoint.name;
     let may_have_run =
         sent.as_ref().map_or_else(|unanswered| unanswered.end().may_have_run(), |_| true);
     task.payment.ended(may_have_run);
@@ -59,8 +61,12 @@
         Err(unanswered) => {
             match may_have_run {
                 true => task.trial.unanswered(),
-                false => task.trial.settled(),
+                false => {
+                    task.trial.settled();
+                    taken.settle();
+                }
             }
+            let name = &taken.endpoint.name;
             task.daemon.knowledge.with(|beliefs| match &unanswered {
                 Unanswered::NotRun(StatusCode::MISDIRECTED_REQUEST) => match &task.head.model {
                     Some(model) => {
@@ -77,9 +83,9 @@
                 }
             });
             if matches!(unanswered, Unanswered::Broke(_)) {
-                task.note_broken(&taken.endpoint);
+                taken.broke();
             }
-            let list = task.list();
+            let (list, name) = (task.list(), &taken.endpoint.name);
             tracing::info!(
                 id = task.head.id, request = task.fingerprint(), endpoint = %name,
                 list_version = list.version, list_age_ms = list.age_ms, list_from = list.way,
@@ -92,32 +98,59 @@
 
 async fn exchange(
     task: &Arc<Task>,
-    taken: &Taken,
+    taken: &mut Taken,
     last_event_id: Option<u64>,
 ) -> Result<(Connection, Response<Incoming>, AnswerHead), Unanswered> {
-    let endpoint = &taken.endpoint;
-    let pool = &task.daemon.pool;
+    let endpoint = &taken.endpoint.clone();
+    let (daemon, pool) = (&task.daemon, &task.daemon.pool);
     loop {
         let connection = pool.connection(endpoint).await;
-        let mut connection =
-            connection.map_err(|error| Unanswered::Unreachable(error.to_string()))?;
+        let mut connection = connection.map_err(|error| {
+            if error.kind() == ErrorKind::ConnectionRefused {
+                broken::ended(daemon, &endpoint.life(), Evidence::Refused);
+            }
+            Unanswered::Unreachable(error.to_string())
+        })?;
         if !task.may_leave(endpoint) {
             return Err(Unanswered::NotSent);
         }
-        let sent_ms = task.daemon.knowledge.now_ms();
+        let sent_ms = daemon.knowledge.now_ms();
+        taken.leaves();
         match connection.send(task.request(endpoint, last_event_id)).await {
             Ok(response) => {
-                notices::hear(&task.daemon, endpoint, &response, &task.head.id, sent_ms);
+                notices::hear(daemon, endpoint, &response, &task.head.id, sent_ms);
+                note_answered(task, endpoint, response.status(), sent_ms, connection.opened_ms());
                 return check(task, connection, response).await;
             }
             // A kept connection had been closed; the request never left.
-            Err(SendError::NotSent(_)) if !connection.is_fresh() => {}
+            Err(SendError::NotSent(_)) if !connection.is_fresh() => taken.settle(),
             Err(SendError::NotSent(reason)) => return Err(Unanswered::Unreachable(reason)),
             Err(SendError::Unknown(reason)) => return Err(Unanswered::Broke(reason)),
         }
     }
 }
 
+/// Notes what an answer shows of the endpoint that it comes from.
+fn note_answered(
+    task: &Task,
+    endpoint: &Endpoint,
+    status: StatusCode,
+    sent_ms: u64,
+    opened_ms: u64,
+) {
+    let life = endpoint.life();
+    match (status, &task.head.model) {
+        // It says so, or lacks the model.
+        (StatusCode::MISDIRECTED_REQUEST, Some(_)) => {}
+        (StatusCode::MISDIRECTED_REQUEST, None) => {
+            broken::ended(&task.daemon, &life, Evidence::Replaced);
+        }
+        _ => task.daemon.knowledge.with(|beliefs| {
+            beliefs.suspects.answered(&life, sent_ms, opened_ms);
+        }),
+    }
+}
+
 /// Checks that an answer belongs to the request, and whether it ran.
 async fn check(
     task: &Arc<Task>,
@@ -148,7 +181,7 @@
         task: &Task,
         timeout_ms: u64,
     ) -> Result<WholeAnswer, Unanswered> {
-        let Self { taken, connection, response, head } = self;
+        let Self { mut taken, connection, response, head } = self;
         let (mut parts, body) = response.into_parts();
         let collected = async {
             let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
@@ -164,13 +197,14 @@
         let name = &taken.endpoint.name;
         match collected.or(timed_out).await {
             Ok(content) => {
-                task.trial.settled();
                 let is_sound = !parts.status.is_server_error();
                 let now_ms = knowledge.now_ms();
                 knowledge.with(|beliefs| match is_sound {
                     true => beliefs.records.succeeded(name, now_ms),
                     false => beliefs.records.failed(name, now_ms),
                 });
+                task.trial.settled();
+                taken.settle();
                 if parts.status.is_success() {
                     task.note_served(&taken.endpoint);
                 }
@@ -184,7 +218,7 @@
                 let now_ms = knowledge.now_ms();
                 knowledge.with(|beliefs| beliefs.records.failed(name, now_ms));
                 if matches!(unanswered, Unanswered::Broke(_)) {
-                    task.note_broken(&taken.endpoint);
+                    taken.broke();
                 }
                 Err(unanswered)
             }
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -1,6 +1,7 @@
 //! Finds an endpoint for a request, and waits for its model where that helps.
 
 use crate::{
+    broken,
     daemon::Daemon,
     places,
     traffic::{
@@ -29,6 +30,31 @@
 pub(crate) struct Taken {
     pub(crate) endpoint: Endpoint,
     task: Arc<Task>,
+    /// Whether the request has left for it, and may end it.
+    is_open: bool,
+}
+
+impl Taken {
+    /// Notes that the request leaves for the endpoint, which may end under it from now on.
+    pub(crate) fn leaves(&mut self) {
+        let Some(request) = self.task.head.fingerprint else { return };
+        self.is_open = true;
+        self.task.daemon.knowledge.with(|beliefs| beliefs.leaves_for(&self.endpoint, request));
+    }
+
+    /// Notes that the endpoint has not ended under it: it did not run there, or had an answer.
+    pub(crate) fn settle(&mut self) {
+        let Some(request) = self.task.head.fingerprint.filter(|_| self.is_open) else { return };
+        self.is_open = false;
+        let life = self.endpoint.life();
+        self.task.daemon.knowledge.with(|beliefs| beliefs.suspects.settled(&life, request));
+    }
+
+    /// Notes that its connection to the endpoint broke.
+    pub(crate) fn broke(&mut self) {
+        broken::note(&self.task.daemon, &self.endpoint, self.task.head.fingerprint);
+        self.settle();
+    }
 }
 
 /// Finds an endpoint for the next send.
@@ -46,7 +72,9 @@
         }
         let number = wish.as_ref().map(|wish| wish.number);
         let until_ms = match look(task, sends, number) {
-            Selection::Send(endpoint) => return Ok(Taken { endpoint, task: Arc::clone(task) }),
+            Selection::Send(endpoint) => {
+                return Ok(Taken { endpoint, task: Arc::clone(task), is_open: false });
+            }
             Selection::Try => {
                 try_out(task).await?;
                 continue;
@@ -142,6 +170,9 @@
 
 impl Drop for Taken {
     fn drop(&mut self) {
+        if let Some(request) = self.task.head.fingerprint.filter(|_| self.is_open) {
+            broken::note_left(&self.task.daemon, &self.endpoint, request);
+        }
         let (model, adapter) = (self.task.head.model.as_ref(), self.task.head.adapter.as_ref());
         self.task.daemon.knowledge.with(|beliefs| beliefs.ended(&self.endpoint, model, adapter));
     }
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -230,12 +230,13 @@
     }
 
     fn end(&mut self) -> Step {
-        if let Some(source) = self.source.take() {
-            self.task.trial.settled();
+        if let Some(mut source) = self.source.take() {
             let daemon = &self.task.daemon;
             let name = &source.taken.endpoint.name;
             let now_ms = daemon.knowledge.now_ms();
             daemon.knowledge.with(|beliefs| beliefs.records.succeeded(name, now_ms));
+            self.task.trial.settled();
+            source.taken.settle();
             self.task.note_served(&source.taken.endpoint);
             daemon.pool.keep(&source.taken.endpoint, source.connection, source.idle_ms);
         }
@@ -250,7 +251,7 @@
         self.note_failed();
         self.buffer.drop_torn();
         self.task.trial.unanswered();
-        let Some(source) = self.source.take() else { return };
+        let Some(mut source) = self.source.take() else { return };
         let name = &source.taken.endpoint.name;
         let daemon = &self.task.daemon;
         let now_ms = daemon.knowledge.now_ms();
@@ -260,7 +261,7 @@
             reason = breach.reason(), last_id = self.buffer.last_id(), elapsed_ms = self.task.elapsed_ms(), "request: A stream broke."
         );
         if matches!(breach, Breach::Connection(_)) {
-            self.task.note_broken(&source.taken.endpoint);
+            source.taken.broke();
         }
     }
 
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -1,7 +1,6 @@
 //! One request on its way.
 
 use crate::{
-    broken,
     daemon::Daemon,
     traffic::{
         payment::{self, Payment},
@@ -162,11 +161,6 @@
         catalog.version == self.config_version || self.identity.still_counts(&catalog)
     }
 
-    /// Notes that its connection to an endpoint broke.
-    pub(crate) fn note_broken(&self, endpoint: &Endpoint) {
-        broken::note(&self.daemon, endpoint, self.head.fingerprint);
-    }
-
     /// Notes that it had a whole answer of an endpoint, so that it ends none.
     pub(crate) fn note_served(&self, endpoint: &Endpoint) {
         let served = |beliefs: &mut Beliefs| beliefs.served(self.head.fingerprint);
--- a/crates/trestle-entry/src/trial.rs
+++ b/crates/trestle-entry/src/trial.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 use trestle_core::names::VmName;
-use trestle_dispatch::{endpoint::Endpoint, fingerprint::Fingerprint};
+use trestle_dispatch::{endpoint::Endpoint, fingerprint::Fingerprint, suspects::ENDS_WITHIN_MS};
 use trestle_wire::{
     replicas::ReplicasClient,
     trials::{WireTrial, WireTrialAnswer},
@@ -17,8 +17,6 @@
 
 /// Said to callers while no leader can be asked: about the time that a new one takes.
 const NO_LEADER_MS: u64 = 1_000;
-/// Time by which an endpoint has ended that ends under an attempt.
-const ENDS_WITHIN_MS: u64 = 500;
 
 /// Whether one request has been allowed to run although endpoints may have ended under it.
 #[derive(Debug, Default)]
@@ -55,15 +53,17 @@
     ) -> Result<(), u64> {
         let number = daemon.next_number();
         let asked = ask(daemon, of_this_vm(daemon, request, number, false)).await;
-        tracing::info!(%request, answer = ?asked, "request: It may end endpoints; a leader was asked.");
+        let is_known = daemon.knowledge.with(|beliefs| beliefs.crashes.must_be_tried(request));
+        tracing::info!(%request, answer = ?asked, is_known, "request: It may end endpoints; a leader was asked.");
         match asked {
-            WireTrialAnswer::Runs => {
+            // What is only in doubt is not refused for want of a leader.
+            WireTrialAnswer::Undecided if is_known => Err(NO_LEADER_MS),
+            WireTrialAnswer::Runs | WireTrialAnswer::Undecided => {
                 let begun = Begun { daemon: Arc::clone(daemon), request, number, at: None };
                 *self.begun() = Some(begun);
                 Ok(())
             }
             WireTrialAnswer::Waits { for_ms } => Err(for_ms),
-            WireTrialAnswer::Undecided => Err(NO_LEADER_MS),
         }
     }
 
--- a/crates/trestle-entry/src/wire.rs
+++ b/crates/trestle-entry/src/wire.rs
@@ -66,6 +66,10 @@
     pub report_call: fn() -> Call,
     /// The answer to that.
     pub report_answer: fn(u16, &[u8]) -> Result<EngineReport, Unreadable>,
+    /// Asks an endpoint, at its service's own path for that, who it is.
+    pub identity_call: fn(&EndpointName, &str) -> Option<Call>,
+    /// The answer to that, if it names an endpoint.
+    pub identity_answer: fn(&HeaderMap) -> Option<EndpointName>,
     /// Gives an order: endpoint, order, expected count, leader, fencing number.
     pub order_call: fn(&EndpointName, &Order, u64, &str, u64) -> Call,
     /// The answer to that.
--- a/crates/trestled/src/surroundings.rs
+++ b/crates/trestled/src/surroundings.rs
@@ -21,6 +21,8 @@
         endpoint: EndpointWire {
             report_call: endpoint::report_call,
             report_answer: |status, body| Ok(endpoint::report_answer(status, body)?),
+            identity_call: endpoint::identity_call,
+            identity_answer: endpoint::identity_answer,
             order_call: order::call,
             order_answer: order::answer,
         },
