Take an answer without a length for no proof that its request is sound

What callers saw: a stream that had begun, ended whole, and with it the engine; the same request, sent again, ended one engine after the other: 17 to 22 of them, at any daemon, with no end to it.

Cause: an answer without a length ends with its connection, and so it does where its endpoint ends. Such a stream was taken for a whole answer, and a request with a whole answer anywhere ends nothing: it was tried and refused no more, at any daemon, for 20 minutes.

Change: only an answer whose end shows itself, by a length or a last chunk, settles an attempt and clears its request. Callers get the same bytes as before.

The same elsewhere: plain calls, mended alike. Ends of streams in the middle of an event were no answers before.

--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -12,7 +12,7 @@
     },
 };
 use futures_lite::FutureExt;
-use http::{Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use smol::Timer;
@@ -151,6 +151,12 @@
     }
 }
 
+/// Whether the end of an answer's body shows that it is whole. Without a length it ends with its
+/// connection, as it does where its endpoint ends.
+pub(crate) fn shows_its_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Checks that an answer belongs to the request, and whether it ran.
 async fn check(
     task: &Arc<Task>,
@@ -183,6 +189,7 @@
     ) -> Result<WholeAnswer, Unanswered> {
         let Self { mut taken, connection, response, head } = self;
         let (mut parts, body) = response.into_parts();
+        let shows_its_end = shows_its_end(&parts.headers);
         let collected = async {
             let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
             whole
@@ -203,9 +210,11 @@
                     true => beliefs.records.succeeded(name, now_ms),
                     false => beliefs.records.failed(name, now_ms),
                 });
-                task.trial.settled();
-                taken.settle();
-                if parts.status.is_success() {
+                if shows_its_end {
+                    task.trial.settled();
+                    taken.settle();
+                }
+                if shows_its_end && parts.status.is_success() {
                     task.note_served(&taken.endpoint);
                 }
                 task.daemon.pool.keep(&taken.endpoint, connection, head.idle_ms);
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -101,6 +101,8 @@
     connection: crate::net::pool::Connection,
     body: Incoming,
     idle_ms: Option<u64>,
+    /// Whether its end shows that it is whole.
+    shows_its_end: bool,
 }
 
 impl Flow {
@@ -189,6 +191,7 @@
     /// Takes the head of a stream; its events are read by [`Self::step`].
     fn begin(&mut self, attempt: Attempt) -> Parts {
         let (mut parts, body) = attempt.response.into_parts();
+        let shows_its_end = attempt::shows_its_end(&parts.headers);
         (self.task.daemon.wire.head.forward_answer)(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
         self.source = Some(Source {
@@ -196,6 +199,7 @@
             connection: attempt.connection,
             body,
             idle_ms: attempt.head.idle_ms,
+            shows_its_end,
         });
         parts
     }
@@ -235,9 +239,11 @@
             let name = &source.taken.endpoint.name;
             let now_ms = daemon.knowledge.now_ms();
             daemon.knowledge.with(|beliefs| beliefs.records.succeeded(name, now_ms));
-            self.task.trial.settled();
-            source.taken.settle();
-            self.task.note_served(&source.taken.endpoint);
+            if source.shows_its_end {
+                self.task.trial.settled();
+                source.taken.settle();
+                self.task.note_served(&source.taken.endpoint);
+            }
             daemon.pool.keep(&source.taken.endpoint, source.connection, source.idle_ms);
         }
         Step::End
