Let a leader that decides after another wait for what that one allowed

What callers could see: a request that ended two engines runs twice at once while leaders change, and ends one engine more at each change.

Cause: which attempt runs is known to the leader that allowed it alone. One that was stopped hands its lease over within 0.6 s, and the next allowed another attempt at once. And a leader that took its lease anew at the same address was told only what had changed since before it started, so it knew nothing of earlier ends until they happened again.

Change: since when a leader decides on a name, if another one may have before, is known (`deciders`); until an attempt's time has passed since then it allows none. What leaders told each other is kept by fencing number, not by address.

Ruled out: a memory of attempts in the leases' rows: each attempt would wait for a write to the store.

Cost: what is tried is refused for up to 3 s after a change of its leader.

--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod choice;
 pub mod config_texts;
 pub mod crashes;
+pub mod deciders;
 pub mod demand;
 pub mod directory;
 pub mod endpoint;
--- a/crates/trestle-dispatch/src/trials.rs
+++ b/crates/trestle-dispatch/src/trials.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct Trials {
     by_request: BTreeMap<Fingerprint, Trial>,
+    /// Until when attempts may run that another leader has allowed.
+    others_until_ms: u64,
 }
 
 #[derive(Debug)]
@@ -30,6 +32,12 @@
 }
 
 impl Trials {
+    /// Takes since when this leader has decided on the request that is asked for next, if another
+    /// one may have before: what that one has allowed is not known here.
+    pub fn decides_since(&mut self, since_ms: Option<u64>) {
+        self.others_until_ms = since_ms.map_or(0, |since_ms| since_ms + TRIAL_MS);
+    }
+
     /// Lets an attempt of a VM run, unless another one does.
     ///
     /// # Errors
@@ -43,6 +51,9 @@
         now_ms: u64,
     ) -> Result<(), u64> {
         self.by_request.retain(|_, trial| now_ms < trial.until_ms);
+        if now_ms < self.others_until_ms {
+            return Err(self.others_until_ms - now_ms);
+        }
         if let Some(trial) = self.by_request.get(&request) {
             return Err(trial.until_ms - now_ms);
         }
--- a/crates/trestle-entry/src/control/leaders.rs
+++ b/crates/trestle-entry/src/control/leaders.rs
@@ -11,7 +11,7 @@
 
 impl Control {
     /// Where other leaders answer, while this daemon leads.
-    pub(super) fn other_leaders(&mut self, now_ms: u64) -> BTreeMap<SocketAddr, DomainName> {
+    pub(super) fn other_leaders(&mut self, now_ms: u64) -> BTreeMap<SocketAddr, (DomainName, u64)> {
         if !self.leases.is_leading(now_ms) {
             return BTreeMap::new();
         }
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -16,6 +16,7 @@
 use trestle_core::names::DomainName;
 use trestle_dispatch::{
     candidate::Candidate,
+    deciders::Deciders,
     groups::{self, Groups},
     lease::{LeaseRow, LeaseWrite, Resignation},
     store::WriteOutcome,
@@ -38,6 +39,7 @@
     /// The group whose leader this daemon asks, and since when.
     home: Option<(DomainName, u64)>,
     by_group: BTreeMap<DomainName, Leasing>,
+    deciders: Deciders,
     quiet_ms: u64,
     next_read_ms: u64,
     is_reading: bool,
@@ -62,6 +64,7 @@
             groups: Groups::among(configured),
             home: None,
             by_group: BTreeMap::new(),
+            deciders: Deciders::default(),
             quiet_ms: daemon.settings.bounds.order_quiet_ms,
             next_read_ms: 0,
             is_reading: false,
@@ -209,6 +212,7 @@
             lender.set_leases(&held, now_ms);
         });
         self.note_acting(now_ms);
+        self.note_deciders(now_ms);
         let has_left = self.by_group.values().all(Leasing::has_left);
         if let Some(left) = self.left.take_if(|_| has_left) {
             let _ = left.try_send(());
@@ -336,13 +340,25 @@
         all.get(attempt % all.len().max(1)).cloned().unwrap_or(Leader::Nobody)
     }
 
-    /// Where the leader is that decides for all daemons on what has this name. Leaders know of
-    /// the same groups, so they agree on it.
-    pub(crate) fn leader_for(&self, name: &str, now_ms: u64) -> Leader {
-        let led = self.by_group.iter().map(|(group, leasing)| (group, leasing.leader(now_ms)));
-        let led = led.filter(|(_, leader)| *leader != Leader::Nobody);
-        let first = led.max_by_key(|(group, _)| groups::rank(name, group));
-        first.map_or(Leader::Nobody, |(_, leader)| leader)
+    /// Where the leader is that decides for all daemons on what has this name, and since when, if
+    /// another one may have before. Leaders know of the same groups, so they agree on it.
+    pub(crate) fn decider(&mut self, name: &str, now_ms: u64) -> (Leader, Option<u64>) {
+        self.note_deciders(now_ms);
+        let group = self.deciders.group_for(name);
+        let leader = group.map_or(Leader::Nobody, |group| self.leader_of(group, now_ms));
+        (leader, self.deciders.decides_since_ms(name))
+    }
+
+    fn note_deciders(&mut self, now_ms: u64) {
+        let here = self.daemon.peers_address();
+        for (group, leasing) in &self.by_group {
+            let leader = match leasing.leader(now_ms) {
+                Leader::Here { token, .. } => Some((here, token)),
+                Leader::At { address, token, .. } => Some((address, token)),
+                Leader::Nobody => None,
+            };
+            self.deciders.note(group, leader, now_ms);
+        }
     }
 
     /// Where the leader of a group is.
@@ -351,10 +367,10 @@
         leasing.map_or(Leader::Nobody, |leasing| leasing.leader(now_ms))
     }
 
-    /// Where other leaders answer, each with a group that it leads.
-    pub(crate) fn others(&self, now_ms: u64) -> BTreeMap<SocketAddr, DomainName> {
+    /// Where other leaders answer, each with a group that it leads and its fencing number there.
+    pub(crate) fn others(&self, now_ms: u64) -> BTreeMap<SocketAddr, (DomainName, u64)> {
         let each = self.by_group.values().filter_map(|leasing| match leasing.leader(now_ms) {
-            Leader::At { address, group, .. } => Some((address, group)),
+            Leader::At { address, group, token } => Some((address, (group, token))),
             Leader::Here { .. } | Leader::Nobody => None,
         });
         each.collect()
--- a/crates/trestle-entry/src/control/message.rs
+++ b/crates/trestle-entry/src/control/message.rs
@@ -62,8 +62,9 @@
     LeaderFor {
         /// The name of that.
         name: String,
-        /// Takes the answer.
-        reply: Sender<Leader>,
+        /// Takes the answer, and since when that one decides on it, if another one may have
+        /// before.
+        reply: Sender<(Leader, Option<u64>)>,
     },
     /// Asks where the leader of a group is.
     LeaderOf {
@@ -72,8 +73,9 @@
         /// Takes the answer.
         reply: Sender<Leader>,
     },
-    /// Asks where other leaders answer, if this daemon leads.
-    OtherLeaders(Sender<BTreeMap<SocketAddr, DomainName>>),
+    /// Asks where other leaders answer, if this daemon leads, each with a group that it leads and
+    /// its fencing number there.
+    OtherLeaders(Sender<BTreeMap<SocketAddr, (DomainName, u64)>>),
     /// Asks what another leader is to be told.
     AskOther {
         /// Where it answers.
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -129,7 +129,7 @@
                 let _ = reply.try_send(self.leases.leader(attempt, now_ms));
             }
             Message::LeaderFor { name, reply } => {
-                let _ = reply.try_send(self.leases.leader_for(&name, now_ms));
+                let _ = reply.try_send(self.leases.decider(&name, now_ms));
             }
             Message::LeaderOf { group, reply } => {
                 let _ = reply.try_send(self.leases.leader_of(&group, now_ms));
--- a/crates/trestle-entry/src/control/others.rs
+++ b/crates/trestle-entry/src/control/others.rs
@@ -56,9 +56,9 @@
 
 impl Others {
     /// Keeps just these.
-    pub(crate) fn keep(&mut self, others: &BTreeMap<SocketAddr, DomainName>) {
+    pub(crate) fn keep(&mut self, others: &BTreeMap<SocketAddr, (DomainName, u64)>) {
         self.by_address.retain(|address, _| others.contains_key(address));
-        for (address, group) in others {
+        for (address, (group, _)) in others {
             let other = self.by_address.entry(*address).or_default();
             if other.heard_ms.is_none() {
                 other.led.insert(group.clone());
--- a/crates/trestle-entry/src/peer/calls.rs
+++ b/crates/trestle-entry/src/peer/calls.rs
@@ -86,8 +86,9 @@
     leader.unwrap_or(Leader::Nobody)
 }
 
-/// The leader that decides for all daemons on what has this name.
-pub(crate) async fn leader_for(daemon: &Daemon, name: String) -> Leader {
+/// The leader that decides for all daemons on what has this name, and since when, if another one
+/// may have before.
+pub(crate) async fn leader_for(daemon: &Daemon, name: String) -> (Leader, Option<u64>) {
     let leader = daemon.ask(|reply| Message::LeaderFor { name, reply }).await;
-    leader.unwrap_or(Leader::Nobody)
+    leader.unwrap_or((Leader::Nobody, None))
 }
--- a/crates/trestle-entry/src/peer/leaders.rs
+++ b/crates/trestle-entry/src/peer/leaders.rs
@@ -18,13 +18,15 @@
 
 /// Tells other leaders, and hears them, until the process ends.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
-    let mut tasks: BTreeMap<SocketAddr, Task<()>> = BTreeMap::new();
+    // One that took its lease anew has forgotten what it was told, also at the same address.
+    let mut tasks: BTreeMap<(SocketAddr, u64), Task<()>> = BTreeMap::new();
     loop {
         let others = daemon.ask(Message::OtherLeaders).await.unwrap_or_default();
-        tasks.retain(|address, _| others.contains_key(address));
-        for (address, group) in others {
+        tasks.retain(|(address, token), _| others.get(address).is_some_and(|of| of.1 == *token));
+        for (address, (group, token)) in others {
             let daemon = Arc::clone(&daemon);
-            tasks.entry(address).or_insert_with(|| smol::spawn(follow(daemon, address, group)));
+            let follow = || smol::spawn(follow(daemon, address, group));
+            tasks.entry((address, token)).or_insert_with(follow);
         }
         Timer::after(Duration::from_millis(LOOK_MS)).await;
     }
--- a/crates/trestle-entry/src/trial.rs
+++ b/crates/trestle-entry/src/trial.rs
@@ -138,8 +138,9 @@
 /// daemon where it came.
 pub(crate) async fn decide(daemon: &Daemon, mut trial: WireTrial) -> WireTrialAnswer {
     let request = Fingerprint::from_bytes(trial.request);
-    match calls::leader_for(daemon, request.to_string()).await {
-        Leader::Here { .. } => decide_here(daemon, &trial),
+    let (leader, since_ms) = calls::leader_for(daemon, request.to_string()).await;
+    match leader {
+        Leader::Here { .. } => decide_here(daemon, &trial, since_ms),
         Leader::At { address, .. } if !trial.is_passed_on => {
             trial.is_passed_on = true;
             ask_at(daemon, address, trial).await
@@ -148,7 +149,7 @@
     }
 }
 
-fn decide_here(daemon: &Daemon, trial: &WireTrial) -> WireTrialAnswer {
+fn decide_here(daemon: &Daemon, trial: &WireTrial, since_ms: Option<u64>) -> WireTrialAnswer {
     let request = Fingerprint::from_bytes(trial.request);
     let vm = VmName::from(trial.vm.as_str());
     let now_ms = daemon.knowledge.now_ms();
@@ -157,6 +158,7 @@
             trials.end(request, &vm, trial.number);
             return WireTrialAnswer::Runs;
         }
+        trials.decides_since(since_ms);
         match trials.begin(request, vm, trial.number, now_ms) {
             Ok(()) => WireTrialAnswer::Runs,
             Err(for_ms) => WireTrialAnswer::Waits { for_ms },
