Tell daemons that start later which servers are gone, before they read the list

What callers saw: another writer entered a server that had left, without when it started.

Cause: an entry is told from its server's own by what that said before, and what a daemon knew of servers that were gone died with it. The same for an entry that a server had made before it said that it leaves, and that arrives late.

Change: leaders keep the last 32 starts that left or are gone in the rows of their leases, those first under whose names another writer's entry stands; a daemon reads these before it reads the list, and its leader tells it 64 of them when it asks for the first time. Whichever comes first, the entry is dropped once both are known. `departures` takes out of `directory` what was kept of them.

Cost: nothing where no entry tells a start. Else up to 2.9 KB in a lease's row, written every 0.6 s, and 2 KB to a daemon at its start (worked out). A daemon that starts waits for the rows, at most 0.5 s, before it reads the list.

Left: a server that goes back to a make that tells no start under its old name cannot be told from another writer's entry, as before.

--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -6,6 +6,7 @@
     catalog::Catalog,
     config_texts::ConfigTexts,
     crashes::Crashes,
+    departures::Departure,
     directory::Directory,
     endpoint::{Endpoint, Life},
     fingerprint::Fingerprint,
@@ -80,6 +81,8 @@
     pub config_texts: ConfigTexts,
     /// Whether the list of endpoints was ever read.
     pub is_listed: bool,
+    /// Whether it was tried to read what leaders keep of endpoints that left.
+    pub are_leases_read: bool,
     /// How the list of endpoints was last heard of.
     pub list_heard: ListHeard,
     /// What the leader says, by service.
@@ -127,6 +130,7 @@
             listing: Listing::default(),
             config_texts: ConfigTexts::default(),
             is_listed: false,
+            are_leases_read: false,
             list_heard: ListHeard::default(),
             replicas: BTreeMap::new(),
             heard_ms: 0,
@@ -292,6 +296,16 @@
         is_taken
     }
 
+    /// Takes what another daemon knows of endpoints that left or are gone; returns those that are
+    /// listed no longer by that.
+    pub fn hear_departures(&mut self, departures: &[Departure]) -> Vec<EndpointName> {
+        let dropped = departures.iter().filter(|departure| self.directory.heard(departure));
+        let dropped: Vec<EndpointName> =
+            dropped.map(|departure| departure.life.name.clone()).collect();
+        dropped.iter().for_each(|name| self.listing.drop_entry(name.as_str()));
+        dropped
+    }
+
     /// Takes what a life of an endpoint says in an answer; returns what is new of it.
     pub fn hear(&mut self, life: &Life, answer: Answer<'_>, now_ms: u64) -> Vec<Heard> {
         let mut heard = self.backpressure.hear(life, answer, now_ms);
--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -5,7 +5,10 @@
 //! come back. An entry that says "leaving" is believed until the endpoint starts again,
 //! whatever an older message says later.
 
-use crate::endpoint::{Endpoint, Held, Life};
+use crate::{
+    departures::{Departure, Departures},
+    endpoint::{Endpoint, Held, Life},
+};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -17,28 +20,12 @@
 const COME_BACK_MS: u64 = 2_000;
 /// Time that a request may take from the choice of its endpoint until it gets there.
 const ON_ITS_WAY_MS: u64 = 300;
-/// Starts of endpoints that left or are gone of which more is kept than that; the oldest are
-/// forgotten first. Some days' worth where 160 VMs fail and 480 are replaced a day.
-const MOST_PAST: usize = 4_096;
-
-/// What is kept of a start of an endpoint that left or whose entry was removed.
-#[derive(Debug, Default)]
-struct Past {
-    /// Whether it has said that it leaves.
-    has_left: bool,
-    /// The number of its last message, once its entry was removed.
-    last_number: Option<u64>,
-    /// Lower ones were noted earlier.
-    order: u64,
-}
-
 /// The list of live endpoints.
 #[derive(Debug)]
 pub struct Directory {
     endpoints: BTreeMap<EndpointName, Arc<Endpoint>>,
-    /// Starts of endpoints that were seen leaving or gone.
-    past: BTreeMap<Life, Past>,
-    past_count: u64,
+    /// Starts of endpoints that left or are gone.
+    departures: Departures,
     /// Entries that vanished in a time of doubt, and when they count as gone.
     lapsed_until_ms: BTreeMap<EndpointName, u64>,
     /// Time for which an endpoint that has left may still get requests.
@@ -67,8 +54,7 @@
     pub fn new(leaving_ms: u64) -> Self {
         Self {
             endpoints: BTreeMap::new(),
-            past: BTreeMap::new(),
-            past_count: 0,
+            departures: Departures::default(),
             lapsed_until_ms: BTreeMap::new(),
             leaving_ms,
             read_ms: 0,
@@ -86,12 +72,16 @@
     /// was removed names nothing to use, and neither does another writer's; returns whether it
     /// is taken.
     pub fn written(&mut self, mut endpoint: Endpoint) -> bool {
-        if self.is_of_before(&endpoint) || self.is_foreign(&endpoint) {
+        if self.departures.is_foreign(&endpoint) {
+            self.departures.named_by_another(&endpoint.name);
+            return false;
+        }
+        if self.is_of_before(&endpoint) {
             return false;
         }
         self.lapsed_until_ms.remove(&endpoint.name);
         if endpoint.is_leaving {
-            self.note_past(endpoint.life(), |past| past.has_left = true);
+            self.departures.leaves(endpoint.life());
         }
         endpoint.is_leaving |= self.was_leaving(&endpoint.life());
         // Numbers start anew with each start; entries of two starts come in the store's order.
@@ -122,40 +112,22 @@
     /// Whether an entry is none that its endpoint wrote after its last one was removed. Where
     /// starts cannot be told apart, numbers may have begun anew.
     fn is_of_before(&self, endpoint: &Endpoint) -> bool {
-        let past = self.past.get(&endpoint.life()).filter(|_| endpoint.tells_start());
-        let last = past.and_then(|past| past.last_number);
+        if !endpoint.tells_start() {
+            return false;
+        }
+        let last = self.departures.last_number(&endpoint.life());
         let is_listed = self.lists(&endpoint.life());
         let is_kept = is_listed && !self.lapsed_until_ms.contains_key(&endpoint.name);
         !is_kept && last.is_some_and(|last| endpoint.entry_number <= last)
     }
 
-    /// Whether an entry does not say when its endpoint started, though it once did.
-    fn is_foreign(&self, endpoint: &Endpoint) -> bool {
-        let first = Life { name: endpoint.name.clone(), born_ms: 1 };
-        let told = self.past.range(first..).next();
-        !endpoint.tells_start() && told.is_some_and(|(life, _)| life.name == endpoint.name)
-    }
-
-    fn note_past(&mut self, life: Life, note: impl FnOnce(&mut Past)) {
-        self.past_count += 1;
-        let past = self.past.entry(life).or_default();
-        past.order = self.past_count;
-        note(past);
-        if self.past.len() > MOST_PAST {
-            let oldest = self.past.iter().min_by_key(|(_, past)| past.order);
-            if let Some(life) = oldest.map(|(life, _)| life.clone()) {
-                self.past.remove(&life);
-            }
-        }
-    }
-
     /// Takes that a start of an endpoint has said in an answer that it leaves; returns whether
     /// that is news. No entry says more of it than the endpoint does.
     pub fn leaves(&mut self, life: &Life) -> bool {
         if self.was_leaving(life) {
             return false;
         }
-        self.note_past(life.clone(), |past| past.has_left = true);
+        self.departures.leaves(life.clone());
         let listed = self.endpoints.get_mut(&life.name);
         if let Some(endpoint) = listed.filter(|endpoint| endpoint.born_ms == life.born_ms) {
             Arc::make_mut(endpoint).is_leaving = true;
@@ -163,6 +135,38 @@
         true
     }
 
+    /// Starts of endpoints that left or are gone, to be told to daemons that may not have heard of
+    /// them, so many at most.
+    pub fn departures(&self, most: usize) -> Vec<Departure> {
+        self.departures.to_tell(most, |life| self.lists(life))
+    }
+
+    /// Takes what another daemon knows of an endpoint that left or is gone; returns whether one
+    /// that is listed here names nothing to use by that.
+    pub fn heard(&mut self, departure: &Departure) -> bool {
+        if !self.departures.heard(departure) {
+            return false;
+        }
+        let name = &departure.life.name;
+        let Some(listed) = self.endpoints.get_mut(name) else { return false };
+        if self.departures.has_left(&listed.life()) {
+            Arc::make_mut(listed).is_leaving = true;
+        }
+        let listed = Endpoint::clone(listed);
+        let last = self.departures.last_number(&listed.life()).filter(|_| listed.tells_start());
+        let is_of_before = last.is_some_and(|last| listed.entry_number <= last);
+        let is_foreign = self.departures.is_foreign(&listed);
+        if is_foreign {
+            self.departures.named_by_another(name);
+        }
+        let names_nothing = is_foreign || is_of_before;
+        if names_nothing {
+            self.endpoints.remove(name);
+            self.lapsed_until_ms.remove(name);
+        }
+        names_nothing
+    }
+
     /// Takes what an engine is thought to hold.
     pub fn assume_held(&mut self, name: &EndpointName, held: Held) {
         if let Some(endpoint) = self.endpoints.get_mut(name) {
@@ -176,7 +180,7 @@
         let (life, last_number) = (known.life(), known.entry_number);
         let is_staying = !self.was_leaving(&life);
         let kept_until_ms = self.kept_until_ms(now_ms).filter(|until| now_ms < *until);
-        self.note_past(life, |past| past.last_number = Some(last_number));
+        self.departures.removed(life, last_number);
         match kept_until_ms {
             Some(until_ms) if is_staying => {
                 self.lapsed_until_ms.entry(name.clone()).or_insert(until_ms);
@@ -253,7 +257,7 @@
 
     /// Whether a start of an endpoint was ever seen leaving.
     pub fn was_leaving(&self, life: &Life) -> bool {
-        self.past.get(life).is_some_and(|past| past.has_left)
+        self.departures.has_left(life)
     }
 
     /// The endpoint with a name.
--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -13,7 +13,7 @@
 //!
 //! No clocks are compared, and nobody takes over without the store.
 
-use crate::crashes::CrashReport;
+use crate::{crashes::CrashReport, departures::Departure};
 use std::net::SocketAddr;
 
 /// Times of the lease.
@@ -63,6 +63,8 @@
     /// Requests that are refused because endpoints ended under them. They lie here so that
     /// daemons which all start anew need not lose endpoints to find out again.
     pub refused: Vec<CrashReport>,
+    /// Endpoints that left or are gone, for daemons that start anew and may be told otherwise.
+    pub departures: Vec<Departure>,
 }
 
 /// A conditional write of the row.
@@ -358,6 +360,7 @@
             is_released: false,
             daemons: self.daemons,
             refused: Vec::new(),
+            departures: Vec::new(),
         }
     }
 
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod crashes;
 pub mod deciders;
 pub mod demand;
+pub mod departures;
 pub mod directory;
 pub mod endpoint;
 pub mod endpoint_limits;
--- a/crates/trestle-dispatch/src/listing.rs
+++ b/crates/trestle-dispatch/src/listing.rs
@@ -123,6 +123,13 @@
         self.removed.insert(key.to_owned(), version);
     }
 
+    /// Notes that the entry of a key that stands names no endpoint to use.
+    pub fn drop_entry(&mut self, key: &str) {
+        if let Some(at) = self.entries.get(key).map(|entry| entry.at) {
+            self.pass_over(key, at);
+        }
+    }
+
     /// The version as of which a key is known. One that is not listed has been gone at least
     /// since the newest whole list, unless a newer one names it.
     fn known_at(&self, key: &str, is_in_newest: bool) -> u64 {
--- a/crates/trestle-dispatch/tests/candidate.rs
+++ b/crates/trestle-dispatch/tests/candidate.rs
@@ -14,6 +14,7 @@
         is_released,
         daemons: 0,
         refused: Vec::new(),
+        departures: Vec::new(),
     }
 }
 
--- a/crates/trestle-entry/src/control/leaders.rs
+++ b/crates/trestle-entry/src/control/leaders.rs
@@ -41,7 +41,13 @@
             placements = positions.collect();
             is_new = !other.has_planned();
         }
-        let nothing = WireHave { endpoints: u64::MAX, config: u64::MAX, refused: 0, placements };
+        let nothing = WireHave {
+            endpoints: u64::MAX,
+            config: u64::MAX,
+            refused: 0,
+            departures: true,
+            placements,
+        };
         let asking = WireAsking {
             vm: self.daemon.settings.vm.clone(),
             group: group.to_string(),
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -15,6 +15,7 @@
 };
 use trestle_core::names::DomainName;
 use trestle_dispatch::{
+    beliefs::Beliefs,
     candidate::Candidate,
     deciders::Deciders,
     groups::{self, Groups},
@@ -119,12 +120,23 @@
             self.to_read.remove(&group);
             self.leasing(&group).seen(row, version, now_ms);
         }
+        self.note_read();
     }
 
     /// Takes that the leases could not be read.
     pub(crate) fn unread(&mut self, now_ms: u64) {
         self.is_reading = false;
         self.next_read_ms = now_ms + READ_GAP_MS;
+        self.note_read();
+    }
+
+    /// Notes that it was tried to read leases' rows.
+    fn note_read(&self) {
+        let is_first =
+            |beliefs: &mut Beliefs| !std::mem::replace(&mut beliefs.are_leases_read, true);
+        if self.daemon.knowledge.with(is_first) {
+            self.daemon.knowledge.say_changed();
+        }
     }
 
     /// Takes that a leader does not answer.
@@ -300,6 +312,7 @@
             let (mut row, version) = leasing.row()?;
             // An asker is told of them once, not with each answer.
             row.refused.clear();
+            row.departures.clear();
             Some(WireGroupLease { group: group.to_string(), row, version })
         });
         rows.collect()
--- a/crates/trestle-entry/src/control/leasing.rs
+++ b/crates/trestle-entry/src/control/leasing.rs
@@ -4,6 +4,7 @@
     control::message::{Leader, Message},
     crashes,
     daemon::Daemon,
+    departures,
 };
 use std::sync::Arc;
 use trestle_core::names::DomainName;
@@ -69,6 +70,7 @@
     pub(crate) fn seen(&mut self, row: Option<LeaseRow>, version: u64, now_ms: u64) {
         if let Some(row) = &row {
             crashes::heard(&self.daemon, &row.refused);
+            departures::heard(&self.daemon, &row.departures);
         }
         self.lease.observed(row, version, now_ms);
     }
@@ -111,6 +113,7 @@
             && let Some(mut write) = self.lease.due_write(now_ms)
         {
             write.row.refused = crashes::refused_for_row(&self.daemon);
+            write.row.departures = departures::for_row(&self.daemon);
             let (daemon, group) = (Arc::clone(&self.daemon), self.group.clone());
             smol::spawn(send(daemon, group, write, now_ms)).detach();
         }
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod control;
 mod crashes;
 mod daemon;
+mod departures;
 mod knowledge;
 mod lending;
 pub mod logs;
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -1,6 +1,8 @@
 //! Serves other daemons.
 
-use crate::{control::message::Message, crashes, daemon::Daemon, lending, places, trial};
+use crate::{
+    control::message::Message, crashes, daemon::Daemon, departures, lending, places, trial,
+};
 use async_compat::{Compat, CompatExt};
 use futures_util::StreamExt;
 use smol::net::{TcpListener, TcpStream};
@@ -81,7 +83,12 @@
 fn relay(daemon: &Daemon, have: WireHave) -> WireRelay {
     let now_ms = daemon.knowledge.now_ms();
     let age_ms = daemon.freshness.age_ms(now_ms);
+    let departures = match have.departures {
+        true => Vec::new(),
+        false => departures::for_new_asker(daemon),
+    };
     daemon.knowledge.with(|beliefs| WireRelay {
+        departures,
         endpoints: WireNews::from(beliefs.list_after(have.endpoints)),
         config: beliefs.config_texts.news(have.config).map(WireConfig::from),
         age_ms,
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -4,6 +4,7 @@
     control::message::{Leader, Message},
     crashes::CrashExchange,
     daemon::Daemon,
+    departures,
     peer::{calls, client::LeaderClient},
     store::{config, endpoints},
 };
@@ -182,12 +183,12 @@
             members: 0,
             digests: self.digests(daemon, !is_told),
             crashes: Vec::new(),
-            have: self.have(daemon),
+            have: self.have(daemon, is_told),
         }
     }
 
     /// What this daemon already has of the store, and of the leader's logs.
-    fn have(&self, daemon: &Daemon) -> WireHave {
+    fn have(&self, daemon: &Daemon, departures: bool) -> WireHave {
         let placements = self.placements.iter();
         let placements =
             placements.map(|(service, mirror)| (service.to_string(), mirror.position().into()));
@@ -195,6 +196,7 @@
             endpoints: beliefs.listing.version(),
             config: beliefs.catalog.as_ref().map_or(0, |catalog| catalog.version),
             refused: 0,
+            departures,
             placements: placements.collect(),
         })
     }
@@ -241,6 +243,7 @@
 /// store must be followed here depends on it. An answer says how old its news were when it was
 /// made, which was after it was asked for.
 fn take_relay(daemon: &Daemon, relay: WireRelay, asked_ms: u64) {
+    departures::heard_wire(daemon, relay.departures);
     let taken = relay.config.is_none_or(|news| config::take_passed_on(daemon, &news.into()));
     // The sender's proof was so old when it answered, which was after it was asked.
     if let Some(age_ms) = relay.config_age_ms.filter(|_| taken) {
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -3,6 +3,7 @@
 use crate::{
     broken,
     daemon::Daemon,
+    departures,
     store::follow::{self, Followed},
 };
 use std::sync::Arc;
@@ -27,6 +28,7 @@
 
 /// Follows the list until the process ends.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
+    departures::wait_for_rows(&daemon).await;
     let followed = Followed {
         table: daemon.wire.store.endpoint_table,
         gather_ms: || match daemon.freshness.is_leader() {
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`order`]: orders to engines, and their reports.
 //! - [`peer`]: what daemons ask each other.
 //! - [`replicas`]: what daemons and the leader tell each other.
+//! - [`departures`]: endpoints that left or are gone.
 //! - [`placements`]: where models are, by change.
 //! - [`relay`]: what the leader passes on of the store.
 //! - [`crashes`]: requests under which endpoints ended; [`trials`]: which attempt of one may run.
@@ -20,6 +21,7 @@
 pub mod admin;
 pub mod claim;
 pub mod crashes;
+pub mod departures;
 mod error;
 pub mod habits;
 pub mod headers;
--- a/crates/trestle-wire/src/relay.rs
+++ b/crates/trestle-wire/src/relay.rs
@@ -1,6 +1,6 @@
 //! What the leader passes on of the store, so that others need not follow it.
 
-use crate::placements::WirePosition;
+use crate::{departures::WireDeparture, placements::WirePosition};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 use trestle_dispatch::{
     config_texts::{ConfigNews, PackedPiece},
@@ -18,6 +18,8 @@
     pub config: u64,
     /// Number of the last change that it has heard of requests that are refused, from this leader.
     pub refused: u64,
+    /// Whether it has heard from this leader of endpoints that left or are gone.
+    pub departures: bool,
     /// How much it has of the leader's logs, by service.
     pub placements: BTreeMap<String, WirePosition>,
 }
@@ -27,6 +29,8 @@
 pub struct WireRelay {
     /// Changes of the list of endpoints.
     pub endpoints: WireNews,
+    /// Endpoints that left or are gone, for a daemon that asks for the first time.
+    pub departures: Vec<WireDeparture>,
     /// The configuration, if it is newer.
     pub config: Option<WireConfig>,
     /// Time since the store last answered the sender about both.
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     crashes::{WireCrash, WireRefused},
+    departures::WireDeparture,
     lending::{WireBorrowing, WireLoan},
     placements::{WireDelta, WireName},
     places::{WirePlace, WirePlaceAsking},
@@ -13,6 +14,7 @@
 use trestle_dispatch::{
     crashes::CrashReport,
     demand::{DemandDigest, Waiting},
+    departures::Departure,
     lease::{LeaseRow, Resignation},
     loadable::Loadable,
     placement_log::PlacementMirror,
@@ -124,6 +126,9 @@
     /// Requests that are refused, as far as they find room.
     #[serde(default)]
     pub refused: Vec<WireCrash>,
+    /// Endpoints that left or are gone, as far as they find room.
+    #[serde(default)]
+    pub departures: Vec<WireDeparture>,
 }
 
 /// What one daemon tells of one service.
@@ -220,6 +225,7 @@
             is_released: row.is_released,
             daemons: row.daemons,
             refused: row.refused.iter().cloned().map(WireCrash::from).collect(),
+            departures: row.departures.iter().cloned().map(WireDeparture::from).collect(),
         }
     }
 }
@@ -237,6 +243,7 @@
             is_released: wire.is_released,
             daemons: wire.daemons,
             refused: wire.refused.into_iter().map(CrashReport::from).collect(),
+            departures: wire.departures.into_iter().map(Departure::from).collect(),
         }
     }
 }
