Send nothing to a server whose address another one has

Cause: an address that another endpoint has entered was still used for the one that it had belonged to, until that entry lapsed; each daemon found out for itself by a 421, and an engine's 421 says only that it lacks a model.

The end of one that left without a word is blamed on nothing, by whatever it is known.

--- a/crates/trestle-dispatch/tests/crashes.rs
+++ b/crates/trestle-dispatch/tests/crashes.rs
@@ -200,6 +200,34 @@
         assert_eq!(beliefs.connection_broke(&known, request(3), 3), None);
     }
 
+    /// Its entry is removed, it goes on with what runs there, and its address refuses connections
+    /// once it has ended.
+    endpoints_that_leave_without_a_word_end_under_nothing => {
+        let mut beliefs = beliefs();
+        let known = endpoint("e", "z", &["a"]);
+        beliefs.leaves_for(&known, request(1));
+        beliefs.directory.removed(&known.name, 1);
+        assert!(beliefs.ended_by_list().iter().all(|(life, evidence)| {
+            beliefs.suspects.ended(life, *evidence, 2).is_empty()
+        }));
+        assert!(beliefs.has_ended(&known.life(), Evidence::Refused, 3).is_empty());
+        assert!(!beliefs.left_unanswered(&known, request(1), 4));
+    }
+
+    /// Another server has come to its address while its own entry still stands.
+    an_endpoint_whose_address_is_anothers_has_ended_under_what_ran_there => {
+        let mut beliefs = beliefs();
+        let known = endpoint("e", "z", &["a"]);
+        beliefs.leaves_for(&known, request(1));
+        let mut new = endpoint("f", "z", &["a"]);
+        assert_eq!(beliefs.replaced_by(&new), [known.life()]);
+        let requests = beliefs.has_ended(&known.life(), Evidence::Replaced, 1);
+        assert_eq!(requests, BTreeSet::from([request(1)]));
+        new.address.set_port(9_001);
+        assert!(beliefs.replaced_by(&new).is_empty());
+        assert!(beliefs.left_unanswered(&known, request(1), 2), "it was open all the while");
+    }
+
     attempts_of_one_request_have_one_fingerprint => {
         let content = RequestContent {
             method: "POST",
