--- a/crates/trestle-dispatch/src/beliefs.rs
+++ b/crates/trestle-dispatch/src/beliefs.rs
@@ -306,13 +306,6 @@
         dropped
     }
 
-    /// Takes that an endpoint has come to its address with a version of the list.
-    pub fn came(&mut self, endpoint: &Endpoint, version: u64, now_ms: u64) {
-        let listing = &self.listing;
-        let is_older = |name: &EndpointName| listing.version_of(name.as_str()) < version;
-        self.directory.came(endpoint, is_older, now_ms);
-    }
-
     /// Takes what a life of an endpoint says in an answer; returns what is new of it.
     pub fn hear(&mut self, life: &Life, answer: Answer<'_>, now_ms: u64) -> Vec<Heard> {
         let mut heard = self.backpressure.hear(life, answer, now_ms);
--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -20,10 +20,6 @@
 const COME_BACK_MS: u64 = 2_000;
 /// Time that a request may take from the choice of its endpoint until it gets there.
 const ON_ITS_WAY_MS: u64 = 300;
-/// Time for which an endpoint gets nothing whose address has become another one's: its entry
-/// lapses within it.
-const REPLACED_MS: u64 = 6_000;
-
 /// The list of live endpoints.
 #[derive(Debug)]
 pub struct Directory {
@@ -32,8 +28,6 @@
     departures: Departures,
     /// Entries that vanished in a time of doubt, and when they count as gone.
     lapsed_until_ms: BTreeMap<EndpointName, u64>,
-    /// Endpoints whose address has become another one's, and until when they get nothing.
-    replaced_until_ms: BTreeMap<EndpointName, u64>,
     /// Time for which an endpoint that has left may still get requests.
     leaving_ms: u64,
     /// When the store was last read.
@@ -62,7 +56,6 @@
             endpoints: BTreeMap::new(),
             departures: Departures::default(),
             lapsed_until_ms: BTreeMap::new(),
-            replaced_until_ms: BTreeMap::new(),
             leaving_ms,
             read_ms: 0,
             unread_since_ms: None,
@@ -87,7 +80,6 @@
             return false;
         }
         self.lapsed_until_ms.remove(&endpoint.name);
-        self.replaced_until_ms.remove(&endpoint.name);
         if endpoint.is_leaving {
             self.departures.leaves(endpoint.life());
         }
@@ -243,27 +235,8 @@
         self.read_ms = now_ms;
     }
 
-    /// Takes that an endpoint has come to its address: others whose entries are older are there
-    /// no more, and what is sent to them reaches this one.
-    pub fn came(
-        &mut self,
-        endpoint: &Endpoint,
-        is_older: impl Fn(&EndpointName) -> bool,
-        now_ms: u64,
-    ) {
-        let others = self.endpoints.values().filter(|other| {
-            other.address == endpoint.address
-                && other.name != endpoint.name
-                && is_older(&other.name)
-        });
-        let until_ms = now_ms + REPLACED_MS;
-        let others = others.map(|other| (other.name.clone(), until_ms));
-        self.replaced_until_ms.extend(others);
-    }
-
     /// Drops entries that had time to come back and did not.
     pub fn tick(&mut self, now_ms: u64) -> Vec<EndpointName> {
-        self.replaced_until_ms.retain(|_, until_ms| now_ms < *until_ms);
         let due: Vec<EndpointName> = self
             .lapsed_until_ms
             .iter()
@@ -292,14 +265,10 @@
         self.endpoints.get(name).map(AsRef::as_ref)
     }
 
-    /// Whether a start of an endpoint is listed, not leaving, and still at its address.
+    /// Whether a start of an endpoint is listed and not leaving.
     pub fn is_usable(&self, life: &Life) -> bool {
         let known = self.get(&life.name).filter(|known| known.born_ms == life.born_ms);
-        known.is_some_and(|known| self.may_get_work(known))
-    }
-
-    fn may_get_work(&self, endpoint: &Endpoint) -> bool {
-        !endpoint.is_leaving && !self.replaced_until_ms.contains_key(&endpoint.name)
+        known.is_some_and(|known| !known.is_leaving)
     }
 
     /// All endpoints that are listed.
@@ -324,11 +293,11 @@
         service: &'a ServiceName,
     ) -> impl Iterator<Item = &'a Arc<Endpoint>> {
         let listed = self.endpoints.values();
-        listed.filter(move |one| one.service == *service && self.may_get_work(one))
+        listed.filter(move |endpoint| endpoint.service == *service && !endpoint.is_leaving)
     }
 
     /// Endpoints of a service that may get new work.
     pub fn usable<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Endpoint> {
-        self.iter().filter(move |one| one.service == *service && self.may_get_work(one))
+        self.iter().filter(move |endpoint| endpoint.service == *service && !endpoint.is_leaving)
     }
 }
--- a/crates/trestle-dispatch/src/listing.rs
+++ b/crates/trestle-dispatch/src/listing.rs
@@ -123,11 +123,6 @@
         self.removed.insert(key.to_owned(), version);
     }
 
-    /// The version of the entry of a key; 0 if there is none.
-    pub fn version_of(&self, key: &str) -> u64 {
-        self.entries.get(key).map_or(0, |entry| entry.at)
-    }
-
     /// Notes that the entry of a key that stands names no endpoint to use.
     pub fn drop_entry(&mut self, key: &str) {
         if let Some(at) = self.entries.get(key).map(|entry| entry.at) {
--- a/crates/trestle-dispatch/tests/directory.rs
+++ b/crates/trestle-dispatch/tests/directory.rs
@@ -38,27 +38,6 @@
         assert_eq!(usable(&directory), ["y"]);
     }
 
-    an_endpoint_gets_nothing_whose_address_is_anothers => {
-        let mut directory = listed(&["x", "y"]);
-        let (mut y, mut z) = (endpoint("y", "z", &[]), endpoint("z", "z", &[]));
-        (y.address, z.address) = ("127.0.0.1:9001".parse().unwrap(), y.address);
-        directory.written(y);
-        directory.written(z.clone());
-        directory.came(&z, |other| *other == name("x"), 1_000);
-        assert_eq!(usable(&directory), ["y", "z"]);
-        assert!(!directory.is_usable(&endpoint("x", "z", &[]).life()));
-        // It has written its entry anew, so it is there.
-        directory.written(endpoint("x", "z", &[]));
-        assert_eq!(usable(&directory), ["x", "y", "z"]);
-        // Another writer's entry may have named the address; that must not last.
-        directory.came(&z, |_| true, 2_000);
-        assert_eq!(usable(&directory), ["y", "z"]);
-        directory.tick(7_999);
-        assert_eq!(usable(&directory), ["y", "z"]);
-        directory.tick(8_000);
-        assert_eq!(usable(&directory), ["x", "y", "z"]);
-    }
-
     an_entry_that_lapsed_while_the_store_was_away_may_come_back => {
         let mut directory = listed(&["x", "y"]);
         directory.read(false, 5_000);
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -114,7 +114,7 @@
         let new = Some(endpoint).filter(|endpoint| !beliefs.directory.lists(&endpoint.life()));
         let new = new.cloned();
         if beliefs.take_entry(entry, source) {
-            came.extend(new.map(|endpoint| (endpoint, version)));
+            came.extend(new);
         } else {
             let message = "endpoint: An entry of before its removal came late.";
             tracing::info!(endpoint = %name, number, version, "{message}");
@@ -127,10 +127,7 @@
         }
         beliefs.directory.removed(&name, now_ms);
     }
-    for (endpoint, version) in &came {
-        beliefs.came(endpoint, *version, now_ms);
-    }
-    came.into_iter().map(|(endpoint, _)| endpoint).collect()
+    came
 }
 
 /// Notes a whole list, and some of the endpoints that come and go with it.
