Blame nothing on a plain call that another server has turned away

Reading the change: a 421 to a plain call says that another server is at the address, so the endpoint that it named has ended, and what runs there is blamed. The call itself still counted as running, though it ran nowhere: after three such answers it would have been refused for 30 s.

accused::turned_away_by_a_server_that_has_come_to_an_address, red before (a line "It ended under requests" for each), green with it. The call is settled first.

--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -119,6 +119,10 @@
         match connection.send(task.request(endpoint, last_event_id)).await {
             Ok(response) => {
                 notices::hear(daemon, endpoint, &response, &task.head.id, sent_ms);
+                if response.status() == StatusCode::MISDIRECTED_REQUEST {
+                    // It did not run, so it ends nothing.
+                    taken.settle();
+                }
                 note_answered(task, endpoint, response.status(), sent_ms, connection.opened_ms());
                 return check(task, connection, response).await;
             }
