Copy no endpoint for each send

Reading the change: each send copied the endpoint with all models that it holds and has copies of, hundreds of names on a grown deployment, to note what leaves for it. The borrow ends before that is noted, so no copy is needed.

--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -101,29 +101,29 @@
     taken: &mut Taken,
     last_event_id: Option<u64>,
 ) -> Result<(Connection, Response<Incoming>, AnswerHead), Unanswered> {
-    let endpoint = &taken.endpoint.clone();
     let (daemon, pool) = (&task.daemon, &task.daemon.pool);
     loop {
-        let connection = pool.connection(endpoint).await;
+        let connection = pool.connection(&taken.endpoint).await;
         let mut connection = connection.map_err(|error| {
             if error.kind() == ErrorKind::ConnectionRefused {
-                broken::ended(daemon, &endpoint.life(), Evidence::Refused);
+                broken::ended(daemon, &taken.endpoint.life(), Evidence::Refused);
             }
             Unanswered::Unreachable(error.to_string())
         })?;
-        if !task.may_leave(endpoint) {
+        if !task.may_leave(&taken.endpoint) {
             return Err(Unanswered::NotSent);
         }
         let sent_ms = daemon.knowledge.now_ms();
         taken.leaves();
-        match connection.send(task.request(endpoint, last_event_id)).await {
+        match connection.send(task.request(&taken.endpoint, last_event_id)).await {
             Ok(response) => {
-                notices::hear(daemon, endpoint, &response, &task.head.id, sent_ms);
+                notices::hear(daemon, &taken.endpoint, &response, &task.head.id, sent_ms);
                 if response.status() == StatusCode::MISDIRECTED_REQUEST {
                     // It did not run, so it ends nothing.
                     taken.settle();
                 }
-                note_answered(task, endpoint, response.status(), sent_ms, connection.opened_ms());
+                let (status, opened_ms) = (response.status(), connection.opened_ms());
+                note_answered(task, &taken.endpoint, status, sent_ms, opened_ms);
                 return check(task, connection, response).await;
             }
             // A kept connection had been closed; the request never left.
