Log what becomes of permitted attempts and of recorded crashes

Cause: from the logs it could not be told what an attempt of a request did between the permission of a leader and its send, what other daemons were allowed meanwhile, how many crashes were known when a request was sent, and whether a complete answer had cleared it.

Change: the line about a question to a leader has the request's id and the attempt's number; the send of a permitted attempt, its end and the leader's decisions are logged, as are the first complete answer of a request with one crash on its record, and each send of a request that has one. The line about crashed endpoints lists all requests that an engine runs at a time.

No decision changes.

--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -106,7 +106,7 @@
     }
 
     /// Records that a request was answered completely. Returns the number of endpoints that
-    /// crashed under it, if it was restricted until now.
+    /// crashed under it, if it was not answered before.
     pub fn served(&mut self, request: Fingerprint) -> Option<usize> {
         let record = self.by_request.get_mut(&request)?;
         if record.is_served {
@@ -115,7 +115,14 @@
         record.is_served = true;
         let crashes = record.crashes.len();
         self.record_change(request);
-        Some(crashes).filter(|crashes| *crashes >= SERIAL_CRASHES)
+        Some(crashes)
+    }
+
+    /// Returns the number of endpoints that crashed under a request and whether it was answered
+    /// completely since the first crash; `None` if none crashed. For logs.
+    pub fn summary(&self, request: Fingerprint) -> Option<(usize, bool)> {
+        let record = self.by_request.get(&request)?;
+        Some((record.crashes.len(), record.is_served))
     }
 
     /// Returns the remaining time for which a request is rejected; `None` if it is not rejected.
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -431,7 +431,7 @@
     }
 
     /// Records that a request was answered completely. Returns the number of endpoints that had
-    /// crashed under it, if the request was restricted until now.
+    /// crashed under it, if any did and the request was not answered before.
     pub fn served(&mut self, request: Option<Fingerprint>) -> Option<usize> {
         let request = request?;
         self.unresolved_requests.served(request);
--- a/crates/trestle-entry/src/connection_loss.rs
+++ b/crates/trestle-entry/src/connection_loss.rs
@@ -23,8 +23,8 @@
     unresolved_requests::{ConnectionLoss, Evidence, MAX_CRASH_DELAY_MS},
 };
 
-/// Most requests listed in one log line.
-const MAX_LOGGED: usize = 8;
+/// Most requests listed in one log line: all that one engine runs at a time.
+const MAX_LOGGED: usize = 64;
 /// Time limit for an endpoint's answer about its identity.
 const ANSWER_MS: u64 = 400;
 /// Longest pause between two checks of an endpoint that cannot be reached.
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -124,6 +124,7 @@
         }
         let sent_ms = daemon.shared_view.now_ms();
         selected.record_sent();
+        task.log_if_suspected(&selected.endpoint);
         match connection.send(task.to_http_request(&selected.endpoint, last_event_id)).await {
             Ok(response) => {
                 signals::process(daemon, &selected.endpoint, &response, &task.head.id, sent_ms);
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -138,7 +138,7 @@
 /// Requests permission to run a request that is suspected of crashing endpoints.
 async fn request_trial(task: &Task) -> Result<(), Failure> {
     let Some(request) = task.head.fingerprint else { return Ok(()) };
-    let permitted = task.trial.begin(&task.daemon, request).await;
+    let permitted = task.trial.begin(&task.daemon, &task.head.id, request).await;
     let why = Reason::OnTrial.name();
     permitted.map_err(|retry_after_ms| Failure::NotRun { retry_after_ms, why })
 }
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -188,6 +188,19 @@
         }
     }
 
+    /// Logs the send of a request under which endpoints crashed, with what is known of it then.
+    pub(crate) fn log_if_suspected(&self, endpoint: &Endpoint) {
+        let Some(request) = self.head.fingerprint else { return };
+        let summary = |local_view: &mut LocalView| local_view.crashes.summary(request);
+        if let Some((crashes, is_served)) = self.daemon.shared_view.with(summary) {
+            tracing::info!(
+                id = self.head.id, %request, endpoint = %endpoint.name, ends = crashes, is_served,
+                is_permitted = self.trial.is_permitted(),
+                "request: Sent, although endpoints crashed under it."
+            );
+        }
+    }
+
     /// Records the list that the endpoint was chosen from.
     pub(crate) fn record_list(&self, local_view: &LocalView, now_ms: u64) {
         let origin = local_view.list_origin;
--- a/crates/trestle-entry/src/trial.rs
+++ b/crates/trestle-entry/src/trial.rs
@@ -32,8 +32,12 @@
 #[derive(Debug)]
 struct PermittedAttempt {
     daemon: Arc<Daemon>,
+    /// Id of the caller's request, for logs.
+    id: String,
     request: Fingerprint,
     number: u64,
+    /// When the permission was received.
+    received_ms: u64,
     /// The endpoint that may still crash under the attempt.
     at: Option<Endpoint>,
 }
@@ -52,20 +56,26 @@
     pub(crate) async fn begin(
         &self,
         daemon: &Arc<Daemon>,
+        id: &str,
         request: Fingerprint,
     ) -> Result<(), u64> {
         let number = daemon.next_number();
         let answer = ask_leader(daemon, wire_trial(daemon, request, number, false)).await;
         let must_run_serially =
             daemon.shared_view.with(|local_view| local_view.crashes.must_run_serially(request));
-        tracing::info!(%request, answer = ?answer, is_known = must_run_serially, "request: The request may crash endpoints; a leader was asked for permission.");
+        tracing::info!(id, %request, number, answer = ?answer, is_known = must_run_serially, "request: The request may crash endpoints; a leader was asked for permission.");
         match answer {
             // If no leader answers, a request that is only suspected of crashing endpoints may run.
             WireTrialAnswer::Undecided if must_run_serially => Err(NO_LEADER_MS),
             WireTrialAnswer::Runs | WireTrialAnswer::Undecided => {
-                let attempt =
-                    PermittedAttempt { daemon: Arc::clone(daemon), request, number, at: None };
-                *self.attempt() = Some(attempt);
+                *self.attempt() = Some(PermittedAttempt {
+                    daemon: Arc::clone(daemon),
+                    id: id.to_owned(),
+                    request,
+                    number,
+                    received_ms: daemon.shared_view.now_ms(),
+                    at: None,
+                });
                 Ok(())
             }
             WireTrialAnswer::Waits { for_ms } => Err(for_ms),
@@ -76,6 +86,11 @@
     /// on.
     pub(crate) fn sent(&self, endpoint: &Endpoint) {
         if let Some(attempt) = &mut *self.attempt() {
+            tracing::info!(
+                id = attempt.id, request = %attempt.request, number = attempt.number,
+                endpoint = %endpoint.name, held_ms = attempt.held_ms(),
+                "request: A permitted attempt is sent."
+            );
             attempt.at = Some(endpoint.clone());
         }
     }
@@ -99,8 +114,20 @@
     }
 }
 
+impl PermittedAttempt {
+    /// Returns the time since the permission was received.
+    fn held_ms(&self) -> u64 {
+        self.daemon.shared_view.now_ms().saturating_sub(self.received_ms)
+    }
+}
+
 impl Drop for PermittedAttempt {
     fn drop(&mut self) {
+        let unresolved_at = self.at.as_ref().map(|endpoint| endpoint.name.as_str());
+        tracing::info!(
+            id = self.id, request = %self.request, number = self.number, unresolved_at,
+            held_ms = self.held_ms(), "request: A permitted attempt has ended."
+        );
         let (daemon, request, number) = (Arc::clone(&self.daemon), self.request, self.number);
         if let Some(endpoint) = self.at.take() {
             smol::spawn(check_later(daemon, endpoint, request)).detach();
@@ -162,7 +189,7 @@
     let request = Fingerprint::from_bytes(trial.request);
     let vm = VmName::from(trial.vm.as_str());
     let now_ms = daemon.shared_view.now_ms();
-    daemon.with_trials(|trials| {
+    let answer = daemon.with_trials(|trials| {
         if trial.has_ended {
             trials.end(request, &vm, trial.number);
             return WireTrialAnswer::Runs;
@@ -172,5 +199,11 @@
             Ok(()) => WireTrialAnswer::Runs,
             Err(for_ms) => WireTrialAnswer::Waits { for_ms },
         }
-    })
+    });
+    tracing::info!(
+        %request, vm = trial.vm, number = trial.number, has_ended = trial.has_ended,
+        answer = ?answer, leads_for_ms = since_ms.map(|since_ms| now_ms.saturating_sub(since_ms)),
+        "request: This leader decided on an attempt of a request that may crash endpoints."
+    );
+    answer
 }
