--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -8,8 +8,10 @@
 //!
 //! Requests that ran beside such a request are recorded too, and so are requests of many callers
 //! while a rack loses power. One complete answer at any daemon clears them: it proves that the
-//! request crashes nothing. To make such an answer possible, a rejected request is admitted again
-//! after a time that grows with each further crash.
+//! attempts until then crashed nothing. It proves nothing about later attempts, since the software
+//! of engines changes: crashes of endpoints to which the request was sent after the answer count
+//! again. To make an answer possible, a rejected request is admitted again after a time that grows
+//! with each further crash.
 //!
 //! A request is called restricted while it is rejected, or while only one attempt of it may run
 //! at a time.
@@ -64,10 +66,11 @@
 /// What this daemon knows of one request under which endpoints crashed.
 #[derive(Debug, Default)]
 struct CrashRecord {
-    /// The most recent incarnations that crashed under the request, and when.
+    /// The most recent incarnations that crashed under the request, and when the request was last
+    /// sent there.
     crashes: BTreeMap<Incarnation, u64>,
-    /// Whether the request was answered completely, so that it crashes nothing.
-    is_served: bool,
+    /// When the request was last answered completely; `None` if it was not.
+    answered_ms: Option<u64>,
     /// Number of the request's last change.
     last_change: u64,
 }
@@ -77,11 +80,20 @@
 pub struct CrashReport {
     /// The request.
     pub request: Fingerprint,
-    /// The most recent incarnations that crashed under the request, and how many milliseconds
-    /// ago.
+    /// The most recent incarnations that crashed under the request, and how many milliseconds ago
+    /// the request was last sent there.
     pub crashes: Vec<(Incarnation, u64)>,
-    /// Whether the request was answered completely.
-    pub is_served: bool,
+    /// How many milliseconds ago the request was last answered completely; `None` if it was not.
+    pub answered_ago_ms: Option<u64>,
+}
+
+impl CrashReport {
+    /// Returns the number of crashes that no answer has cleared.
+    pub fn counted(&self) -> usize {
+        let is_cleared =
+            |sent_ago_ms: u64| self.answered_ago_ms.is_some_and(|ago_ms| ago_ms <= sent_ago_ms);
+        self.crashes.iter().filter(|(_, sent_ago_ms)| !is_cleared(*sent_ago_ms)).count()
+    }
 }
 
 impl Crashes {
@@ -91,38 +103,41 @@
         Self { delay_ms, ..Self::default() }
     }
 
-    /// Records that an endpoint crashed under a request. Returns whether the request is rejected
-    /// from now on.
+    /// Records that an endpoint crashed under a request that was last sent there at `sent_ms`.
+    /// Returns whether the request is rejected from now on.
     pub fn record_crash(
         &mut self,
         request: Fingerprint,
         endpoint: &Incarnation,
-        now_ms: u64,
+        sent_ms: u64,
     ) -> bool {
         let crashes = vec![(endpoint.clone(), 0)];
-        !self
-            .apply_reports(&[CrashReport { request, crashes, is_served: false }], now_ms)
-            .is_empty()
+        let report = CrashReport { request, crashes, answered_ago_ms: None };
+        !self.apply_reports(&[report], sent_ms).is_empty()
     }
 
-    /// Records that a request was answered completely. Returns the number of endpoints that
-    /// crashed under it, if it was not answered before.
-    pub fn served(&mut self, request: Fingerprint) -> Option<usize> {
+    /// Records that a request was answered completely. Returns the number of crashes that the
+    /// answer clears, if any.
+    pub fn served(&mut self, request: Fingerprint, now_ms: u64) -> Option<usize> {
         let record = self.by_request.get_mut(&request)?;
-        if record.is_served {
+        let cleared = record.counted();
+        record.answered_ms = record.answered_ms.max(Some(now_ms));
+        if cleared == 0 {
             return None;
         }
-        record.is_served = true;
-        let crashes = record.crashes.len();
         self.record_change(request);
-        Some(crashes)
+        Some(cleared)
+    }
+
+    /// Returns the number of crashes under a request that no answer has cleared.
+    pub fn counted(&self, request: Fingerprint) -> usize {
+        self.by_request.get(&request).map_or(0, CrashRecord::counted)
     }
 
-    /// Returns the number of endpoints that crashed under a request and whether it was answered
-    /// completely since the first crash; `None` if none crashed. For logs.
-    pub fn summary(&self, request: Fingerprint) -> Option<(usize, bool)> {
-        let record = self.by_request.get(&request)?;
-        Some((record.crashes.len(), record.is_served))
+    /// Returns when a request was last answered completely, if endpoints crashed under it and an
+    /// answer is known.
+    pub fn answered_ms(&self, request: Fingerprint) -> Option<u64> {
+        self.by_request.get(&request)?.answered_ms
     }
 
     /// Returns the remaining time for which a request is rejected; `None` if it is not rejected.
@@ -144,13 +159,7 @@
         request: Fingerprint,
         unresolved: usize,
     ) -> bool {
-        let record = self.by_request.get(&request).filter(|record| !record.crashes.is_empty());
-        match record {
-            Some(record) => {
-                !record.is_served && record.crashes.len() + unresolved >= SERIAL_CRASHES
-            }
-            None => unresolved >= SERIAL_CRASHES,
-        }
+        self.counted(request) + unresolved >= SERIAL_CRASHES
     }
 
     /// Returns the requests that changed after a change number, and the number of the last
@@ -190,12 +199,7 @@
         for report in reports {
             let was_rejected = self.rejected_for_ms(report.request, now_ms).is_some();
             let record = self.by_request.entry(report.request).or_default();
-            let mut is_changed = report.is_served && !record.is_served;
-            record.is_served |= report.is_served;
-            for (endpoint, age_ms) in &report.crashes {
-                is_changed |= record.add(endpoint, now_ms.saturating_sub(*age_ms));
-            }
-            if is_changed {
+            if record.apply(report, now_ms) {
                 self.record_change(report.request);
             }
             if !was_rejected && self.rejected_for_ms(report.request, now_ms).is_some() {
@@ -226,37 +230,82 @@
 }
 
 impl CrashRecord {
-    /// Adds a crash. Returns whether it was unknown. If there are too many, the most recent ones
-    /// are kept.
-    fn add(&mut self, endpoint: &Incarnation, at_ms: u64) -> bool {
+    /// Adds the crash of an endpoint to which the request was last sent at `sent_ms`. Returns
+    /// whether it was unknown. If there are too many, those that no answer has cleared and the most
+    /// recent ones are kept.
+    fn add(&mut self, endpoint: &Incarnation, sent_ms: u64) -> bool {
         if self.crashes.contains_key(endpoint) {
             return false;
         }
         if self.crashes.len() >= MAX_KEPT_CRASHES {
-            let oldest = self.crashes.iter().min_by_key(|(_, at_ms)| **at_ms);
-            let Some((oldest, oldest_ms)) = oldest else { return false };
-            if at_ms <= oldest_ms + SAME_CRASH_MS {
+            let by_age = |(_, sent_ms): &(&Incarnation, &u64)| **sent_ms;
+            let Some((oldest, oldest_ms)) = self.crashes.iter().min_by_key(by_age) else {
+                return false;
+            };
+            let is_replaced = match self.counts(*oldest_ms) {
+                true => sent_ms > oldest_ms + SAME_CRASH_MS,
+                false => self.counts(sent_ms),
+            };
+            if !is_replaced {
                 return false;
             }
             let oldest = oldest.clone();
             self.crashes.remove(&oldest);
         }
-        self.crashes.insert(endpoint.clone(), at_ms);
+        self.crashes.insert(endpoint.clone(), sent_ms);
         true
     }
 
+    /// Applies what another daemon reported. Returns whether that changed the record.
+    fn apply(&mut self, report: &CrashReport, now_ms: u64) -> bool {
+        let mut is_changed = false;
+        for (endpoint, sent_ago_ms) in &report.crashes {
+            is_changed |= self.add(endpoint, now_ms.saturating_sub(*sent_ago_ms));
+        }
+        let Some(answered_ago_ms) = report.answered_ago_ms else { return is_changed };
+        // The time of a crash may have been received with another delay than that of the answer.
+        let cleared = report.crashes.iter().filter(|(_, ago_ms)| *ago_ms >= answered_ago_ms);
+        let sent_ms = cleared.filter_map(|(endpoint, _)| self.crashes.get(endpoint)).max().copied();
+        let answered_ms = now_ms.saturating_sub(answered_ago_ms).max(sent_ms.unwrap_or_default());
+        self.apply_answer(answered_ms) | is_changed
+    }
+
+    /// Applies an answer that another daemon received. Returns whether it clears crashes. An answer
+    /// that clears none is not kept: its time is received with a small error, and daemons would
+    /// report it to each other as a later one again and again.
+    fn apply_answer(&mut self, answered_ms: u64) -> bool {
+        let mut sent_ms = self.crashes.values();
+        let clears = sent_ms.any(|sent_ms| self.counts(*sent_ms) && *sent_ms <= answered_ms);
+        if clears {
+            self.answered_ms = Some(answered_ms);
+        }
+        clears
+    }
+
+    /// Returns whether no answer clears the crash of an endpoint to which the request was last sent
+    /// at `sent_ms`.
+    fn counts(&self, sent_ms: u64) -> bool {
+        self.answered_ms.is_none_or(|answered_ms| answered_ms < sent_ms)
+    }
+
+    /// Returns the number of crashes that no answer has cleared.
+    fn counted(&self) -> usize {
+        self.crashes.values().filter(|sent_ms| self.counts(**sent_ms)).count()
+    }
+
     fn last_ms(&self) -> u64 {
         self.crashes.values().copied().max().unwrap_or_default()
     }
 
     fn rejected_until_ms(&self) -> Option<u64> {
-        let is_rejected = self.crashes.len() >= MAX_CRASHES && !self.is_served;
+        let is_rejected = self.counted() >= MAX_CRASHES;
         is_rejected.then(|| self.last_ms() + self.rejected_ms())
     }
 
     /// Returns for how long the request is rejected, from its last crash on.
     fn rejected_ms(&self) -> u64 {
-        let mut times: Vec<u64> = self.crashes.values().copied().collect();
+        let mut times: Vec<u64> =
+            self.crashes.values().copied().filter(|sent_ms| self.counts(*sent_ms)).collect();
         times.sort_unstable();
         let Some((mut last_ms, further)) =
             times.get(MAX_CRASHES - 1).copied().zip(times.get(MAX_CRASHES..))
@@ -276,12 +325,14 @@
     /// Returns the sort key for dropping requests: those with few and old crashes are dropped
     /// first.
     fn weight(&self) -> (usize, u64) {
-        (self.crashes.len(), self.last_ms())
+        (self.counted(), self.last_ms())
     }
 
     fn report(&self, request: Fingerprint, now_ms: u64) -> CrashReport {
         let crashes = self.crashes.iter();
         let crashes = crashes.map(|(name, at_ms)| (name.clone(), now_ms.saturating_sub(*at_ms)));
-        CrashReport { request, crashes: crashes.collect(), is_served: self.is_served }
+        let answered_ago_ms =
+            self.answered_ms.map(|answered_ms| now_ms.saturating_sub(answered_ms));
+        CrashReport { request, crashes: crashes.collect(), answered_ago_ms }
     }
 }
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -34,6 +34,21 @@
 /// one that lost contact with another leader, counts too few daemons for some seconds.
 const COUNT_VALID_MS: u64 = 30_000;
 
+/// How a request under which endpoints crashed, or may have, is restricted.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub enum Restriction {
+    /// Any number of its attempts may run.
+    None,
+    /// Only an attempt that a leader allowed may run.
+    Serial,
+    /// No attempt may run.
+    Rejected {
+        /// Time until an attempt may run again.
+        for_ms: u64,
+    },
+}
+
 /// The source of the most recent update of the endpoint list.
 #[trestle_macros::plain]
 #[derive(Copy, Default)]
@@ -337,8 +352,9 @@
     }
 
     /// Records that a request is being sent to an endpoint, which may crash under it.
-    pub fn track_request(&mut self, endpoint: &Endpoint, request: Fingerprint) {
-        self.unresolved_requests.sent(&endpoint.incarnation(), endpoint.address, request);
+    pub fn track_request(&mut self, endpoint: &Endpoint, request: Fingerprint, now_ms: u64) {
+        let (incarnation, address) = (endpoint.incarnation(), endpoint.address);
+        self.unresolved_requests.sent(&incarnation, address, request, now_ms);
     }
 
     /// Records that the connection of a request to an endpoint was lost. Returns `None` if the
@@ -380,13 +396,13 @@
     }
 
     /// Records that an incarnation of an endpoint terminated. Returns the requests that may have
-    /// caused it.
+    /// caused it, and when each was last sent there.
     pub fn incarnation_terminated(
         &mut self,
         incarnation: &Incarnation,
         evidence: Evidence,
         now_ms: u64,
-    ) -> BTreeSet<Fingerprint> {
+    ) -> BTreeMap<Fingerprint, u64> {
         let is_planned = match evidence {
             Evidence::Unlisted => self.directory.was_draining(incarnation),
             // An endpoint without an entry stopped without announcing it and has terminated since,
@@ -394,7 +410,7 @@
             _ => self.is_expected_to_end(incarnation),
         };
         match is_planned {
-            true => BTreeSet::new(),
+            true => BTreeMap::new(),
             false => self.unresolved_requests.terminated(incarnation, evidence, now_ms),
         }
     }
@@ -430,27 +446,28 @@
         self.directory.get(&incarnation.name).is_none() || self.directory.was_draining(incarnation)
     }
 
-    /// Records that a request was answered completely. Returns the number of endpoints that had
-    /// crashed under it, if any did and the request was not answered before.
-    pub fn served(&mut self, request: Option<Fingerprint>) -> Option<usize> {
+    /// Records that a request was answered completely. Returns the number of crashes that the
+    /// answer clears, if any.
+    pub fn served(&mut self, request: Option<Fingerprint>, now_ms: u64) -> Option<usize> {
         let request = request?;
         self.unresolved_requests.served(request);
-        self.crashes.served(request)
-    }
-
-    /// Returns the remaining time for which a request is rejected because endpoints crashed under
-    /// it; `None` if it is not rejected.
-    pub fn rejected_for_ms(&self, request: Option<Fingerprint>, now_ms: u64) -> Option<u64> {
-        self.crashes.rejected_for_ms(request?, now_ms)
+        self.crashes.served(request, now_ms)
     }
 
-    /// Returns whether only one attempt of a request may run at a time, because of the endpoints
-    /// that crashed under it and of those for which that is unresolved.
-    pub fn must_run_serially(&self, request: Option<Fingerprint>, now_ms: u64) -> bool {
-        request.is_some_and(|request| {
-            let unresolved = self.unresolved_requests.unresolved_incarnations(request, now_ms);
-            self.crashes.must_run_serially_with_unresolved(request, unresolved)
-        })
+    /// Returns how a request is restricted because of the endpoints that crashed under it, and of
+    /// those for which that is unresolved.
+    pub fn restriction(&self, request: Option<Fingerprint>, now_ms: u64) -> Restriction {
+        let Some(request) = request else { return Restriction::None };
+        if let Some(for_ms) = self.crashes.rejected_for_ms(request, now_ms) {
+            return Restriction::Rejected { for_ms };
+        }
+        let answered_ms = self.crashes.answered_ms(request);
+        let unresolved =
+            self.unresolved_requests.unresolved_incarnations(request, answered_ms, now_ms);
+        match self.crashes.must_run_serially_with_unresolved(request, unresolved) {
+            true => Restriction::Serial,
+            false => Restriction::None,
+        }
     }
 
     /// Drops the records of endpoints that are no longer listed.
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -6,7 +6,7 @@
     endpoint::{Endpoint, Incarnation},
     loadable::Loadable,
     local_demand::PendingDemand,
-    local_view::LocalView,
+    local_view::{LocalView, Restriction},
     policy::{Mechanism, Policy},
     replicas::ReplicaView,
     request::RequestHead,
@@ -87,13 +87,13 @@
     random: u64,
     now_ms: u64,
 ) -> Selection {
+    let restriction = local_view.restriction(request.head.fingerprint, now_ms);
     // Any attempt of this request crashes an endpoint, with everything else that runs there.
-    if let Some(retry_after_ms) = local_view.rejected_for_ms(request.head.fingerprint, now_ms) {
-        return Selection::Refuse { retry_after_ms, reason: Some(Reason::EndsEndpoints) };
+    if let Restriction::Rejected { for_ms } = restriction {
+        return Selection::Refuse { retry_after_ms: for_ms, reason: Some(Reason::EndsEndpoints) };
     }
     if let Some(endpoint) = choose_allowed(local_view, request, sends, random, now_ms) {
-        let needs_trial =
-            !request.is_trial && local_view.must_run_serially(request.head.fingerprint, now_ms);
+        let needs_trial = restriction == Restriction::Serial && !request.is_trial;
         let incarnation = endpoint.incarnation();
         let needs_permit = local_view.backpressure.limit(&incarnation).is_some()
             && request.send_permit != Some(&incarnation);
--- a/crates/trestle-dispatch/src/unresolved_requests.rs
+++ b/crates/trestle-dispatch/src/unresolved_requests.rs
@@ -12,10 +12,7 @@
 //! proves this; if none arrives, the endpoint is probed.
 
 use crate::{endpoint::Incarnation, fingerprint::Fingerprint};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
+use std::{collections::BTreeMap, net::SocketAddr};
 use trestle_core::names::EndpointName;
 
 /// Time for which an aborted request is remembered: an entry lapses after three heartbeats of
@@ -36,16 +33,34 @@
 struct IncarnationRequests {
     /// Address of the endpoint; `None` if nothing was sent there.
     address: Option<SocketAddr>,
-    /// Requests that run there as far as this daemon knows, with the number of their attempts.
-    running: BTreeMap<Fingerprint, u32>,
-    /// Requests that were aborted there, and when.
-    aborted: BTreeMap<Fingerprint, u64>,
+    /// Requests that run there as far as this daemon knows.
+    running: BTreeMap<Fingerprint, RunningRequest>,
+    /// Requests that were aborted there.
+    aborted: BTreeMap<Fingerprint, AbortedRequest>,
     /// Whether a task is checking if the incarnation has terminated.
     is_being_checked: bool,
     /// When the incarnation was found to have terminated; `None` if it was not.
     terminated_ms: Option<u64>,
 }
 
+/// The attempts of one request that run at one incarnation.
+#[derive(Debug)]
+struct RunningRequest {
+    /// Number of attempts.
+    count: u32,
+    /// When the last attempt was sent.
+    sent_ms: u64,
+}
+
+/// A request that was aborted at one incarnation.
+#[derive(Debug)]
+struct AbortedRequest {
+    /// When the last attempt was sent.
+    sent_ms: u64,
+    /// When the last attempt was aborted.
+    at_ms: u64,
+}
+
 /// What a lost connection means for its endpoint.
 #[trestle_macros::plain]
 #[derive(Copy)]
@@ -87,18 +102,27 @@
 
 impl UnresolvedRequests {
     /// Records that a request is sent to an endpoint.
-    pub fn sent(&mut self, incarnation: &Incarnation, address: SocketAddr, request: Fingerprint) {
+    pub fn sent(
+        &mut self,
+        incarnation: &Incarnation,
+        address: SocketAddr,
+        request: Fingerprint,
+        now_ms: u64,
+    ) {
         let requests = self.requests(incarnation);
         requests.address = Some(address);
-        *requests.running.entry(request).or_default() += 1;
+        let running =
+            requests.running.entry(request).or_insert(RunningRequest { count: 0, sent_ms: now_ms });
+        running.count += 1;
+        running.sent_ms = now_ms;
     }
 
     /// Records that an attempt at an endpoint ended and needs no further tracking there.
     pub fn resolved(&mut self, incarnation: &Incarnation, request: Fingerprint) {
         let Some(requests) = self.incarnations.get_mut(incarnation) else { return };
-        if let Some(count) = requests.running.get_mut(&request) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(running) = requests.running.get_mut(&request) {
+            running.count -= 1;
+            if running.count == 0 {
                 requests.running.remove(&request);
             }
         }
@@ -118,7 +142,7 @@
         let Some(requests) = self.incarnations.get_mut(incarnation) else { return false };
         let is_terminated = requests.terminated_ms.is_some();
         if !is_terminated {
-            requests.aborted.insert(request, now_ms);
+            requests.abort(request, now_ms);
         }
         self.resolved(incarnation, request);
         is_terminated
@@ -136,7 +160,7 @@
         if requests.terminated_ms.is_some() {
             return ConnectionLoss::Terminated;
         }
-        requests.aborted.insert(request, now_ms);
+        requests.abort(request, now_ms);
         match std::mem::replace(&mut requests.is_being_checked, true) {
             true => ConnectionLoss::CheckRunning,
             false => ConnectionLoss::CheckNeeded,
@@ -168,52 +192,64 @@
         requests
             .terminated_ms
             .take_if(|terminated_ms| is_identified_by_name && *terminated_ms < sent_ms);
-        requests.aborted.retain(|_, at_ms| {
-            let is_same = is_identified_by_name || opened_ms <= *at_ms;
-            !(is_same && *at_ms + MAX_CRASH_DELAY_MS <= sent_ms)
+        requests.aborted.retain(|_, aborted| {
+            let is_same = is_identified_by_name || opened_ms <= aborted.at_ms;
+            !(is_same && aborted.at_ms + MAX_CRASH_DELAY_MS <= sent_ms)
         });
     }
 
     /// Records that an incarnation was alive at `at_ms`.
     pub fn confirmed_alive(&mut self, incarnation: &Incarnation, at_ms: u64) {
         let Some(requests) = self.incarnations.get_mut(incarnation) else { return };
-        requests.aborted.retain(|_, aborted_ms| at_ms < *aborted_ms + MAX_CRASH_DELAY_MS);
+        requests.aborted.retain(|_, aborted| at_ms < aborted.at_ms + MAX_CRASH_DELAY_MS);
     }
 
-    /// Records that a request was answered completely, so that it crashes no endpoint.
+    /// Records that a request was answered completely, so that its attempts until now crashed no
+    /// endpoint.
     pub fn served(&mut self, request: Fingerprint) {
         for requests in self.incarnations.values_mut() {
             requests.aborted.remove(&request);
         }
     }
 
-    /// Returns the number of incarnations at which a request was aborted and that may have
-    /// crashed under it.
-    pub fn unresolved_incarnations(&self, request: Fingerprint, now_ms: u64) -> usize {
+    /// Returns the number of incarnations at which a request was aborted and that may have crashed
+    /// under it. Attempts that were sent until `answered_ms`, when the request was last answered
+    /// completely, do not count.
+    pub fn unresolved_incarnations(
+        &self,
+        request: Fingerprint,
+        answered_ms: Option<u64>,
+        now_ms: u64,
+    ) -> usize {
         let is_unresolved = |requests: &&IncarnationRequests| {
-            let aborted_ms = requests.aborted.get(&request);
-            aborted_ms.is_some_and(|at_ms| now_ms < *at_ms + UNRESOLVED_MS)
+            requests.aborted.get(&request).is_some_and(|aborted| {
+                let is_cleared = answered_ms.is_some_and(|at_ms| aborted.sent_ms <= at_ms);
+                !is_cleared && now_ms < aborted.at_ms + UNRESOLVED_MS
+            })
         };
         self.incarnations.values().filter(is_unresolved).count()
     }
 
-    /// Records that an incarnation terminated. Returns the requests that may have crashed it.
+    /// Records that an incarnation terminated. Returns the requests that may have crashed it, and
+    /// when each was last sent there.
     pub fn terminated(
         &mut self,
         incarnation: &Incarnation,
         evidence: Evidence,
         now_ms: u64,
-    ) -> BTreeSet<Fingerprint> {
+    ) -> BTreeMap<Fingerprint, u64> {
         self.forget(now_ms);
-        let Some(requests) = self.incarnations.get_mut(incarnation) else { return BTreeSet::new() };
+        let Some(requests) = self.incarnations.get_mut(incarnation) else { return BTreeMap::new() };
         if evidence == Evidence::Unlisted && requests.aborted.is_empty() {
-            return BTreeSet::new();
+            return BTreeMap::new();
         }
         requests.terminated_ms = Some(now_ms);
-        let mut suspects: BTreeSet<Fingerprint> =
-            std::mem::take(&mut requests.aborted).into_keys().collect();
+        let aborted = std::mem::take(&mut requests.aborted).into_iter();
+        let mut suspects: BTreeMap<Fingerprint, u64> =
+            aborted.map(|(request, aborted)| (request, aborted.sent_ms)).collect();
         if evidence != Evidence::Unlisted {
-            suspects.extend(requests.running.keys());
+            let running = requests.running.iter();
+            suspects.extend(running.map(|(request, running)| (*request, running.sent_ms)));
         }
         suspects
     }
@@ -251,7 +287,7 @@
     fn forget(&mut self, now_ms: u64) {
         let has_lapsed = |at_ms: u64| now_ms >= at_ms + UNRESOLVED_MS;
         self.incarnations.retain(|_, requests| {
-            requests.aborted.retain(|_, at_ms| !has_lapsed(*at_ms));
+            requests.aborted.retain(|_, aborted| !has_lapsed(aborted.at_ms));
             requests.terminated_ms.take_if(|terminated_ms| has_lapsed(*terminated_ms));
             !requests.is_empty()
         });
@@ -259,6 +295,14 @@
 }
 
 impl IncarnationRequests {
+    /// Records that an attempt of a request was aborted.
+    fn abort(&mut self, request: Fingerprint, now_ms: u64) {
+        let running_ms = self.running.get(&request).map(|running| running.sent_ms);
+        let aborted_ms = self.aborted.get(&request).map(|aborted| aborted.sent_ms);
+        let sent_ms = running_ms.or(aborted_ms).unwrap_or(now_ms);
+        self.aborted.insert(request, AbortedRequest { sent_ms, at_ms: now_ms });
+    }
+
     /// Returns whether the value holds nothing that is still needed.
     fn is_empty(&self) -> bool {
         let has_requests = !self.running.is_empty() || !self.aborted.is_empty();
--- a/crates/trestle-dispatch/tests/crashes.rs
+++ b/crates/trestle-dispatch/tests/crashes.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::endpoint;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use trestle_dispatch::{
     crashes::{Crashes, MAX_CRASHES},
     endpoint::Incarnation,
@@ -68,13 +68,91 @@
 
     one_complete_answer_clears_a_request => {
         let mut crashes = crashed_under(1);
-        crashes.served(request(1));
+        crashes.served(request(1), 1_000);
         for number in 1..5 {
             crashes.record_crash(request(1), &incarnation(&format!("e{number}"), 0), 1_000);
         }
         assert_eq!(crashes.rejected_for_ms(request(1), 1_000), None);
     }
 
+    /// One engine had ended for another reason, then the request was answered, and after that it
+    /// crashed every engine: no crash was counted any more, and 49 to 64 engines crashed in 10 s.
+    an_answer_does_not_clear_crashes_of_attempts_sent_after_it => {
+        let mut crashes = crashed_under(1);
+        crashes.served(request(1), 1_000);
+        for number in 1..=MAX_CRASHES {
+            assert_eq!(crashes.rejected_for_ms(request(1), 2_000), None, "{number}");
+            assert_eq!(crashes.must_run_serially(request(1)), number == MAX_CRASHES, "{number}");
+            crashes.record_crash(request(1), &incarnation(&format!("e{number}"), 0), 1_001);
+        }
+        assert_eq!(crashes.rejected_for_ms(request(1), 1_001), Some(FIRST_MS));
+    }
+
+    /// The entry of a crashed endpoint expires seconds after the crash, and by then another
+    /// endpoint has answered the request.
+    a_crash_that_becomes_known_late_is_cleared_by_an_answer_after_its_attempt => {
+        let mut crashes = crashed_under(1);
+        crashes.served(request(1), 17_440);
+        for number in 1..=MAX_CRASHES {
+            crashes.record_crash(request(1), &incarnation(&format!("e{number}"), 0), 16_390);
+        }
+        assert_eq!(crashes.rejected_for_ms(request(1), 17_740), None);
+        let mut other = Crashes::default();
+        other.apply_reports(&crashes.restricted_reports(17_800).0, 17_900);
+        assert_eq!(other.rejected_for_ms(request(1), 17_900), None);
+        assert!(!other.must_run_serially(request(1)));
+    }
+
+    /// The crashes that are kept for one request are few, and those of a power loss fill them.
+    cleared_crashes_do_not_displace_later_ones => {
+        let mut crashes = crashed_under(10);
+        crashes.served(request(1), 9_000);
+        for number in 0..MAX_CRASHES {
+            crashes.record_crash(request(1), &incarnation(&format!("later-{number}"), 0), 9_100);
+        }
+        assert!(crashes.rejected_for_ms(request(1), 9_200).is_some());
+        let before = crashes.changes_since(0, 9_200).1;
+        crashes.apply_reports(&crashed_under(10).restricted_reports(9_200).0, 9_200);
+        assert_eq!(crashes.changes_since(0, 9_200).1, before, "cleared crashes are not added again");
+    }
+
+    /// Reports with crashes and answers, received with different delays, settle: after each daemon
+    /// has received all, nobody has anything new, and all agree on the request.
+    daemons_agree_on_answers_in_any_order_of_reports => {
+        for seed in 0..400 {
+            let mut random = fastrand::Rng::with_seed(seed);
+            let mut daemons: Vec<Crashes> = (0..3).map(|_| Crashes::default()).collect();
+            for (number, daemon) in daemons.iter_mut().enumerate() {
+                daemon.record_crash(request(1), &incarnation(&format!("e{number}"), 0), random.u64(1_000..3_000));
+            }
+            let crashed_again = random.bool();
+            let mut reported = [[0; 3]; 3];
+            let (mut exchanges, mut idle_exchanges) = (0, 0);
+            while idle_exchanges < 60 {
+                if exchanges == 20 {
+                    daemons[0].served(request(1), 8_000);
+                }
+                if exchanges == 60 && crashed_again {
+                    for number in 0..MAX_CRASHES {
+                        daemons[1].record_crash(request(1), &incarnation(&format!("f{number}"), 0), 12_000);
+                    }
+                }
+                let (from, to) = (random.usize(0..3), random.usize(0..3));
+                let now_ms = 12_000 + random.u64(0..1_500);
+                let (reports, number) = daemons[from].changes_since(reported[from][to], now_ms);
+                reported[from][to] = number;
+                idle_exchanges = if reports.is_empty() && exchanges > 60 { idle_exchanges + 1 } else { 0 };
+                daemons[to].apply_reports(&reports, now_ms + random.u64(0..800));
+                exchanges += 1;
+                assert!(exchanges < 1_000, "seed {seed}: the exchange of reports does not end");
+            }
+            for daemon in &daemons {
+                assert_eq!(daemon.rejected_for_ms(request(1), 14_500).is_some(), crashed_again, "seed {seed}");
+                assert_eq!(daemon.must_run_serially(request(1)), crashed_again, "seed {seed}");
+            }
+        }
+    }
+
     a_rejected_request_is_admitted_at_growing_intervals => {
         let mut crashes = crashed_under(MAX_CRASHES);
         let mut now_ms = 2_000;
@@ -96,7 +174,7 @@
         let mut other = Crashes::default();
         other.apply_reports(&crashes.restricted_reports(1_400).0, 1_400);
         let (_, before) = crashes.restricted_reports(1_400);
-        crashes.served(request(1));
+        crashes.served(request(1), 1_450);
         let (reported, number) = crashes.restricted_reports(1_500);
         assert!(number > before, "the answer must be reported to all daemons that reject the request");
         other.apply_reports(&reported, 1_500);
@@ -174,7 +252,7 @@
         assert_eq!(unresolved_requests.connection_lost(&incarnation("e", 0), request(2), 1), ConnectionLoss::CheckRunning);
         assert_eq!(unresolved_requests.unlisted(|_| true), Vec::new());
         let requests = unresolved_requests.terminated(&incarnation("e", 0), Evidence::Refused, 1);
-        assert_eq!(requests, BTreeSet::from([request(1), request(2)]));
+        assert_eq!(requests, BTreeMap::from([(request(1), 0), (request(2), 1)]));
         assert_eq!(unresolved_requests.connection_lost(&incarnation("e", 0), request(3), 2), ConnectionLoss::Terminated);
         assert_eq!(unresolved_requests.connection_lost(&incarnation("e", 7), request(3), 2), ConnectionLoss::CheckNeeded);
     }
@@ -210,7 +288,7 @@
     endpoints_that_stop_unannounced_do_not_blame_requests => {
         let mut local_view = local_view();
         let known = endpoint("e", "z", &["a"]);
-        local_view.track_request(&known, request(1));
+        local_view.track_request(&known, request(1), 0);
         local_view.directory.apply_removal(&known.name, 1);
         assert!(local_view.terminated_by_list().iter().all(|(incarnation, evidence)| {
             local_view.unresolved_requests.terminated(incarnation, *evidence, 2).is_empty()
@@ -223,11 +301,11 @@
     an_endpoint_replaced_at_its_address_blames_its_running_requests => {
         let mut local_view = local_view();
         let known = endpoint("e", "z", &["a"]);
-        local_view.track_request(&known, request(1));
+        local_view.track_request(&known, request(1), 0);
         let mut new = endpoint("f", "z", &["a"]);
         assert_eq!(local_view.replaced_by(&new), [known.incarnation()]);
         let requests = local_view.incarnation_terminated(&known.incarnation(), Evidence::Replaced, 1);
-        assert_eq!(requests, BTreeSet::from([request(1)]));
+        assert_eq!(requests, BTreeMap::from([(request(1), 0)]));
         new.address.set_port(9_001);
         assert!(local_view.replaced_by(&new).is_empty());
         assert!(local_view.request_abandoned(&known, request(1), 2), "the request was open until then");
--- a/crates/trestle-dispatch/tests/trials.rs
+++ b/crates/trestle-dispatch/tests/trials.rs
@@ -68,7 +68,7 @@
         let mut crashes = Crashes::default();
         crashes.record_crash(REQUEST, &incarnation(0), 0);
         crashes.record_crash(REQUEST, &incarnation(1), 100);
-        crashes.served(REQUEST);
+        crashes.served(REQUEST, 150);
         assert!(!crashes.must_run_serially(REQUEST));
     }
 
@@ -92,7 +92,7 @@
         leader.record_crash(REQUEST, &incarnation(1), 100);
         let (reports, before) = leader.restricted_reports(200);
         other.apply_reports(&reports, 200);
-        leader.served(REQUEST);
+        leader.served(REQUEST, 250);
         let (reports, number) = leader.restricted_reports(300);
         assert!(number > before);
         other.apply_reports(&reports, 300);
--- a/crates/trestle-dispatch/tests/unresolved_requests.rs
+++ b/crates/trestle-dispatch/tests/unresolved_requests.rs
@@ -1,6 +1,6 @@
 //! Which requests are blamed when an endpoint terminates, over many orders of events.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use trestle_dispatch::{
     endpoint::Incarnation,
     fingerprint::Fingerprint,
@@ -28,7 +28,7 @@
     incarnation: &Incarnation,
     now_ms: u64,
 ) -> BTreeSet<Fingerprint> {
-    requests.terminated(incarnation, Evidence::Refused, now_ms)
+    requests.terminated(incarnation, Evidence::Refused, now_ms).into_keys().collect()
 }
 
 /// Returns how many requests are blamed for the termination of an endpoint if a connection was lost
@@ -72,11 +72,11 @@
     /// crashes.
     abandoned_requests_are_blamed => {
         let mut requests = UnresolvedRequests::default();
-        requests.sent(&with_start_time(), ADDRESS.into(), request(1));
+        requests.sent(&with_start_time(), ADDRESS.into(), request(1), 0);
         assert!(!requests.abandoned(&with_start_time(), request(1), 100));
-        requests.sent(&with_start_time(), ADDRESS.into(), request(2));
+        requests.sent(&with_start_time(), ADDRESS.into(), request(2), 150);
         let blamed_requests = requests.terminated(&with_start_time(), Evidence::StartedAgain, 2_000);
-        assert_eq!(blamed_requests, BTreeSet::from([request(1), request(2)]));
+        assert_eq!(blamed_requests, BTreeMap::from([(request(1), 0), (request(2), 150)]));
         assert!(requests.abandoned(&with_start_time(), request(2), 2_100), "the incarnation is known to have terminated");
     }
 
@@ -84,16 +84,16 @@
     /// requests.
     running_requests_at_an_unlisted_endpoint_are_not_blamed => {
         let mut requests = UnresolvedRequests::default();
-        requests.sent(&without_start_time(), ADDRESS.into(), request(1));
+        requests.sent(&without_start_time(), ADDRESS.into(), request(1), 0);
         assert!(requests.terminated(&without_start_time(), Evidence::Unlisted, 100).is_empty());
         requests.connection_lost(&without_start_time(), request(2), 200);
         let blamed_requests = requests.terminated(&without_start_time(), Evidence::Unlisted, 300);
-        assert_eq!(blamed_requests, BTreeSet::from([request(2)]));
+        assert_eq!(blamed_requests, BTreeMap::from([(request(2), 200)]));
     }
 
     answered_requests_are_not_blamed => {
         let mut requests = UnresolvedRequests::default();
-        requests.sent(&without_start_time(), ADDRESS.into(), request(1));
+        requests.sent(&without_start_time(), ADDRESS.into(), request(1), 0);
         requests.resolved(&without_start_time(), request(1));
         requests.connection_lost(&without_start_time(), request(2), 10);
         requests.served(request(2));
@@ -116,7 +116,7 @@
 
     another_endpoint_at_the_address_proves_termination => {
         let mut requests = UnresolvedRequests::default();
-        requests.sent(&without_start_time(), ADDRESS.into(), request(1));
+        requests.sent(&without_start_time(), ADDRESS.into(), request(1), 0);
         assert_eq!(requests.others_at(ADDRESS.into(), &"f".into()), [without_start_time()]);
         assert_eq!(requests.others_at(ADDRESS.into(), &"e".into()), []);
         blamed(&mut requests, &without_start_time(), 10);
@@ -128,10 +128,31 @@
         for name in ["e", "f"] {
             requests.connection_lost(&Incarnation { name: name.into(), started_unix_ms: 0 }, request(1), 0);
         }
-        assert_eq!(requests.unresolved_incarnations(request(1), 100), 2);
+        assert_eq!(requests.unresolved_incarnations(request(1), None, 100), 2);
         requests.confirmed_alive(&without_start_time(), 600);
-        assert_eq!(requests.unresolved_incarnations(request(1), 700), 1);
-        assert_eq!(requests.unresolved_incarnations(request(1), 6_000), 0);
+        assert_eq!(requests.unresolved_incarnations(request(1), None, 700), 1);
+        assert_eq!(requests.unresolved_incarnations(request(1), None, 6_000), 0);
+    }
+
+    /// An answer elsewhere proves nothing about an attempt that was sent after it.
+    attempts_sent_until_an_answer_are_not_unresolved => {
+        let mut requests = UnresolvedRequests::default();
+        requests.sent(&without_start_time(), ADDRESS.into(), request(1), 100);
+        requests.abandoned(&without_start_time(), request(1), 300);
+        assert_eq!(requests.unresolved_incarnations(request(1), Some(100), 400), 0);
+        assert_eq!(requests.unresolved_incarnations(request(1), Some(99), 400), 1);
+    }
+
+    /// An attempt is blamed by the time at which it was sent, however late its abort and the
+    /// termination become known.
+    blamed_requests_keep_the_time_at_which_they_were_sent => {
+        let mut requests = UnresolvedRequests::default();
+        requests.sent(&without_start_time(), ADDRESS.into(), request(1), 100);
+        requests.connection_lost(&without_start_time(), request(1), 1_000);
+        requests.resolved(&without_start_time(), request(1));
+        requests.connection_lost(&without_start_time(), request(1), 1_500);
+        let blamed_requests = requests.terminated(&without_start_time(), Evidence::Refused, 4_000);
+        assert_eq!(blamed_requests, BTreeMap::from([(request(1), 100)]));
     }
 
     /// In any order of events, only requests that were sent and had no answer are blamed, and
@@ -150,7 +171,7 @@
                 let key = (incarnation.clone(), one);
                 match random.u32(..6) {
                     0 | 1 if !open.contains(&key) => {
-                        requests.sent(incarnation, ADDRESS.into(), one);
+                        requests.sent(incarnation, ADDRESS.into(), one, now_ms);
                         open.insert(key);
                     }
                     2 if open.remove(&key) => requests.resolved(incarnation, one),
--- a/crates/trestle-entry/src/connection_loss.rs
+++ b/crates/trestle-entry/src/connection_loss.rs
@@ -16,7 +16,7 @@
 };
 use http::StatusCode;
 use smol::Timer;
-use std::{collections::BTreeSet, io::ErrorKind, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, io::ErrorKind, sync::Arc, time::Duration};
 use trestle_dispatch::{
     endpoint::{Endpoint, Incarnation},
     fingerprint::Fingerprint,
@@ -40,10 +40,15 @@
     Inconclusive,
 }
 
-/// Records that a request's connection was lost. The first loss at an endpoint starts a task that
-/// finds out whether the endpoint has terminated; later ones start no further task.
-pub(crate) fn record_lost(daemon: &Arc<Daemon>, endpoint: &Endpoint, request: Option<Fingerprint>) {
-    let Some(request) = request else { return };
+/// Records that the connection of a request that was sent at `sent_ms` was lost. The first loss at
+/// an endpoint starts a task that finds out whether the endpoint has terminated; later ones start
+/// no further task.
+pub(crate) fn record_lost(
+    daemon: &Arc<Daemon>,
+    endpoint: &Endpoint,
+    request: Fingerprint,
+    sent_ms: u64,
+) {
     let now_ms = daemon.shared_view.now_ms();
     let loss =
         daemon.shared_view.with(|local_view| local_view.connection_lost(endpoint, request, now_ms));
@@ -51,19 +56,27 @@
         Some(ConnectionLoss::CheckNeeded) => {
             smol::spawn(check_until_known(Arc::clone(daemon), endpoint.clone())).detach();
         }
-        Some(ConnectionLoss::Terminated) => record_late(daemon, &endpoint.incarnation(), request),
+        Some(ConnectionLoss::Terminated) => {
+            record_late(daemon, &endpoint.incarnation(), request, sent_ms);
+        }
         Some(ConnectionLoss::CheckRunning) | None => {}
     }
 }
 
-/// Records that the caller no longer waits for a request that still runs at an endpoint.
-pub(crate) fn record_abandoned(daemon: &Daemon, endpoint: &Endpoint, request: Fingerprint) {
+/// Records that the caller no longer waits for a request that was sent to an endpoint at `sent_ms`
+/// and still runs there.
+pub(crate) fn record_abandoned(
+    daemon: &Daemon,
+    endpoint: &Endpoint,
+    request: Fingerprint,
+    sent_ms: u64,
+) {
     let now_ms = daemon.shared_view.now_ms();
     let is_terminated = daemon
         .shared_view
         .with(|local_view| local_view.request_abandoned(endpoint, request, now_ms));
     if is_terminated {
-        record_late(daemon, &endpoint.incarnation(), request);
+        record_late(daemon, &endpoint.incarnation(), request, sent_ms);
     }
 }
 
@@ -188,21 +201,22 @@
 
 /// Handles a request that was still open at an endpoint when the endpoint was found to have
 /// terminated.
-fn record_late(daemon: &Daemon, incarnation: &Incarnation, request: Fingerprint) {
-    record_crashes(daemon, incarnation, "known_before", &BTreeSet::from([request]));
+fn record_late(daemon: &Daemon, incarnation: &Incarnation, request: Fingerprint, sent_ms: u64) {
+    record_crashes(daemon, incarnation, "known_before", &BTreeMap::from([(request, sent_ms)]));
 }
 
+/// Records that an endpoint crashed under requests; the map holds when each was last sent there.
 fn record_crashes(
     daemon: &Daemon,
     incarnation: &Incarnation,
     known_by: &str,
-    requests: &BTreeSet<Fingerprint>,
+    requests: &BTreeMap<Fingerprint, u64>,
 ) {
     let count = requests.len();
     if count == 0 {
         return;
     }
-    let named: Vec<String> = requests.iter().take(MAX_LOGGED).map(ToString::to_string).collect();
+    let named: Vec<String> = requests.keys().take(MAX_LOGGED).map(ToString::to_string).collect();
     let (endpoint, started_unix_ms) = (&incarnation.name, incarnation.started_unix_ms);
     tracing::warn!(
         %endpoint, born_ms = started_unix_ms, known_by, count, requests = ?named,
--- a/crates/trestle-entry/src/crashes.rs
+++ b/crates/trestle-entry/src/crashes.rs
@@ -5,7 +5,7 @@
 //! what has changed. The lease rows keep the rejected requests for daemons that restart.
 
 use crate::daemon::Daemon;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use trestle_dispatch::{
     crashes::{CrashReport, Crashes, MAX_CRASHES},
     endpoint::Incarnation,
@@ -56,20 +56,20 @@
     }
 }
 
-/// Records that an endpoint crashed under requests, and triggers a report to the leader.
+/// Records that an endpoint crashed under requests, and triggers a report to the leader. The map
+/// holds when each request was last sent there.
 pub(crate) fn record_crash(
     daemon: &Daemon,
     incarnation: &Incarnation,
-    requests: &BTreeSet<Fingerprint>,
+    requests: &BTreeMap<Fingerprint, u64>,
 ) {
     if requests.is_empty() {
         return;
     }
-    let now_ms = daemon.shared_view.now_ms();
-    for request in requests {
+    for (request, sent_ms) in requests {
         if daemon
             .shared_view
-            .with(|local_view| local_view.crashes.record_crash(*request, incarnation, now_ms))
+            .with(|local_view| local_view.crashes.record_crash(*request, incarnation, *sent_ms))
         {
             log_rejected(*request);
         }
@@ -130,7 +130,7 @@
     let now_ms = daemon.shared_view.now_ms();
     let (mut rejected, _) =
         daemon.shared_view.with(|local_view| local_view.crashes.restricted_reports(now_ms));
-    rejected.retain(|report| report.crashes.len() >= MAX_CRASHES);
+    rejected.retain(|report| report.counted() >= MAX_CRASHES);
     rejected.truncate(MAX_IN_ROW);
     rejected
 }
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -17,6 +17,7 @@
 use trestle_dispatch::{
     admission::Reason,
     endpoint::Endpoint,
+    fingerprint::Fingerprint,
     selection::{self, RequestContext, Selection},
     sends::Sends,
 };
@@ -31,25 +32,25 @@
 pub(crate) struct SelectedEndpoint {
     pub(crate) endpoint: Endpoint,
     task: Arc<Task>,
-    /// Whether the request was sent, and whether it crashed the endpoint is not known yet.
-    is_pending: bool,
+    /// When the request was sent, while it is not known whether it crashed the endpoint.
+    unresolved_since_ms: Option<u64>,
 }
 
 impl SelectedEndpoint {
     /// Records that the request is sent to the endpoint, which it may crash from now on.
     pub(crate) fn record_sent(&mut self) {
         let Some(request) = self.task.head.fingerprint else { return };
-        self.is_pending = true;
+        let now_ms = self.task.daemon.shared_view.now_ms();
+        self.unresolved_since_ms = Some(now_ms);
         self.task
             .daemon
             .shared_view
-            .with(|local_view| local_view.track_request(&self.endpoint, request));
+            .with(|local_view| local_view.track_request(&self.endpoint, request, now_ms));
     }
 
     /// Records that the request did not crash the endpoint: it did not run there, or was answered.
     pub(crate) fn resolve(&mut self) {
-        let Some(request) = self.task.head.fingerprint.filter(|_| self.is_pending) else { return };
-        self.is_pending = false;
+        let Some((request, _)) = self.take_unresolved() else { return };
         let incarnation = self.endpoint.incarnation();
         self.task
             .daemon
@@ -59,9 +60,19 @@
 
     /// Records that the connection to the endpoint was lost after the request was sent.
     pub(crate) fn record_connection_lost(&mut self) {
-        connection_loss::record_lost(&self.task.daemon, &self.endpoint, self.task.head.fingerprint);
+        if let (Some(request), Some(sent_ms)) =
+            (self.task.head.fingerprint, self.unresolved_since_ms)
+        {
+            connection_loss::record_lost(&self.task.daemon, &self.endpoint, request, sent_ms);
+        }
         self.resolve();
     }
+
+    /// Returns the request and when it was sent, if it was not known until now whether it crashed
+    /// the endpoint.
+    fn take_unresolved(&mut self) -> Option<(Fingerprint, u64)> {
+        Some((self.task.head.fingerprint?, self.unresolved_since_ms.take()?))
+    }
 }
 
 /// Selects an endpoint for the next send of a request, and waits for one where that can help.
@@ -84,7 +95,7 @@
                 return Ok(SelectedEndpoint {
                     endpoint,
                     task: Arc::clone(task),
-                    is_pending: false,
+                    unresolved_since_ms: None,
                 });
             }
             Selection::RequestTrial => {
@@ -193,8 +204,8 @@
 
 impl Drop for SelectedEndpoint {
     fn drop(&mut self) {
-        if let Some(request) = self.task.head.fingerprint.filter(|_| self.is_pending) {
-            connection_loss::record_abandoned(&self.task.daemon, &self.endpoint, request);
+        if let Some((request, sent_ms)) = self.take_unresolved() {
+            connection_loss::record_abandoned(&self.task.daemon, &self.endpoint, request, sent_ms);
         }
         let (model, adapter) = (self.task.head.model.as_ref(), self.task.head.adapter.as_ref());
         self.task
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -176,25 +176,28 @@
     }
 
     /// Records that an endpoint answered the request completely. This clears the request of the
-    /// suspicion that it crashes endpoints.
+    /// suspicion that its attempts until now crashed endpoints.
     pub(crate) fn record_served(&self, endpoint: &Endpoint) {
-        let clear_suspicion = |local_view: &mut LocalView| local_view.served(self.head.fingerprint);
-        if let Some(crashes) = self.daemon.shared_view.with(clear_suspicion) {
+        let now_ms = self.daemon.shared_view.now_ms();
+        let clear_suspicion =
+            |local_view: &mut LocalView| local_view.served(self.head.fingerprint, now_ms);
+        if let Some(cleared) = self.daemon.shared_view.with(clear_suspicion) {
             tracing::warn!(
                 id = self.head.id, request = self.fingerprint(), endpoint = %endpoint.name,
-                ends = crashes,
+                ends = cleared,
                 "request: Got a complete answer; the request is no longer suspected of crashing endpoints."
             );
         }
     }
 
-    /// Logs the send of a request under which endpoints crashed, with what is known of it then.
+    /// Logs the send of a request that is suspected of crashing endpoints.
     pub(crate) fn log_if_suspected(&self, endpoint: &Endpoint) {
         let Some(request) = self.head.fingerprint else { return };
-        let summary = |local_view: &mut LocalView| local_view.crashes.summary(request);
-        if let Some((crashes, is_served)) = self.daemon.shared_view.with(summary) {
+        let counted = |local_view: &mut LocalView| local_view.crashes.counted(request);
+        let crashes = self.daemon.shared_view.with(counted);
+        if crashes > 0 {
             tracing::info!(
-                id = self.head.id, %request, endpoint = %endpoint.name, ends = crashes, is_served,
+                id = self.head.id, %request, endpoint = %endpoint.name, ends = crashes,
                 is_permitted = self.trial.is_permitted(),
                 "request: Sent, although endpoints crashed under it."
             );
--- a/crates/trestle-entry/src/trial.rs
+++ b/crates/trestle-entry/src/trial.rs
@@ -38,8 +38,8 @@
     number: u64,
     /// When the permission was received.
     received_ms: u64,
-    /// The endpoint that may still crash under the attempt.
-    at: Option<Endpoint>,
+    /// The endpoint that may still crash under the attempt, and when the attempt was sent there.
+    at: Option<(Endpoint, u64)>,
 }
 
 impl Trial {
@@ -91,7 +91,7 @@
                 endpoint = %endpoint.name, held_ms = attempt.held_ms(),
                 "request: A permitted attempt is sent."
             );
-            attempt.at = Some(endpoint.clone());
+            attempt.at = Some((endpoint.clone(), attempt.daemon.shared_view.now_ms()));
         }
     }
 
@@ -123,14 +123,14 @@
 
 impl Drop for PermittedAttempt {
     fn drop(&mut self) {
-        let unresolved_at = self.at.as_ref().map(|endpoint| endpoint.name.as_str());
+        let unresolved_at = self.at.as_ref().map(|(endpoint, _)| endpoint.name.as_str());
         tracing::info!(
             id = self.id, request = %self.request, number = self.number, unresolved_at,
             held_ms = self.held_ms(), "request: A permitted attempt has ended."
         );
         let (daemon, request, number) = (Arc::clone(&self.daemon), self.request, self.number);
-        if let Some(endpoint) = self.at.take() {
-            smol::spawn(check_later(daemon, endpoint, request)).detach();
+        if let Some((endpoint, sent_ms)) = self.at.take() {
+            smol::spawn(check_later(daemon, endpoint, request, sent_ms)).detach();
             return;
         }
         let report =
@@ -141,9 +141,9 @@
 
 /// Checks after a delay whether an endpoint has crashed under a request whose answer was not
 /// awaited.
-async fn check_later(daemon: Arc<Daemon>, endpoint: Endpoint, request: Fingerprint) {
+async fn check_later(daemon: Arc<Daemon>, endpoint: Endpoint, request: Fingerprint, sent_ms: u64) {
     Timer::after(Duration::from_millis(MAX_CRASH_DELAY_MS)).await;
-    connection_loss::record_lost(&daemon, &endpoint, Some(request));
+    connection_loss::record_lost(&daemon, &endpoint, request, sent_ms);
 }
 
 fn wire_trial(daemon: &Daemon, request: Fingerprint, number: u64, has_ended: bool) -> WireTrial {
--- a/crates/trestle-wire/src/crashes.rs
+++ b/crates/trestle-wire/src/crashes.rs
@@ -2,14 +2,21 @@
 
 use trestle_dispatch::{crashes::CrashReport, endpoint::Incarnation, fingerprint::Fingerprint};
 
+/// Endpoint name of the entry in [`WireCrashReport::ends`] that holds the age of the last complete
+/// answer. Daemons that do not know this entry take it for a crash, but count no crash of a request
+/// that is reported as served.
+const ANSWER_ENTRY: &str = "";
+
 /// Crashes of endpoints under one request.
 #[trestle_macros::wire]
 pub struct WireCrashReport {
     /// Fingerprint of the request.
     pub request: [u8; 16],
-    /// Last crashes of endpoints under the request.
+    /// Last crashes of endpoints under the request, and the entry [`ANSWER_ENTRY`] after a complete
+    /// answer.
     pub ends: Vec<WireEndpointCrash>,
-    /// Whether the request had a complete answer, which shows that it crashes no endpoint.
+    /// Whether the request had a complete answer. It clears the crashes of endpoints to which the
+    /// request was sent before the answer.
     pub is_served: bool,
 }
 
@@ -20,7 +27,7 @@
     pub endpoint: String,
     /// Time at which the incarnation started, in Unix milliseconds on the endpoint's own clock.
     pub born_ms: u64,
-    /// Time since the crash, in milliseconds.
+    /// Time since the request was last sent there, in milliseconds.
     pub age_ms: u64,
 }
 
@@ -41,26 +48,36 @@
             born_ms: incarnation.started_unix_ms,
             age_ms,
         });
+        let answer = report.answered_ago_ms.map(|age_ms| WireEndpointCrash {
+            endpoint: ANSWER_ENTRY.to_owned(),
+            born_ms: 0,
+            age_ms,
+        });
         Self {
             request: *report.request.as_bytes(),
-            ends: crashes.collect(),
-            is_served: report.is_served,
+            is_served: answer.is_some(),
+            ends: crashes.chain(answer).collect(),
         }
     }
 }
 
 impl From<WireCrashReport> for CrashReport {
     fn from(wire: WireCrashReport) -> Self {
-        let crashes = wire.ends.into_iter().map(|crash| {
-            (
-                Incarnation { name: crash.endpoint.into(), started_unix_ms: crash.born_ms },
-                crash.age_ms,
-            )
+        let (answers, crashes): (Vec<WireEndpointCrash>, Vec<WireEndpointCrash>) =
+            wire.ends.into_iter().partition(|entry| entry.endpoint == ANSWER_ENTRY);
+        let answered_ago_ms = answers.first().map(|answer| answer.age_ms);
+        // A daemon that reports no time of the answer means an answer after all its crashes.
+        let last_ago_ms = || crashes.iter().map(|crash| crash.age_ms).min();
+        let answered_ago_ms =
+            if wire.is_served { answered_ago_ms.or_else(last_ago_ms) } else { None };
+        let crashes = crashes.into_iter().map(|crash| {
+            let name = crash.endpoint.into();
+            (Incarnation { name, started_unix_ms: crash.born_ms }, crash.age_ms)
         });
         Self {
             request: Fingerprint::from_bytes(wire.request),
             crashes: crashes.collect(),
-            is_served: wire.is_served,
+            answered_ago_ms,
         }
     }
 }
--- /dev/null
+++ b/crates/trestle-wire/tests/crashes.rs
@@ -0,0 +1,46 @@
+//! Reports on requests under which endpoints crashed, between daemons of the same and of different
+//! builds.
+
+use trestle_dispatch::{crashes::CrashReport, endpoint::Incarnation, fingerprint::Fingerprint};
+use trestle_wire::crashes::{WireCrashReport, WireEndpointCrash};
+
+const REQUEST: Fingerprint = Fingerprint::from_bytes([7; 16]);
+
+fn report(answered_ago_ms: Option<u64>) -> CrashReport {
+    let incarnation =
+        |name: &str| Incarnation { name: name.into(), started_unix_ms: name.len() as u64 };
+    let crashes = vec![(incarnation("e"), 900), (incarnation("ff"), 100)];
+    CrashReport { request: REQUEST, crashes, answered_ago_ms }
+}
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $body:block)+) => { $($(#[$doc])* #[test] fn $name() $body)+ };
+}
+
+cases! {
+    reports_arrive_as_they_were_sent => {
+        for answered_ago_ms in [None, Some(0), Some(500)] {
+            let sent = report(answered_ago_ms);
+            assert_eq!(CrashReport::from(WireCrashReport::from(sent.clone())), sent);
+        }
+    }
+
+    /// A daemon that knows no time of an answer counts no crash of a request that is reported as
+    /// served, so the additional entry does not make it reject the request.
+    a_report_with_a_time_of_an_answer_is_served => {
+        assert!(WireCrashReport::from(report(Some(500))).is_served);
+        let without_answer = WireCrashReport::from(report(None));
+        assert!(!without_answer.is_served);
+        assert_eq!(without_answer.ends.len(), 2);
+    }
+
+    /// A daemon that reports no time of an answer counts none of its crashes after one.
+    a_served_report_without_a_time_clears_its_crashes => {
+        let crash = |name: &str, age_ms| WireEndpointCrash { endpoint: name.to_owned(), born_ms: 0, age_ms };
+        let ends = vec![crash("e", 900), crash("f", 100)];
+        let wire = WireCrashReport { request: *REQUEST.as_bytes(), ends, is_served: true };
+        let received = CrashReport::from(wire);
+        assert_eq!(received.answered_ago_ms, Some(100));
+        assert_eq!(received.counted(), 0);
+    }
+}
