Keep a permission until it is known how its attempt ended

Callers saw: a request that crashes engines seconds after it was sent, or behind a partition, crashed one engine after the other for as long as it was asked for: 8 and 9 engines in 25 s, one each 3.3 s, everything that ran there aborted.

Cause: from the second crash on a leader lets one attempt run at a time, but its permission ended after 3 s at the leader, whatever the attempt did, and never at the daemon: one that waited for a model, a connection or a long answer was overtaken by the next, and sent all the same. And the last check before the bytes leave did not ask whether the request is rejected by now.

Ruled out: a longer fixed time at the leader (an innocent request would wait it out after each lost connection).

Change: a daemon renews the permission until the attempt has its answer, its engine is known to live, or its crash is known; only then another attempt may run. It may send only while the permission is confirmed, gives it back while it waits for a model, and looks at all restrictions again just before the bytes leave. A leader that did not give the permission learns of it by the renewal.

--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -134,6 +134,11 @@
         self.by_request.get(&request).map_or(0, CrashRecord::counted)
     }
 
+    /// Returns whether an endpoint is known to have crashed under a request.
+    pub fn has_crashed(&self, request: Fingerprint, endpoint: &Incarnation) -> bool {
+        self.by_request.get(&request).is_some_and(|record| record.crashes.contains_key(endpoint))
+    }
+
     /// Returns when a request was last answered completely, if endpoints crashed under it and an
     /// answer is known.
     pub fn answered_ms(&self, request: Fingerprint) -> Option<u64> {
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -49,6 +49,17 @@
     },
 }
 
+impl Restriction {
+    /// Returns whether an attempt may run; `is_permitted` tells whether a leader allows it.
+    pub fn allows(self, is_permitted: bool) -> bool {
+        match self {
+            Self::None => true,
+            Self::Serial => is_permitted,
+            Self::Rejected { .. } => false,
+        }
+    }
+}
+
 /// The source of the most recent update of the endpoint list.
 #[trestle_macros::plain]
 #[derive(Copy, Default)]
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -93,7 +93,7 @@
         return Selection::Refuse { retry_after_ms: for_ms, reason: Some(Reason::EndsEndpoints) };
     }
     if let Some(endpoint) = choose_allowed(local_view, request, sends, random, now_ms) {
-        let needs_trial = restriction == Restriction::Serial && !request.is_trial;
+        let needs_trial = !restriction.allows(request.is_trial);
         let incarnation = endpoint.incarnation();
         let needs_permit = local_view.backpressure.limit(&incarnation).is_some()
             && request.send_permit != Some(&incarnation);
--- a/crates/trestle-dispatch/src/trials.rs
+++ b/crates/trestle-dispatch/src/trials.rs
@@ -5,14 +5,18 @@
 //! run once more, to distinguish it from one that only ran beside the cause; all at once they would
 //! crash as many endpoints. So one leader, the same for all daemons, allows one attempt at a time.
 //! A harmless request waits for one answer at most.
+//!
+//! An attempt may run for longer than a permission lasts, and behind a partition a crash is noticed
+//! only seconds later. So the daemon renews the permission until it knows how the attempt ended. A
+//! daemon that terminates renews nothing, and the permission lapses.
 
 use crate::fingerprint::Fingerprint;
 use std::collections::BTreeMap;
 use trestle_core::names::VmName;
 
-/// Time for which an attempt excludes others if its end is not reported. By then an endpoint under
-/// it has crashed, and all daemons know.
-const TRIAL_MS: u64 = 3_000;
+/// Time for which an attempt excludes others after its last renewal, if its end is not reported. A
+/// crash that ended the renewals is known to all daemons by then.
+pub const TRIAL_MS: u64 = 3_000;
 /// Largest number of attempts recorded at once; further ones are rejected.
 const MAX_TRIALS: usize = 4_096;
 
@@ -66,11 +70,28 @@
         Ok(())
     }
 
+    /// Renews the permission of an attempt. A leader that did not give it learns of it this way.
+    /// Returns whether the attempt has the permission now; it does not if another one has it.
+    pub fn renew(&mut self, request: Fingerprint, vm: VmName, number: u64, now_ms: u64) -> bool {
+        self.by_request.retain(|_, trial| now_ms < trial.until_ms);
+        let other = self.by_request.get(&request).filter(|trial| !trial.is_of(&vm, number));
+        if other.is_some() || self.by_request.len() >= MAX_TRIALS {
+            return false;
+        }
+        self.by_request.insert(request, Trial { vm, number, until_ms: now_ms + TRIAL_MS });
+        true
+    }
+
     /// Records that an attempt has ended without a crash of its endpoint.
     pub fn end(&mut self, request: Fingerprint, vm: &VmName, number: u64) {
-        let is_same = |trial: &Trial| trial.vm == *vm && trial.number == number;
-        if self.by_request.get(&request).is_some_and(is_same) {
+        if self.by_request.get(&request).is_some_and(|trial| trial.is_of(vm, number)) {
             self.by_request.remove(&request);
         }
     }
 }
+
+impl Trial {
+    fn is_of(&self, vm: &VmName, number: u64) -> bool {
+        self.vm == *vm && self.number == number
+    }
+}
--- a/crates/trestle-dispatch/src/unresolved_requests.rs
+++ b/crates/trestle-dispatch/src/unresolved_requests.rs
@@ -230,6 +230,20 @@
         self.incarnations.values().filter(is_unresolved).count()
     }
 
+    /// Returns whether a request may still crash an incarnation, or may have crashed it unnoticed.
+    pub fn is_unresolved(
+        &self,
+        incarnation: &Incarnation,
+        request: Fingerprint,
+        now_ms: u64,
+    ) -> bool {
+        self.incarnations.get(incarnation).is_some_and(|requests| {
+            let aborted = requests.aborted.get(&request);
+            requests.running.contains_key(&request)
+                || aborted.is_some_and(|aborted| now_ms < aborted.at_ms + UNRESOLVED_MS)
+        })
+    }
+
     /// Records that an incarnation terminated. Returns the requests that may have crashed it, and
     /// when each was last sent there.
     pub fn terminated(
--- a/crates/trestle-dispatch/tests/trials.rs
+++ b/crates/trestle-dispatch/tests/trials.rs
@@ -2,7 +2,10 @@
 
 use trestle_core::names::VmName;
 use trestle_dispatch::{
-    crashes::Crashes, endpoint::Incarnation, fingerprint::Fingerprint, trials::Trials,
+    crashes::Crashes,
+    endpoint::Incarnation,
+    fingerprint::Fingerprint,
+    trials::{TRIAL_MS, Trials},
 };
 
 macro_rules! cases {
@@ -56,6 +59,35 @@
         assert!(trials.begin(REQUEST, vm(1), 1, 100 + wait_ms).is_ok());
     }
 
+    // An attempt that ran for longer than a permission lasts did not exclude others any more.
+    attempt_excludes_others_while_it_is_renewed => {
+        let mut trials = Trials::default();
+        assert!(trials.begin(REQUEST, vm(0), 1, 0).is_ok());
+        for now_ms in (1_000..20_000).step_by(1_000) {
+            assert!(trials.renew(REQUEST, vm(0), 1, now_ms));
+            assert!(trials.begin(REQUEST, vm(1), 1, now_ms + 999).is_err(), "{now_ms}");
+        }
+        assert!(trials.begin(REQUEST, vm(1), 1, 19_000 + TRIAL_MS).is_ok());
+    }
+
+    lapsed_permission_is_not_renewed_once_another_attempt_runs => {
+        let mut trials = Trials::default();
+        assert!(trials.begin(REQUEST, vm(0), 1, 0).is_ok());
+        assert!(trials.begin(REQUEST, vm(1), 1, TRIAL_MS).is_ok());
+        assert!(!trials.renew(REQUEST, vm(0), 1, TRIAL_MS + 1));
+        trials.end(REQUEST, &vm(1), 1);
+        assert!(trials.renew(REQUEST, vm(0), 1, TRIAL_MS + 2));
+    }
+
+    // The leader that gave the permission was killed.
+    next_leader_learns_of_a_running_attempt_by_its_renewal => {
+        let mut trials = Trials::default();
+        trials.set_leader_since(Some(0));
+        assert!(trials.renew(REQUEST, vm(0), 1, 2_500));
+        assert!(trials.begin(REQUEST, vm(1), 1, 2_600).is_err());
+        assert!(trials.begin(REQUEST, vm(1), 1, 2_500 + TRIAL_MS - 1).is_err());
+    }
+
     request_runs_serially_after_two_crashes_and_not_after_one => {
         let mut crashes = Crashes::default();
         crashes.record_crash(REQUEST, &incarnation(0), 0);
--- a/crates/trestle-dispatch/tests/unresolved_requests.rs
+++ b/crates/trestle-dispatch/tests/unresolved_requests.rs
@@ -134,6 +134,20 @@
         assert_eq!(requests.unresolved_incarnations(request(1), None, 6_000), 0);
     }
 
+    /// A permission is kept while its attempt is unresolved.
+    a_request_is_unresolved_until_its_endpoint_is_known_to_live_or_to_have_terminated => {
+        let mut requests = UnresolvedRequests::default();
+        let incarnation = without_start_time();
+        assert!(!requests.is_unresolved(&incarnation, request(1), 0));
+        requests.sent(&incarnation, ADDRESS.into(), request(1), 0);
+        assert!(requests.is_unresolved(&incarnation, request(1), 20_000));
+        requests.abandoned(&incarnation, request(1), 20_000);
+        assert!(requests.is_unresolved(&incarnation, request(1), 25_999));
+        assert!(!requests.is_unresolved(&incarnation, request(1), 26_000));
+        requests.confirmed_alive(&incarnation, 20_500);
+        assert!(!requests.is_unresolved(&incarnation, request(1), 20_501));
+    }
+
     /// An answer elsewhere proves nothing about an attempt that was sent after it.
     attempts_sent_until_an_answer_are_not_unresolved => {
         let mut requests = UnresolvedRequests::default();
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -34,6 +34,7 @@
 mod store;
 mod traffic;
 mod trial;
+mod trial_leader;
 pub mod wire;
 
 use crate::{
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -1,7 +1,8 @@
 //! The server for other daemons.
 
 use crate::{
-    allocation, control::message::Message, crashes, daemon::Daemon, departures, send_permits, trial,
+    allocation, control::message::Message, crashes, daemon::Daemon, departures, send_permits,
+    trial_leader,
 };
 use async_compat::{Compat, CompatExt};
 use futures_util::StreamExt;
@@ -76,7 +77,7 @@
     }
 
     async fn try_out(self, _: Context, trial: WireTrial) -> WireTrialAnswer {
-        trial::decide(&self.0, trial).await
+        trial_leader::decide(&self.0, trial).await
     }
 }
 
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -47,7 +47,6 @@
 ) -> Result<Attempt, AttemptError> {
     let sent_after_ms = task.elapsed_ms();
     task.record_sent();
-    task.trial.sent(&selected.endpoint);
     let result = wait_limit.wait(exchange(task, &mut selected, last_event_id)).await;
     let answered =
         result.unwrap_or_else(|| Err(AttemptError::TimedOut(task.elapsed_ms() - sent_after_ms)));
@@ -55,7 +54,10 @@
     let may_have_run =
         answered.as_ref().map_or_else(|error| error.send_end().may_have_run(), |_| true);
     task.quota_reservation.record_end(may_have_run);
-    if !matches!(answered, Err(AttemptError::Unreachable(_) | AttemptError::NotSent)) {
+    if !matches!(
+        answered,
+        Err(AttemptError::Unreachable(_) | AttemptError::NotSent | AttemptError::Restricted)
+    ) {
         task.held_permit.clear();
     }
     match answered {
@@ -78,7 +80,7 @@
                     // Another endpoint listens at the address now.
                     None => local_view.records.unreachable(name, now_ms),
                 },
-                AttemptError::NotRun(_) | AttemptError::NotSent => {}
+                AttemptError::NotRun(_) | AttemptError::NotSent | AttemptError::Restricted => {}
                 AttemptError::Unreachable(_) => local_view.records.unreachable(name, now_ms),
                 AttemptError::ConnectionLost(_)
                 | AttemptError::InvalidAnswer(_)
@@ -119,11 +121,15 @@
             }
             AttemptError::Unreachable(error.to_string())
         })?;
+        if task.is_restricted() {
+            return Err(AttemptError::Restricted);
+        }
         if !task.may_send(&selected.endpoint) {
             return Err(AttemptError::NotSent);
         }
         let sent_ms = daemon.shared_view.now_ms();
         selected.record_sent();
+        task.trial.sent(&selected.endpoint);
         task.log_if_suspected(&selected.endpoint);
         match connection.send(task.to_http_request(&selected.endpoint, last_event_id)).await {
             Ok(response) => {
--- a/crates/trestle-entry/src/traffic/outcome.rs
+++ b/crates/trestle-entry/src/traffic/outcome.rs
@@ -17,6 +17,8 @@
     Unreachable(String),
     /// The request was not sent: the endpoint began to drain, or limited its requests, meanwhile.
     NotSent,
+    /// The request was not sent: meanwhile it became known that endpoints crash under it.
+    Restricted,
     /// The endpoint answered with this status that it did not run the request.
     NotRun(StatusCode),
     /// The connection was lost, for this reason. The request may have run.
@@ -32,7 +34,7 @@
     pub(crate) fn send_end(&self) -> SendEnd {
         match self {
             Self::Unreachable(_) => SendEnd::Unreachable,
-            Self::NotSent => SendEnd::NotSent,
+            Self::NotSent | Self::Restricted => SendEnd::NotSent,
             Self::NotRun(_) => SendEnd::NotRun,
             Self::ConnectionLost(_) | Self::InvalidAnswer(_) => SendEnd::MayHaveRun,
             Self::TimedOut(_) => SendEnd::TimedOut,
@@ -44,6 +46,7 @@
         match self {
             Self::Unreachable(reason) => format!("not reached: {reason}"),
             Self::NotSent => "it has left, or takes less".to_owned(),
+            Self::Restricted => "endpoints crash under the request".to_owned(),
             Self::NotRun(status) => format!("refused with {status}"),
             Self::ConnectionLost(reason) | Self::InvalidAnswer(reason) => reason.clone(),
             Self::TimedOut(timeout_ms) => format!("no answer within {timeout_ms} ms"),
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -130,7 +130,11 @@
                 }
                 return Err(Failure::NotRun { retry_after_ms, why: "held_back" });
             }
-            Selection::Wait { until_ms } => until_ms,
+            Selection::Wait { until_ms } => {
+                // Another daemon may be able to make the attempt now.
+                task.trial.release();
+                until_ms
+            }
         };
         if !task.daemon.stopping.can_send(task.daemon.shared_view.now_ms()) {
             return Err(Failure::NotRun { retry_after_ms: RETRY_SOON_MS, why: "stopping" });
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -91,6 +91,7 @@
 impl Task {
     /// Returns the view of the request that endpoint selection decides on.
     pub(crate) fn context(&self) -> RequestContext<'_> {
+        let now_ms = self.daemon.shared_view.now_ms();
         RequestContext {
             route: &self.route,
             service: &self.service,
@@ -98,8 +99,8 @@
             allowed_ms: self.allowed_ms,
             elapsed_ms: self.elapsed_ms(),
             demand_id: None,
-            is_trial: self.trial.is_permitted(),
-            has_quota: self.quota_reservation.allows_send(self, self.daemon.shared_view.now_ms()),
+            is_trial: self.trial.is_permitted(now_ms),
+            has_quota: self.quota_reservation.allows_send(self, now_ms),
             send_permit: None,
         }
     }
@@ -132,6 +133,17 @@
             && self.quota_reservation.record_sent(self, now_ms)
     }
 
+    /// Returns whether the request must not be sent now because endpoints crashed under it. They may
+    /// have crashed while the connection was opened.
+    pub(crate) fn is_restricted(&self) -> bool {
+        let now_ms = self.daemon.shared_view.now_ms();
+        let restriction = self
+            .daemon
+            .shared_view
+            .with(|local_view| local_view.restriction(self.head.fingerprint, now_ms));
+        !restriction.allows(self.trial.is_permitted(now_ms))
+    }
+
     /// Records the endpoint whose limit or backoff kept the request from being sent.
     pub(crate) fn record_throttle(
         &self,
@@ -196,9 +208,10 @@
         let counted = |local_view: &mut LocalView| local_view.crashes.counted(request);
         let crashes = self.daemon.shared_view.with(counted);
         if crashes > 0 {
+            let is_permitted = self.trial.is_permitted(self.daemon.shared_view.now_ms());
             tracing::info!(
                 id = self.head.id, %request, endpoint = %endpoint.name, ends = crashes,
-                is_permitted = self.trial.is_permitted(),
+                is_permitted,
                 "request: Sent, although endpoints crashed under it."
             );
         }
--- a/crates/trestle-entry/src/trial.rs
+++ b/crates/trestle-entry/src/trial.rs
@@ -1,25 +1,30 @@
-//! Asks a leader whether a request that may have crashed endpoints may run, and decides on it
-//! where this daemon leads.
+//! The permission of a request that may have crashed endpoints to run once more.
+//!
+//! A leader gives the permission. It is renewed until it is known whether the endpoint crashed
+//! under the attempt, so that no other daemon makes an attempt meanwhile.
 
-use crate::{connection_loss, control::message::Leader, daemon::Daemon, peer::calls};
-use smol::Timer;
+use crate::{connection_loss, daemon::Daemon, trial_leader};
+use smol::{Task, Timer};
 use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
-use trestle_core::names::VmName;
 use trestle_dispatch::{
-    endpoint::Endpoint, fingerprint::Fingerprint, unresolved_requests::MAX_CRASH_DELAY_MS,
-};
-use trestle_wire::{
-    replicas::ReplicasClient,
-    trials::{WireTrial, WireTrialAnswer},
+    endpoint::Endpoint, fingerprint::Fingerprint, trials::TRIAL_MS,
+    unresolved_requests::MAX_CRASH_DELAY_MS,
 };
+use trestle_wire::trials::{TrialStep, WireTrialAnswer};
 
 /// Retry-after time for callers while no leader can be reached: about the time until there is a
 /// new leader.
 const NO_LEADER_MS: u64 = 1_000;
+/// Time between two renewals of a permission, so that one of them may be lost.
+const RENEWAL_INTERVAL_MS: u64 = TRIAL_MS / 3;
+/// Time between two checks whether it is known how an attempt ended.
+const RESOLUTION_CHECK_MS: u64 = 250;
 
 /// The permission of one request to run although endpoints may have crashed under it.
 #[derive(Debug, Default)]
@@ -28,7 +33,7 @@
 }
 
 /// A permitted attempt. When it is dropped, other attempts may run if no endpoint can crash under
-/// this one any more; otherwise they are held off until a crash would be known.
+/// this one any more; otherwise they are held off until that is known.
 #[derive(Debug)]
 struct PermittedAttempt {
     daemon: Arc<Daemon>,
@@ -38,14 +43,18 @@
     number: u64,
     /// When the permission was received.
     received_ms: u64,
+    /// The end of the permission unless it is renewed, on this daemon's clock.
+    valid_until_ms: Arc<AtomicU64>,
+    /// The task that renews the permission until it is dropped.
+    renewal: Option<Task<()>>,
     /// The endpoint that may still crash under the attempt, and when the attempt was sent there.
     at: Option<(Endpoint, u64)>,
 }
 
 impl Trial {
     /// Returns whether an attempt is permitted.
-    pub(crate) fn is_permitted(&self) -> bool {
-        self.attempt().is_some()
+    pub(crate) fn is_permitted(&self, now_ms: u64) -> bool {
+        self.attempt().as_ref().is_some_and(|attempt| attempt.is_valid(now_ms))
     }
 
     /// Asks a leader for permission.
@@ -60,7 +69,8 @@
         request: Fingerprint,
     ) -> Result<(), u64> {
         let number = daemon.next_number();
-        let answer = ask_leader(daemon, wire_trial(daemon, request, number, false)).await;
+        let asked_ms = daemon.shared_view.now_ms();
+        let answer = trial_leader::ask(daemon, request, number, TrialStep::Begin).await;
         let must_run_serially =
             daemon.shared_view.with(|local_view| local_view.crashes.must_run_serially(request));
         tracing::info!(id, %request, number, answer = ?answer, is_known = must_run_serially, "request: The request may crash endpoints; a leader was asked for permission.");
@@ -68,14 +78,8 @@
             // If no leader answers, a request that is only suspected of crashing endpoints may run.
             WireTrialAnswer::Undecided if must_run_serially => Err(NO_LEADER_MS),
             WireTrialAnswer::Runs | WireTrialAnswer::Undecided => {
-                *self.attempt() = Some(PermittedAttempt {
-                    daemon: Arc::clone(daemon),
-                    id: id.to_owned(),
-                    request,
-                    number,
-                    received_ms: daemon.shared_view.now_ms(),
-                    at: None,
-                });
+                let attempt = PermittedAttempt::new(daemon, id, request, number, asked_ms);
+                *self.attempt() = Some(attempt);
                 Ok(())
             }
             WireTrialAnswer::Waits { for_ms } => Err(for_ms),
@@ -86,12 +90,13 @@
     /// on.
     pub(crate) fn sent(&self, endpoint: &Endpoint) {
         if let Some(attempt) = &mut *self.attempt() {
+            let now_ms = attempt.daemon.shared_view.now_ms();
             tracing::info!(
                 id = attempt.id, request = %attempt.request, number = attempt.number,
                 endpoint = %endpoint.name, held_ms = attempt.held_ms(),
                 "request: A permitted attempt is sent."
             );
-            attempt.at = Some((endpoint.clone(), attempt.daemon.shared_view.now_ms()));
+            attempt.at = Some((endpoint.clone(), now_ms));
         }
     }
 
@@ -109,12 +114,42 @@
         drop(self.attempt().take());
     }
 
+    /// Gives a permission back that the request cannot use now.
+    pub(crate) fn release(&self) {
+        drop(self.attempt().take());
+    }
+
     fn attempt(&self) -> MutexGuard<'_, Option<PermittedAttempt>> {
         self.attempt.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl PermittedAttempt {
+    fn new(
+        daemon: &Arc<Daemon>,
+        id: &str,
+        request: Fingerprint,
+        number: u64,
+        asked_ms: u64,
+    ) -> Self {
+        let valid_until_ms = Arc::new(AtomicU64::new(asked_ms + TRIAL_MS));
+        let renewal = renew(Arc::clone(daemon), request, number, Arc::clone(&valid_until_ms));
+        Self {
+            daemon: Arc::clone(daemon),
+            id: id.to_owned(),
+            request,
+            number,
+            received_ms: daemon.shared_view.now_ms(),
+            valid_until_ms,
+            renewal: Some(smol::spawn(renewal)),
+            at: None,
+        }
+    }
+
+    fn is_valid(&self, now_ms: u64) -> bool {
+        now_ms < self.valid_until_ms.load(Ordering::Relaxed)
+    }
+
     /// Returns the time since the permission was received.
     fn held_ms(&self) -> u64 {
         self.daemon.shared_view.now_ms().saturating_sub(self.received_ms)
@@ -129,81 +164,64 @@
             held_ms = self.held_ms(), "request: A permitted attempt has ended."
         );
         let (daemon, request, number) = (Arc::clone(&self.daemon), self.request, self.number);
-        if let Some((endpoint, sent_ms)) = self.at.take() {
-            smol::spawn(check_later(daemon, endpoint, request, sent_ms)).detach();
-            return;
-        }
-        let report =
-            async move { ask_leader(&daemon, wire_trial(&daemon, request, number, true)).await };
-        smol::spawn(report).detach();
-    }
-}
-
-/// Checks after a delay whether an endpoint has crashed under a request whose answer was not
-/// awaited.
-async fn check_later(daemon: Arc<Daemon>, endpoint: Endpoint, request: Fingerprint, sent_ms: u64) {
-    Timer::after(Duration::from_millis(MAX_CRASH_DELAY_MS)).await;
-    connection_loss::record_lost(&daemon, &endpoint, request, sent_ms);
-}
-
-fn wire_trial(daemon: &Daemon, request: Fingerprint, number: u64, has_ended: bool) -> WireTrial {
-    let request = *request.as_bytes();
-    let vm = daemon.settings.vm.clone();
-    WireTrial { vm, request, number, has_ended, is_passed_on: false }
-}
-
-/// Asks this daemon's leader, or another leader if that one does not decide.
-async fn ask_leader(daemon: &Daemon, trial: WireTrial) -> WireTrialAnswer {
-    let call = async |leader: Leader| {
-        let answer = match leader {
-            Leader::Here { .. } => decide(daemon, trial.clone()).await,
-            Leader::At { address, .. } => ask_leader_at(daemon, address, trial.clone()).await,
-            Leader::Nobody => WireTrialAnswer::Undecided,
+        let (renewal, at) = (self.renewal.take(), self.at.take());
+        let end = async move {
+            let has_crashed = match at {
+                Some((endpoint, sent_ms)) => {
+                    has_crashed_under(&daemon, &endpoint, request, sent_ms).await
+                }
+                None => false,
+            };
+            drop(renewal);
+            // After a crash, other attempts are held off until all daemons know of it.
+            if !has_crashed {
+                trial_leader::ask(&daemon, request, number, TrialStep::End).await;
+            }
         };
-        Some(answer).filter(|answer| *answer != WireTrialAnswer::Undecided)
-    };
-    calls::first_answer(daemon, call).await.unwrap_or(WireTrialAnswer::Undecided)
-}
-
-async fn ask_leader_at(daemon: &Daemon, address: SocketAddr, trial: WireTrial) -> WireTrialAnswer {
-    let call = async |client: ReplicasClient, context| client.try_out(context, trial).await;
-    daemon.calls.call(address, call).await.unwrap_or(WireTrialAnswer::Undecided)
+        smol::spawn(end).detach();
+    }
 }
 
-/// Decides on an attempt, or asks the leader that does. For each request one leader decides,
-/// whichever leader the receiving daemon syncs with.
-pub(crate) async fn decide(daemon: &Daemon, mut trial: WireTrial) -> WireTrialAnswer {
-    let request = Fingerprint::from_bytes(trial.request);
-    let (leader, since_ms) = calls::decision_leader(daemon, request.to_string()).await;
-    match leader {
-        Leader::Here { .. } => decide_here(daemon, &trial, since_ms),
-        Leader::At { address, .. } if !trial.is_passed_on => {
-            trial.is_passed_on = true;
-            ask_leader_at(daemon, address, trial).await
+/// Renews a permission again and again.
+async fn renew(
+    daemon: Arc<Daemon>,
+    request: Fingerprint,
+    number: u64,
+    valid_until_ms: Arc<AtomicU64>,
+) {
+    loop {
+        Timer::after(Duration::from_millis(RENEWAL_INTERVAL_MS)).await;
+        let asked_ms = daemon.shared_view.now_ms();
+        let answer = trial_leader::ask(&daemon, request, number, TrialStep::Renew).await;
+        if answer == WireTrialAnswer::Runs {
+            valid_until_ms.store(asked_ms + TRIAL_MS, Ordering::Relaxed);
         }
-        Leader::At { .. } | Leader::Nobody => WireTrialAnswer::Undecided,
     }
 }
 
-fn decide_here(daemon: &Daemon, trial: &WireTrial, since_ms: Option<u64>) -> WireTrialAnswer {
-    let request = Fingerprint::from_bytes(trial.request);
-    let vm = VmName::from(trial.vm.as_str());
-    let now_ms = daemon.shared_view.now_ms();
-    let answer = daemon.with_trials(|trials| {
-        if trial.has_ended {
-            trials.end(request, &vm, trial.number);
-            return WireTrialAnswer::Runs;
-        }
-        trials.set_leader_since(since_ms);
-        match trials.begin(request, vm, trial.number, now_ms) {
-            Ok(()) => WireTrialAnswer::Runs,
-            Err(for_ms) => WireTrialAnswer::Waits { for_ms },
+/// Returns whether an endpoint crashed under a request that was sent there at `sent_ms` and has no
+/// answer, once that is known.
+async fn has_crashed_under(
+    daemon: &Arc<Daemon>,
+    endpoint: &Endpoint,
+    request: Fingerprint,
+    sent_ms: u64,
+) -> bool {
+    Timer::after(Duration::from_millis(MAX_CRASH_DELAY_MS)).await;
+    connection_loss::record_lost(daemon, endpoint, request, sent_ms);
+    let incarnation = endpoint.incarnation();
+    loop {
+        let now_ms = daemon.shared_view.now_ms();
+        let (is_unresolved, has_crashed) = daemon.shared_view.with(|local_view| {
+            let unresolved_requests = &local_view.unresolved_requests;
+            (
+                unresolved_requests.is_unresolved(&incarnation, request, now_ms),
+                local_view.crashes.has_crashed(request, &incarnation),
+            )
+        });
+        if has_crashed || !is_unresolved {
+            return has_crashed;
         }
-    });
-    tracing::info!(
-        %request, vm = trial.vm, number = trial.number, has_ended = trial.has_ended,
-        answer = ?answer, leads_for_ms = since_ms.map(|since_ms| now_ms.saturating_sub(since_ms)),
-        "request: This leader decided on an attempt of a request that may crash endpoints."
-    );
-    answer
+        Timer::after(Duration::from_millis(RESOLUTION_CHECK_MS)).await;
+    }
 }
