Let a restarted leader wait for attempts that its former process allowed

Callers saw: a request under which two engines had crashed ran twice at the same time after its leader was restarted, and could crash an engine more.

Cause: whether another leader may have decided before was judged by the leaders that this process has seen. A process that has just started has seen none, also if it holds the lease again 0.7 to 1.2 s after the one before it terminated.

Change: a fencing token above the first one shows a predecessor.

--- a/crates/trestle-dispatch/src/decision_leaders.rs
+++ b/crates/trestle-dispatch/src/decision_leaders.rs
@@ -12,6 +12,10 @@
 /// Address of a leader, with its fencing token.
 pub type LeaderStart = (SocketAddr, u64);
 
+/// Fencing token of the first leader of a group. Each later one has had a predecessor, which may
+/// have been an earlier process of the same daemon.
+const FIRST_TOKEN: u64 = 1;
+
 /// The leaders of all groups, as one daemon knows them.
 #[derive(Debug, Default)]
 pub struct DecisionLeaders {
@@ -32,7 +36,8 @@
         let state = self.by_group.entry(group.clone()).or_default();
         if state.leader != leader {
             state.leader = leader;
-            if has_any {
+            let has_predecessor = leader.is_some_and(|(_, token)| token > FIRST_TOKEN);
+            if has_any || has_predecessor {
                 state.changed_ms = Some(now_ms);
             }
         }
--- a/crates/trestle-dispatch/tests/decision_leaders.rs
+++ b/crates/trestle-dispatch/tests/decision_leaders.rs
@@ -44,6 +44,13 @@
         assert_eq!(decision_leaders.decides_since_ms(NAME), None);
     }
 
+    /// The process that led before was this daemon's own, and its knowledge is gone.
+    a_restarted_process_that_leads_again_has_a_predecessor => {
+        let mut decision_leaders = DecisionLeaders::default();
+        decision_leaders.record_leader(&"x".into(), leader(1, 2), 500);
+        assert_eq!(decision_leaders.decides_since_ms(NAME), Some(500));
+    }
+
     a_leader_that_takes_over_a_lease_has_a_predecessor => {
         let mut decision_leaders = with_leaders();
         let (first, _) = first_and_other(&decision_leaders);
