Let one attempt run at a time at engines after the first crash

Cause: a request with one crash was not restricted, and daemons that had not seen the crash did not know of it. From the second crash on one attempt runs at a time, but the second crash took all attempts that waited.

Ruled out: one attempt at a time in each daemon (ten daemons are ten attempts); a limit on identical requests without a crash (delays popular ones for nothing).

Change: leaders report each crash to all daemons, changes only and at most 256 requests a message, those with most crashes first. A request for an engine runs one attempt at a time from its first crash on. If no leader answers, and after a change of leader, a request with one crash runs all the same, so that those who only ran beside a crash are not refused for want of a leader. Daemons no longer report back to their leader what it has told them.

Replaced: restricted_requests_are_reported_once_to_each_client asserted that one crash is not reported, which is the fault; each_change_is_ reported_once_to_each_client asserts that each change is reported once, and a further test that reports are bounded.

--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -23,9 +23,14 @@
 /// requests that only ran beside such a request would have been rejected as well; with one more,
 /// each such request crashes another endpoint and aborts everything that runs there.
 pub const MAX_CRASHES: usize = 3;
-/// Number of crashes from which on only one attempt of a request runs at a time: a request that
-/// crashes endpoints then crashes one more, not as many as its callers reach at once.
+/// Number of crashes from which on only one attempt of a request runs at a time, whether or not a
+/// leader can be reached: a request that crashes endpoints then crashes one more, not as many as its
+/// callers reach at once.
 const SERIAL_CRASHES: usize = MAX_CRASHES - 1;
+/// Number of crashes from which on only one attempt runs at a time at engines, as long as a leader
+/// can be reached. Attempts of one request wait for its model at all daemons, and would all reach
+/// the first engine that has loaded it.
+const SERIAL_CRASHES_AT_ENGINES: usize = 1;
 /// Time for which a request is rejected at first, from its last crash on. If another cause
 /// crashed three endpoints at once, it has passed by then, and the engines have loaded their
 /// models again, which takes 6 to 13 s.
@@ -44,6 +49,9 @@
 /// Number of crashes that are kept for one request: [`MAX_CRASHES`], and one for each of the three
 /// steps in which the time of rejection grows to its longest.
 const MAX_KEPT_CRASHES: usize = MAX_CRASHES + 3;
+/// Number of requests in one report to a daemon. If more have changed, those with most crashes and
+/// the most recent ones are reported, and a request with one crash may stay unknown.
+const MAX_REPORTED: usize = 256;
 /// Number of requests that are kept: twice the 2,000 slots of engines that may crash at once.
 /// They take about 1 MB.
 const MAX_REQUESTS: usize = 4_096;
@@ -59,8 +67,6 @@
     by_request: BTreeMap<Fingerprint, CrashRecord>,
     /// Number of changes so far.
     changes: u64,
-    /// Number of the last change of a restricted request.
-    last_restricted_change: u64,
 }
 
 /// What this daemon knows of one request under which endpoints crashed.
@@ -154,17 +160,20 @@
     /// Returns whether only one attempt of a request may run at a time, to find out whether it
     /// crashes endpoints.
     pub fn must_run_serially(&self, request: Fingerprint) -> bool {
-        self.must_run_serially_with_unresolved(request, 0)
+        self.must_run_serially_with_unresolved(request, 0, false)
     }
 
     /// Returns whether only one attempt of a request may run at a time if `unresolved` more
-    /// endpoints may have crashed under it.
+    /// endpoints may have crashed under it. `is_for_engine` tells whether engines run the request.
     pub fn must_run_serially_with_unresolved(
         &self,
         request: Fingerprint,
         unresolved: usize,
+        is_for_engine: bool,
     ) -> bool {
-        self.counted(request) + unresolved >= SERIAL_CRASHES
+        let counted = self.counted(request);
+        (is_for_engine && counted >= SERIAL_CRASHES_AT_ENGINES)
+            || counted + unresolved >= SERIAL_CRASHES
     }
 
     /// Returns the requests that changed after a change number, and the number of the last
@@ -174,14 +183,26 @@
         (changed.map(|(request, record)| record.report(*request, now_ms)).collect(), self.changes)
     }
 
-    /// Returns the number of the last change of a request that is restricted, or was until it had
-    /// an answer.
-    pub fn last_restricted_change(&self) -> u64 {
-        self.last_restricted_change
+    /// Returns the number of the last change.
+    pub fn last_change(&self) -> u64 {
+        self.changes
     }
 
-    /// Returns the requests that are restricted, or were until they had an answer, the most
-    /// recent ones first, and the number of their last change.
+    /// Returns what another daemon that has received the changes up to a number must know, at most
+    /// [`MAX_REPORTED`] requests, and the number of the last change.
+    pub fn reports_since(&self, after: u64, now_ms: u64) -> (Vec<CrashReport>, u64) {
+        let changed = self.by_request.iter().filter(|(_, record)| {
+            record.last_change > after && now_ms < record.last_ms() + EXPIRY_MS
+        });
+        let mut changed: Vec<(&Fingerprint, &CrashRecord)> = changed.collect();
+        changed.sort_by_key(|(_, record)| std::cmp::Reverse(record.weight()));
+        changed.truncate(MAX_REPORTED);
+        let reports = changed.into_iter().map(|(request, record)| record.report(*request, now_ms));
+        (reports.collect(), self.changes)
+    }
+
+    /// Returns the requests that are restricted at all endpoints, or were until they had an answer,
+    /// the most recent ones first, and the number of the last change.
     pub fn restricted_reports(&self, now_ms: u64) -> (Vec<CrashReport>, u64) {
         let mut restricted: Vec<(u64, CrashReport)> = self
             .by_request
@@ -194,7 +215,7 @@
             })
             .collect();
         restricted.sort_by_key(|(last_ms, _)| std::cmp::Reverse(*last_ms));
-        (restricted.into_iter().map(|(_, report)| report).collect(), self.last_restricted_change)
+        (restricted.into_iter().map(|(_, report)| report).collect(), self.changes)
     }
 
     /// Applies the reports of another daemon. Returns the requests that are rejected from now on.
@@ -218,9 +239,6 @@
         self.changes += 1;
         let Some(record) = self.by_request.get_mut(&request) else { return };
         record.last_change = self.changes;
-        if record.crashes.len() >= SERIAL_CRASHES {
-            self.last_restricted_change = self.changes;
-        }
     }
 
     fn drop_expired(&mut self, now_ms: u64) {
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -16,6 +16,7 @@
     quota::QuotaBounds,
     record::Records,
     replicas::ReplicaView,
+    request::RequestHead,
     retry_share::{RetryBounds, RetryShare},
     unresolved_requests::{ConnectionLoss, Evidence, UnresolvedRequests},
 };
@@ -467,15 +468,16 @@
 
     /// Returns how a request is restricted because of the endpoints that crashed under it, and of
     /// those for which that is unresolved.
-    pub fn restriction(&self, request: Option<Fingerprint>, now_ms: u64) -> Restriction {
-        let Some(request) = request else { return Restriction::None };
+    pub fn restriction(&self, head: &RequestHead, now_ms: u64) -> Restriction {
+        let Some(request) = head.fingerprint else { return Restriction::None };
         if let Some(for_ms) = self.crashes.rejected_for_ms(request, now_ms) {
             return Restriction::Rejected { for_ms };
         }
         let answered_ms = self.crashes.answered_ms(request);
         let unresolved =
             self.unresolved_requests.unresolved_incarnations(request, answered_ms, now_ms);
-        match self.crashes.must_run_serially_with_unresolved(request, unresolved) {
+        let is_for_engine = head.model.is_some();
+        match self.crashes.must_run_serially_with_unresolved(request, unresolved, is_for_engine) {
             true => Restriction::Serial,
             false => Restriction::None,
         }
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -87,7 +87,7 @@
     random: u64,
     now_ms: u64,
 ) -> Selection {
-    let restriction = local_view.restriction(request.head.fingerprint, now_ms);
+    let restriction = local_view.restriction(request.head, now_ms);
     // Any attempt of this request crashes an endpoint, with everything else that runs there.
     if let Restriction::Rejected { for_ms } = restriction {
         return Selection::Refuse { retry_after_ms: for_ms, reason: Some(Reason::EndsEndpoints) };
--- a/crates/trestle-dispatch/tests/crashes.rs
+++ b/crates/trestle-dispatch/tests/crashes.rs
@@ -237,13 +237,30 @@
         }
     }
 
-    restricted_requests_are_reported_once_to_each_client => {
+    each_change_is_reported_once_to_each_client => {
         let mut crashes = crashed_under(MAX_CRASHES);
-        let (refused, number) = crashes.restricted_reports(2_000);
-        assert_eq!(refused.len(), 1);
+        let (reports, number) = crashes.reports_since(0, 2_000);
+        assert_eq!(reports.len(), 1);
         assert!(number > 0);
+        assert_eq!(crashes.reports_since(number, 2_000).0.len(), 0);
         crashes.record_crash(request(2), &incarnation("e", 0), 2_500);
-        assert_eq!(crashes.restricted_reports(2_500).1, number, "one crash is not reported to clients");
+        let (reports, after) = crashes.reports_since(number, 2_500);
+        assert_eq!(reports.iter().map(|report| report.request).collect::<Vec<_>>(), [request(2)]);
+        assert_eq!(crashes.reports_since(after, 2_500).0.len(), 0);
+    }
+
+    /// A rack that loses power leaves more requests than one message should hold.
+    reports_to_a_client_are_bounded_and_hold_the_requests_with_most_crashes => {
+        let mut crashes = crashed_under(MAX_CRASHES);
+        for number in 0..1_000_u64 {
+            let mut bytes = [0; 16];
+            bytes[..8].copy_from_slice(&number.to_le_bytes());
+            bytes[15] = 9;
+            crashes.record_crash(Fingerprint::from_bytes(bytes), &incarnation("e", 0), 3_000 + number);
+        }
+        let (reports, _) = crashes.reports_since(0, 4_000);
+        assert_eq!(reports.len(), 256);
+        assert_eq!(reports[0].request, request(1));
     }
 
     lost_connections_do_not_prove_a_crash => {
--- a/crates/trestle-dispatch/tests/trials.rs
+++ b/crates/trestle-dispatch/tests/trials.rs
@@ -96,6 +96,18 @@
         assert!(crashes.must_run_serially(REQUEST));
     }
 
+    // Attempts that waited for the model of a request at all daemons were sent at once to the first
+    // engine that had loaded it.
+    request_for_an_engine_runs_serially_after_one_crash => {
+        let mut crashes = Crashes::default();
+        assert!(!crashes.must_run_serially_with_unresolved(REQUEST, 0, true));
+        crashes.record_crash(REQUEST, &incarnation(0), 0);
+        assert!(crashes.must_run_serially_with_unresolved(REQUEST, 0, true));
+        assert!(!crashes.must_run_serially(REQUEST), "it runs if no leader can be reached");
+        crashes.served(REQUEST, 50);
+        assert!(!crashes.must_run_serially_with_unresolved(REQUEST, 0, true));
+    }
+
     served_request_does_not_run_serially => {
         let mut crashes = Crashes::default();
         crashes.record_crash(REQUEST, &incarnation(0), 0);
--- a/crates/trestle-entry/src/crashes.rs
+++ b/crates/trestle-entry/src/crashes.rs
@@ -1,8 +1,8 @@
 //! Reports among daemons on requests under which endpoints crashed.
 //!
-//! Daemons report to their leader, leaders report to each other, and a leader answers with the
-//! requests that are restricted (rejected, or run one attempt at a time); each message holds only
-//! what has changed. The lease rows keep the rejected requests for daemons that restart.
+//! Daemons report to their leader, leaders report to each other, and a leader answers with what it
+//! knows; each message holds only what has changed. The lease rows keep the rejected requests for
+//! daemons that restart.
 
 use crate::daemon::Daemon;
 use std::collections::BTreeMap;
@@ -42,16 +42,21 @@
         self.in_flight = number;
     }
 
-    /// Records the leader's answer, with the requests that it reports as restricted.
+    /// Records the leader's answer, with what it reports.
     pub(crate) fn record_answer(
         &mut self,
         daemon: &Daemon,
-        restricted: Option<WireRestrictedRequests>,
+        reported: Option<WireRestrictedRequests>,
     ) {
         self.acknowledged = self.in_flight;
-        if let Some(restricted) = restricted {
-            self.received = restricted.number;
-            receive_wire(daemon, restricted.crashes);
+        let Some(reported) = reported else { return };
+        self.received = reported.number;
+        let last_change = || daemon.shared_view.with(|local_view| local_view.crashes.last_change());
+        let has_own_changes = last_change() > self.acknowledged;
+        receive_wire(daemon, reported.crashes);
+        // What the leader has reported need not be reported back to it.
+        if !has_own_changes {
+            self.acknowledged = last_change();
         }
     }
 }
@@ -110,19 +115,17 @@
     receive(daemon, &reports);
 }
 
-/// Returns the restricted requests for a requester that has received the changes up to `number`;
-/// `None` if there are no further ones.
-pub(crate) fn restricted_after(daemon: &Daemon, number: u64) -> Option<WireRestrictedRequests> {
+/// Returns the reports for a requester that has received the changes up to `number`; `None` if
+/// there are no further ones.
+pub(crate) fn reports_after(daemon: &Daemon, number: u64) -> Option<WireRestrictedRequests> {
     let now_ms = daemon.shared_view.now_ms();
-    let (restricted, number) = daemon.shared_view.with(|local_view| {
+    let (reports, number) = daemon.shared_view.with(|local_view| {
         // Nearly all requesters are up to date, and each asks several times a second.
-        let has_changes = local_view.crashes.last_restricted_change() > number;
-        has_changes.then(|| local_view.crashes.restricted_reports(now_ms))
+        let has_changes = local_view.crashes.last_change() > number;
+        has_changes.then(|| local_view.crashes.reports_since(number, now_ms))
     })?;
-    Some(WireRestrictedRequests {
-        crashes: restricted.into_iter().map(WireCrashReport::from).collect(),
-        number,
-    })
+    let crashes = reports.into_iter().map(WireCrashReport::from).collect();
+    Some(WireRestrictedRequests { crashes, number })
 }
 
 /// Returns the rejected requests, limited to what a lease row holds.
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -60,7 +60,7 @@
         let mut synced = synced.unwrap_or_default();
         // This requires no lease: while no leader can renew its lease, daemons still learn of each
         // other's crash reports this way.
-        synced.refused = crashes::restricted_after(&self.0, positions.refused);
+        synced.refused = crashes::reports_after(&self.0, positions.refused);
         // Leaders follow the store themselves.
         if synced.is_leader && !is_leader {
             synced.relay = Some(relay(&self.0, positions));
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -137,10 +137,8 @@
     /// have crashed while the connection was opened.
     pub(crate) fn is_restricted(&self) -> bool {
         let now_ms = self.daemon.shared_view.now_ms();
-        let restriction = self
-            .daemon
-            .shared_view
-            .with(|local_view| local_view.restriction(self.head.fingerprint, now_ms));
+        let restriction =
+            self.daemon.shared_view.with(|local_view| local_view.restriction(&self.head, now_ms));
         !restriction.allows(self.trial.is_permitted(now_ms))
     }
 
--- a/crates/trestle-entry/src/trial_leader.rs
+++ b/crates/trestle-entry/src/trial_leader.rs
@@ -4,7 +4,7 @@
 use crate::{control::message::Leader, daemon::Daemon, peer::calls};
 use std::net::SocketAddr;
 use trestle_core::names::VmName;
-use trestle_dispatch::fingerprint::Fingerprint;
+use trestle_dispatch::{fingerprint::Fingerprint, local_view::LocalView};
 use trestle_wire::{
     replicas::ReplicasClient,
     trials::{TrialStep, WireTrial, WireTrialAnswer},
@@ -55,6 +55,10 @@
     let (step, number) = (trial.step(), trial.attempt_number());
     let vm = VmName::from(trial.vm.as_str());
     let now_ms = daemon.shared_view.now_ms();
+    // One crash may have any cause. A request is not refused for it while nothing is known of the
+    // attempts that a previous leader allowed.
+    let has_one_crash = |local_view: &mut LocalView| local_view.crashes.counted(request) == 1;
+    let since_ms = since_ms.filter(|_| !daemon.shared_view.with(has_one_crash));
     let answer = daemon.with_trials(|trials| match step {
         TrialStep::Begin => {
             trials.set_leader_since(since_ms);
--- a/crates/trestle-wire/src/crashes.rs
+++ b/crates/trestle-wire/src/crashes.rs
@@ -31,8 +31,7 @@
     pub age_ms: u64,
 }
 
-/// All restricted requests, which are rejected or run one attempt at a time; sent to a daemon that
-/// lacks some of them.
+/// Reports on requests under which endpoints crashed, sent to a daemon that lacks some of them.
 #[trestle_macros::wire]
 pub struct WireRestrictedRequests {
     /// Reports on the requests.
