Ask no leader about a request with one crash while there is none

Cause: a daemon that has lost its leader asked for it all the same, twice for up to 250 ms, before it let a request with one crash run. After the loss of a rack with its leader each retry there would have waited half a second.

Change: such a request is tried one attempt at a time only while a leader answers. Read, not measured; unit test.

--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -164,15 +164,16 @@
     }
 
     /// Returns whether only one attempt of a request may run at a time if `unresolved` more
-    /// endpoints may have crashed under it. `is_for_engine` tells whether engines run the request.
+    /// endpoints may have crashed under it. `is_tried_at_engine` tells whether an engine runs the
+    /// request and a leader can be asked.
     pub fn must_run_serially_with_unresolved(
         &self,
         request: Fingerprint,
         unresolved: usize,
-        is_for_engine: bool,
+        is_tried_at_engine: bool,
     ) -> bool {
         let counted = self.counted(request);
-        (is_for_engine && counted >= SERIAL_CRASHES_AT_ENGINES)
+        (is_tried_at_engine && counted >= SERIAL_CRASHES_AT_ENGINES)
             || counted + unresolved >= SERIAL_CRASHES
     }
 
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -476,8 +476,13 @@
         let answered_ms = self.crashes.answered_ms(request);
         let unresolved =
             self.unresolved_requests.unresolved_incarnations(request, answered_ms, now_ms);
-        let is_for_engine = head.model.is_some();
-        match self.crashes.must_run_serially_with_unresolved(request, unresolved, is_for_engine) {
+        // Without a leader, a request with one crash would only wait for answers that do not come.
+        let is_tried_at_engine = head.model.is_some() && self.has_leader;
+        match self.crashes.must_run_serially_with_unresolved(
+            request,
+            unresolved,
+            is_tried_at_engine,
+        ) {
             true => Restriction::Serial,
             false => Restriction::None,
         }
--- a/crates/trestle-dispatch/tests/trials.rs
+++ b/crates/trestle-dispatch/tests/trials.rs
@@ -5,6 +5,9 @@
     crashes::Crashes,
     endpoint::Incarnation,
     fingerprint::Fingerprint,
+    local_view::{LocalView, Restriction},
+    request::RequestHead,
+    retry_share::RetryBounds,
     trials::{TRIAL_MS, Trials},
 };
 
@@ -108,6 +111,37 @@
         assert!(!crashes.must_run_serially_with_unresolved(REQUEST, 0, true));
     }
 
+    // Callers whose requests only ran beside a crash are not kept waiting for a leader that is gone.
+    request_with_one_crash_runs_freely_without_a_leader_and_at_plain_services => {
+        let bounds = RetryBounds { ratio: 0.2, window_ms: 10_000, fixed: 52 };
+        let mut local_view = LocalView::new("z".into(), 2_000, bounds);
+        let head = |model: Option<&str>| RequestHead {
+            fingerprint: Some(REQUEST),
+            model: model.map(Into::into),
+            ..RequestHead::default()
+        };
+        local_view.crashes.record_crash(REQUEST, &incarnation(0), 0);
+        assert_eq!(local_view.restriction(&head(Some("a")), 100), Restriction::None);
+        local_view.has_leader = true;
+        assert_eq!(local_view.restriction(&head(Some("a")), 100), Restriction::Serial);
+        assert_eq!(local_view.restriction(&head(None), 100), Restriction::None);
+        local_view.crashes.record_crash(REQUEST, &incarnation(1), 50);
+        local_view.has_leader = false;
+        assert_eq!(local_view.restriction(&head(None), 100), Restriction::Serial);
+        local_view.crashes.record_crash(REQUEST, &incarnation(2), 60);
+        assert!(matches!(local_view.restriction(&head(None), 100), Restriction::Rejected { .. }));
+        local_view.served(Some(REQUEST), 70);
+        assert_eq!(local_view.restriction(&head(Some("a")), 100), Restriction::None);
+    }
+
+    // Just before the bytes leave, a request that was chosen for an endpoint is looked at again.
+    restricted_request_is_sent_only_with_a_permission => {
+        assert!(Restriction::None.allows(false));
+        assert!(!Restriction::Serial.allows(false));
+        assert!(Restriction::Serial.allows(true));
+        assert!(!Restriction::Rejected { for_ms: 1 }.allows(true));
+    }
+
     served_request_does_not_run_serially => {
         let mut crashes = Crashes::default();
         crashes.record_crash(REQUEST, &incarnation(0), 0);
