--- a/crates/trestle-dispatch/tests/crash_reports.rs
+++ b/crates/trestle-dispatch/tests/crash_reports.rs
@@ -1,7 +1,7 @@
 //! Reports on crashes: times before the start of a daemon, long attempts, and size of the exchange.
 
 use trestle_dispatch::{
-    crashes::{CrashReport, Crashes, MAX_CRASHES},
+    crashes::{Crashes, MAX_CRASHES},
     endpoint::Incarnation,
     fingerprint::Fingerprint,
     trials::{TRIAL_MS, Trials},
