Blame later requests at an endpoint that was only unlisted

Found by reading the change. An entry that lapses while the store is away counted as the end of its incarnation for 60 s in the memory of ends that added, and nothing took that back: a crash after the endpoint's return blamed none of the requests whose connections it broke, so a fatal one went on.

Change: an entry that is gone sets no such time, and an endpoint that answers who it is clears it. The unit test is red without the change.

--- a/crates/trestle-dispatch/src/unresolved_requests.rs
+++ b/crates/trestle-dispatch/src/unresolved_requests.rs
@@ -208,6 +208,7 @@
 
     /// Records that an incarnation was alive at `at_ms`.
     pub fn confirmed_alive(&mut self, incarnation: &Incarnation, at_ms: u64) {
+        self.terminated.remove(incarnation);
         let Some(requests) = self.incarnations.get_mut(incarnation) else { return };
         requests.aborted.retain(|_, aborted| at_ms < aborted.at_ms + MAX_CRASH_DELAY_MS);
     }
@@ -268,7 +269,11 @@
         if evidence == Evidence::Unlisted && requests.aborted.is_empty() {
             return BTreeMap::new();
         }
-        let known_ms = *self.terminated.entry(incarnation.clone()).or_insert(now_ms);
+        // An entry that is gone may have lapsed although its endpoint is alive.
+        let known_ms = match evidence {
+            Evidence::Unlisted => self.terminated.get(incarnation).copied().unwrap_or(now_ms),
+            _ => *self.terminated.entry(incarnation.clone()).or_insert(now_ms),
+        };
         requests.terminated_ms = Some(now_ms);
         let aborted = std::mem::take(&mut requests.aborted).into_iter();
         let aborted = aborted.filter(|(_, aborted)| aborted.sent_ms <= known_ms);
--- a/crates/trestle-dispatch/tests/unresolved_requests.rs
+++ b/crates/trestle-dispatch/tests/unresolved_requests.rs
@@ -186,6 +186,18 @@
         assert!(!requests.was_terminated_at(&without_start_time(), 9_000), "the endpoint is back");
     }
 
+    /// Its entry had lapsed while the store was away. A crash after its return blamed no request.
+    an_endpoint_that_was_only_unlisted_crashes_under_a_later_request => {
+        let mut requests = UnresolvedRequests::default();
+        let incarnation = with_start_time();
+        requests.connection_lost(&incarnation, request(1), 100);
+        requests.terminated(&incarnation, Evidence::Unlisted, 200);
+        requests.sent(&incarnation, ADDRESS.into(), request(2), 9_000);
+        requests.connection_lost(&incarnation, request(2), 9_060);
+        requests.resolved(&incarnation, request(2));
+        assert_eq!(blamed(&mut requests, &incarnation, 9_061), BTreeSet::from([request(2)]));
+    }
+
     /// In any order of events, only requests that were sent and had no answer are blamed, and
     /// everything is forgotten in the end.
     only_open_requests_are_blamed => {
