--- a/crates/trestle-dispatch/src/trials.rs
+++ b/crates/trestle-dispatch/src/trials.rs
@@ -1,6 +1,6 @@
 //! The leader's decision which attempt may run of a request that crashed endpoints.
 //!
-//! The load that this answers: two endpoints crashed under a request, and its callers retry at
+//! The load that this answers: endpoints crashed under a request, and its callers retry at
 //! several daemons within the time that an endpoint takes to crash. Each daemon may let the request
 //! run once more, to distinguish it from one that only ran beside the cause; all at once they would
 //! crash as many endpoints. So one leader, the same for all daemons, allows one attempt at a time.
@@ -90,7 +90,7 @@
         true
     }
 
-    /// Records that an attempt has ended without a crash of its endpoint.
+    /// Records that an attempt has ended, and that a crash under it is known to all daemons.
     pub fn end(&mut self, request: Fingerprint, vm: &VmName, number: u64, now_ms: u64) {
         self.drop_lapsed(now_ms);
         if self.ended.len() < MAX_TRIALS {
--- a/crates/trestle-entry/src/crashes.rs
+++ b/crates/trestle-entry/src/crashes.rs
@@ -1,8 +1,8 @@
 //! Reports among daemons on requests under which endpoints crashed.
 //!
 //! Daemons report to their leader what they have observed, leaders report to each other, and a leader
-//! answers with what it knows; each message holds only what has changed. The lease rows keep the rejected requests for
-//! daemons that restart.
+//! answers with what it knows; each message holds only what has changed. The lease rows keep the
+//! rejected requests for daemons that restart.
 
 use crate::daemon::Daemon;
 use std::collections::BTreeMap;
--- a/crates/trestle-wire/src/trials.rs
+++ b/crates/trestle-wire/src/trials.rs
@@ -13,7 +13,7 @@
     Begin,
     /// It has the permission and keeps it for longer.
     Renew,
-    /// The attempt has ended without a crash of an endpoint.
+    /// The attempt has ended, and a crash under it is known to all daemons.
     End,
 }
 
