Log and count the store's era and what is ignored as older than the known

The logs of the incident could not tell its hypotheses apart: no line named the entry that was dropped, the version at which it was known, or why no lease is acquired; none named the era of the store. Now each answer's era is read: a line when it is reported first and whenever it rises, a gauge; a line and a counter for entries that are ignored as older, with the versions that decided; a line for a conditional write that met another version. No decision changes.

--- a/crates/trestle-dispatch/src/listing.rs
+++ b/crates/trestle-dispatch/src/listing.rs
@@ -100,6 +100,20 @@
         ListUpdate { is_whole, written, removed, version: update.version }
     }
 
+    /// Returns the entries and removals of an update that are older than what is known of their
+    /// keys, each with its version and the known one.
+    pub fn outdated<'a>(
+        &'a self,
+        update: &'a ListUpdate,
+    ) -> impl Iterator<Item = (&'a str, u64, u64)> {
+        let written = update.written.iter().map(|entry| (entry.key.as_str(), entry.version));
+        let removed = update.removed.iter().map(|(key, at)| (key.as_str(), *at));
+        let is_whole = update.is_whole && update.version >= self.version;
+        let known =
+            written.chain(removed).map(move |(key, at)| (key, at, self.known_at(key, is_whole)));
+        known.filter(|(_, at, known_at)| at < known_at)
+    }
+
     /// Returns the changes since a version.
     pub fn changes_since(&self, version: u64) -> ListUpdate {
         let is_whole = version < self.complete_at;
--- a/crates/trestle-entry/src/control/group_lease.rs
+++ b/crates/trestle-entry/src/control/group_lease.rs
@@ -90,6 +90,11 @@
             WriteOutcome::Written(version) => Some(*version),
             _ => None,
         };
+        if let WriteOutcome::Conflict(row) = &outcome {
+            let (expected, version) = (write.expected, row.as_ref().map_or(0, |row| row.version));
+            let (group, era) = (&self.group, self.daemon.store.era());
+            tracing::info!(%group, expected, version, era, "lease: The row has another version than expected; nothing was written.");
+        }
         self.lease.write_finished(write, version, sent_ms, now_ms);
         match outcome {
             WriteOutcome::Conflict(Some(row)) => {
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -205,6 +205,7 @@
     let now_ms = daemon.shared_view.now_ms();
     daemon.shared_view.with(|local_view| ExternalCounts {
         store_calls: daemon.store.call_count(),
+        store_era: daemon.store.era(),
         log_drops: logs.dropped(),
         limited: local_view.backpressure.limited(),
         backing_off: local_view.backpressure.backing_off(now_ms),
--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -23,6 +23,8 @@
     unread_entries: Counter<u64>,
     config_version: Gauge<u64>,
     store_calls: Gauge<u64>,
+    store_era: Gauge<u64>,
+    outdated_entries: Counter<u64>,
     log_drops: Gauge<u64>,
     asking_endpoints: Gauge<u64>,
 }
@@ -32,6 +34,8 @@
 pub(crate) struct ExternalCounts {
     /// Calls to the store since the start.
     pub(crate) store_calls: u64,
+    /// The store's era; 0 if it reports none.
+    pub(crate) store_era: u64,
     /// Log lines dropped since the start.
     pub(crate) log_drops: usize,
     /// Endpoints that have reported a limit.
@@ -75,6 +79,14 @@
                 .build(),
             config_version: gauge("trestle_config_version", "Configuration in force"),
             store_calls: gauge("trestle_store_calls", "Calls to the store since the start"),
+            store_era: gauge(
+                "trestle_store_era",
+                "Era of the store, which rises when it is restored",
+            ),
+            outdated_entries: meter
+                .u64_counter("trestle_outdated_entries")
+                .with_description("Entries of endpoints that were older than the known ones")
+                .build(),
             log_drops: gauge("trestle_log_drops", "Log lines dropped since the start"),
             asking_endpoints: gauge(
                 "trestle_asking_endpoints",
@@ -106,6 +118,11 @@
         self.unread_entries.add(1, &[]);
     }
 
+    /// Records entries of endpoints that were ignored because newer ones are known.
+    pub(crate) fn record_outdated_entries(&self, count: usize) {
+        self.outdated_entries.add(count as u64, &[]);
+    }
+
     /// Records a change at an engine.
     pub(crate) fn record_change(&self, is_done: bool, is_remote: bool, time_ms: u64) {
         let labels = [KeyValue::new("done", is_done), KeyValue::new("remote", is_remote)];
@@ -121,6 +138,7 @@
     /// if the encoding fails.
     pub(crate) fn to_text(&self, external: ExternalCounts) -> String {
         self.store_calls.record(external.store_calls, &[]);
+        self.store_era.record(external.store_era, &[]);
         self.log_drops.record(external.log_drops as u64, &[]);
         let by_signal = [
             ("limit", external.limited),
--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::Clock,
-    net::exchange::{self, CallClient},
+    net::exchange::{self, Answer, CallClient},
     wire::{ParseError, StoreWire},
 };
 use event_listener::Event;
@@ -49,6 +49,8 @@
     address: SocketAddr,
     calls: CallClient,
     call_count: AtomicU64,
+    /// The highest era that an answer reported; 0 while none did.
+    era: AtomicU64,
     clock: Clock,
     outage: Mutex<Outage>,
     answers_again: Event,
@@ -70,6 +72,7 @@
             address,
             calls: CallClient::new(address),
             call_count: AtomicU64::new(0),
+            era: AtomicU64::new(0),
             clock: Clock::start(),
             outage: Mutex::new(Outage::new(longest_pause_ms(bounds))),
             answers_again: Event::new(),
@@ -131,7 +134,13 @@
         self.call_count.fetch_add(1, Ordering::Relaxed);
         let call = (self.wire.write_call)(write);
         let outcome = match self.calls.exchange(call, CALL_TIMEOUT_MS).await {
-            Ok(answer) => (self.wire.write_answer)(answer.status, &answer.body),
+            Ok(answer) => {
+                // The outcome of a write does not depend on an era that cannot be read.
+                if let Err(error) = self.record_era(&answer) {
+                    tracing::warn!(%error, "store: The era of an answer cannot be read.");
+                }
+                (self.wire.write_answer)(answer.status, &answer.body)
+            }
             Err(error) => {
                 tracing::warn!(%error, "store: The outcome of a write is unknown.");
                 WriteOutcome::Unknown
@@ -147,6 +156,31 @@
         outcome
     }
 
+    /// Records the era that an answer reports.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the era cannot be parsed.
+    fn record_era(&self, answer: &Answer) -> Result<(), ParseError> {
+        let era = (self.wire.read_era)(&answer.headers)?;
+        let before = self.era.fetch_max(era, Ordering::SeqCst);
+        match before {
+            _ if era <= before => {}
+            0 => tracing::info!(era, "store: The store reports its era."),
+            before => tracing::warn!(
+                era,
+                before,
+                "store: The store has come back from an earlier copy; versions start again from there."
+            ),
+        }
+        Ok(())
+    }
+
+    /// Returns the highest era that the store has reported; 0 if it has reported none.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.load(Ordering::SeqCst)
+    }
+
     /// Creates a client for following a table.
     pub(crate) fn follower(&self, table: &'static str) -> Follower<'_> {
         Follower { store: self, client: CallClient::new(self.address), table }
@@ -170,6 +204,7 @@
             let last = all.rows.last().map(|row| row.key.key.as_str());
             let call = (self.wire.read_call)(table, partition, last);
             let answer = client.exchange(call, CALL_TIMEOUT_MS).await.context(ExchangeSnafu)?;
+            self.record_era(&answer).context(UnreadableSnafu)?;
             let page = (self.wire.read_answer)(answer.status, &answer.body);
             let page = page.context(UnreadableSnafu)?;
             all.has_more = page.has_more && !page.rows.is_empty();
@@ -208,6 +243,7 @@
         let call = (self.store.wire.follow_call)(self.table, after, wait_ms);
         let answer = self.client.exchange(call, wait_ms + FOLLOW_GRACE_MS).await;
         let answer = answer.context(ExchangeSnafu)?;
+        self.store.record_era(&answer).context(UnreadableSnafu)?;
         (self.store.wire.follow_answer)(answer.status, &answer.body).context(UnreadableSnafu)
     }
 }
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -45,7 +45,11 @@
             let version = page.version;
             match apply_read(&daemon, parse_list(&daemon, page.rows.into_iter(), version)) {
                 true => daemon.freshness.record_full_list_read(),
-                false => tracing::info!(version, "endpoint: An older list was read."),
+                false => {
+                    let known = daemon.shared_view.with(|local_view| local_view.listing.version());
+                    let era = daemon.store.era();
+                    tracing::info!(version, known, era, "endpoint: An older list was read.");
+                }
             }
         },
         on_changes: |changes, version, _| {
@@ -99,6 +103,7 @@
     let (is_whole, has_changes) = daemon.shared_view.with(|local_view| {
         local_view.directory.record_read(true, now_ms);
         local_view.list_origin = origin;
+        log_outdated(daemon, local_view, &update, origin.source);
         let newer = local_view.listing.apply(update, source);
         let is_whole = newer.is_whole;
         let has_changes = is_whole || !newer.written.is_empty() || !newer.removed.is_empty();
@@ -156,6 +161,25 @@
     added
 }
 
+/// Logs and counts the entries of an update that are ignored because newer ones are known.
+fn log_outdated(daemon: &Daemon, local_view: &LocalView, update: &ListUpdate, source: ListSource) {
+    let mut outdated = local_view.listing.outdated(update);
+    let Some((endpoint, version, known)) = outdated.next() else { return };
+    let count = 1 + outdated.count();
+    daemon.metrics.record_outdated_entries(count);
+    let (list_version, era) = (update.version, daemon.store.era());
+    tracing::info!(
+        count,
+        endpoint,
+        version,
+        known,
+        list_version,
+        era,
+        from = source.name(),
+        "endpoint: Ignored entries that are older than the known ones."
+    );
+}
+
 /// Logs that a whole list was read, with some of the endpoints that it adds and removes.
 fn log_whole_list(
     local_view: &LocalView,
--- a/crates/trestle-entry/src/wire.rs
+++ b/crates/trestle-entry/src/wire.rs
@@ -41,6 +41,9 @@
     pub config_row: (&'static str, &'static str),
     /// The table of live endpoints, by name.
     pub endpoint_table: &'static str,
+    /// Parses the store's era in an answer's headers: a number that rises each time the store comes
+    /// back from an earlier copy; 0 if the store reports none.
+    pub read_era: fn(&HeaderMap) -> Result<u64, ParseError>,
     /// Builds the call that reads a partition of a table; a key limits the read to the rows after
     /// it.
     pub read_call: fn(&str, &str, Option<&str>) -> Call,
--- a/crates/trestled/src/platform_wire.rs
+++ b/crates/trestled/src/platform_wire.rs
@@ -9,6 +9,7 @@
         store: StoreWire {
             config_row: (configuration::TABLE, configuration::KEY),
             endpoint_table: endpoint::TABLE,
+            read_era: |headers| Ok(store::read_era(headers)?),
             read_call: store::read_call,
             read_answer: |status, body| Ok(store::read_answer(status, body)?),
             follow_call: store::follow_call,
