--- a/crates/trestle-dispatch/tests/lease.rs
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -1,5 +1,5 @@
-//! The lease on giving orders: several daemons with freezes, outages, lost answers and late writes,
-//! in virtual time.
+//! The lease on giving orders: several daemons with freezes, outages, lost answers, late writes and a
+//! store that is restored from copies, in virtual time.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 use trestle_core::names::EndpointName;
@@ -27,6 +27,8 @@
     row: Option<LeaseRow>,
     version: u64,
     late: Vec<(u64, LeaseWrite)>,
+    /// Earlier rows with their versions, and since when the store had each of them.
+    copies: Vec<(u64, Option<LeaseRow>, u64)>,
 }
 
 impl Store {
@@ -40,6 +42,20 @@
         Some(self.version)
     }
 
+    /// Keeps a copy of the row if it has changed.
+    fn keep_copy(&mut self, now_ms: u64) {
+        if self.copies.last().is_none_or(|(_, _, version)| *version != self.version) {
+            self.copies.push((now_ms, self.row.clone(), self.version));
+        }
+    }
+
+    /// Goes back to the row of an earlier time. Versions are given out again from there.
+    fn restore(&mut self, as_of_ms: u64) {
+        let copy = self.copies.iter().rfind(|(since_ms, ..)| *since_ms <= as_of_ms);
+        (self.row, self.version) =
+            copy.map_or((None, 0), |(_, row, version)| (row.clone(), *version));
+    }
+
     fn apply_late(&mut self, now_ms: u64) {
         let due: Vec<_> = self.late.extract_if(.., |(at_ms, _)| *at_ms <= now_ms).collect();
         for (_, write) in due {
@@ -58,6 +74,9 @@
     sent: Vec<SentResignation>,
     now_ms: u64,
     store_down_until_ms: u64,
+    /// When the store is restored, and to the row of which time.
+    restore_due: Option<(u64, u64)>,
+    restores: u32,
     /// Whether the clocks of suspended VMs continue.
     clock: Clock,
 }
@@ -110,6 +129,8 @@
             sent: Vec::new(),
             now_ms: 100,
             store_down_until_ms: 0,
+            restore_due: None,
+            restores: 0,
             clock: Clock::Continues,
         }
     }
@@ -159,7 +180,9 @@
         let end_ms = self.now_ms + for_ms;
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
+            self.restore_if_due();
             self.store.apply_late(self.now_ms);
+            self.store.keep_copy(self.now_ms);
             self.deliver();
             if has_faults {
                 self.inject_fault();
@@ -170,6 +193,46 @@
         }
     }
 
+    /// Takes the store away for up to 3 s, after which it has lost up to 6 s.
+    fn lose_writes(&mut self) {
+        let back_ms = self.now_ms + self.rng.u64(100..3_000);
+        self.store_down_until_ms = back_ms;
+        self.restore_due = Some((back_ms, self.now_ms.saturating_sub(self.rng.u64(0..6_000))));
+    }
+
+    fn restore_if_due(&mut self) {
+        let now_ms = self.now_ms;
+        if let Some((_, as_of_ms)) = self.restore_due.take_if(|(at_ms, _)| *at_ms <= now_ms) {
+            self.store.restore(as_of_ms);
+            self.restores += 1;
+        }
+    }
+
+    /// Runs for a minute with faults, in which the store is restored several times.
+    fn run_restoring(&mut self) {
+        for _ in 0..6 {
+            let for_ms = self.rng.u64(2_000..10_000);
+            self.run(for_ms, true);
+            self.lose_writes();
+        }
+        self.run(10_000, true);
+    }
+
+    /// Checks that fencing tokens never decrease, that no two daemons share one, and that orders of
+    /// two daemons to one engine keep the quiet time.
+    fn check_orders(&mut self, seed: u64) {
+        for pair in self.orders.windows(2) {
+            let ((_, leader, token), (_, next, next_token)) = (pair[0], pair[1]);
+            assert!(next_token >= token, "seed {seed}: token {token} then {next_token}");
+            assert!(leader == next || next_token > token, "seed {seed}: one token, two VMs");
+        }
+        let shortest_ms = self.shortest_handover_ms();
+        assert!(
+            shortest_ms.is_none_or(|ms| ms >= TIMING.quiet_ms),
+            "seed {seed}: {shortest_ms:?} between orders of two VMs"
+        );
+    }
+
     fn inject_fault(&mut self) {
         let number = self.rng.usize(0..self.daemons.len());
         let until_ms = self.now_ms + self.rng.u64(500..9_000);
@@ -399,6 +462,30 @@
         assert!(first_ms < cut_ms + TIMING.hold_ms + 1_500, "{first_ms} after {cut_ms}");
     }
 
+    // A store that is restored has an earlier row, with a token that another daemon has used since.
+    orders_of_two_vms_keep_the_quiet_time_when_the_store_is_restored => {
+        let mut restores = 0;
+        for seed in 0..400 {
+            let mut simulation = Simulation::new(seed);
+            simulation.run_restoring();
+            restores += simulation.restores;
+            simulation.check_orders(seed);
+        }
+        assert!(restores > 1_000, "{restores}");
+    }
+
+    // The row's version was lower than the known one, and each daemon ignored the row for ever.
+    orders_resume_after_the_store_was_restored => {
+        for seed in 0..100 {
+            let mut simulation = Simulation::new(seed);
+            simulation.run(20_000, false);
+            simulation.lose_writes();
+            simulation.run(15_000, false);
+            let (last_ms, ..) = *simulation.orders.last().expect("a daemon holds the lease");
+            assert!(last_ms + 1_000 > simulation.now_ms, "seed {seed}: the last order was at {last_ms}");
+        }
+    }
+
     orders_resume_after_faults => {
         for seed in 0..100 {
             let mut simulation = Simulation::new(seed);
