--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -46,7 +46,7 @@
 struct StoreOutage {
     /// Time of the last read before the period.
     last_read_ms: u64,
-    /// Known length of the period.
+    /// Known length of the period; `u64::MAX` if entries may be missing however short it was.
     length_ms: u64,
     /// Time of the first read after the period.
     ended_ms: u64,
@@ -120,9 +120,12 @@
     /// Returns whether an endpoint wrote this entry before its last entry was removed. Without
     /// start times incarnations cannot be distinguished, and message numbers may have restarted.
     fn is_outdated(&self, endpoint: &Endpoint) -> bool {
-        if !endpoint.has_start_time() {
-            return false;
-        }
+        endpoint.has_start_time() && self.has_left(endpoint)
+    }
+
+    /// Returns whether an endpoint's last entry was removed, and this one is not newer. A restored
+    /// store has such entries again, also of endpoints without start times.
+    pub fn has_left(&self, endpoint: &Endpoint) -> bool {
         let last_number = self.departures.last_number(&endpoint.incarnation());
         let is_listed = self.contains(&endpoint.incarnation());
         let is_kept = is_listed && !self.lapsed_until_ms.contains_key(&endpoint.name);
@@ -248,6 +251,14 @@
         self.read_ms = now_ms;
     }
 
+    /// Records that the store was restored from a copy. It lacks the entries that were written after
+    /// the copy; live endpoints write them again.
+    pub fn store_restored(&mut self, now_ms: u64) {
+        let last_read_ms = self.read_ms;
+        let length_ms = u64::MAX;
+        self.last_outage = Some(StoreOutage { last_read_ms, length_ms, ended_ms: now_ms });
+    }
+
     /// Drops lapsed entries that were not written again in time. Returns their names.
     pub fn drop_lapsed(&mut self, now_ms: u64) -> Vec<EndpointName> {
         let due: Vec<EndpointName> = self
--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -12,7 +12,7 @@
 //!
 //! No clocks are compared, and no daemon takes over without the store.
 
-use crate::{crashes::CrashReport, departures::Departure};
+use crate::{crashes::CrashReport, departures::Departure, store_version::StoreVersion};
 use std::net::SocketAddr;
 
 /// Durations of the lease.
@@ -68,8 +68,8 @@
 /// A conditional write of the row.
 #[trestle_macros::plain]
 pub struct LeaseWrite {
-    /// The version that the row must have; 0 if it must not exist.
-    pub expected: u64,
+    /// The version that the row must have; its number is 0 if the row must not exist.
+    pub expected: StoreVersion,
     /// The new row.
     pub row: LeaseRow,
 }
@@ -136,10 +136,24 @@
 #[derive(Debug, Clone)]
 struct SeenRow {
     row: Option<LeaseRow>,
-    version: u64,
+    version: StoreVersion,
     since_ms: u64,
 }
 
+impl SeenRow {
+    /// Returns whether a row with this version is newer than this one.
+    fn is_replaced_by(&self, version: StoreVersion) -> bool {
+        match version.is_of_existing_row() {
+            true => version > self.version,
+            // A row that does not exist has no version of its own, so only the era counts.
+            false => {
+                version.era > self.version.era
+                    || (version.era == self.version.era && self.version.is_of_existing_row())
+            }
+        }
+    }
+}
+
 impl Lease {
     /// Creates the view of a daemon that has not read the row yet.
     pub fn new(identity: Identity, timing: LeaseTiming) -> Self {
@@ -170,13 +184,10 @@
         self.timing.quiet_ms = quiet_ms;
     }
 
-    /// Updates the view with the row as read from the store or reported by its holder; version 0 if
-    /// there is no row. A row that is not newer than the known one is ignored.
-    pub fn observed(&mut self, row: Option<LeaseRow>, version: u64, now_ms: u64) {
-        if self.seen.as_ref().is_some_and(|seen| seen.version >= version && version > 0) {
-            return;
-        }
-        if self.seen.as_ref().is_some_and(|seen| seen.version == 0 && version == 0) {
+    /// Updates the view with the row as read from the store or reported by its holder; the number of
+    /// the version is 0 if there is no row. A row that is not newer than the known one is ignored.
+    pub fn observed(&mut self, row: Option<LeaseRow>, version: StoreVersion, now_ms: u64) {
+        if self.seen.as_ref().is_some_and(|seen| !seen.is_replaced_by(version)) {
             return;
         }
         if !row.as_ref().is_some_and(|row| self.is_own(row)) {
@@ -226,7 +237,7 @@
     pub fn write_finished(
         &mut self,
         write: LeaseWrite,
-        version: Option<u64>,
+        version: Option<StoreVersion>,
         sent_ms: u64,
         now_ms: u64,
     ) {
@@ -262,7 +273,7 @@
     }
 
     /// Returns the row as last seen, with its version.
-    pub fn seen(&self) -> Option<(&LeaseRow, u64)> {
+    pub fn seen(&self) -> Option<(&LeaseRow, StoreVersion)> {
         let seen = self.seen.as_ref()?;
         Some((seen.row.as_ref()?, seen.version))
     }
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod sharing;
 pub mod signals;
 pub mod store;
+pub mod store_version;
 pub mod sync_intervals;
 pub mod team;
 pub mod text_delta;
--- a/crates/trestle-dispatch/src/listing.rs
+++ b/crates/trestle-dispatch/src/listing.rs
@@ -2,12 +2,13 @@
 //!
 //! A daemon reads the list from the store, or a leader relays it, and both overlap whenever a
 //! leader is lost or found. Versions are assigned by the store, so updates of both sources go
-//! into one copy, and an update of an entry counts only if it is newer than what is known. With a
+//! into one copy, and an update of an entry counts only if it is newer than what is known. After the
+//! store was restored from a copy, everything in it is newer than what was known before. With a
 //! separate copy for each source, an answer of the store that arrived after a newer update of a
 //! leader restored removed endpoints, and the daemon then sent half of its requests there for as
 //! long as it followed that leader.
 
-use crate::endpoint::Endpoint;
+use crate::{endpoint::Endpoint, store_version::StoreVersion};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The source of an update.
@@ -27,7 +28,7 @@
     /// The endpoint that the entry describes.
     pub endpoint: Endpoint,
     /// Version of the store at which the entry was written, or since which it has had this content.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// An update of the list.
@@ -38,9 +39,9 @@
     /// Entries that were written.
     pub written: Vec<ListedEntry>,
     /// Keys of entries that were removed, with the versions of their removal.
-    pub removed: Vec<(String, u64)>,
+    pub removed: Vec<(String, StoreVersion)>,
     /// The version that the list has after the update.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// The list of endpoints.
@@ -48,10 +49,10 @@
 pub struct Listing {
     entries: BTreeMap<String, KnownEntry>,
     /// Keys that were removed since the newest whole list, with the versions of their removal.
-    removed: BTreeMap<String, u64>,
+    removed: BTreeMap<String, StoreVersion>,
     /// The version of the newest whole list; entries that it does not contain did not exist then.
-    complete_at: u64,
-    version: u64,
+    complete_at: StoreVersion,
+    version: StoreVersion,
 }
 
 /// One entry, as it is relayed.
@@ -59,14 +60,14 @@
 struct KnownEntry {
     identity: Endpoint,
     /// The version of the entry.
-    at: u64,
+    at: StoreVersion,
     /// The version since which the relayed part of the entry is unchanged.
-    identity_at: u64,
+    identity_at: StoreVersion,
 }
 
 impl Listing {
-    /// Returns the version that the list reflects; 0 if nothing was received yet.
-    pub fn version(&self) -> u64 {
+    /// Returns the version that the list reflects; the default if nothing was received yet.
+    pub fn version(&self) -> StoreVersion {
         self.version
     }
 
@@ -100,12 +101,17 @@
         ListUpdate { is_whole, written, removed, version: update.version }
     }
 
+    /// Returns whether an update is the first since the store was restored from a copy.
+    pub fn begins_era(&self, update: &ListUpdate) -> bool {
+        self.version != StoreVersion::default() && update.version.era > self.version.era
+    }
+
     /// Returns the entries and removals of an update that are older than what is known of their
     /// keys, each with its version and the known one.
     pub fn outdated<'a>(
         &'a self,
         update: &'a ListUpdate,
-    ) -> impl Iterator<Item = (&'a str, u64, u64)> {
+    ) -> impl Iterator<Item = (&'a str, StoreVersion, StoreVersion)> {
         let written = update.written.iter().map(|entry| (entry.key.as_str(), entry.version));
         let removed = update.removed.iter().map(|(key, at)| (key.as_str(), *at));
         let is_whole = update.is_whole && update.version >= self.version;
@@ -115,7 +121,7 @@
     }
 
     /// Returns the changes since a version.
-    pub fn changes_since(&self, version: u64) -> ListUpdate {
+    pub fn changes_since(&self, version: StoreVersion) -> ListUpdate {
         let is_whole = version < self.complete_at;
         let written =
             self.entries.iter().filter(|(_, entry)| is_whole || entry.identity_at > version);
@@ -134,7 +140,7 @@
     }
 
     /// Records that an accepted entry, written at `version`, names no usable endpoint.
-    pub fn mark_unusable(&mut self, key: &str, version: u64) {
+    pub fn mark_unusable(&mut self, key: &str, version: StoreVersion) {
         self.entries.remove(key);
         self.removed.insert(key.to_owned(), version);
     }
@@ -148,14 +154,22 @@
 
     /// Returns the version as of which the state of a key is known. A key that is not listed has
     /// been gone at least since the newest whole list, unless a newer whole list contains it.
-    fn known_at(&self, key: &str, is_in_whole_list: bool) -> u64 {
+    fn known_at(&self, key: &str, is_in_whole_list: bool) -> StoreVersion {
         let removed_at = self.removed.get(key).copied();
-        let gone_at = removed_at.unwrap_or(if is_in_whole_list { 0 } else { self.complete_at });
+        let gone_at = removed_at.unwrap_or(if is_in_whole_list {
+            StoreVersion::default()
+        } else {
+            self.complete_at
+        });
         self.entries.get(key).map_or(gone_at, |entry| entry.at)
     }
 
     /// Makes `named` the content of the newest whole list. Returns the removed entries.
-    fn set_complete(&mut self, named: &BTreeSet<String>, version: u64) -> Vec<(String, u64)> {
+    fn set_complete(
+        &mut self,
+        named: &BTreeSet<String>,
+        version: StoreVersion,
+    ) -> Vec<(String, StoreVersion)> {
         let is_gone =
             |key: &String, entry: &mut KnownEntry| entry.at <= version && !named.contains(key);
         let gone = self.entries.extract_if(.., is_gone).map(|(key, _)| (key, version)).collect();
@@ -166,9 +180,11 @@
 
     fn write(&mut self, entry: &ListedEntry) {
         let (identity, at) = (entry.endpoint.identity(), entry.version);
+        // A version of an earlier era would be older than whatever the receiver knows of that era.
         let before = self
             .entries
             .get(&entry.key)
+            .filter(|known| known.identity_at.era == at.era)
             .filter(|known| known.identity.differs_only_in_number(&identity));
         let identity_at = before.map_or(at, |known| known.identity_at);
         self.removed.remove(&entry.key);
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -18,6 +18,7 @@
     replicas::ReplicaView,
     request::RequestHead,
     retry_share::{RetryBounds, RetryShare},
+    store_version::StoreVersion,
     unresolved_requests::{ConnectionLoss, Evidence, UnresolvedRequests},
 };
 use std::{
@@ -354,7 +355,7 @@
 
     /// Returns the changes of the endpoint list since a version. Endpoints that this daemon knows
     /// to be draining are marked as draining, so that the receiver does not use them either.
-    pub fn list_since(&self, version: u64) -> ListUpdate {
+    pub fn list_since(&self, version: StoreVersion) -> ListUpdate {
         let mut update = self.listing.changes_since(version);
         for entry in &mut update.written {
             entry.endpoint.is_draining |=
--- a/crates/trestle-dispatch/tests/departures.rs
+++ b/crates/trestle-dispatch/tests/departures.rs
@@ -9,6 +9,7 @@
     listing::{ListUpdate, ListedEntry, Source},
     local_view::LocalView,
     retry_share::RetryBounds,
+    store_version::StoreVersion,
 };
 
 const BOUNDS: RetryBounds = RetryBounds { ratio: 0.2, window_ms: 10_000, fixed: 52 };
@@ -25,6 +26,7 @@
 
 /// Applies a whole list.
 fn apply_list(local_view: &mut LocalView, entries: &[Endpoint], version: u64) {
+    let version = StoreVersion::from(version);
     let written = entries.iter().map(|endpoint| ListedEntry {
         key: endpoint.name.to_string(),
         endpoint: endpoint.clone(),
@@ -113,7 +115,7 @@
     dropped_entries_are_relayed_as_removed => {
         let mut local_view = daemon(&[foreign("x", 6), with_start_time("y", 1)], 30);
         local_view.apply_departures(&known());
-        let update = local_view.list_since(0);
+        let update = local_view.list_since(0.into());
         assert!(update.written.iter().all(|entry| entry.key == "y"));
     }
 
--- a/crates/trestle-dispatch/tests/lease.rs
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -6,6 +6,7 @@
 use trestle_dispatch::{
     lease::{Identity, Lease, LeaseRow, LeaseTiming, LeaseWrite, Resignation},
     order_log::OrderLog,
+    store_version::StoreVersion,
 };
 
 const TIMING: LeaseTiming =
@@ -25,20 +26,20 @@
 #[derive(Default)]
 struct Store {
     row: Option<LeaseRow>,
-    version: u64,
+    version: StoreVersion,
     late: Vec<(u64, LeaseWrite)>,
     /// Earlier rows with their versions, and since when the store had each of them.
-    copies: Vec<(u64, Option<LeaseRow>, u64)>,
+    copies: Vec<(u64, Option<LeaseRow>, StoreVersion)>,
 }
 
 impl Store {
-    fn write(&mut self, write: &LeaseWrite) -> Option<u64> {
-        if write.expected != self.version {
+    fn write(&mut self, write: &LeaseWrite) -> Option<StoreVersion> {
+        if write.expected.number != self.version.number {
             return None;
         }
         self.row = Some(write.row.clone());
         // Versions grow by more than one, since other rows of the store share them.
-        self.version += 3;
+        self.version.number += 3;
         Some(self.version)
     }
 
@@ -52,8 +53,10 @@
     /// Goes back to the row of an earlier time. Versions are given out again from there.
     fn restore(&mut self, as_of_ms: u64) {
         let copy = self.copies.iter().rfind(|(since_ms, ..)| *since_ms <= as_of_ms);
-        (self.row, self.version) =
-            copy.map_or((None, 0), |(_, row, version)| (row.clone(), *version));
+        let (row, number) =
+            copy.map_or((None, 0), |(_, row, version)| (row.clone(), version.number));
+        let era = self.version.era + 1;
+        (self.row, self.version) = (row, StoreVersion { era, number });
     }
 
     fn apply_late(&mut self, now_ms: u64) {
--- a/crates/trestle-dispatch/tests/listing.rs
+++ b/crates/trestle-dispatch/tests/listing.rs
@@ -9,6 +9,7 @@
     listing::{ListUpdate, ListedEntry, Listing, Source},
     local_view::LocalView,
     retry_share::RetryBounds,
+    store_version::StoreVersion,
 };
 
 /// Slots and versions of entries.
@@ -18,16 +19,20 @@
     Endpoint { slots, ..endpoint(key, "z", &[]) }
 }
 
-fn listed(endpoint: Endpoint, version: u64) -> ListedEntry {
+fn listed(endpoint: Endpoint, version: impl Into<StoreVersion>) -> ListedEntry {
+    let version = version.into();
     ListedEntry { key: endpoint.name.to_string(), endpoint, version }
 }
 
-fn written(key: &str, slots: u32, at: u64) -> ListedEntry {
+fn written(key: &str, slots: u32, at: impl Into<StoreVersion>) -> ListedEntry {
     listed(entry(key, slots), at)
 }
 
-fn whole(table: &Table, version: u64) -> ListUpdate {
-    let written = table.iter().map(|(key, (slots, at))| written(key, *slots, *at)).collect();
+fn whole(table: &Table, version: impl Into<StoreVersion>) -> ListUpdate {
+    let version = version.into();
+    let rows = table.iter();
+    let at = |number: u64| StoreVersion { number, ..version };
+    let written = rows.map(|(key, (slots, number))| written(key, *slots, at(*number))).collect();
     ListUpdate { is_whole: true, written, removed: Vec::new(), version }
 }
 
@@ -35,13 +40,18 @@
     Table::from([(key.to_owned(), (slots, at))])
 }
 
-fn partial(rows: Vec<ListedEntry>, removed: &[(&str, u64)], version: u64) -> ListUpdate {
-    let removed = removed.iter().map(|(key, at)| ((*key).to_owned(), *at)).collect();
+fn partial(
+    rows: Vec<ListedEntry>,
+    removed: &[(&str, u64)],
+    version: impl Into<StoreVersion>,
+) -> ListUpdate {
+    let version = version.into();
+    let removed = removed.iter().map(|(key, at)| ((*key).to_owned(), (*at).into())).collect();
     ListUpdate { is_whole: false, written: rows, removed, version }
 }
 
 fn content(listing: &Listing) -> BTreeMap<String, u32> {
-    let all = listing.changes_since(0);
+    let all = listing.changes_since(0.into());
     all.written.into_iter().map(|entry| (entry.key, entry.endpoint.slots)).collect()
 }
 
@@ -137,7 +147,7 @@
         let table = Table::from([("a".to_owned(), (1, 5)), ("b".to_owned(), (1, 9))]);
         listing.apply(whole(&table, 9), Source::Store);
         let changes = listing.apply(whole(&one("b", 1, 9), 12), Source::Leader);
-        assert_eq!(changes.removed, [("a".to_owned(), 12)]);
+        assert_eq!(changes.removed, [("a".to_owned(), StoreVersion::from(12))]);
         assert_eq!(keys(&listing), ["b"]);
     }
 
@@ -156,16 +166,16 @@
         let mut holds = endpoint("a", "z", &["m"]);
         (holds.slots, holds.entry_number) = (1, 9);
         listing.apply(partial(vec![listed(holds, 8)], &[], 8), Source::Store);
-        assert!(listing.changes_since(6).written.is_empty());
+        assert!(listing.changes_since(6.into()).written.is_empty());
         listing.apply(partial(vec![written("a", 2, 9)], &[], 9), Source::Store);
-        assert_eq!(listing.changes_since(6).written.len(), 1);
+        assert_eq!(listing.changes_since(6.into()).written.len(), 1);
     }
 
     a_version_before_the_known_removals_gets_the_whole_list => {
         let mut listing = Listing::default();
         listing.apply(whole(&one("a", 1, 5), 10), Source::Store);
-        assert!(listing.changes_since(9).is_whole);
-        assert!(!listing.changes_since(10).is_whole);
+        assert!(listing.changes_since(9.into()).is_whole);
+        assert!(!listing.changes_since(10.into()).is_whole);
     }
 
     an_entry_that_lost_its_start_time_is_foreign => {
@@ -203,7 +213,7 @@
         apply_update(&mut old, partial(vec![listed(draining, 5)], &[], 5), Source::Store);
         apply_update(&mut old, partial(vec![listed(ready, 9)], &[], 9), Source::Store);
         assert!(usable(&old).is_empty());
-        apply_update(&mut new, old.list_since(0), Source::Leader);
+        apply_update(&mut new, old.list_since(0.into()), Source::Leader);
         assert!(usable(&new).is_empty());
     }
 
@@ -214,12 +224,12 @@
         apply_update(&mut old, partial(vec![], &[("a", 6)], 6), Source::Store);
         apply_update(&mut old, partial(vec![listed(ready.clone(), 9)], &[], 9), Source::Store);
         assert!(usable(&old).is_empty());
-        apply_update(&mut new, old.list_since(0), Source::Leader);
+        apply_update(&mut new, old.list_since(0.into()), Source::Leader);
         assert!(usable(&new).is_empty());
         // An entry that the endpoint writes after that is accepted.
         let returned = Endpoint { entry_number: 2, ..ready };
         apply_update(&mut old, partial(vec![listed(returned, 12)], &[], 12), Source::Store);
-        apply_update(&mut new, old.list_since(9), Source::Leader);
+        apply_update(&mut new, old.list_since(9.into()), Source::Leader);
         assert_eq!((usable(&old), usable(&new)), (vec!["a".to_owned()], vec!["a".to_owned()]));
     }
 
@@ -254,15 +264,23 @@
     // gaps. In the end all are equal to the table.
     copies_agree_with_the_table_whichever_source_they_follow => {
         for seed in 0..500 {
-            simulate(seed, 0);
+            simulate(seed, 0, false);
         }
     }
 
-    // Copies follow the store and each other as in the previous test, but answers and relayed
+    // The table is restored from copies, which lack its last changes and give their versions out again.
+    // Updates of different eras overtake each other.
+    copies_agree_with_a_table_that_is_restored => {
+        for seed in 0..1_000 {
+            simulate(seed, 12, true);
+        }
+    }
+
+    // Copies follow the store and each other as in the first of these tests, but answers and relayed
     // updates may arrive after newer ones.
     no_copy_returns_to_an_earlier_state => {
         for seed in 0..1_000 {
-            simulate(seed, 12);
+            simulate(seed, 12, false);
         }
     }
 }
@@ -278,11 +296,13 @@
 /// The table over time, and copies of it.
 struct Simulation {
     table: Table,
-    version: u64,
-    history: Vec<(u64, String, Option<u32>)>,
+    version: StoreVersion,
+    /// All changes with their versions. Those that a copy preserves are repeated in the era that
+    /// begins with it.
+    history: Vec<(StoreVersion, String, Option<u32>)>,
     copies: Vec<Listing>,
     /// The version as of which each copy knows each key.
-    known_at: Vec<BTreeMap<String, u64>>,
+    known_at: Vec<BTreeMap<String, StoreVersion>>,
 }
 
 const KEYS: [&str; 5] = ["k0", "k1", "k2", "k3", "k4"];
@@ -291,7 +311,7 @@
     fn new() -> Self {
         Self {
             table: Table::new(),
-            version: 1,
+            version: 1.into(),
             history: Vec::new(),
             copies: (0..3).map(|_| Listing::default()).collect(),
             known_at: vec![BTreeMap::new(); 3],
@@ -299,18 +319,40 @@
     }
 
     fn change(&mut self, random: &mut fastrand::Rng, step: u32) {
-        self.version += random.u64(1..4);
+        self.version.number += random.u64(1..4);
         let key = KEYS[random.usize(0..KEYS.len())].to_owned();
         let row = (random.u32(0..3) > 0).then_some(step);
         match row {
-            Some(row) => self.table.insert(key.clone(), (row, self.version)),
+            Some(row) => self.table.insert(key.clone(), (row, self.version.number)),
             None => self.table.remove(&key),
         };
         self.history.push((self.version, key, row));
     }
 
+    /// Restores the table from a copy that lacks some of the last transactions.
+    fn restore(&mut self, random: &mut fastrand::Rng) {
+        let lost = random.u64(0..self.version.number.min(40));
+        let StoreVersion { era, number } = self.version;
+        self.version = StoreVersion { era: era + 1, number: number - lost };
+        let kept = self
+            .history
+            .iter()
+            .filter(|(at, ..)| at.era == era && at.number <= self.version.number);
+        let kept: Vec<_> = kept
+            .map(|(at, key, row)| (StoreVersion { era: era + 1, ..*at }, key.clone(), *row))
+            .collect();
+        self.table.clear();
+        for (at, key, row) in &kept {
+            match row {
+                Some(row) => self.table.insert(key.clone(), (*row, at.number)),
+                None => self.table.remove(key),
+            };
+        }
+        self.history.extend(kept);
+    }
+
     /// Returns the store's feed of changes; it contains each key once, with its newest state.
-    fn changes_after(&self, after: u64) -> ListUpdate {
+    fn changes_after(&self, after: StoreVersion) -> ListUpdate {
         let mut update = partial(vec![], &[], self.version);
         let mut named = BTreeSet::new();
         for (at, key, row) in self.history.iter().rev().filter(|(at, ..)| *at > after) {
@@ -325,15 +367,17 @@
     }
 
     /// Returns the state of a key at a version.
-    fn state(&self, key: &str, version: u64) -> Option<u32> {
-        let mut of_key = self.history.iter().filter(|(at, of, _)| of == key && *at <= version);
+    fn state(&self, key: &str, version: StoreVersion) -> Option<u32> {
+        let mut of_key = self.history.iter().filter(|(at, of, _)| {
+            of == key && at.era == version.era && at.number <= version.number
+        });
         of_key.next_back().and_then(|(_, _, row)| *row)
     }
 
     fn deliver(&mut self, message: Message, seed: u64) {
         let Message { copy, update, source, .. } = message;
         let known_at = &mut self.known_at[copy];
-        let mut record = |key: &str, at: u64| {
+        let mut record = |key: &str, at: StoreVersion| {
             let known = known_at.entry(key.to_owned()).or_default();
             *known = at.max(*known);
         };
@@ -351,19 +395,25 @@
     }
 }
 
-/// Changes a table and sends updates to its copies; an update takes up to `max_delay` steps.
-fn simulate(seed: u64, max_delay: u64) {
+/// Changes a table and sends updates to its copies; an update takes up to `max_delay` steps. The table
+/// is restored from a copy at some steps if `is_restored`.
+fn simulate(seed: u64, max_delay: u64, is_restored: bool) {
     let mut random = fastrand::Rng::with_seed(seed);
     let mut simulation = Simulation::new();
     let mut in_transit: Vec<Message> = Vec::new();
     for step in 0..120_u64 {
+        if is_restored && random.u32(0..20) == 0 {
+            simulation.restore(&mut random);
+        }
         simulation.change(&mut random, step as u32);
         let copy = random.usize(0..3);
         let after = simulation.copies[copy].version();
         let sent = match random.u32(0..4) {
             0 => Some((whole(&simulation.table, simulation.version), Source::Store)),
-            1 if after > 0 => Some((simulation.changes_after(after), Source::Store)),
-            2 if simulation.copies[(copy + 1) % 3].version() > 0 => {
+            1 if after.number > 0 && after.era == simulation.version.era => {
+                Some((simulation.changes_after(after), Source::Store))
+            }
+            2 if simulation.copies[(copy + 1) % 3].version().number > 0 => {
                 Some((simulation.copies[(copy + 1) % 3].changes_since(after), Source::Leader))
             }
             _ => None,
--- a/crates/trestle-entry/src/control/group_lease.rs
+++ b/crates/trestle-entry/src/control/group_lease.rs
@@ -11,7 +11,8 @@
 use trestle_core::names::DomainName;
 use trestle_dispatch::{
     lease::{Identity, Lease, LeaseRow, LeaseTiming, LeaseWrite, Resignation},
-    store::{ConditionalWrite, Row, RowKey, WriteOutcome},
+    store::{ConditionalWrite, Row, RowKey, RowPage, WriteOutcome},
+    store_version::StoreVersion,
 };
 use trestle_wire::replicas::{WireLeaseRow, WireResignation};
 
@@ -70,7 +71,7 @@
     }
 
     /// Records the row as read from the store or received from a daemon.
-    pub(crate) fn observe(&mut self, row: Option<LeaseRow>, version: u64, now_ms: u64) {
+    pub(crate) fn observe(&mut self, row: Option<LeaseRow>, version: StoreVersion, now_ms: u64) {
         if let Some(row) = &row {
             crashes::receive(&self.daemon, &row.refused);
             departures::receive(&self.daemon, &row.departures);
@@ -91,9 +92,10 @@
             _ => None,
         };
         if let WriteOutcome::Conflict(row) = &outcome {
-            let (expected, version) = (write.expected, row.as_ref().map_or(0, |row| row.version));
+            let (expected, expected_era) = (write.expected.number, write.expected.era);
+            let version = row.as_ref().map_or(0, |row| row.version.number);
             let (group, era) = (&self.group, self.daemon.store.era());
-            tracing::info!(%group, expected, version, era, "lease: The row has another version than expected; nothing was written.");
+            tracing::info!(%group, expected, expected_era, version, era, "lease: The row has another version than expected; nothing was written.");
         }
         self.lease.write_finished(write, version, sent_ms, now_ms);
         match outcome {
@@ -173,7 +175,7 @@
     }
 
     /// Returns the row as it is sent to other daemons, with its version.
-    pub(crate) fn row(&self) -> Option<(WireLeaseRow, u64)> {
+    pub(crate) fn row(&self) -> Option<(WireLeaseRow, StoreVersion)> {
         self.lease.seen().map(|(row, version)| (WireLeaseRow::from(row), version))
     }
 
@@ -197,14 +199,14 @@
             return;
         }
         self.is_acting = is_holder;
-        let (token, version) =
-            self.lease.seen().map_or((0, 0), |(row, version)| (row.token, version));
+        let (token, StoreVersion { era, number: version }) =
+            self.lease.seen().map_or_else(Default::default, |(row, version)| (row.token, version));
         if is_holder {
             let quiet_ms = self.lease.order_window().0.saturating_sub(now_ms);
             let group = &self.group;
-            tracing::info!(%group, token, version, quiet_ms, "lease: This daemon leads.");
+            tracing::info!(%group, token, version, era, quiet_ms, "lease: This daemon leads.");
         } else {
-            tracing::info!(group = %self.group, token, version, "lease: This daemon leads no more.");
+            tracing::info!(group = %self.group, token, version, era, "lease: This daemon leads no more.");
         }
     }
 }
@@ -229,11 +231,13 @@
     group.as_str()
 }
 
-/// Returns the lease among the rows of its group's partition, with its version; version 0 if there
-/// is none.
-pub(crate) fn find(group: &DomainName, rows: &[Row]) -> (Option<LeaseRow>, u64) {
+/// Returns the lease in a page of its group's partition, with its version; the number of the version
+/// is 0 if there is none.
+pub(crate) fn find(group: &DomainName, page: &RowPage) -> (Option<LeaseRow>, StoreVersion) {
     let is_lease = |row: &&Row| row.key.key.strip_prefix(KEY) == Some(group.as_str());
-    rows.iter().find(is_lease).map_or((None, 0), |row| (decode(&row.value), row.version))
+    let absent = StoreVersion { number: 0, ..page.version };
+    let found = page.rows.iter().find(is_lease);
+    found.map_or((None, absent), |row| (decode(&row.value), row.version))
 }
 
 fn decode(value: &[u8]) -> Option<LeaseRow> {
--- a/crates/trestle-entry/src/control/held_answers.rs
+++ b/crates/trestle-entry/src/control/held_answers.rs
@@ -102,6 +102,11 @@
         positions.copied().unwrap_or_default().into()
     }
 
+    /// Returns whether the requester knows of the store's eras, unlike earlier releases.
+    pub(crate) fn knows_eras(&self) -> bool {
+        self.positions.endpoints.has_era()
+    }
+
     /// Returns the models of a service that the requester waits for.
     pub(crate) fn models(&self, service: &ServiceName) -> &BTreeSet<ModelName> {
         self.reported.get(service).map_or(&NO_MODELS, |reported| &reported.models)
--- a/crates/trestle-entry/src/control/leaders.rs
+++ b/crates/trestle-entry/src/control/leaders.rs
@@ -3,10 +3,11 @@
 use crate::control::Control;
 use std::{collections::BTreeMap, net::SocketAddr};
 use trestle_core::names::{DomainName, EndpointName};
-use trestle_dispatch::lease::Resignation;
+use trestle_dispatch::{lease::Resignation, store_version::StoreVersion};
 use trestle_wire::{
     relay::WireSyncPosition,
     replicas::{WireSyncRequest, WireSyncResponse},
+    store_version::WireStoreVersion,
 };
 
 impl Control {
@@ -43,7 +44,8 @@
             has_new_demand = !other.has_planned();
         }
         let have = WireSyncPosition {
-            endpoints: u64::MAX,
+            // Leaders follow the store themselves, so this only says that versions have eras.
+            endpoints: WireStoreVersion::from(StoreVersion::default()),
             config: u64::MAX,
             refused: 0,
             departures: true,
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -21,8 +21,12 @@
     lease::{LeaseRow, LeaseWrite, Resignation},
     local_view::LocalView,
     store::WriteOutcome,
+    store_version::StoreVersion,
+};
+use trestle_wire::{
+    replicas::{WireGroupLease, WireResignation},
+    store_version::WireStoreVersion,
 };
-use trestle_wire::replicas::{WireGroupLease, WireResignation};
 
 /// Shortest time between two reads of the rows while a leader does not answer.
 const READ_GAP_MS: u64 = 800;
@@ -106,15 +110,21 @@
     /// Records leases as sent by their holder.
     pub(crate) fn receive(&mut self, leases: Vec<WireGroupLease>, now_ms: u64) {
         for received in leases {
-            let lease = self.lease(&received.group.into());
-            lease.observe(Some(received.row.into()), received.version, now_ms);
+            let group = DomainName::from(received.group);
+            match received.version.try_into() {
+                Ok(version) => {
+                    self.lease(&group).observe(Some(received.row.into()), version, now_ms)
+                }
+                // A leader of an earlier release does not report in which era the row has its version.
+                Err(_) => _ = self.to_read.insert(group),
+            }
         }
     }
 
     /// Records leases as read from the store.
     pub(crate) fn record_rows(
         &mut self,
-        rows: BTreeMap<DomainName, (Option<LeaseRow>, u64)>,
+        rows: BTreeMap<DomainName, (Option<LeaseRow>, StoreVersion)>,
         now_ms: u64,
     ) {
         self.is_reading = false;
@@ -313,8 +323,13 @@
     }
 
     /// Returns the lease rows for a requester that addressed a group's leader: those held by this
-    /// daemon, and that of the group.
-    pub(crate) fn rows_for(&self, group: &str, now_ms: u64) -> Vec<WireGroupLease> {
+    /// daemon, and that of the group. Requesters of earlier releases know no eras.
+    pub(crate) fn rows_for(
+        &self,
+        group: &str,
+        knows_eras: bool,
+        now_ms: u64,
+    ) -> Vec<WireGroupLease> {
         let sent = self
             .by_group
             .iter()
@@ -324,6 +339,10 @@
             // These lists are sent once per requester, not with each answer.
             row.refused.clear();
             row.departures.clear();
+            let version = match knows_eras {
+                true => WireStoreVersion::from(version),
+                false => WireStoreVersion::without_era(version),
+            };
             Some(WireGroupLease { group: group.to_string(), row, version })
         });
         rows.collect()
@@ -410,7 +429,7 @@
     for group in groups {
         match daemon.store.read(TABLE, group_lease::partition(&group)).await {
             Ok(page) => {
-                let lease = group_lease::find(&group, &page.rows);
+                let lease = group_lease::find(&group, &page);
                 rows.insert(group, lease);
             }
             Err(error) => {
--- a/crates/trestle-entry/src/control/message.rs
+++ b/crates/trestle-entry/src/control/message.rs
@@ -8,6 +8,7 @@
     lease::{LeaseRow, LeaseWrite, Resignation},
     orders::OrderChain,
     store::WriteOutcome,
+    store_version::StoreVersion,
 };
 use trestle_wire::replicas::{WireGroupLease, WireSyncRequest, WireSyncResponse};
 
@@ -26,7 +27,7 @@
     /// Lease rows as sent by their holder.
     LeasesReceived(Vec<WireGroupLease>),
     /// Lease rows as read from the store, by group, with their versions.
-    LeasesRead(BTreeMap<DomainName, (Option<LeaseRow>, u64)>),
+    LeasesRead(BTreeMap<DomainName, (Option<LeaseRow>, StoreVersion)>),
     /// The lease rows could not be read from the store.
     LeaseReadFailed,
     /// A write of a lease row has finished.
--- a/crates/trestle-entry/src/control/sync_requests.rs
+++ b/crates/trestle-entry/src/control/sync_requests.rs
@@ -21,7 +21,8 @@
         let now_ms = self.now_ms();
         if !self.leases.is_leading(now_ms) {
             // The requester may have given up.
-            let _ = reply.try_send(self.not_leading_answer(&request.group, now_ms));
+            let knows_eras = request.have.endpoints.has_era();
+            let _ = reply.try_send(self.not_leading_answer(&request.group, knows_eras, now_ms));
             return;
         }
         let WireSyncRequest { vm, group, is_leader, digests, have, .. } = request;
@@ -59,9 +60,9 @@
         self.answer_due(now_ms);
     }
 
-    fn not_leading_answer(&self, group: &str, now_ms: u64) -> WireSyncResponse {
+    fn not_leading_answer(&self, group: &str, knows_eras: bool, now_ms: u64) -> WireSyncResponse {
         WireSyncResponse {
-            leases: self.leases.rows_for(group, now_ms),
+            leases: self.leases.rows_for(group, knows_eras, now_ms),
             resigned: self.leases.resignations(now_ms),
             ..WireSyncResponse::default()
         }
@@ -114,7 +115,7 @@
 
     fn answer(&mut self, held: &HeldAnswer, now_ms: u64) -> WireSyncResponse {
         if !self.leases.is_leading(now_ms) {
-            return self.not_leading_answer(&held.group, now_ms);
+            return self.not_leading_answer(&held.group, held.knows_eras(), now_ms);
         }
         let led = self.leases.led(now_ms);
         let members = self.members.count(now_ms);
@@ -143,7 +144,7 @@
             views.insert(service.to_string(), view);
         }
         WireSyncResponse {
-            leases: self.leases.rows_for(&held.group, now_ms),
+            leases: self.leases.rows_for(&held.group, held.knows_eras(), now_ms),
             is_leader: true,
             led: led.iter().map(ToString::to_string).collect(),
             members: members as u32,
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -15,11 +15,13 @@
     tokio_serde::formats::Bincode,
 };
 use tokio_util::codec::LengthDelimitedCodec;
+use trestle_dispatch::{local_view::LocalView, store_version::StoreVersion};
 use trestle_wire::{
     allocation::{WireAllocation, WireAllocationRequest},
     relay::{WireConfigUpdate, WireListUpdate, WireRelay, WireSyncPosition},
     replicas::{Replicas, WireSyncRequest, WireSyncResponse},
     send_permits::{WireSendPermit, WireSendPermitRequest},
+    store_version::{NoEra, WireStoreVersion},
     trials::{WireTrial, WireTrialAnswer},
 };
 
@@ -81,6 +83,18 @@
     }
 }
 
+/// Returns the changes of the endpoint list since the version that a daemon has reported. A daemon of
+/// an earlier release knows only the numbers of versions, and gets the same.
+fn list_update(local_view: &LocalView, known: WireStoreVersion) -> WireListUpdate {
+    match known.try_into() {
+        Ok(version) => WireListUpdate::from(local_view.list_since(version)),
+        Err(NoEra { number }) => {
+            let version = StoreVersion { number, ..local_view.listing.version() };
+            WireListUpdate::without_eras(local_view.list_since(version))
+        }
+    }
+}
+
 /// Returns the changes in the store since the position that a daemon has reported.
 fn relay(daemon: &Daemon, positions: WireSyncPosition) -> WireRelay {
     let now_ms = daemon.shared_view.now_ms();
@@ -91,7 +105,7 @@
     };
     daemon.shared_view.with(|local_view| WireRelay {
         departures,
-        endpoints: WireListUpdate::from(local_view.list_since(positions.endpoints)),
+        endpoints: list_update(local_view, positions.endpoints),
         config: local_view.config_texts.update_since(positions.config).map(WireConfigUpdate::from),
         age_ms,
         config_age_ms: local_view
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -13,8 +13,8 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use trestle_core::names::{DomainName, ServiceName};
 use trestle_dispatch::{
-    local_demand::LocalDemand, local_view::LocalView, placement_log::PlacementMirror,
-    sync_intervals::SyncIntervals,
+    listing::ListUpdate, local_demand::LocalDemand, local_view::LocalView,
+    placement_log::PlacementMirror, sync_intervals::SyncIntervals,
 };
 use trestle_wire::{
     relay::{WireRelay, WireSyncPosition},
@@ -208,7 +208,7 @@
         let placements =
             placements.map(|(service, mirror)| (service.to_string(), mirror.position().into()));
         daemon.shared_view.with(|local_view| WireSyncPosition {
-            endpoints: local_view.listing.version(),
+            endpoints: local_view.listing.version().into(),
             config: local_view.catalog.as_ref().map_or(0, |catalog| catalog.version),
             refused: 0,
             departures,
@@ -270,8 +270,15 @@
     let next_ms = intervals(daemon).idle_ms();
     let now_ms = daemon.shared_view.now_ms();
     let age_ms = relay.age_ms + now_ms.saturating_sub(requested_ms);
+    let update = match ListUpdate::try_from(relay.endpoints) {
+        Ok(update) => update,
+        Err(error) => {
+            tracing::debug!(%error, "sync: The relayed list is not used; this daemon follows the store.");
+            return;
+        }
+    };
     let is_fresh = daemon.freshness.record_relay(age_ms, next_ms, now_ms);
     if is_fresh {
-        endpoints::apply_relayed(daemon, relay.endpoints.into(), age_ms);
+        endpoints::apply_relayed(daemon, update, age_ms);
     }
 }
--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -21,6 +21,7 @@
 use trestle_dispatch::{
     outage::Outage,
     store::{ConditionalWrite, Feed, RowPage, WriteOutcome},
+    store_version::StoreVersion,
 };
 
 /// The partition that holds all rows of the platform's own tables.
@@ -33,6 +34,9 @@
 /// Time that a wait for changes may take beyond the time for which the store holds it.
 const FOLLOW_GRACE_MS: u64 = 700;
 
+/// The version of a read of which no page has arrived; that of each page is lower.
+const NO_PAGE: StoreVersion = StoreVersion { era: u64::MAX, number: u64::MAX };
+
 /// A read that failed: no complete answer arrived, or it could not be parsed.
 #[derive(Debug, Snafu)]
 pub(crate) enum Error {
@@ -40,6 +44,8 @@
     Exchange { source: exchange::Error },
     #[snafu(display("{source}"))]
     Unreadable { source: ParseError },
+    #[snafu(display("the store was restored from a copy while table `{table}` was read"))]
+    Restored { table: String },
 }
 
 /// The daemon's client of the store. It counts calls and records whether the store answers.
@@ -134,13 +140,13 @@
         self.call_count.fetch_add(1, Ordering::Relaxed);
         let call = (self.wire.write_call)(write);
         let outcome = match self.calls.exchange(call, CALL_TIMEOUT_MS).await {
-            Ok(answer) => {
-                // The outcome of a write does not depend on an era that cannot be read.
-                if let Err(error) = self.record_era(&answer) {
-                    tracing::warn!(%error, "store: The era of an answer cannot be read.");
+            Ok(answer) => match self.record_era(&answer) {
+                Ok(era) => (self.wire.write_answer)(era, answer.status, &answer.body),
+                Err(error) => {
+                    tracing::warn!(%error, "store: The era of an answer cannot be read, so the outcome of a write is unknown.");
+                    WriteOutcome::Unknown
                 }
-                (self.wire.write_answer)(answer.status, &answer.body)
-            }
+            },
             Err(error) => {
                 tracing::warn!(%error, "store: The outcome of a write is unknown.");
                 WriteOutcome::Unknown
@@ -156,12 +162,12 @@
         outcome
     }
 
-    /// Records the era that an answer reports.
+    /// Records the era that an answer reports, and returns it.
     ///
     /// # Errors
     ///
     /// Fails if the era cannot be parsed.
-    fn record_era(&self, answer: &Answer) -> Result<(), ParseError> {
+    fn record_era(&self, answer: &Answer) -> Result<u64, ParseError> {
         let era = (self.wire.read_era)(&answer.headers)?;
         let before = self.era.fetch_max(era, Ordering::SeqCst);
         match before {
@@ -173,7 +179,7 @@
                 "store: The store has come back from an earlier copy; versions start again from there."
             ),
         }
-        Ok(())
+        Ok(era)
     }
 
     /// Returns the highest era that the store has reported; 0 if it has reported none.
@@ -198,15 +204,18 @@
         table: &str,
         partition: &str,
     ) -> Result<RowPage, Error> {
-        let mut all = RowPage { rows: Vec::new(), has_more: true, version: u64::MAX };
+        let mut all = RowPage { rows: Vec::new(), has_more: true, version: NO_PAGE };
         while all.has_more {
             self.call_count.fetch_add(1, Ordering::Relaxed);
             let last = all.rows.last().map(|row| row.key.key.as_str());
             let call = (self.wire.read_call)(table, partition, last);
             let answer = client.exchange(call, CALL_TIMEOUT_MS).await.context(ExchangeSnafu)?;
-            self.record_era(&answer).context(UnreadableSnafu)?;
-            let page = (self.wire.read_answer)(answer.status, &answer.body);
+            let era = self.record_era(&answer).context(UnreadableSnafu)?;
+            let page = (self.wire.read_answer)(era, answer.status, &answer.body);
             let page = page.context(UnreadableSnafu)?;
+            if all.version != NO_PAGE && all.version.era != era {
+                return RestoredSnafu { table }.fail();
+            }
             all.has_more = page.has_more && !page.rows.is_empty();
             // Pages may be of different versions. The oldest counts: changes after it that later
             // pages already contain are read again, which is harmless.
@@ -231,20 +240,21 @@
     }
 
     /// Waits up to `wait_ms` for changes after the transaction `after`.
-    pub(crate) async fn follow(&self, after: u64, wait_ms: u64) -> Result<Feed, Error> {
+    pub(crate) async fn follow(&self, after: StoreVersion, wait_ms: u64) -> Result<Feed, Error> {
         let followed = self.wait_for_changes(after, wait_ms).await;
         self.store.record_result(followed.is_ok());
         followed
     }
 
     /// Waits for changes without recording whether the store answered.
-    async fn wait_for_changes(&self, after: u64, wait_ms: u64) -> Result<Feed, Error> {
+    async fn wait_for_changes(&self, after: StoreVersion, wait_ms: u64) -> Result<Feed, Error> {
         self.store.call_count.fetch_add(1, Ordering::Relaxed);
-        let call = (self.store.wire.follow_call)(self.table, after, wait_ms);
+        let call = (self.store.wire.follow_call)(self.table, after.number, wait_ms);
         let answer = self.client.exchange(call, wait_ms + FOLLOW_GRACE_MS).await;
         let answer = answer.context(ExchangeSnafu)?;
-        self.store.record_era(&answer).context(UnreadableSnafu)?;
-        (self.store.wire.follow_answer)(answer.status, &answer.body).context(UnreadableSnafu)
+        let era = self.store.record_era(&answer).context(UnreadableSnafu)?;
+        let feed = (self.store.wire.follow_answer)(era, answer.status, &answer.body);
+        Ok(feed.context(UnreadableSnafu)?.requested_after(after))
     }
 }
 
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -13,6 +13,7 @@
     listing::{ListUpdate, ListedEntry, Source},
     local_view::{ListOrigin, ListSource, LocalView},
     store::{Row, RowChange, RowPage},
+    store_version::StoreVersion,
 };
 
 /// A leader's pause after each answer, per 100 listed endpoints, and its shortest pause. The pause
@@ -37,7 +38,7 @@
             true => leader_pause_ms(&daemon),
             false => OUTAGE_PAUSE_MS,
         },
-        after: |last: Option<u64>| {
+        after: |last: Option<StoreVersion>| {
             let version = daemon.shared_view.with(|local_view| local_view.listing.version());
             last.filter(|_| !daemon.freshness.must_reread()).map(|_| version)
         },
@@ -47,8 +48,13 @@
                 true => daemon.freshness.record_full_list_read(),
                 false => {
                     let known = daemon.shared_view.with(|local_view| local_view.listing.version());
-                    let era = daemon.store.era();
-                    tracing::info!(version, known, era, "endpoint: An older list was read.");
+                    tracing::info!(
+                        version = version.number,
+                        era = version.era,
+                        known = known.number,
+                        known_era = known.era,
+                        "endpoint: An older list was read."
+                    );
                 }
             }
         },
@@ -104,10 +110,14 @@
         local_view.directory.record_read(true, now_ms);
         local_view.list_origin = origin;
         log_outdated(daemon, local_view, &update, origin.source);
+        let is_restored = local_view.listing.begins_era(&update);
+        if is_restored {
+            local_view.directory.store_restored(now_ms);
+        }
         let newer = local_view.listing.apply(update, source);
         let is_whole = newer.is_whole;
         let has_changes = is_whole || !newer.written.is_empty() || !newer.removed.is_empty();
-        added = apply_newer(local_view, newer, source, now_ms);
+        added = apply_newer(local_view, newer, source, is_restored, now_ms);
         (is_whole, has_changes)
     });
     if has_changes {
@@ -118,12 +128,14 @@
     is_whole
 }
 
-/// Applies the entries of an update that are newer than those known here. Returns the endpoints
-/// that are new.
+/// Applies the entries of an update that are newer than those known here; `is_restored` says that
+/// the update is the first since the store was restored from a copy. Returns the endpoints that are
+/// new.
 fn apply_newer(
     local_view: &mut LocalView,
     newer: ListUpdate,
     source: Source,
+    is_restored: bool,
     now_ms: u64,
 ) -> Vec<Endpoint> {
     let ListUpdate { is_whole, written, removed, version } = newer;
@@ -143,18 +155,29 @@
         let new = Some(endpoint)
             .filter(|endpoint| !local_view.directory.contains(&endpoint.incarnation()));
         let new = new.cloned();
-        if local_view.apply_entry(entry, source) {
+        if is_restored && local_view.directory.has_left(endpoint) {
+            tracing::info!(
+                endpoint = %name, number, version = version.number, era = version.era,
+                "endpoint: Ignored an entry of the restored store; the endpoint had left before."
+            );
+            local_view.listing.mark_unusable(&entry.key, version);
+        } else if local_view.apply_entry(entry, source) {
             added.extend(new);
         } else {
             let message =
                 "endpoint: Ignored an entry that was written before its removal from the list.";
-            tracing::info!(endpoint = %name, number, version, "{message}");
+            tracing::info!(
+                endpoint = %name, number, version = version.number, era = version.era, "{message}"
+            );
         }
     }
     for (name, removal_version) in removed {
         let name = EndpointName::from(name);
         if !is_whole {
-            tracing::info!(endpoint = %name, version = removal_version, "endpoint: Gone from the list.");
+            tracing::info!(
+                endpoint = %name, version = removal_version.number, era = removal_version.era,
+                "endpoint: Gone from the list."
+            );
         }
         local_view.directory.apply_removal(&name, now_ms);
     }
@@ -167,14 +190,13 @@
     let Some((endpoint, version, known)) = outdated.next() else { return };
     let count = 1 + outdated.count();
     daemon.metrics.record_outdated_entries(count);
-    let (list_version, era) = (update.version, daemon.store.era());
     tracing::info!(
         count,
         endpoint,
-        version,
-        known,
-        list_version,
-        era,
+        version = version.number,
+        era = version.era,
+        known = known.number,
+        known_era = known.era,
         from = source.name(),
         "endpoint: Ignored entries that are older than the known ones."
     );
@@ -184,8 +206,8 @@
 fn log_whole_list(
     local_view: &LocalView,
     written: &[ListedEntry],
-    removed: &[(String, u64)],
-    version: u64,
+    removed: &[(String, StoreVersion)],
+    version: StoreVersion,
 ) {
     let count = written.len();
     let is_new = |entry: &&ListedEntry| local_view.directory.get(&entry.endpoint.name).is_none();
@@ -193,11 +215,18 @@
     let added: Vec<&str> = new.map(|entry| entry.key.as_str()).collect();
     let removed: Vec<&str> =
         removed.iter().take(MAX_LOGGED_NAMES).map(|(key, _)| key.as_str()).collect();
-    tracing::info!(count, version, came = ?added, gone = ?removed, "endpoint: The list was read.");
+    tracing::info!(
+        count, version = version.number, era = version.era, came = ?added, gone = ?removed,
+        "endpoint: The list was read."
+    );
 }
 
 /// Converts the rows of a whole list. Rows that cannot be read are left out.
-fn parse_list(daemon: &Daemon, rows: impl Iterator<Item = Row>, version: u64) -> ListUpdate {
+fn parse_list(
+    daemon: &Daemon,
+    rows: impl Iterator<Item = Row>,
+    version: StoreVersion,
+) -> ListUpdate {
     let written = rows.filter_map(|row| {
         let endpoint = parse_entry(daemon, &row)?;
         Some(ListedEntry { key: row.key.key, endpoint, version: row.version })
@@ -206,7 +235,7 @@
 }
 
 /// Converts changes of the list that lead up to a version.
-fn parse_changes(daemon: &Daemon, changes: Vec<RowChange>, version: u64) -> ListUpdate {
+fn parse_changes(daemon: &Daemon, changes: Vec<RowChange>, version: StoreVersion) -> ListUpdate {
     let mut update =
         ListUpdate { is_whole: false, written: Vec::new(), removed: Vec::new(), version };
     for change in changes {
@@ -223,9 +252,10 @@
                 }
             }
             // A removal without a version of its own gets the version of the answer.
-            RowChange::Removed(key, 0) => update.removed.push((key.key, version)),
             RowChange::Removed(key, removal_version) => {
-                update.removed.push((key.key, removal_version))
+                let has_version = removal_version.number > 0;
+                let version = if has_version { removal_version } else { version };
+                update.removed.push((key.key, version));
             }
         }
     }
@@ -238,7 +268,7 @@
         Ok(endpoint) => Some(endpoint),
         Err(error) => {
             daemon.metrics.record_unreadable_entry();
-            let (key, version) = (&row.key.key, row.version);
+            let (key, version) = (&row.key.key, row.version.number);
             tracing::error!(%error, key, version, "endpoint: An entry is not understood.");
             None
         }
@@ -247,20 +277,21 @@
 
 /// Logs what a new entry changes: that its endpoint is listed, is draining, has started again, or
 /// holds other models.
-fn log_change(known: Option<&Endpoint>, new: &Endpoint, version: u64) {
+fn log_change(known: Option<&Endpoint>, new: &Endpoint, version: StoreVersion) {
+    let StoreVersion { era, number: version } = version;
     let was_draining = known.map(|known| known.is_draining);
     let (endpoint, started_unix_ms) = (&new.name, new.started_unix_ms);
     if was_draining != Some(new.is_draining) {
         let (address, is_draining) = (new.address, new.is_draining);
         tracing::info!(
-            %endpoint, born_ms = started_unix_ms, %address, leaving = is_draining, version,
+            %endpoint, born_ms = started_unix_ms, %address, leaving = is_draining, version, era,
             "endpoint: Listed."
         );
     }
     if let Some(before) = known.filter(|known| known.started_unix_ms != started_unix_ms) {
         let before_ms = before.started_unix_ms;
         tracing::info!(
-            %endpoint, born_ms = started_unix_ms, before_ms, version,
+            %endpoint, born_ms = started_unix_ms, before_ms, version, era,
             "endpoint: It has started again."
         );
     }
--- a/crates/trestle-entry/src/store/follow.rs
+++ b/crates/trestle-entry/src/store/follow.rs
@@ -7,7 +7,10 @@
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::time::Duration;
-use trestle_dispatch::store::{Feed, RowChange, RowPage};
+use trestle_dispatch::{
+    store::{Feed, RowChange, RowPage},
+    store_version::StoreVersion,
+};
 
 /// A table to follow, and the functions that handle what is read of it.
 pub(crate) struct FollowedTable<G, A, R, C, F> {
@@ -31,9 +34,9 @@
 pub(crate) async fn run<G, A, R, C, F>(daemon: &Daemon, followed: FollowedTable<G, A, R, C, F>)
 where
     G: Fn() -> u64,
-    A: Fn(Option<u64>) -> Option<u64>,
+    A: Fn(Option<StoreVersion>) -> Option<StoreVersion>,
     R: Fn(RowPage, u64),
-    C: Fn(Vec<RowChange>, u64, u64),
+    C: Fn(Vec<RowChange>, StoreVersion, u64),
     F: Fn(),
 {
     let follower = daemon.store.follower(followed.table);
@@ -96,12 +99,12 @@
     daemon: &Daemon,
     followed: &FollowedTable<G, A, R, C, F>,
     follower: &Follower<'_>,
-    after: Option<u64>,
+    after: Option<StoreVersion>,
     wait_ms: u64,
-) -> Result<Option<u64>, Error>
+) -> Result<Option<StoreVersion>, Error>
 where
     R: Fn(RowPage, u64),
-    C: Fn(Vec<RowChange>, u64, u64),
+    C: Fn(Vec<RowChange>, StoreVersion, u64),
 {
     let sent_ms = daemon.shared_view.now_ms();
     let Some(after) = after else {
@@ -115,7 +118,8 @@
             let table = followed.table;
             tracing::info!(
                 table,
-                after,
+                after = after.number,
+                era = after.era,
                 "store: The history since the last read is gone; reading the whole table again."
             );
             Ok(None)
@@ -128,7 +132,7 @@
 }
 
 /// Logs that following a table began to fail or works again.
-fn log_transition(table: &str, outcome: &Result<Option<u64>, Error>) {
+fn log_transition(table: &str, outcome: &Result<Option<StoreVersion>, Error>) {
     match outcome {
         Ok(_) => tracing::info!(table, "store: A table is followed again."),
         Err(error) => tracing::warn!(table, %error, "store: A table cannot be followed."),
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -24,6 +24,7 @@
     route::Route,
     selection::RequestContext,
     sends::Sends,
+    store_version::StoreVersion,
 };
 
 /// The most urgent and the least urgent priority that endpoints accept.
@@ -64,7 +65,7 @@
 /// The state of the endpoint list when an endpoint was chosen from it, for logs.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct ListInfo {
-    pub(crate) version: u64,
+    pub(crate) version: StoreVersion,
     /// Time since the list was last known to be current.
     pub(crate) age_ms: u64,
     /// Where the list was received from.
--- a/crates/trestle-entry/src/wire.rs
+++ b/crates/trestle-entry/src/wire.rs
@@ -47,16 +47,16 @@
     /// Builds the call that reads a partition of a table; a key limits the read to the rows after
     /// it.
     pub read_call: fn(&str, &str, Option<&str>) -> Call,
-    /// Parses the answer to `read_call`.
-    pub read_answer: fn(u16, &[u8]) -> Result<RowPage, ParseError>,
+    /// Parses the answer to `read_call`, from the store's era, the status and the body.
+    pub read_answer: fn(u64, u16, &[u8]) -> Result<RowPage, ParseError>,
     /// Builds the call that waits for changes of a table after a transaction, for a time in ms.
     pub follow_call: fn(&str, u64, u64) -> Call,
-    /// Parses the answer to `follow_call`.
-    pub follow_answer: fn(u16, &[u8]) -> Result<Feed, ParseError>,
+    /// Parses the answer to `follow_call`, from the store's era, the status and the body.
+    pub follow_answer: fn(u64, u16, &[u8]) -> Result<Feed, ParseError>,
     /// Builds the call for a conditional write.
     pub write_call: fn(&ConditionalWrite) -> Call,
-    /// Parses the answer to `write_call`.
-    pub write_answer: fn(u16, &[u8]) -> WriteOutcome,
+    /// Parses the answer to `write_call`, from the store's era, the status and the body.
+    pub write_answer: fn(u64, u16, &[u8]) -> WriteOutcome,
     /// Parses a configuration.
     pub read_config: fn(&[u8]) -> Result<Catalog, ParseError>,
     /// Parses the entry of the endpoint with a name.
--- a/crates/trestle-lab/src/control/leases.rs
+++ b/crates/trestle-lab/src/control/leases.rs
@@ -9,6 +9,7 @@
 use trestle_dispatch::{
     candidate::Candidate,
     lease::{LeaseRow, LeaseWrite},
+    store_version::StoreVersion,
 };
 
 /// Shortest interval between two reads of the rows, as in the daemon.
@@ -41,9 +42,9 @@
 #[derive(Debug)]
 enum WriteOutcome {
     /// The row was written, with this version.
-    Written(u64),
+    Written(StoreVersion),
     /// The store has this row instead of the expected one, with its version.
-    Conflict(LeaseRow, u64),
+    Conflict(LeaseRow, StoreVersion),
     /// The store refused the write without carrying it out.
     Refused,
 }
@@ -121,7 +122,7 @@
             let (row, version) = lease.seen()?;
             Some((group.clone(), row.clone(), version))
         });
-        let rows: Vec<(DomainName, LeaseRow, u64)> = rows.collect();
+        let rows: Vec<(DomainName, LeaseRow, StoreVersion)> = rows.collect();
         let is_recipient = |vm: &Vm| vm.is_alive && vm.was_leader;
         let recipients = (0..self.vms.len()).filter(|other| *other != number);
         let recipients = recipients
@@ -194,9 +195,9 @@
             Some((row, version)) if *version != write.expected => {
                 WriteOutcome::Conflict(row.clone(), *version)
             }
-            None if write.expected != 0 => return,
+            None if write.expected.is_of_existing_row() => return,
             _ => {
-                self.version += 3;
+                self.version.number += 3;
                 self.outcome.takeovers += u64::from(write.row.renewals == 0);
                 self.rows.insert(group, (write.row, self.version));
                 WriteOutcome::Written(self.version)
@@ -260,7 +261,7 @@
         for (group, lease) in &mut vm.leases {
             match self.rows.get(group) {
                 Some((row, version)) => lease.observed(Some(row.clone()), *version, now_ms),
-                None => lease.observed(None, 0, now_ms),
+                None => lease.observed(None, StoreVersion::default(), now_ms),
             }
         }
     }
--- a/crates/trestle-lab/src/control/simulation.rs
+++ b/crates/trestle-lab/src/control/simulation.rs
@@ -19,6 +19,7 @@
     endpoint::Held,
     groups::Groups,
     lease::{LeaseRow, LeaseTiming},
+    store_version::StoreVersion,
 };
 
 /// Times of the lease, as in the daemon.
@@ -63,9 +64,9 @@
     pub(super) now_us: u64,
     pub(super) vms: Vec<Vm>,
     /// Lease rows in the store, with their versions.
-    pub(super) rows: BTreeMap<DomainName, (LeaseRow, u64)>,
+    pub(super) rows: BTreeMap<DomainName, (LeaseRow, StoreVersion)>,
     /// Version of the latest write to the store.
-    pub(super) version: u64,
+    pub(super) version: StoreVersion,
     /// Factor by which the store is slower than usual.
     pub(super) store_slowdown: f64,
     /// Time until which transactions occupy each partition; the key is `None` where all leases
@@ -110,7 +111,7 @@
             now_us: 0,
             vms: Vec::new(),
             rows: BTreeMap::new(),
-            version: 0,
+            version: StoreVersion::default(),
             store_slowdown: 1.0,
             partitions: BTreeMap::new(),
             held: BTreeMap::new(),
--- a/crates/trestle-lab/src/control/sync.rs
+++ b/crates/trestle-lab/src/control/sync.rs
@@ -13,6 +13,7 @@
     groups,
     lease::LeaseRow,
     placement_log::{PlacementDelta, PlacementPosition},
+    store_version::StoreVersion,
     sync_intervals::SyncIntervals,
 };
 use trestle_wire::placements::WirePlacementDelta;
@@ -41,7 +42,7 @@
     delta: PlacementDelta,
     config_version: usize,
     leader_clients: usize,
-    rows: Vec<(DomainName, LeaseRow, u64)>,
+    rows: Vec<(DomainName, LeaseRow, StoreVersion)>,
 }
 
 impl Simulation<'_> {
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod replicas;
 pub mod row;
 pub mod send_permits;
+pub mod store_version;
 pub mod table;
 pub mod trials;
 pub mod usage_profile;
--- a/crates/trestle-wire/src/relay.rs
+++ b/crates/trestle-wire/src/relay.rs
@@ -1,20 +1,25 @@
 //! Contents of the store that leaders relay to daemons, so that these need not follow the store
 //! themselves.
 
-use crate::{departures::WireDeparture, placements::WirePlacementPosition};
+use crate::{
+    departures::WireDeparture,
+    placements::WirePlacementPosition,
+    store_version::{NoEra, WireStoreVersion},
+};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 use trestle_dispatch::{
     compressed_text::CompressedText,
     config_texts::{CompressedPiece, ConfigUpdate},
     endpoint::Endpoint,
     listing::{ListUpdate, ListedEntry},
+    store_version::StoreVersion,
 };
 
 /// Contents of the store and of a leader that a daemon has already.
 #[trestle_macros::wire]
 pub struct WireSyncPosition {
-    /// Version of the daemon's list of endpoints; 0 if it has none.
-    pub endpoints: u64,
+    /// Version of the daemon's list of endpoints; its number is 0 if it has none.
+    pub endpoints: WireStoreVersion,
     /// Version of the configuration in force at the daemon; 0 if none is.
     pub config: u64,
     /// Number of the last change of restricted requests that the daemon has received from this
@@ -73,11 +78,11 @@
     /// Whether this is the complete list, so that endpoints not named in it do not exist.
     pub is_whole: bool,
     /// Entries that were written, each with its version.
-    pub written: Vec<(WireListedEndpoint, u64)>,
+    pub written: Vec<(WireListedEndpoint, WireStoreVersion)>,
     /// Keys of the entries that were removed, each with the version of its removal.
-    pub removed: Vec<(String, u64)>,
+    pub removed: Vec<(String, WireStoreVersion)>,
     /// Version of the list after this update.
-    pub version: u64,
+    pub version: WireStoreVersion,
 }
 
 /// Live endpoint without its models and the copies of weights on its host. Leaders read those from
@@ -146,33 +151,50 @@
     }
 }
 
-impl From<ListUpdate> for WireListUpdate {
-    fn from(update: ListUpdate) -> Self {
+impl WireListUpdate {
+    /// Creates the wire form of an update for a daemon of an earlier release.
+    pub fn without_eras(update: ListUpdate) -> Self {
+        Self::new(update, WireStoreVersion::without_era)
+    }
+
+    fn new(update: ListUpdate, to_wire: impl Fn(StoreVersion) -> WireStoreVersion) -> Self {
         let written = update.written.into_iter();
         let written =
-            written.map(|entry| (WireListedEndpoint::from(entry.endpoint), entry.version));
+            written.map(|entry| (WireListedEndpoint::from(entry.endpoint), to_wire(entry.version)));
+        let removed = update.removed.into_iter().map(|(key, version)| (key, to_wire(version)));
         Self {
             is_whole: update.is_whole,
             written: written.collect(),
-            removed: update.removed,
-            version: update.version,
+            removed: removed.collect(),
+            version: to_wire(update.version),
         }
     }
 }
 
-impl From<WireListUpdate> for ListUpdate {
-    fn from(wire: WireListUpdate) -> Self {
-        let written = wire.written.into_iter().map(|(endpoint, version)| ListedEntry {
-            key: endpoint.name.clone(),
-            endpoint: Endpoint::from(endpoint),
-            version,
+impl From<ListUpdate> for WireListUpdate {
+    fn from(update: ListUpdate) -> Self {
+        Self::new(update, WireStoreVersion::from)
+    }
+}
+
+impl TryFrom<WireListUpdate> for ListUpdate {
+    type Error = NoEra;
+
+    fn try_from(wire: WireListUpdate) -> Result<Self, NoEra> {
+        let written = wire.written.into_iter().map(|(endpoint, version)| {
+            Ok(ListedEntry {
+                key: endpoint.name.clone(),
+                endpoint: Endpoint::from(endpoint),
+                version: version.try_into()?,
+            })
         });
-        Self {
+        let removed = wire.removed.into_iter().map(|(key, version)| Ok((key, version.try_into()?)));
+        Ok(Self {
             is_whole: wire.is_whole,
-            written: written.collect(),
-            removed: wire.removed,
-            version: wire.version,
-        }
+            written: written.collect::<Result<_, NoEra>>()?,
+            removed: removed.collect::<Result<_, NoEra>>()?,
+            version: wire.version.try_into()?,
+        })
     }
 }
 
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -7,6 +7,7 @@
     placements::{WireName, WirePlacementDelta},
     relay::{WireRelay, WireSyncPosition},
     send_permits::{WireSendPermit, WireSendPermitRequest},
+    store_version::WireStoreVersion,
     trials::{WireTrial, WireTrialAnswer},
 };
 use std::{collections::BTreeMap, iter, net::SocketAddr, sync::Arc};
@@ -87,7 +88,7 @@
     /// Content of the lease's row.
     pub row: WireLeaseRow,
     /// Version of the row.
-    pub version: u64,
+    pub version: WireStoreVersion,
 }
 
 /// Resignation of a leader that has stepped down.
