Let a restored lease row count as held, and never give out a token twice

What engines would get: orders of two VMs under one fencing token, or within the quiet time.

Cause, of the same class: the row of a restored store was taken for the state of the lease. Another daemon may have acquired the lease after the copy: its token is counted again from the earlier row, a row that says released, or ours, or is missing frees the lease at once, and a write made before the return can take effect on a version that belongs to other content now.

Change: a row that was last written before the restore counts as renewed by an unknown VM when it is first seen. Only a holder whose lease has not expired goes on, under a new token. Tokens of different eras do not overlap, and tell in which era a row was written. A write that took effect in another era than it was made for has not succeeded, and the row is read again. Without an era nothing changes; with one, the first holder of a row that does not exist yet waits as after an unknown one.

--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -11,6 +11,13 @@
 //! ordered lately.
 //!
 //! No clocks are compared, and no daemon takes over without the store.
+//!
+//! A store that is restored from a copy has an earlier row, or none. Another daemon may have acquired
+//! the lease after the copy, and may hold it for as long as after any renewal. So a row that was
+//! last written before the restore counts as renewed by an unknown VM when it is first seen, whatever
+//! it says. Only a holder whose lease has not expired goes on: nobody else can have acquired it.
+//! Fencing numbers of different eras never overlap, because an earlier row would lead to a number
+//! that was used before; they also tell in which era a row was written.
 
 use crate::{crashes::CrashReport, departures::Departure, store_version::StoreVersion};
 use std::net::SocketAddr;
@@ -35,6 +42,13 @@
 const STEPPED_DOWN_MS: u64 = 600;
 /// Pause after a write that the store rejected or whose outcome is unknown.
 const RETRY_MS: u64 = 250;
+/// Fencing numbers of each era of the store; a lease is acquired some times a day.
+const TOKENS_PER_ERA: u64 = 1 << 24;
+
+/// Returns the next fencing number after one, or the first one, in an era of the store.
+fn next_token(last: Option<u64>, era: u64) -> u64 {
+    last.unwrap_or_default().max(era * TOKENS_PER_ERA) + 1
+}
 
 /// The row of the store that holds the lease.
 #[trestle_macros::plain]
@@ -103,6 +117,8 @@
     seen: Option<SeenRow>,
     /// Time until which orders may be given.
     held_until_ms: u64,
+    /// Fencing number under which the lease is held until then.
+    held_token: u64,
     /// Time from which on orders may be given.
     quiet_until_ms: u64,
     /// Time from which on orders of earlier holders can no longer take effect.
@@ -138,6 +154,17 @@
     row: Option<LeaseRow>,
     version: StoreVersion,
     since_ms: u64,
+    /// Whether the row was last written before the store was restored from a copy, so that later
+    /// writes may be lost.
+    is_restored: bool,
+}
+
+impl LeaseWrite {
+    /// Returns whether the write, which made this version, took effect in the era that it was made
+    /// for. In another era the expected version may be that of another row content.
+    pub fn took_effect_in_time(&self, version: StoreVersion) -> bool {
+        version.era == self.expected.era
+    }
 }
 
 impl SeenRow {
@@ -162,6 +189,7 @@
             timing,
             seen: None,
             held_until_ms: 0,
+            held_token: 0,
             quiet_until_ms: 0,
             settled_ms: 0,
             unknown_until_ms: 0,
@@ -190,11 +218,16 @@
         if self.seen.as_ref().is_some_and(|seen| !seen.is_replaced_by(version)) {
             return;
         }
+        let is_restored = match &row {
+            Some(row) => row.token / TOKENS_PER_ERA < version.era,
+            // A daemon that has just started cannot know of an earlier era.
+            None => version.era > self.seen.as_ref().map_or(0, |seen| seen.version.era),
+        };
         if !row.as_ref().is_some_and(|row| self.is_own(row)) {
             self.held_until_ms = 0;
             self.daemons = row.as_ref().map_or(0, |row| row.daemons);
         }
-        self.seen = Some(SeenRow { row, version, since_ms: now_ms });
+        self.seen = Some(SeenRow { row, version, since_ms: now_ms, is_restored });
     }
 
     /// Returns the write that is due now, if any. Its outcome must be passed to
@@ -206,14 +239,18 @@
         let seen = self.seen.clone()?;
         let row = match &seen.row {
             Some(row) if self.is_own(row) && row.is_released => return None,
-            Some(row) if self.is_own(row) && (self.is_releasing || !self.has_resigned(row)) => {
+            Some(row) if self.may_renew(&seen, row, now_ms) => {
+                let token = match seen.is_restored && now_ms < self.held_until_ms {
+                    true => next_token(Some(row.token.max(self.held_token)), seen.version.era),
+                    false => row.token,
+                };
                 let has_begun = row.has_begun || now_ms >= self.settled_ms;
                 let (is_released, daemons) = (self.is_releasing, self.daemons);
                 let renewals = row.renewals + 1;
-                LeaseRow { renewals, has_begun, is_released, daemons, ..row.clone() }
+                LeaseRow { token, renewals, has_begun, is_released, daemons, ..row.clone() }
             }
             _ if self.is_releasing => return None,
-            Some(_) if self.free_from_ms().is_none_or(|from_ms| now_ms < from_ms) => return None,
+            _ if self.free_from_ms().is_none_or(|from_ms| now_ms < from_ms) => return None,
             other => {
                 // Even if its answer is lost, this write may acquire the lease.
                 self.quiet_until_ms = self.quiet_until_ms.max(self.quiet_end_ms(now_ms));
@@ -225,7 +262,8 @@
                     self.unknown_until_ms = now_ms + quiet_ms;
                 }
                 let has_begun = self.settled_ms <= now_ms;
-                self.first_row(other.as_ref().map_or(0, |row| row.token) + 1, has_begun)
+                let last = other.as_ref().map(|row| row.token);
+                self.first_row(next_token(last, seen.version.era), has_begun)
             }
         };
         self.is_writing = true;
@@ -233,7 +271,9 @@
     }
 
     /// Records the outcome of a write that was sent at `sent_ms`: the version of the row if the
-    /// write is known to have succeeded, `None` otherwise.
+    /// write is known to have succeeded, `None` otherwise. A write that took effect in another era
+    /// than it was made for has not succeeded, and the row must be read again: another daemon may
+    /// have written the row in between.
     pub fn write_finished(
         &mut self,
         write: LeaseWrite,
@@ -242,23 +282,25 @@
         now_ms: u64,
     ) {
         self.is_writing = false;
-        let Some(version) = version else {
+        let Some(version) = version.filter(|version| write.took_effect_in_time(*version)) else {
             self.next_write_ms = now_ms + RETRY_MS;
             return;
         };
         self.next_write_ms = sent_ms + self.timing.renew_ms;
         self.held_until_ms = sent_ms + self.timing.hold_ms;
+        self.held_token = write.row.token;
         if write.row.is_released || self.has_resigned(&write.row) {
             self.held_until_ms = 0;
         }
-        self.seen = Some(SeenRow { row: Some(write.row), version, since_ms: now_ms });
+        let row = Some(write.row);
+        self.seen = Some(SeenRow { row, version, since_ms: now_ms, is_restored: false });
     }
 
     /// Returns the fencing number under which an order may be sent now; `None` if none may.
     pub fn may_order(&self, now_ms: u64) -> Option<u64> {
         let row = self.seen.as_ref()?.row.as_ref()?;
         let is_in_window = now_ms >= self.quiet_until_ms && now_ms < self.held_until_ms;
-        (is_in_window && self.is_own(row) && !row.is_released).then_some(row.token)
+        (is_in_window && self.is_own(row) && !row.is_released).then_some(self.held_token)
     }
 
     /// Returns the time in which orders may be sent: its start and its end.
@@ -272,6 +314,16 @@
         now_ms < self.held_until_ms && row.is_some_and(|row| self.is_own(row))
     }
 
+    /// Returns the fencing number under which this daemon last held the lease.
+    pub fn held_token(&self) -> u64 {
+        self.held_token
+    }
+
+    /// Returns whether the row was last written before the store was restored from a copy.
+    pub fn is_restored(&self) -> bool {
+        self.seen.as_ref().is_some_and(|seen| seen.is_restored)
+    }
+
     /// Returns the row as last seen, with its version.
     pub fn seen(&self) -> Option<(&LeaseRow, StoreVersion)> {
         let seen = self.seen.as_ref()?;
@@ -282,6 +334,9 @@
     /// `None` before the row has been read.
     pub fn free_from_ms(&self) -> Option<u64> {
         let seen = self.seen.as_ref()?;
+        if seen.is_restored {
+            return Some(seen.since_ms + self.timing.hold_ms + MARGIN_MS);
+        }
         if let Some(received) = self.received_for(seen) {
             return Some(received.at_ms);
         }
@@ -350,6 +405,12 @@
         self.is_releasing && !row.is_some_and(|row| self.is_own(row) && !row.is_released)
     }
 
+    /// Returns whether this daemon may write the row again as its holder, or to release it.
+    fn may_renew(&self, seen: &SeenRow, row: &LeaseRow, now_ms: u64) -> bool {
+        let is_held = !seen.is_restored || now_ms < self.held_until_ms;
+        self.is_own(row) && (self.is_releasing || (is_held && !self.has_resigned(row)))
+    }
+
     fn is_own(&self, row: &LeaseRow) -> bool {
         row.holder == self.identity.vm && row.incarnation == self.identity.incarnation
     }
@@ -387,6 +448,9 @@
     /// Returns when the first order may be given under a lease that is acquired now.
     fn quiet_end_ms(&self, now_ms: u64) -> u64 {
         let Some(seen) = &self.seen else { return now_ms };
+        if seen.is_restored {
+            return seen.since_ms + self.timing.hold_ms + self.timing.quiet_ms + MARGIN_MS;
+        }
         let Some(row) = &seen.row else { return now_ms };
         if let Some(received) = self.received_for(seen) {
             return received.quiet_until_ms.max(now_ms);
--- a/crates/trestle-dispatch/tests/lease.rs
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -80,6 +80,8 @@
     /// When the store is restored, and to the row of which time.
     restore_due: Option<(u64, u64)>,
     restores: u32,
+    /// When two daemons held the lease first, if they ever did.
+    two_holders_ms: Option<u64>,
     /// Whether the clocks of suspended VMs continue.
     clock: Clock,
 }
@@ -134,6 +136,7 @@
             store_down_until_ms: 0,
             restore_due: None,
             restores: 0,
+            two_holders_ms: None,
             clock: Clock::Continues,
         }
     }
@@ -193,9 +196,19 @@
             for number in 0..self.daemons.len() {
                 self.step(number);
             }
+            if self.holders() > 1 {
+                self.two_holders_ms.get_or_insert(self.now_ms);
+            }
         }
     }
 
+    /// Returns the number of daemons that hold the lease by their own clocks.
+    fn holders(&self) -> usize {
+        let is_holder =
+            |daemon: &&Daemon| daemon.lease.is_holder(self.now_ms.saturating_sub(daemon.behind_ms));
+        self.daemons.iter().filter(is_holder).count()
+    }
+
     /// Takes the store away for up to 3 s, after which it has lost up to 6 s.
     fn lose_writes(&mut self) {
         let back_ms = self.now_ms + self.rng.u64(100..3_000);
@@ -221,14 +234,15 @@
         self.run(10_000, true);
     }
 
-    /// Checks that fencing tokens never decrease, that no two daemons share one, and that orders of
-    /// two daemons to one engine keep the quiet time.
+    /// Checks that fencing tokens never decrease, that no two daemons share one or hold the lease at
+    /// the same time, and that orders of two daemons to one engine keep the quiet time.
     fn check_orders(&mut self, seed: u64) {
         for pair in self.orders.windows(2) {
             let ((_, leader, token), (_, next, next_token)) = (pair[0], pair[1]);
             assert!(next_token >= token, "seed {seed}: token {token} then {next_token}");
             assert!(leader == next || next_token > token, "seed {seed}: one token, two VMs");
         }
+        assert_eq!(self.two_holders_ms, None, "seed {seed}: two holders");
         let shortest_ms = self.shortest_handover_ms();
         assert!(
             shortest_ms.is_none_or(|ms| ms >= TIMING.quiet_ms),
--- a/crates/trestle-entry/src/control/group_lease.rs
+++ b/crates/trestle-entry/src/control/group_lease.rs
@@ -76,7 +76,11 @@
             crashes::receive(&self.daemon, &row.refused);
             departures::receive(&self.daemon, &row.departures);
         }
+        let was_restored = self.lease.is_restored();
         self.lease.observed(row, version, now_ms);
+        if self.lease.is_restored() && !was_restored {
+            self.log_restored(now_ms);
+        }
     }
 
     /// Records the outcome of a write. Returns whether the row must be read again.
@@ -91,6 +95,7 @@
             WriteOutcome::Written(version) => Some(*version),
             _ => None,
         };
+        let is_in_time = version.is_none_or(|version| write.took_effect_in_time(version));
         if let WriteOutcome::Conflict(row) = &outcome {
             let (expected, expected_era) = (write.expected.number, write.expected.era);
             let version = row.as_ref().map_or(0, |row| row.version.number);
@@ -105,7 +110,8 @@
                 false
             }
             WriteOutcome::Conflict(None) | WriteOutcome::Unknown => true,
-            WriteOutcome::Written(_) | WriteOutcome::Refused => false,
+            WriteOutcome::Written(_) => !is_in_time,
+            WriteOutcome::Refused => false,
         }
     }
 
@@ -133,7 +139,7 @@
             smol::spawn(send(daemon, group, write, now_ms)).detach();
         }
         let (from_ms, held_until_ms) = self.lease.order_window();
-        let token = self.lease.seen().map_or(0, |(row, _)| row.token);
+        let token = self.lease.held_token();
         let window = (from_ms, held_until_ms.saturating_sub(IN_FLIGHT_MS));
         self.daemon.order_permits.set(&self.group, token, window, held_until_ms);
         self.log_role_change(now_ms);
@@ -182,8 +188,8 @@
     /// Returns where the leader of the group is.
     pub(crate) fn leader(&self, now_ms: u64) -> Leader {
         match self.lease.seen() {
-            Some((row, _)) if self.lease.is_holder(now_ms) => {
-                Leader::Here { group: self.group.clone(), token: row.token }
+            Some(_) if self.lease.is_holder(now_ms) => {
+                Leader::Here { group: self.group.clone(), token: self.lease.held_token() }
             }
             Some((row, _)) if !row.is_released && row.address != self.daemon.peers_address() => {
                 let group = self.group.clone();
@@ -193,6 +199,16 @@
         }
     }
 
+    fn log_restored(&self, now_ms: u64) {
+        let is_held = self.lease.is_holder(now_ms);
+        let free_in_ms = self.lease.free_from_ms().map(|free_ms| free_ms.saturating_sub(now_ms));
+        let token = self.lease.seen().map(|(row, _)| row.token);
+        tracing::info!(
+            group = %self.group, token, is_held, free_in_ms,
+            "lease: The restored store has an earlier row; unless this daemon holds the lease, it counts as held."
+        );
+    }
+
     fn log_role_change(&mut self, now_ms: u64) {
         let is_holder = self.lease.is_holder(now_ms);
         if self.is_acting == is_holder {
