Take no configuration of a restored store as proof that keys are valid

What callers would get: a request with a key runs after the key was withdrawn for longer than allowed, if the withdrawing configuration was acknowledged just before the store went away and the copy lacks it.

Cause, of the same class: each answer of the store counted as proof that the configuration in force is the newest. A restored store holds an older one until the operators have written theirs again; the one in force never goes back, but it may lack what was lost before any daemon had read it.

Change: for 2 s after a daemon has first read the configuration in a new era, answers prove nothing. Keys stay valid by the proof from before as long as that one counts.

--- a/crates/trestle-entry/src/store/config.rs
+++ b/crates/trestle-entry/src/store/config.rs
@@ -8,6 +8,7 @@
 use trestle_dispatch::{
     config_texts::{ConfigUpdate, decompress_pieces},
     store::{Row, RowChange, RowPage},
+    store_version::StoreVersion,
     text_delta::apply_delta,
 };
 
@@ -19,12 +20,12 @@
         pause_ms: || 0,
         after: |last| last,
         on_read: |page: RowPage, sent_ms| {
-            record_read(&daemon);
+            record_read(&daemon, page.version);
             let all_read = page.rows.iter().fold(true, |all, row| all & apply_row(&daemon, row));
             record_proof(&daemon, all_read, sent_ms);
         },
-        on_changes: |changes: Vec<RowChange>, _, sent_ms| {
-            record_read(&daemon);
+        on_changes: |changes: Vec<RowChange>, version, sent_ms| {
+            record_read(&daemon, version);
             let each = changes.iter().map(|change| apply_change(&daemon, change));
             let all_read = each.fold(true, |all, one| all & one);
             record_proof(&daemon, all_read, sent_ms);
@@ -46,13 +47,15 @@
 /// unless a row could not be read.
 fn record_proof(daemon: &Daemon, all_read: bool, sent_ms: u64) {
     if all_read {
-        daemon.freshness.record_config_proof(sent_ms);
+        daemon.freshness.record_config_answer(sent_ms);
     }
 }
 
-/// Records that the store answered a read of the configuration.
-fn record_read(daemon: &Daemon) {
-    daemon.freshness.record_config_read(daemon.shared_view.now_ms());
+/// Records that the store answered a read of the configuration at a version.
+fn record_read(daemon: &Daemon, version: StoreVersion) {
+    let now_ms = daemon.shared_view.now_ms();
+    daemon.freshness.record_config_read(now_ms);
+    daemon.freshness.record_config_era(version.era, now_ms);
 }
 
 /// Applies a row of the configuration's table. Returns whether its content could be read; rows with
--- a/crates/trestle-entry/src/store/freshness.rs
+++ b/crates/trestle-entry/src/store/freshness.rs
@@ -21,9 +21,14 @@
 const READ_RESERVE_MS: u64 = 500;
 /// Part of the bound on key withdrawal that is reserved for clocks that run at different speeds.
 const KEY_MARGIN_MS: u64 = 50;
+/// Time after a restored store was first read in which the operators write again what it has lost.
+const REWRITE_MS: u64 = 2_000;
 /// Number of successive relays that may be missing before this daemon follows the store itself.
 const MAX_MISSING_RELAYS: u64 = 3;
 
+/// Stands for the era before any answer.
+const NO_ERA: u64 = u64::MAX;
+
 /// The times at which knowledge of the store was current, in milliseconds on the daemon's clock.
 #[derive(Debug)]
 pub(crate) struct Freshness {
@@ -42,6 +47,11 @@
     /// When the configuration in force was last proven to be the newest: when the read was sent
     /// that the store answered with it.
     config_proven_ms: AtomicU64,
+    /// The store's era in the last read of the configuration; [`NO_ERA`] before the first one.
+    config_era: AtomicU64,
+    /// From when on reads prove the configuration in force to be the newest. A store that was
+    /// restored from a copy may have an older one.
+    provable_from_ms: AtomicU64,
     /// Time for which such a proof makes keys valid; `u64::MAX` if the settings bound nothing.
     keys_bound_ms: AtomicU64,
     shortest_bound_ms: AtomicU64,
@@ -61,6 +71,8 @@
             config_read_ms: AtomicU64::new(0),
             config_known_ms: AtomicU64::new(0),
             config_proven_ms: AtomicU64::new(0),
+            config_era: AtomicU64::new(NO_ERA),
+            provable_from_ms: AtomicU64::new(0),
             keys_bound_ms: AtomicU64::new(bounds.key_withdrawal_ms.unwrap_or(u64::MAX)),
             shortest_bound_ms: AtomicU64::new(bounds.shortest_ms()),
             config_bound_ms: AtomicU64::new(bounds.config_ms),
@@ -129,6 +141,22 @@
         self.config_known_ms.fetch_max(now_ms, Ordering::SeqCst);
     }
 
+    /// Records in which era the store answered a read of the configuration.
+    pub(crate) fn record_config_era(&self, era: u64, now_ms: u64) {
+        let before = self.config_era.swap(era, Ordering::SeqCst);
+        if before != NO_ERA && era > before {
+            self.provable_from_ms.store(now_ms + REWRITE_MS, Ordering::SeqCst);
+        }
+    }
+
+    /// Records that the store answered with the configuration in force a read that was sent at
+    /// `since_ms`.
+    pub(crate) fn record_config_answer(&self, since_ms: u64) {
+        if since_ms >= self.provable_from_ms.load(Ordering::SeqCst) {
+            self.record_config_proof(since_ms);
+        }
+    }
+
     /// Records that the configuration in force was the newest at some moment after `since_ms`.
     pub(crate) fn record_config_proof(&self, since_ms: u64) {
         self.config_proven_ms.fetch_max(since_ms, Ordering::SeqCst);
