Show that members before the own interface ignore a restored table's rows

The same cause elsewhere: trestle-core takes a membership row, an endpoint's row and a placement with a lower version for a late answer. The table of the own interface reports no era, so the mend needs a field in its messages, and an answer to what claims and placements it may lose. Listed red, not mended.

--- a/crates/trestle-core/tests/membership.rs
+++ b/crates/trestle-core/tests/membership.rs
@@ -99,3 +99,23 @@
         ),
     ])
 }
+
+/// The table of the project's own interface reports no era, so a row whose version has gone back is
+/// taken for a late answer.
+#[test]
+fn a_member_that_a_restored_table_lacks_joins_again() {
+    let key = RowKey::Membership("domain".into());
+    let row = |version, names: &[&str]| {
+        let members = names.iter().map(|name| (VmName::from(*name), member(name)));
+        let row =
+            MembershipRow { epoch: 1, members: members.collect(), unsettled: BTreeSet::new() };
+        Rows::from([(key.clone(), Versioned { version, row: Some(Row::Membership(row)) })])
+    };
+    let mut joined = Membership::new("a".into(), member("a"), "domain".into(), Timing::default());
+    joined.on_read(Some(&row(7, &["a", "b"])), 1_000);
+    assert!(joined.is_member());
+    joined.on_read(Some(&row(5, &["b"])), 2_000);
+    assert!(!joined.is_member());
+    let change = joined.due_change(BTreeSet::new()).expect("the daemon joins again");
+    assert_eq!(change.checks.get(&key), Some(&5));
+}
