--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -12,7 +12,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Mutex, PoisonError,
+        Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -55,8 +55,8 @@
     address: SocketAddr,
     calls: CallClient,
     call_count: AtomicU64,
-    /// The highest era that an answer reported; 0 while none did.
-    era: AtomicU64,
+    /// The highest era of an answer; `None` before the first answer.
+    era: Mutex<Option<u64>>,
     clock: Clock,
     outage: Mutex<Outage>,
     answers_again: Event,
@@ -78,7 +78,7 @@
             address,
             calls: CallClient::new(address),
             call_count: AtomicU64::new(0),
-            era: AtomicU64::new(0),
+            era: Mutex::new(None),
             clock: Clock::start(),
             outage: Mutex::new(Outage::new(longest_pause_ms(bounds))),
             answers_again: Event::new(),
@@ -169,22 +169,31 @@
     /// Fails if the era cannot be parsed.
     fn record_era(&self, answer: &Answer) -> Result<u64, ParseError> {
         let era = (self.wire.read_era)(&answer.headers)?;
-        let before = self.era.fetch_max(era, Ordering::SeqCst);
+        let before = {
+            let mut highest = self.highest_era();
+            let before = *highest;
+            *highest = before.max(Some(era));
+            before
+        };
         match before {
-            _ if era <= before => {}
-            0 => tracing::info!(era, "store: The store reports its era."),
-            before => tracing::warn!(
+            None => tracing::info!(era, "store: The store answers; its era is known."),
+            Some(before) if era > before => tracing::warn!(
                 era,
                 before,
-                "store: The store has come back from an earlier copy; versions start again from there."
+                "store: The store was restored from a copy; its versions start again from there."
             ),
+            Some(_) => {}
         }
         Ok(era)
     }
 
     /// Returns the highest era that the store has reported; 0 if it has reported none.
     pub(crate) fn era(&self) -> u64 {
-        self.era.load(Ordering::SeqCst)
+        self.highest_era().unwrap_or_default()
+    }
+
+    fn highest_era(&self) -> MutexGuard<'_, Option<u64>> {
+        self.era.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Creates a client for following a table.
