Bound the era, and learn of it from relays, too

A daemon that follows a leader knew the era of its own last read alone; when it lost the leader long after a restore, it took the era for new and held keys unproven for 2 s. It now learns of the era with each relay.

--- a/crates/trestle-dispatch/src/store_version.rs
+++ b/crates/trestle-dispatch/src/store_version.rs
@@ -16,6 +16,9 @@
     pub number: u64,
 }
 
+/// Largest era. Together with a number of 40 bits it fits into one integer between daemons.
+pub const MAX_ERA: u64 = (1 << 23) - 2;
+
 impl StoreVersion {
     /// Returns whether this version of a row says that the row exists.
     pub fn is_of_existing_row(self) -> bool {
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -277,6 +277,7 @@
             return;
         }
     };
+    daemon.freshness.record_era(update.version.era, now_ms);
     let is_fresh = daemon.freshness.record_relay(age_ms, next_ms, now_ms);
     if is_fresh {
         endpoints::apply_relayed(daemon, update, age_ms);
--- a/crates/trestle-entry/src/store/config.rs
+++ b/crates/trestle-entry/src/store/config.rs
@@ -55,7 +55,7 @@
 fn record_read(daemon: &Daemon, version: StoreVersion) {
     let now_ms = daemon.shared_view.now_ms();
     daemon.freshness.record_config_read(now_ms);
-    daemon.freshness.record_config_era(version.era, now_ms);
+    daemon.freshness.record_era(version.era, now_ms);
 }
 
 /// Applies a row of the configuration's table. Returns whether its content could be read; rows with
--- a/crates/trestle-entry/src/store/freshness.rs
+++ b/crates/trestle-entry/src/store/freshness.rs
@@ -47,8 +47,8 @@
     /// When the configuration in force was last proven to be the newest: when the read was sent
     /// that the store answered with it.
     config_proven_ms: AtomicU64,
-    /// The store's era in the last read of the configuration; [`NO_ERA`] before the first one.
-    config_era: AtomicU64,
+    /// The highest era of the store that is known; [`NO_ERA`] before the first read.
+    era: AtomicU64,
     /// From when on reads prove the configuration in force to be the newest. A store that was
     /// restored from a copy may have an older one.
     provable_from_ms: AtomicU64,
@@ -71,7 +71,7 @@
             config_read_ms: AtomicU64::new(0),
             config_known_ms: AtomicU64::new(0),
             config_proven_ms: AtomicU64::new(0),
-            config_era: AtomicU64::new(NO_ERA),
+            era: AtomicU64::new(NO_ERA),
             provable_from_ms: AtomicU64::new(0),
             keys_bound_ms: AtomicU64::new(bounds.key_withdrawal_ms.unwrap_or(u64::MAX)),
             shortest_bound_ms: AtomicU64::new(bounds.shortest_ms()),
@@ -141,9 +141,12 @@
         self.config_known_ms.fetch_max(now_ms, Ordering::SeqCst);
     }
 
-    /// Records in which era the store answered a read of the configuration.
-    pub(crate) fn record_config_era(&self, era: u64, now_ms: u64) {
-        let before = self.config_era.swap(era, Ordering::SeqCst);
+    /// Records in which era the store answered a read here or at the leader that relays it.
+    pub(crate) fn record_era(&self, era: u64, now_ms: u64) {
+        let before = self.era.load(Ordering::SeqCst);
+        if before == NO_ERA || era > before {
+            self.era.store(era, Ordering::SeqCst);
+        }
         if before != NO_ERA && era > before {
             self.provable_from_ms.store(now_ms + REWRITE_MS, Ordering::SeqCst);
         }
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -94,7 +94,8 @@
             let (list, name) = (task.list_info(), &selected.endpoint.name);
             tracing::info!(
                 id = task.head.id, request = task.fingerprint(), endpoint = %name,
-                list_version = list.version.number, list_era = list.version.era, list_age_ms = list.age_ms, list_from = list.source,
+                list_version = list.version.number, list_era = list.version.era,
+                list_age_ms = list.age_ms, list_from = list.source,
                 reason = error.reason(), elapsed_ms = task.elapsed_ms(), "request: A send failed."
             );
             Err(error)
--- a/crates/trestle-wire/src/store_version.rs
+++ b/crates/trestle-wire/src/store_version.rs
@@ -6,18 +6,17 @@
 //! and must not be mixed with versions that have one.
 
 use snafu::Snafu;
-use trestle_dispatch::store_version::StoreVersion;
+use trestle_dispatch::store_version::{MAX_ERA, StoreVersion};
 
 /// Set in values that contain an era.
 const HAS_ERA: u64 = 1 << 63;
 /// Bits of the transaction's number.
-const NUMBER_BITS: u32 = 48;
+const NUMBER_BITS: u32 = 40;
 /// Largest number of a transaction.
 const MAX_NUMBER: u64 = (1 << NUMBER_BITS) - 1;
-/// The bits of an era, shifted to the right.
+/// The bits of an era, shifted to the right. They have room for one era more than [`MAX_ERA`], which
+/// together with the largest number would be [`NOTHING_REQUESTED`].
 const ERA_MASK: u64 = (1 << (u64::BITS - 1 - NUMBER_BITS)) - 1;
-/// Largest era. The next one together with the largest number is [`NOTHING_REQUESTED`].
-const MAX_ERA: u64 = ERA_MASK - 1;
 /// Sent by leaders of earlier releases to each other, as they relay nothing to each other.
 const NOTHING_REQUESTED: u64 = u64::MAX;
 
