--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -16,10 +16,22 @@
 //! the lease after the copy, and may hold it for as long as after any renewal. So a row that was
 //! last written before the restore counts as renewed by an unknown VM when it is first seen, whatever
 //! it says. Only a holder whose lease has not expired goes on: nobody else can have acquired it.
-//! Fencing numbers of different eras never overlap, because an earlier row would lead to a number
-//! that was used before; they also tell in which era a row was written.
-
-use crate::{crashes::CrashReport, departures::Departure, store_version::StoreVersion};
+//! Each era has fencing numbers of its own, which also tell in which era a row was written.
+
+mod resignation;
+mod row;
+mod token;
+
+pub use self::{
+    resignation::Resignation,
+    row::{LeaseRow, LeaseWrite},
+};
+
+use self::{
+    resignation::ReceivedResignation,
+    token::{era_of, next_token},
+};
+use crate::store_version::StoreVersion;
 use std::net::SocketAddr;
 
 /// Durations of the lease.
@@ -42,73 +54,6 @@
 const STEPPED_DOWN_MS: u64 = 600;
 /// Pause after a write that the store rejected or whose outcome is unknown.
 const RETRY_MS: u64 = 250;
-/// Fencing numbers of each era of the store; a lease is acquired some times a day.
-const TOKENS_PER_ERA: u64 = 1 << 24;
-
-/// Returns the next fencing number after one, or the first one, in an era of the store.
-fn next_token(last: Option<u64>, era: u64) -> u64 {
-    last.unwrap_or_default().max(era * TOKENS_PER_ERA) + 1
-}
-
-/// The row of the store that holds the lease.
-#[trestle_macros::plain]
-pub struct LeaseRow {
-    /// The VM that holds the lease.
-    pub holder: String,
-    /// Address of its daemon for other daemons.
-    pub address: SocketAddr,
-    /// CPU of that VM, in thousandths of a core.
-    pub millicores: u32,
-    /// A random number that identifies the start of that daemon.
-    pub incarnation: u64,
-    /// Fencing number; grows with each holder.
-    pub token: u64,
-    /// Number of renewals by this holder.
-    pub renewals: u64,
-    /// Whether the quiet time after the previous holder is over. Only then may a daemon that
-    /// restarts on the holder's VM give orders at once.
-    pub has_begun: bool,
-    /// Whether the holder has released the lease.
-    pub is_released: bool,
-    /// Number of daemons that sync with the holder, as it last counted them.
-    pub daemons: u32,
-    /// Requests that are refused because endpoints crashed under them. They are stored here so that
-    /// daemons that all restart at once need not lose endpoints to detect them again.
-    pub refused: Vec<CrashReport>,
-    /// Endpoints that are draining or gone, for daemons that restart and may receive older entries.
-    pub departures: Vec<Departure>,
-}
-
-/// A conditional write of the row.
-#[trestle_macros::plain]
-pub struct LeaseWrite {
-    /// The version that the row must have; its number is 0 if the row must not exist.
-    pub expected: StoreVersion,
-    /// The new row.
-    pub row: LeaseRow,
-}
-
-/// What a holder reports once it has stepped down.
-#[trestle_macros::plain]
-#[derive(Copy)]
-pub struct Resignation {
-    /// The token under which it gives no further order.
-    pub token: u64,
-    /// Time for which no VM may give any order, because of earlier holders.
-    pub quiet_for_ms: u64,
-    /// Time after which its orders and those of earlier holders can no longer take effect.
-    pub settled_for_ms: u64,
-}
-
-/// A resignation received from another daemon, with times on this daemon's clock.
-#[derive(Debug, Clone, Copy)]
-struct ReceivedResignation {
-    token: u64,
-    at_ms: u64,
-    quiet_until_ms: u64,
-    settled_ms: u64,
-}
-
 /// One daemon's view of the lease.
 #[derive(Debug)]
 pub struct Lease {
@@ -159,14 +104,6 @@
     is_restored: bool,
 }
 
-impl LeaseWrite {
-    /// Returns whether the write, which made this version, took effect in the era that it was made
-    /// for. In another era the expected version may be that of another row content.
-    pub fn took_effect_in_time(&self, version: StoreVersion) -> bool {
-        version.era == self.expected.era
-    }
-}
-
 impl SeenRow {
     /// Returns whether a row with this version is newer than this one.
     fn is_replaced_by(&self, version: StoreVersion) -> bool {
@@ -219,7 +156,7 @@
             return;
         }
         let is_restored = match &row {
-            Some(row) => row.token / TOKENS_PER_ERA < version.era,
+            Some(row) => era_of(row.token) < version.era,
             // A daemon that has just started cannot know of an earlier era.
             None => version.era > self.seen.as_ref().map_or(0, |seen| seen.version.era),
         };
@@ -282,7 +219,7 @@
         now_ms: u64,
     ) {
         self.is_writing = false;
-        let Some(version) = version.filter(|version| write.took_effect_in_time(*version)) else {
+        let Some(version) = version.filter(|version| write.is_confirmed_by(*version)) else {
             self.next_write_ms = now_ms + RETRY_MS;
             return;
         };
--- a/crates/trestle-dispatch/tests/directory.rs
+++ b/crates/trestle-dispatch/tests/directory.rs
@@ -108,6 +108,36 @@
         assert!(!directory.is_usable(&entry.incarnation()));
     }
 
+    // The store was restored without any outage that was noticed here.
+    an_entry_that_a_restored_store_lacks_is_kept_until_it_is_written_again => {
+        let mut directory = directory_of(&["x", "y"]);
+        directory.record_read(true, 10_000);
+        directory.store_restored(10_000);
+        directory.retain_listed(&[name("y")].into(), 10_000);
+        directory.drop_lapsed(10_000 + DRAINING_MS - 400);
+        assert_eq!(usable(&directory), ["x", "y"]);
+        directory.apply_written(Endpoint { entry_number: 3, ..endpoint("x", "z", &[]) });
+        directory.drop_lapsed(20_000);
+        assert_eq!(usable(&directory), ["x", "y"]);
+    }
+
+    a_draining_endpoint_that_a_restored_store_lacks_is_dropped => {
+        let mut directory = directory_of(&["x", "y"]);
+        directory.apply_written(Endpoint { is_draining: true, ..endpoint("x", "z", &[]) });
+        directory.store_restored(10_000);
+        directory.retain_listed(&[name("y")].into(), 10_000);
+        assert!(directory.get(&name("x")).is_none());
+    }
+
+    an_entry_from_before_the_removal_has_left_also_without_a_start_time => {
+        let mut directory = directory_of(&[]);
+        directory.apply_written(Endpoint { entry_number: 7, ..endpoint("x", "z", &[]) });
+        assert!(!directory.has_left(&Endpoint { entry_number: 7, ..endpoint("x", "z", &[]) }));
+        directory.apply_removal(&name("x"), 10_000);
+        assert!(directory.has_left(&Endpoint { entry_number: 7, ..endpoint("x", "z", &[]) }));
+        assert!(!directory.has_left(&Endpoint { entry_number: 8, ..endpoint("x", "z", &[]) }));
+    }
+
     without_start_times_message_numbers_may_restart => {
         let mut directory = directory_of(&["x"]);
         directory.apply_removal(&name("x"), 10_000);
--- a/crates/trestle-entry/src/control/group_lease.rs
+++ b/crates/trestle-entry/src/control/group_lease.rs
@@ -95,7 +95,7 @@
             WriteOutcome::Written(version) => Some(*version),
             _ => None,
         };
-        let is_in_time = version.is_none_or(|version| write.took_effect_in_time(version));
+        let is_confirmed = version.is_none_or(|version| write.is_confirmed_by(version));
         if let WriteOutcome::Conflict(row) = &outcome {
             let (expected, expected_era) = (write.expected.number, write.expected.era);
             let version = row.as_ref().map_or(0, |row| row.version.number);
@@ -110,7 +110,7 @@
                 false
             }
             WriteOutcome::Conflict(None) | WriteOutcome::Unknown => true,
-            WriteOutcome::Written(_) => !is_in_time,
+            WriteOutcome::Written(_) => !is_confirmed,
             WriteOutcome::Refused => false,
         }
     }
