Log what a daemon knows when it asks for permission, and checks that find out nothing

Cause: answers_are_lost_while_the_store_is_down is red, and its logs do not tell whether crashes were not known, or what was known had lapsed or was cleared: checks without a result left no line, and the question to a leader said only whether two crashes are known.

Change: the question has the numbers of known crashes and of endpoints that may have crashed. The checks of an endpoint log the first inconclusive answer about its identity and, when they end without a result, the last one: two lines a run of checks.

The whole workspace was not run.

--- a/crates/trestle-entry/src/connection_loss.rs
+++ b/crates/trestle-entry/src/connection_loss.rs
@@ -25,6 +25,9 @@
 
 /// Most requests listed in one log line: all that one engine runs at a time.
 const MAX_LOGGED: usize = 64;
+/// Number of inconclusive checks of an endpoint after which that is logged: the check of its port, and
+/// the first one of its identity.
+const LOGGED_AFTER_CHECKS: u32 = 2;
 /// Time limit for an endpoint's answer about its identity.
 const ANSWER_MS: u64 = 400;
 /// Longest pause between two checks of an endpoint that cannot be reached.
@@ -36,8 +39,8 @@
     Alive,
     /// The endpoint has terminated.
     Terminated(Evidence),
-    /// The check was inconclusive.
-    Inconclusive,
+    /// The check was inconclusive, for this reason.
+    Inconclusive(String),
 }
 
 /// Records that the connection of a request that was sent at `sent_ms` was lost. The first loss at
@@ -111,9 +114,19 @@
     let incarnation = endpoint.incarnation();
     let mut pause_ms = MAX_CRASH_DELAY_MS;
     let mut result = check_port(&endpoint).await;
+    let mut inconclusive_checks = 0;
     loop {
-        if let CheckResult::Terminated(evidence) = result {
-            record_terminated(&daemon, &incarnation, evidence);
+        match &result {
+            CheckResult::Terminated(evidence) => {
+                record_terminated(&daemon, &incarnation, *evidence);
+            }
+            CheckResult::Inconclusive(reason) => {
+                inconclusive_checks += 1;
+                if inconclusive_checks == LOGGED_AFTER_CHECKS {
+                    tracing::info!(endpoint = %incarnation.name, born_ms = incarnation.started_unix_ms, reason, "endpoint: Its checks are inconclusive; they go on.");
+                }
+            }
+            CheckResult::Alive => {}
         }
         Timer::after(Duration::from_millis(pause_ms)).await;
         let now_ms = daemon.shared_view.now_ms();
@@ -121,10 +134,13 @@
             .shared_view
             .with(|local_view| local_view.unresolved_requests.needs_check(&incarnation, now_ms))
         {
+            if let CheckResult::Inconclusive(reason) = &result {
+                tracing::info!(endpoint = %incarnation.name, born_ms = incarnation.started_unix_ms, inconclusive_checks, reason, "endpoint: Its checks found out nothing, and nothing depends on them any more.");
+            }
             return;
         }
         result = check_identity(&daemon, &endpoint).await;
-        match result {
+        match &result {
             CheckResult::Alive => {
                 daemon.shared_view.with(|local_view| {
                     local_view.unresolved_requests.confirmed_alive(&incarnation, now_ms)
@@ -132,7 +148,7 @@
                 tracing::info!(endpoint = %incarnation.name, born_ms = incarnation.started_unix_ms, "endpoint: The endpoint is alive; no request crashed it.");
                 pause_ms = MAX_CRASH_DELAY_MS;
             }
-            CheckResult::Inconclusive => pause_ms = (2 * pause_ms).min(MAX_PAUSE_MS),
+            CheckResult::Inconclusive(_) => pause_ms = (2 * pause_ms).min(MAX_PAUSE_MS),
             CheckResult::Terminated(_) => {}
         }
     }
@@ -144,8 +160,8 @@
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
             CheckResult::Terminated(Evidence::Refused)
         }
-        // A process listens there, or the address cannot be reached.
-        Ok(_) | Err(_) => CheckResult::Inconclusive,
+        Ok(_) => CheckResult::Inconclusive("its address accepts connections".to_owned()),
+        Err(error) => CheckResult::Inconclusive(error.to_string()),
     }
 }
 
@@ -192,10 +208,10 @@
         Ok(answer) => match read(answer) {
             Some((true, _)) => CheckResult::Alive,
             Some((false, evidence)) => CheckResult::Terminated(evidence),
-            None => CheckResult::Inconclusive,
+            None => CheckResult::Inconclusive("its answer does not identify it".to_owned()),
         },
         Err(error) if error.is_refused() => CheckResult::Terminated(Evidence::Refused),
-        Err(_) => CheckResult::Inconclusive,
+        Err(error) => CheckResult::Inconclusive(error.to_string()),
     }
 }
 
--- a/crates/trestle-entry/src/trial.rs
+++ b/crates/trestle-entry/src/trial.rs
@@ -78,9 +78,16 @@
         }
         let number = daemon.next_number();
         let answer = trial_leader::ask(daemon, request, number, TrialStep::Begin).await;
-        let must_run_serially =
-            daemon.shared_view.with(|local_view| local_view.crashes.must_run_serially(request, 0));
-        tracing::info!(id, %request, number, answer = ?answer, is_known = must_run_serially, "request: The request may crash endpoints; a leader was asked for permission.");
+        let (must_run_serially, crashes, unresolved) = daemon.shared_view.with(|local_view| {
+            let crashes = &local_view.crashes;
+            let unresolved = local_view.unresolved_requests.unresolved_incarnations(
+                request,
+                crashes.answered_ms(request),
+                asked_ms,
+            );
+            (crashes.must_run_serially(request, 0), crashes.counted(request), unresolved)
+        });
+        tracing::info!(id, %request, number, answer = ?answer, is_known = must_run_serially, crashes, unresolved, "request: The request may crash endpoints; a leader was asked for permission.");
         let now_ms = daemon.shared_view.now_ms();
         match answer {
             // If no leader answers, a request that is only suspected of crashing endpoints may run.
