--- a/crates/trestle-dispatch/src/admission.rs
+++ b/crates/trestle-dispatch/src/admission.rs
@@ -100,6 +100,8 @@
     EndsEndpoints,
     /// Endpoints may have crashed under the request, and an attempt that is running will show it.
     OnTrial,
+    /// Endpoints may have crashed under the request, and no endpoint that could run it answers.
+    NoSignOfLife,
     /// The model will be ready too late for this caller.
     ReadyTooLate,
     /// No daemon knows when the model will be ready.
@@ -114,6 +116,7 @@
         match self {
             Self::EndsEndpoints => "ends_endpoints",
             Self::OnTrial => "on_trial",
+            Self::NoSignOfLife => "no_sign_of_life",
             Self::ReadyTooLate => "ready_too_late",
             Self::ReadyUnknown => "ready_unknown",
             Self::Disagreement => "disagreement",
--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -4,6 +4,7 @@
     endpoint::{Endpoint, Incarnation},
     local_view::LocalView,
     policy::Mechanism,
+    record::SignOfLife,
     replicas::ReplicaView,
 };
 use std::collections::BTreeSet;
@@ -184,8 +185,12 @@
     local_view.backpressure.is_trial_due(&endpoint.incarnation(), local_view.daemons, *now_ms)
 }
 
+/// An endpoint whose answers are lost on the way looks like one that is only slow, until it does not
+/// answer a check either.
 fn is_healthy(inputs: &ChoiceInputs<'_>, endpoint: &Endpoint) -> bool {
-    !inputs.local_view.records.of(&endpoint.name).health.is_avoided(inputs.now_ms)
+    let record = inputs.local_view.records.of(&endpoint.name);
+    let is_silent = record.sign_of_life(inputs.now_ms) == SignOfLife::Missing;
+    !is_silent && !record.health.is_avoided(inputs.now_ms)
 }
 
 fn is_eligible(
--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -16,7 +16,15 @@
 //! A request is called restricted while it is rejected, or while only one attempt of it may run
 //! at a time.
 
-use crate::{endpoint::Incarnation, fingerprint::Fingerprint};
+mod report;
+
+pub use self::report::{CrashReport, ReportedCrash};
+
+use crate::{
+    endpoint::Incarnation,
+    fingerprint::Fingerprint,
+    suspicions::{IncarnationDigest, ReportedSuspicion, Suspicions},
+};
 use std::collections::BTreeMap;
 
 /// Number of crashes under one request from which on it is rejected. With one less, 9 of 286
@@ -79,6 +87,8 @@
 struct CrashRecord {
     /// The most recent incarnations that crashed under the request.
     crashes: BTreeMap<Incarnation, Crash>,
+    /// Attempts of which it is not known whether their endpoints crashed, and no answer followed.
+    suspicions: Suspicions,
     /// When the request was last answered completely; `None` if it was not.
     answered_ms: Option<u64>,
     /// Whether this daemon has observed a crash or an answer itself.
@@ -98,40 +108,6 @@
     at_ms: u64,
 }
 
-/// What one daemon reports to another about the crash of an endpoint under a request.
-#[trestle_macros::plain]
-pub struct ReportedCrash {
-    /// The incarnation that crashed.
-    pub endpoint: Incarnation,
-    /// Time since the crash was observed, in milliseconds.
-    pub ago_ms: u64,
-    /// Time since the request was last sent there, in milliseconds.
-    pub sent_ago_ms: u64,
-}
-
-/// What one daemon reports to another about one request.
-#[trestle_macros::plain]
-pub struct CrashReport {
-    /// The request.
-    pub request: Fingerprint,
-    /// The most recent incarnations that crashed under the request.
-    pub crashes: Vec<ReportedCrash>,
-    /// How many milliseconds ago the request was last answered completely; `None` if it was not.
-    pub answered_ago_ms: Option<u64>,
-}
-
-impl CrashReport {
-    /// Returns the number of crashes that no answer has cleared.
-    pub fn counted(&self) -> usize {
-        self.crashes.iter().filter(|crash| self.counts(crash)).count()
-    }
-
-    /// Returns whether no answer has cleared a crash of this report.
-    fn counts(&self, crash: &ReportedCrash) -> bool {
-        self.answered_ago_ms.is_none_or(|answered_ago_ms| crash.sent_ago_ms < answered_ago_ms)
-    }
-}
-
 impl Crashes {
     /// Returns an empty record that rejects requests for `delay_ms` longer. Each daemon should
     /// use a delay of its own of up to some seconds.
@@ -150,12 +126,37 @@
     ) -> bool {
         let sent_ago_ms = now_ms.saturating_sub(sent_ms);
         let crash = ReportedCrash { endpoint: endpoint.clone(), ago_ms: 0, sent_ago_ms };
-        let report = CrashReport { request, crashes: vec![crash], answered_ago_ms: None };
-        let rejected = self.apply_reports(&[report], now_ms);
-        if let Some(record) = self.by_request.get_mut(&request) {
+        let crashes = vec![crash];
+        let report =
+            CrashReport { request, crashes, suspicions: Vec::new(), answered_ago_ms: None };
+        !self.apply_own(&report, now_ms).is_empty()
+    }
+
+    /// Records that an attempt of a request, sent at `sent_ms`, ended without an answer, and that
+    /// its endpoint has given no sign of life since.
+    pub fn record_suspicion(
+        &mut self,
+        request: Fingerprint,
+        endpoint: &Incarnation,
+        sent_ms: u64,
+        now_ms: u64,
+    ) {
+        let sent_ago_ms = now_ms.saturating_sub(sent_ms);
+        let endpoint = IncarnationDigest::of(endpoint);
+        let suspicions = vec![ReportedSuspicion { endpoint, sent_ago_ms }];
+        let report =
+            CrashReport { request, crashes: Vec::new(), suspicions, answered_ago_ms: None };
+        self.apply_own(&report, now_ms);
+    }
+
+    /// Applies what this daemon has observed itself. Returns the requests that are rejected from now
+    /// on.
+    fn apply_own(&mut self, report: &CrashReport, now_ms: u64) -> Vec<Fingerprint> {
+        let rejected = self.apply_reports(std::slice::from_ref(report), now_ms);
+        if let Some(record) = self.by_request.get_mut(&report.request) {
             record.is_own = true;
         }
-        !rejected.is_empty()
+        rejected
     }
 
     /// Records that a request was answered completely. Returns the number of crashes that the
@@ -163,7 +164,9 @@
     pub fn served(&mut self, request: Fingerprint, now_ms: u64) -> Option<usize> {
         let record = self.by_request.get_mut(&request)?;
         let cleared = record.counted();
-        record.answered_ms = record.answered_ms.max(Some(now_ms + CLOCK_OFFSET_MS));
+        let answered_ms = record.answered_ms.max(Some(now_ms + CLOCK_OFFSET_MS));
+        record.answered_ms = answered_ms;
+        record.suspicions.clear_until(answered_ms.unwrap_or_default());
         record.is_own = true;
         // Others may count crashes that an earlier answer here has cleared.
         if cleared > 0 || !record.is_answer_last {
@@ -177,6 +180,13 @@
         self.by_request.get(&request).map_or(0, CrashRecord::counted)
     }
 
+    /// Returns the number of endpoints that have given no sign of life since an attempt of a request
+    /// ended there without an answer, according to all daemons.
+    pub fn suspected(&self, request: Fingerprint, now_ms: u64) -> usize {
+        let from_ms = (now_ms + CLOCK_OFFSET_MS).saturating_sub(EXPIRY_MS);
+        self.by_request.get(&request).map_or(0, |record| record.suspicions.count_since(from_ms))
+    }
+
     /// Returns whether an endpoint is known to have crashed under a request.
     pub fn has_crashed(&self, request: Fingerprint, endpoint: &Incarnation) -> bool {
         self.by_request.get(&request).is_some_and(|record| record.crashes.contains_key(endpoint))
@@ -299,7 +309,7 @@
     }
 
     fn drop_expired(&mut self, now_ms: u64) {
-        self.by_request.retain(|_, record| now_ms < record.last_ms() + EXPIRY_MS);
+        self.by_request.retain(|_, record| now_ms < record.changed_ms() + EXPIRY_MS);
         while self.by_request.len() > MAX_REQUESTS {
             let oldest = self.by_request.iter().min_by_key(|(_, record)| record.weight());
             let Some((oldest, _)) = oldest else { return };
@@ -335,9 +345,19 @@
             self.crashes.remove(&oldest);
         }
         self.crashes.insert(endpoint.clone(), crash);
+        self.suspicions.remove(endpoint);
         true
     }
 
+    /// Adds a suspicion, unless an answer has cleared it or the crash is known. Returns whether it
+    /// was unknown.
+    fn add_suspicion(&mut self, endpoint: IncarnationDigest, sent_ms: u64) -> bool {
+        let is_cleared = self.answered_ms.is_some_and(|answered_ms| sent_ms <= answered_ms);
+        let is_known =
+            || self.crashes.keys().any(|crashed| IncarnationDigest::of(crashed) == endpoint);
+        !is_cleared && !is_known() && self.suspicions.add(endpoint, sent_ms)
+    }
+
     /// Applies what another daemon reported. Returns whether that changed the record.
     fn apply(&mut self, report: &CrashReport, now_ms: u64) -> bool {
         let mut is_changed = false;
@@ -348,6 +368,10 @@
             };
             is_changed |= self.add(&reported.endpoint, crash);
         }
+        for reported in &report.suspicions {
+            let sent_ms = now_ms.saturating_sub(reported.sent_ago_ms);
+            is_changed |= self.add_suspicion(reported.endpoint, sent_ms);
+        }
         let answered_ms = self.reported_answer_ms(report, now_ms);
         answered_ms.is_some_and(|answered_ms| self.apply_answer(answered_ms)) | is_changed
     }
@@ -367,12 +391,13 @@
         Some(answered_ms.max(last_before_ms).min(first_after_ms.saturating_sub(1)))
     }
 
-    /// Applies an answer that another daemon received. Returns whether it clears crashes. An answer
-    /// that clears none is not kept: its time is received with a small error, and daemons would
+    /// Applies an answer that another daemon received. Returns whether it clears anything. An answer
+    /// that clears nothing is not kept: its time is received with a small error, and daemons would
     /// report it to each other as a later one again and again.
     fn apply_answer(&mut self, answered_ms: u64) -> bool {
         let mut crashes = self.crashes.values();
-        let clears = crashes.any(|crash| self.counts(crash) && crash.sent_ms <= answered_ms);
+        let clears_crash = crashes.any(|crash| self.counts(crash) && crash.sent_ms <= answered_ms);
+        let clears = self.suspicions.clear_until(answered_ms) | clears_crash;
         if clears {
             self.answered_ms = Some(answered_ms);
         }
@@ -398,6 +423,11 @@
         self.crashes.values().map(|crash| crash.at_ms).max().unwrap_or_default()
     }
 
+    /// Returns when the record was last extended.
+    fn changed_ms(&self) -> u64 {
+        self.last_ms().max(self.suspicions.last_ms().unwrap_or_default())
+    }
+
     fn rejected_until_ms(&self) -> Option<u64> {
         let last_ms = self.counted_ms().max().filter(|_| self.counted() >= MAX_CRASHES)?;
         Some(last_ms + self.rejected_ms())
@@ -425,7 +455,7 @@
     /// Returns the sort key for dropping requests: those with few and old crashes are dropped
     /// first.
     fn weight(&self) -> (usize, u64) {
-        (self.counted(), self.last_ms())
+        (self.counted(), self.changed_ms())
     }
 
     fn report(&self, request: Fingerprint, now_ms: u64) -> CrashReport {
@@ -436,6 +466,7 @@
         });
         let answered_ago_ms =
             self.answered_ms.map(|answered_ms| now_ms.saturating_sub(answered_ms));
-        CrashReport { request, crashes: crashes.collect(), answered_ago_ms }
+        let suspicions = self.suspicions.reports(now_ms);
+        CrashReport { request, crashes: crashes.collect(), suspicions, answered_ago_ms }
     }
 }
--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -348,7 +348,8 @@
         self.is_own(row) && (self.is_releasing || (is_held && !self.has_resigned(row)))
     }
 
-    fn is_own(&self, row: &LeaseRow) -> bool {
+    /// Returns whether this daemon wrote a row as its holder.
+    pub fn is_own(&self, row: &LeaseRow) -> bool {
         row.holder == self.identity.vm && row.incarnation == self.identity.incarnation
     }
 
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -9,8 +9,8 @@
 //!   source it comes from), [`directory`] (the endpoints that may be used), [`replicas`] (where
 //!   models can be reached, as leaders report it), [`record`] (outcomes of requests at endpoints),
 //!   [`backpressure`] (what endpoints announce in their answers, read as [`signals`]),
-//!   [`unresolved_requests`] and [`crashes`] (requests under which endpoints crashed), and
-//!   [`local_demand`] (the demand of the daemon's own callers).
+//!   [`unresolved_requests`], [`crashes`] and [`suspicions`] (requests under which endpoints
+//!   crashed, or may have), and [`local_demand`] (the demand of the daemon's own callers).
 //! - Callers: [`team`] has the teams with their keys and limits, [`identity`] determines which
 //!   team sends a request. [`quota`] enforces limits with a [`quota_allocator`] at each leader and
 //!   an [`allowance`] at each daemon.
@@ -73,6 +73,7 @@
 pub mod signals;
 pub mod store;
 pub mod store_version;
+pub mod suspicions;
 pub mod sync_intervals;
 pub mod team;
 pub mod text_delta;
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -459,6 +459,21 @@
         self.directory.get(&incarnation.name).is_none() || self.directory.was_draining(incarnation)
     }
 
+    /// Records that a check at `checked_ms` got no answer from an endpoint. Returns the requests that
+    /// are suspected of having crashed it from now on.
+    pub fn endpoint_gave_no_sign(
+        &mut self,
+        incarnation: &Incarnation,
+        checked_ms: u64,
+        now_ms: u64,
+    ) -> Vec<Fingerprint> {
+        let suspected = self.unresolved_requests.gave_no_sign(incarnation, checked_ms);
+        for (request, sent_ms) in &suspected {
+            self.crashes.record_suspicion(*request, incarnation, *sent_ms, now_ms);
+        }
+        suspected.into_keys().collect()
+    }
+
     /// Records that a request was answered completely. Returns the number of crashes that the
     /// answer clears, if any.
     pub fn served(&mut self, request: Option<Fingerprint>, now_ms: u64) -> Option<usize> {
@@ -476,7 +491,8 @@
         }
         let answered_ms = self.crashes.answered_ms(request);
         let unresolved =
-            self.unresolved_requests.unresolved_incarnations(request, answered_ms, now_ms);
+            self.unresolved_requests.unresolved_incarnations(request, answered_ms, now_ms)
+                + self.crashes.suspected(request, now_ms);
         // Without a leader, a request with one crash would only wait for answers that do not come.
         let is_tried_at_engine = head.model.is_some()
             && self.has_leader
--- a/crates/trestle-dispatch/src/record.rs
+++ b/crates/trestle-dispatch/src/record.rs
@@ -18,6 +18,13 @@
 /// which exhausted the retry budget.
 const MISSING_MS: u64 = 600;
 
+/// Time for which a sign of life counts: that of several calls to a leader, in which a request that
+/// may crash endpoints gets its permission.
+const SIGN_VALID_MS: u64 = 2_000;
+/// Time for which an endpoint counts as silent after a check without an answer. The next check
+/// follows within 2.4 s.
+const SILENCE_VALID_MS: u64 = 3_000;
+
 /// Outcomes of this daemon's requests, by endpoint.
 #[derive(Debug, Default)]
 pub struct Records {
@@ -36,6 +43,22 @@
     pub in_flight: u32,
     failure_share: f64,
     recorded_ms: u64,
+    /// When the endpoint last sent any answer; `None` if it has not.
+    last_sign_ms: Option<u64>,
+    /// When a check last got no answer from the endpoint, if it has sent none since.
+    silent_ms: Option<u64>,
+}
+
+/// Whether an endpoint shows that it lives and that its answers reach this daemon.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub enum SignOfLife {
+    /// It has sent an answer lately.
+    Recent,
+    /// It did not answer a check lately.
+    Missing,
+    /// Nothing is known.
+    Unknown,
 }
 
 impl Record {
@@ -45,6 +68,19 @@
         self.failure_share * (-age_ms / HALF_LIFE_MS).exp2()
     }
 
+    /// Returns whether the endpoint has given a sign of life.
+    pub fn sign_of_life(&self, now_ms: u64) -> SignOfLife {
+        let is_valid =
+            |at_ms: Option<u64>, valid_ms| at_ms.is_some_and(|at_ms| now_ms < at_ms + valid_ms);
+        if is_valid(self.silent_ms, SILENCE_VALID_MS) {
+            SignOfLife::Missing
+        } else if is_valid(self.last_sign_ms, SIGN_VALID_MS) {
+            SignOfLife::Recent
+        } else {
+            SignOfLife::Unknown
+        }
+    }
+
     fn record_outcome(&mut self, failed: f64, now_ms: u64) {
         let before = self.failure_share(now_ms);
         self.failure_share = before + (failed - before) * NEWEST_WEIGHT;
@@ -90,6 +126,25 @@
         record.record_outcome(1.0, now_ms);
     }
 
+    /// Records that an endpoint sent an answer of any kind.
+    pub fn gave_sign(&mut self, endpoint: &EndpointName, now_ms: u64) {
+        let record = self.entry(endpoint);
+        record.last_sign_ms = Some(now_ms);
+        record.silent_ms = None;
+    }
+
+    /// Records that a check got no answer from an endpoint. Returns whether it had answered the last
+    /// one.
+    pub fn gave_no_sign(&mut self, endpoint: &EndpointName, now_ms: u64) -> bool {
+        self.entry(endpoint).silent_ms.replace(now_ms).is_none()
+    }
+
+    /// Returns the endpoints that did not answer a check lately.
+    pub fn silent(&self, now_ms: u64) -> impl Iterator<Item = &EndpointName> {
+        let is_silent = move |record: &Record| record.sign_of_life(now_ms) == SignOfLife::Missing;
+        self.by_endpoint.iter().filter(move |(_, record)| is_silent(record)).map(|(name, _)| name)
+    }
+
     /// Records that an endpoint reported a model or adapter as missing.
     pub fn reported_missing(&mut self, endpoint: &EndpointName, loadable: Loadable, now_ms: u64) {
         self.missing_until_ms.retain(|_, until_ms| now_ms < *until_ms);
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -1,4 +1,8 @@
 //! Decides whether a request is sent to an endpoint, waits, or is refused.
+//!
+//! A request that may crash endpoints is sent only to one that has just given a sign of life. Its
+//! answer, or the crash, then becomes known; at an endpoint whose answers are lost, neither would,
+//! and the next attempt might crash another endpoint.
 
 use crate::{
     admission::{self, Admission, Forecast, Reason, Wait},
@@ -8,16 +12,20 @@
     local_demand::PendingDemand,
     local_view::{LocalView, Restriction},
     policy::{Mechanism, Policy},
+    record::SignOfLife,
     replicas::ReplicaView,
     request::RequestHead,
     route::Route,
     sends::{Allowed, Sends},
 };
 use std::collections::BTreeSet;
-use trestle_core::names::ServiceName;
+use trestle_core::names::{EndpointName, ServiceName};
 
 /// Retry delay given to the caller of a plain service that has no endpoint left to try.
 const PLAIN_RETRY_MS: u64 = 300;
+/// Retry delay given to callers while no endpoint answers that could run a request which may crash
+/// endpoints: about the time between two checks of such endpoints.
+pub const NO_SIGN_RETRY_MS: u64 = 1_000;
 /// Time after a refused caller's announced retry for which the demand for its model is kept.
 const RETURN_GRACE_MS: u64 = 1_500;
 
@@ -51,6 +59,9 @@
 pub enum Selection {
     /// The request is sent to this endpoint.
     Send(Endpoint),
+    /// This endpoint could run the request, which may crash endpoints, but it must first show that its
+    /// answers reach this daemon.
+    CheckEndpoint(Endpoint),
     /// An endpoint can run the request, but the leader must allow the attempt first, since
     /// endpoints may have crashed under the request.
     RequestTrial,
@@ -92,7 +103,16 @@
     if let Restriction::Rejected { for_ms } = restriction {
         return Selection::Refuse { retry_after_ms: for_ms, reason: Some(Reason::EndsEndpoints) };
     }
-    if let Some(endpoint) = choose_allowed(local_view, request, sends, random, now_ms) {
+    let is_serial = restriction == Restriction::Serial;
+    let silent: BTreeSet<EndpointName> = match is_serial {
+        true => local_view.records.silent(now_ms).cloned().collect(),
+        false => BTreeSet::new(),
+    };
+    if let Some(endpoint) = choose_allowed(local_view, request, sends, &silent, random, now_ms) {
+        let sign_of_life = local_view.records.of(&endpoint.name).sign_of_life(now_ms);
+        if is_serial && sign_of_life != SignOfLife::Recent {
+            return Selection::CheckEndpoint(endpoint);
+        }
         let needs_trial = !restriction.allows(request.is_trial);
         let incarnation = endpoint.incarnation();
         let needs_permit = local_view.backpressure.limit(&incarnation).is_some()
@@ -104,6 +124,13 @@
             (false, true) => Selection::Send(endpoint),
         };
     }
+    let none = BTreeSet::new();
+    if !silent.is_empty()
+        && choose_allowed(local_view, request, sends, &none, random, now_ms).is_some()
+    {
+        let reason = Some(Reason::NoSignOfLife);
+        return Selection::Refuse { retry_after_ms: NO_SIGN_RETRY_MS, reason };
+    }
     let everywhere = sends.allowed_at_all(request.route);
     if let Some(throttled) = query(local_view, request, &everywhere, now_ms, choice::throttled) {
         return Selection::Throttled(throttled);
@@ -162,14 +189,17 @@
     pending_demand(request, now_ms + retry_after_ms + RETURN_GRACE_MS).filter(|_| is_kept)
 }
 
+/// Returns the endpoint for the next send, other than those that are `silent`.
 fn choose_allowed(
     local_view: &mut LocalView,
     request: RequestContext<'_>,
     sends: &Sends,
+    silent: &BTreeSet<EndpointName>,
     random: u64,
     now_ms: u64,
 ) -> Option<Endpoint> {
-    let mut choose = |allowed: &Allowed| {
+    let mut choose = |mut allowed: Allowed| {
+        allowed.excluded.extend(silent.iter().cloned());
         let chosen = |inputs: ChoiceInputs<'_>, requirements: Requirements<'_>| {
             let permit = request.send_permit.filter(|incarnation| {
                 choice::accepts_with_permit(inputs, requirements, incarnation)
@@ -179,10 +209,10 @@
                 None => choice::choose(inputs, requirements, random).cloned(),
             }
         };
-        query(local_view, request, allowed, now_ms, chosen)
+        query(local_view, request, &allowed, now_ms, chosen)
     };
-    let chosen = choose(&sends.allowed(request.route, now_ms));
-    chosen.or_else(|| choose(&sends.allowed_again(request.route)?))
+    let chosen = choose(sends.allowed(request.route, now_ms));
+    chosen.or_else(|| choose(sends.allowed_again(request.route)?))
 }
 
 /// Calls `query` with the daemon's present knowledge and the requirements of the request.
--- a/crates/trestle-dispatch/src/unresolved_requests.rs
+++ b/crates/trestle-dispatch/src/unresolved_requests.rs
@@ -18,6 +18,9 @@
 /// Time for which an aborted request is remembered: an entry lapses after three heartbeats of
 /// 1.2 s, and the update of the list takes a second more.
 const UNRESOLVED_MS: u64 = 6_000;
+/// Time for which an aborted request is remembered whose endpoint gives no sign of life, so that the
+/// endpoint is still checked and a crash still attributed to it after a long outage.
+const SUSPECTED_MS: u64 = 1_200_000;
 /// Time for which a terminated incarnation is remembered: an outdated list names it no longer.
 const TERMINATED_MS: u64 = 60_000;
 /// Longest time from the abort of a request until the endpoint has crashed, if it crashes under
@@ -44,6 +47,11 @@
     aborted: BTreeMap<Fingerprint, AbortedRequest>,
     /// Whether a task is checking if the incarnation has terminated.
     is_being_checked: bool,
+    /// Whether the incarnation must be checked once although no request is unresolved there any more:
+    /// it has sent nothing of an answer, so its answers may be lost on the way.
+    must_be_checked: bool,
+    /// Since when the incarnation has not answered a check; `None` if it has answered since.
+    silent_since_ms: Option<u64>,
     /// When the incarnation was found to have terminated; `None` if it was not.
     terminated_ms: Option<u64>,
 }
@@ -64,6 +72,8 @@
     sent_ms: u64,
     /// When the last attempt was aborted.
     at_ms: u64,
+    /// Whether the endpoint gave no sign of life afterwards, so that the request is suspected.
+    is_suspected: bool,
 }
 
 /// What a lost connection means for its endpoint.
@@ -172,13 +182,25 @@
         }
     }
 
+    /// Returns whether a check of an incarnation that has sent nothing of an answer must be started,
+    /// and records that it is: requests were aborted there, and no check is running.
+    pub fn start_check(&mut self, incarnation: &Incarnation) -> bool {
+        let Some(requests) = self.incarnations.get_mut(incarnation) else { return false };
+        let must_start = !requests.aborted.is_empty() && !requests.is_being_checked;
+        requests.is_being_checked |= must_start;
+        requests.must_be_checked = true;
+        must_start
+    }
+
     /// Returns whether the check of an incarnation must go on: requests were aborted there, and
-    /// nothing proves that it was alive later. If it need not, the next lost connection starts a
-    /// new check.
+    /// nothing proves that it was alive later, or it does not answer, so that requests avoid it. If it
+    /// need not, the next lost connection starts a new check.
     pub fn needs_check(&mut self, incarnation: &Incarnation, now_ms: u64) -> bool {
         self.forget(now_ms);
         let Some(requests) = self.incarnations.get_mut(incarnation) else { return false };
-        let needs_check = requests.terminated_ms.is_none() && !requests.aborted.is_empty();
+        let is_silent = requests.must_be_checked || requests.silent_since_ms.is_some();
+        let is_unknown = !requests.aborted.is_empty() || is_silent;
+        let needs_check = requests.terminated_ms.is_none() && is_unknown;
         requests.is_being_checked = needs_check;
         if requests.is_empty() {
             self.incarnations.remove(incarnation);
@@ -192,6 +214,7 @@
     /// the connection does: one that was open before an abort still leads to the same incarnation.
     pub fn answered(&mut self, incarnation: &Incarnation, sent_ms: u64, opened_ms: u64) {
         let Some(requests) = self.incarnations.get_mut(incarnation) else { return };
+        requests.gave_sign();
         let is_identified_by_name = incarnation.started_unix_ms == 0;
         // The endpoint is back, or had never terminated.
         if is_identified_by_name {
@@ -206,13 +229,42 @@
         });
     }
 
+    /// Records that some process answered at the address of an incarnation.
+    pub fn gave_sign(&mut self, incarnation: &Incarnation) {
+        if let Some(requests) = self.incarnations.get_mut(incarnation) {
+            requests.gave_sign();
+        }
+    }
+
     /// Records that an incarnation was alive at `at_ms`.
     pub fn confirmed_alive(&mut self, incarnation: &Incarnation, at_ms: u64) {
         self.terminated.remove(incarnation);
         let Some(requests) = self.incarnations.get_mut(incarnation) else { return };
+        requests.gave_sign();
         requests.aborted.retain(|_, aborted| at_ms < aborted.at_ms + MAX_CRASH_DELAY_MS);
     }
 
+    /// Records that a check at `checked_ms` got no answer from an endpoint. Returns the requests that
+    /// are suspected from now on, and when each was last sent there: those that were aborted long
+    /// enough before the check.
+    pub fn gave_no_sign(
+        &mut self,
+        incarnation: &Incarnation,
+        checked_ms: u64,
+    ) -> BTreeMap<Fingerprint, u64> {
+        let Some(requests) = self.incarnations.get_mut(incarnation) else { return BTreeMap::new() };
+        requests.must_be_checked = false;
+        requests.silent_since_ms.get_or_insert(checked_ms);
+        let newly_suspected = requests.aborted.iter_mut().filter(|(_, aborted)| {
+            !aborted.is_suspected && aborted.at_ms + MAX_CRASH_DELAY_MS <= checked_ms
+        });
+        let newly_suspected = newly_suspected.map(|(request, aborted)| {
+            aborted.is_suspected = true;
+            (*request, aborted.sent_ms)
+        });
+        newly_suspected.collect()
+    }
+
     /// Records that a request was answered completely, so that its attempts until now crashed no
     /// endpoint.
     pub fn served(&mut self, request: Fingerprint) {
@@ -222,8 +274,8 @@
     }
 
     /// Returns the number of incarnations at which a request was aborted and that may have crashed
-    /// under it. Attempts that were sent until `answered_ms`, when the request was last answered
-    /// completely, do not count.
+    /// under it, without those for which it is suspected already. Attempts that were sent until
+    /// `answered_ms`, when the request was last answered completely, do not count.
     pub fn unresolved_incarnations(
         &self,
         request: Fingerprint,
@@ -233,7 +285,7 @@
         let is_unresolved = |requests: &&IncarnationRequests| {
             requests.aborted.get(&request).is_some_and(|aborted| {
                 let is_cleared = answered_ms.is_some_and(|at_ms| aborted.sent_ms <= at_ms);
-                !is_cleared && now_ms < aborted.at_ms + UNRESOLVED_MS
+                !is_cleared && !aborted.is_suspected && now_ms < aborted.at_ms + UNRESOLVED_MS
             })
         };
         self.incarnations.values().filter(is_unresolved).count()
@@ -253,7 +305,15 @@
     ) -> bool {
         let requests = self.incarnations.get(incarnation);
         let aborted = requests.and_then(|requests| requests.aborted.get(&request));
-        aborted.is_some_and(|aborted| now_ms < aborted.at_ms + UNRESOLVED_MS)
+        aborted.is_some_and(|aborted| !aborted.has_lapsed(now_ms))
+    }
+
+    /// Returns whether a request is suspected of having crashed an incarnation, which has given no
+    /// sign of life since the request was aborted there.
+    pub fn is_suspected(&self, incarnation: &Incarnation, request: Fingerprint) -> bool {
+        let requests = self.incarnations.get(incarnation);
+        let aborted = requests.and_then(|requests| requests.aborted.get(&request));
+        aborted.is_some_and(|aborted| aborted.is_suspected)
     }
 
     /// Records that an incarnation terminated. Returns the requests that may have crashed it, and
@@ -266,6 +326,7 @@
     ) -> BTreeMap<Fingerprint, u64> {
         self.forget(now_ms);
         let Some(requests) = self.incarnations.get_mut(incarnation) else { return BTreeMap::new() };
+        requests.gave_sign();
         if evidence == Evidence::Unlisted && requests.aborted.is_empty() {
             return BTreeMap::new();
         }
@@ -320,25 +381,42 @@
         self.terminated.retain(|_, known_ms| now_ms < *known_ms + TERMINATED_MS);
         let has_lapsed = |at_ms: u64| now_ms >= at_ms + UNRESOLVED_MS;
         self.incarnations.retain(|_, requests| {
-            requests.aborted.retain(|_, aborted| !has_lapsed(aborted.at_ms));
+            requests.aborted.retain(|_, aborted| !aborted.has_lapsed(now_ms));
             requests.terminated_ms.take_if(|terminated_ms| has_lapsed(*terminated_ms));
+            requests.silent_since_ms.take_if(|since_ms| now_ms >= *since_ms + SUSPECTED_MS);
             !requests.is_empty()
         });
     }
 }
 
+impl AbortedRequest {
+    /// Returns whether the request is no longer remembered.
+    fn has_lapsed(&self, now_ms: u64) -> bool {
+        let remembered_ms = if self.is_suspected { SUSPECTED_MS } else { UNRESOLVED_MS };
+        now_ms >= self.at_ms + remembered_ms
+    }
+}
+
 impl IncarnationRequests {
     /// Records that an attempt of a request was aborted.
     fn abort(&mut self, request: Fingerprint, now_ms: u64) {
         let running_ms = self.running.get(&request).map(|running| running.sent_ms);
         let aborted_ms = self.aborted.get(&request).map(|aborted| aborted.sent_ms);
         let sent_ms = running_ms.or(aborted_ms).unwrap_or(now_ms);
-        self.aborted.insert(request, AbortedRequest { sent_ms, at_ms: now_ms });
+        let aborted = AbortedRequest { sent_ms, at_ms: now_ms, is_suspected: false };
+        self.aborted.insert(request, aborted);
+    }
+
+    /// Records that the incarnation, or another process at its address, has answered.
+    fn gave_sign(&mut self) {
+        self.must_be_checked = false;
+        self.silent_since_ms = None;
     }
 
     /// Returns whether the value holds nothing that is still needed.
     fn is_empty(&self) -> bool {
         let has_requests = !self.running.is_empty() || !self.aborted.is_empty();
-        !has_requests && !self.is_being_checked && self.terminated_ms.is_none()
+        let is_checked = self.is_being_checked || self.silent_since_ms.is_some();
+        !has_requests && !is_checked && self.terminated_ms.is_none()
     }
 }
--- a/crates/trestle-entry/src/connection_loss.rs
+++ b/crates/trestle-entry/src/connection_loss.rs
@@ -3,7 +3,8 @@
 //! After a connection is lost, this module checks at once whether a process listens at the
 //! endpoint's address. After that it asks repeatedly which endpoint listens there, until an answer
 //! shows that the endpoint has survived. So a real crash is detected however many connections were
-//! lost before it, and an endpoint that survives is not counted as crashed.
+//! lost before it, and an endpoint that survives is not counted as crashed. An endpoint that does not
+//! answer may have crashed; the requests that were open there are suspected until it answers.
 
 use crate::{
     crashes,
@@ -14,6 +15,7 @@
         pool::CONNECT_TIMEOUT_MS,
     },
 };
+use futures_lite::future;
 use http::StatusCode;
 use smol::Timer;
 use std::{collections::BTreeMap, io::ErrorKind, sync::Arc, time::Duration};
@@ -25,9 +27,6 @@
 
 /// Most requests listed in one log line: all that one engine runs at a time.
 const MAX_LOGGED: usize = 64;
-/// Number of inconclusive checks of an endpoint after which that is logged: the check of its port, and
-/// the first one of its identity.
-const LOGGED_AFTER_CHECKS: u32 = 2;
 /// Time limit for an endpoint's answer about its identity.
 const ANSWER_MS: u64 = 400;
 /// Longest pause between two checks of an endpoint that cannot be reached.
@@ -39,8 +38,10 @@
     Alive,
     /// The endpoint has terminated.
     Terminated(Evidence),
-    /// The check was inconclusive, for this reason.
-    Inconclusive(String),
+    /// The endpoint gave no answer from which its state is known.
+    NoSign,
+    /// Some process accepts connections at the address.
+    Accepts,
 }
 
 /// Records that the connection of a request that was sent at `sent_ms` was lost. The first loss at
@@ -57,7 +58,7 @@
         daemon.shared_view.with(|local_view| local_view.connection_lost(endpoint, request, now_ms));
     match loss {
         Some(ConnectionLoss::CheckNeeded) => {
-            smol::spawn(check_until_known(Arc::clone(daemon), endpoint.clone())).detach();
+            smol::spawn(check_lost(Arc::clone(daemon), endpoint.clone())).detach();
         }
         Some(ConnectionLoss::Terminated) => {
             record_late(daemon, &endpoint.incarnation(), request, sent_ms);
@@ -67,19 +68,26 @@
 }
 
 /// Records that the caller no longer waits for a request that was sent to an endpoint at `sent_ms`
-/// and still runs there.
+/// and still runs there. If the endpoint has sent nothing of an answer, it may have crashed behind a
+/// broken link, so it is checked.
 pub(crate) fn record_abandoned(
-    daemon: &Daemon,
+    daemon: &Arc<Daemon>,
     endpoint: &Endpoint,
     request: Fingerprint,
     sent_ms: u64,
+    has_answered: bool,
 ) {
     let now_ms = daemon.shared_view.now_ms();
-    let is_terminated = daemon
-        .shared_view
-        .with(|local_view| local_view.request_abandoned(endpoint, request, now_ms));
+    let incarnation = endpoint.incarnation();
+    let (is_terminated, must_check) = daemon.shared_view.with(|local_view| {
+        let is_terminated = local_view.request_abandoned(endpoint, request, now_ms);
+        (is_terminated, !has_answered && local_view.unresolved_requests.start_check(&incarnation))
+    });
     if is_terminated {
-        record_late(daemon, &endpoint.incarnation(), request, sent_ms);
+        record_late(daemon, &incarnation, request, sent_ms);
+    }
+    if must_check {
+        smol::spawn(check_until_known(Arc::clone(daemon), endpoint.clone())).detach();
     }
 }
 
@@ -109,59 +117,91 @@
     record_crashes(daemon, incarnation, evidence.name(), &requests);
 }
 
+/// Checks an endpoint that has lost a connection.
+async fn check_lost(daemon: Arc<Daemon>, endpoint: Endpoint) {
+    if let CheckResult::Terminated(evidence) = check_port(&endpoint).await {
+        record_terminated(&daemon, &endpoint.incarnation(), evidence);
+    }
+    check_until_known(daemon, endpoint).await;
+}
+
 /// Checks an endpoint until its state is known or nothing depends on it.
 async fn check_until_known(daemon: Arc<Daemon>, endpoint: Endpoint) {
     let incarnation = endpoint.incarnation();
     let mut pause_ms = MAX_CRASH_DELAY_MS;
-    let mut result = check_port(&endpoint).await;
-    let mut inconclusive_checks = 0;
     loop {
-        match &result {
-            CheckResult::Terminated(evidence) => {
-                record_terminated(&daemon, &incarnation, *evidence);
-            }
-            CheckResult::Inconclusive(reason) => {
-                inconclusive_checks += 1;
-                if inconclusive_checks == LOGGED_AFTER_CHECKS {
-                    tracing::info!(endpoint = %incarnation.name, born_ms = incarnation.started_unix_ms, reason, "endpoint: Its checks are inconclusive; they go on.");
-                }
-            }
-            CheckResult::Alive => {}
-        }
         Timer::after(Duration::from_millis(pause_ms)).await;
         let now_ms = daemon.shared_view.now_ms();
         if !daemon
             .shared_view
             .with(|local_view| local_view.unresolved_requests.needs_check(&incarnation, now_ms))
         {
-            if let CheckResult::Inconclusive(reason) = &result {
-                tracing::info!(endpoint = %incarnation.name, born_ms = incarnation.started_unix_ms, inconclusive_checks, reason, "endpoint: Its checks found out nothing, and nothing depends on them any more.");
-            }
             return;
         }
-        result = check_identity(&daemon, &endpoint).await;
-        match &result {
+        match check_identity(&daemon, &endpoint).await {
             CheckResult::Alive => {
                 daemon.shared_view.with(|local_view| {
+                    local_view.records.gave_sign(&incarnation.name, now_ms);
                     local_view.unresolved_requests.confirmed_alive(&incarnation, now_ms)
                 });
                 tracing::info!(endpoint = %incarnation.name, born_ms = incarnation.started_unix_ms, "endpoint: The endpoint is alive; no request crashed it.");
                 pause_ms = MAX_CRASH_DELAY_MS;
             }
-            CheckResult::Inconclusive(_) => pause_ms = (2 * pause_ms).min(MAX_PAUSE_MS),
-            CheckResult::Terminated(_) => {}
+            CheckResult::NoSign => {
+                record_no_sign(&daemon, &incarnation, now_ms);
+                pause_ms = (2 * pause_ms).min(MAX_PAUSE_MS);
+            }
+            CheckResult::Accepts => {
+                daemon.shared_view.with(|local_view| {
+                    local_view.records.gave_sign(&incarnation.name, now_ms);
+                    local_view.unresolved_requests.gave_sign(&incarnation);
+                });
+                pause_ms = (2 * pause_ms).min(MAX_PAUSE_MS);
+            }
+            CheckResult::Terminated(evidence) => record_terminated(&daemon, &incarnation, evidence),
         }
     }
 }
 
+/// Returns whether an endpoint answers now, whichever incarnation it is.
+pub(crate) async fn gives_sign_of_life(daemon: &Daemon, endpoint: &Endpoint) -> bool {
+    let has_answered = answers(daemon, endpoint).await;
+    let now_ms = daemon.shared_view.now_ms();
+    daemon.shared_view.with(|local_view| match has_answered {
+        true => local_view.records.gave_sign(&endpoint.name, now_ms),
+        false => _ = local_view.records.gave_no_sign(&endpoint.name, now_ms),
+    });
+    tracing::info!(endpoint = %endpoint.name, has_answered, "endpoint: It was checked before a request that may crash it is sent.");
+    has_answered
+}
+
+/// Returns whether the process at an endpoint's address answers a call that waits for no slot.
+async fn answers(daemon: &Daemon, endpoint: &Endpoint) -> bool {
+    let client = CallClient::new(endpoint.address);
+    let wire = &daemon.wire.endpoint;
+    let service = daemon.shared_view.catalog().and_then(|catalog| {
+        let service = catalog.services.get(&endpoint.service)?;
+        Some((service.engine.is_some(), service.health_path.clone()))
+    });
+    let call = match service {
+        Some((true, _)) => Some((wire.report_call)()),
+        Some((false, Some(path))) => (wire.identity_call)(&endpoint.name, &path),
+        _ => None,
+    };
+    match call {
+        Some(call) => client.exchange(call, ANSWER_MS).await.is_ok(),
+        None => matches!(check_port(endpoint).await, CheckResult::Accepts),
+    }
+}
+
 /// Checks whether a process listens at an endpoint's address.
 async fn check_port(endpoint: &Endpoint) -> CheckResult {
     match connect::open(endpoint.address, CONNECT_TIMEOUT_MS).await {
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
             CheckResult::Terminated(Evidence::Refused)
         }
-        Ok(_) => CheckResult::Inconclusive("its address accepts connections".to_owned()),
-        Err(error) => CheckResult::Inconclusive(error.to_string()),
+        Ok(_) => CheckResult::Accepts,
+        Err(_) => CheckResult::NoSign,
     }
 }
 
@@ -188,14 +228,21 @@
     let Some(call) = (wire.identity_call)(&endpoint.name, path) else {
         return check_port(endpoint).await;
     };
-    evaluate(client.exchange(call, ANSWER_MS).await, |answer| {
+    // An engine without a free slot does not say who it is in time, but it reports its state.
+    let reports = async { service.engine.is_some() && answers(daemon, endpoint).await };
+    let (answer, has_reported) = future::zip(client.exchange(call, ANSWER_MS), reports).await;
+    let result = evaluate(answer, |answer| {
         let is_another = answer.status == StatusCode::MISDIRECTED_REQUEST.as_u16();
         let named = (wire.identity_answer)(&answer.headers);
         match (is_another, named) {
             (true, _) => Some((false, Evidence::Replaced)),
             (false, named) => Some((named? == endpoint.name, Evidence::Replaced)),
         }
-    })
+    });
+    match result {
+        CheckResult::NoSign if has_reported => CheckResult::Accepts,
+        known => known,
+    }
 }
 
 /// Evaluates an answer. `read` returns whether it comes from the endpoint itself, and the evidence
@@ -208,11 +255,35 @@
         Ok(answer) => match read(answer) {
             Some((true, _)) => CheckResult::Alive,
             Some((false, evidence)) => CheckResult::Terminated(evidence),
-            None => CheckResult::Inconclusive("its answer does not identify it".to_owned()),
+            None => CheckResult::NoSign,
         },
         Err(error) if error.is_refused() => CheckResult::Terminated(Evidence::Refused),
-        Err(error) => CheckResult::Inconclusive(error.to_string()),
+        Err(_) => CheckResult::NoSign,
+    }
+}
+
+/// Records that a check at `checked_ms` got no answer from an endpoint, and reports the requests that
+/// are suspected for it to the leader.
+fn record_no_sign(daemon: &Daemon, incarnation: &Incarnation, checked_ms: u64) {
+    let now_ms = daemon.shared_view.now_ms();
+    let (is_new, suspected) = daemon.shared_view.with(|local_view| {
+        let is_new = local_view.records.gave_no_sign(&incarnation.name, now_ms);
+        (is_new, local_view.endpoint_gave_no_sign(incarnation, checked_ms, now_ms))
+    });
+    if is_new {
+        tracing::info!(endpoint = %incarnation.name, "endpoint: It does not answer checks; others are preferred until it does.");
     }
+    let count = suspected.len();
+    if count == 0 {
+        return;
+    }
+    let named: Vec<String> = suspected.iter().take(MAX_LOGGED).map(ToString::to_string).collect();
+    let (endpoint, started_unix_ms) = (&incarnation.name, incarnation.started_unix_ms);
+    tracing::warn!(
+        %endpoint, born_ms = started_unix_ms, count, requests = ?named,
+        "endpoint: It has given no sign of life since these requests were sent there; they may have crashed it."
+    );
+    daemon.shared_view.notify_demand();
 }
 
 /// Handles a request that was still open at an endpoint when the endpoint was found to have
--- a/crates/trestle-entry/src/control/group_lease.rs
+++ b/crates/trestle-entry/src/control/group_lease.rs
@@ -199,6 +199,20 @@
         }
     }
 
+    /// Returns the last holder of the lease, even if its lease has expired; nobody if it released the
+    /// lease. It may not give orders by this.
+    pub(crate) fn last_holder(&self) -> Leader {
+        let group = self.group.clone();
+        match self.lease.seen() {
+            Some((row, _)) if row.is_released => Leader::Nobody,
+            Some((row, _)) if self.lease.is_own(row) => Leader::Here { group, token: row.token },
+            Some((row, _)) if row.address != self.daemon.peers_address() => {
+                Leader::At { address: row.address, group, token: row.token }
+            }
+            _ => Leader::Nobody,
+        }
+    }
+
     fn log_restored(&self, now_ms: u64) {
         let is_held = self.lease.is_holder(now_ms);
         let free_in_ms = self.lease.free_from_ms().map(|free_ms| free_ms.saturating_sub(now_ms));
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -387,18 +387,20 @@
 
     /// Returns the leader that makes the decisions on a name for all daemons, and since when if
     /// another leader may have made them before. Leaders know of the same groups, so they agree on
-    /// it.
+    /// it. While no lease can be renewed, the last holders go on deciding: unlike an order, such a
+    /// decision does no harm if another leader decides as well.
     pub(crate) fn decision_leader(&mut self, name: &str, now_ms: u64) -> (Leader, Option<u64>) {
         self.update_decision_leaders(now_ms);
         let group = self.decision_leaders.group_for(name);
-        let leader = group.map_or(Leader::Nobody, |group| self.leader_of(group, now_ms));
+        let lease = group.and_then(|group| self.by_group.get(group));
+        let leader = lease.map_or(Leader::Nobody, GroupLease::last_holder);
         (leader, self.decision_leaders.decides_since_ms(name))
     }
 
     fn update_decision_leaders(&mut self, now_ms: u64) {
         let here = self.daemon.peers_address();
         for (group, lease) in &self.by_group {
-            let leader = match lease.leader(now_ms) {
+            let leader = match lease.last_holder() {
                 Leader::Here { token, .. } => Some((here, token)),
                 Leader::At { address, token, .. } => Some((address, token)),
                 Leader::Nobody => None,
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -134,6 +134,7 @@
         task.log_if_suspected(&selected.endpoint);
         match connection.send(task.to_http_request(&selected.endpoint, last_event_id)).await {
             Ok(response) => {
+                selected.record_answered();
                 signals::process(daemon, &selected.endpoint, &response, &task.head.id, sent_ms);
                 if response.status() == StatusCode::MISDIRECTED_REQUEST {
                     // The request did not run here, so it cannot crash this endpoint.
@@ -161,6 +162,8 @@
     opened_ms: u64,
 ) {
     let incarnation = endpoint.incarnation();
+    let now_ms = task.daemon.shared_view.now_ms();
+    task.daemon.shared_view.with(|local_view| local_view.records.gave_sign(&endpoint.name, now_ms));
     match (status, &task.head.model) {
         // The endpoint may have been replaced, or may run and only lack the model; the status does
         // not tell which.
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -18,7 +18,7 @@
     admission::Reason,
     endpoint::Endpoint,
     fingerprint::Fingerprint,
-    selection::{self, RequestContext, Selection},
+    selection::{self, NO_SIGN_RETRY_MS, RequestContext, Selection},
     sends::Sends,
 };
 
@@ -26,6 +26,9 @@
 /// daemon has begun to stop, or that an endpoint excluded for a time may be tried again.
 const POLL_INTERVAL_MS: u64 = 250;
 
+/// Most endpoints that are checked for one request before it is refused, each within 0.4 s.
+const MAX_CHECKS: u32 = 2;
+
 /// An endpoint that was selected for one send. The request counts as running there until this guard
 /// is dropped.
 #[derive(Debug)]
@@ -34,6 +37,8 @@
     task: Arc<Task>,
     /// When the request was sent, while it is not known whether it crashed the endpoint.
     unresolved_since_ms: Option<u64>,
+    /// Whether the endpoint has sent the head of an answer.
+    has_answered: bool,
 }
 
 impl SelectedEndpoint {
@@ -42,12 +47,18 @@
         let Some(request) = self.task.head.fingerprint else { return };
         let now_ms = self.task.daemon.shared_view.now_ms();
         self.unresolved_since_ms = Some(now_ms);
+        self.has_answered = false;
         self.task
             .daemon
             .shared_view
             .with(|local_view| local_view.track_request(&self.endpoint, request, now_ms));
     }
 
+    /// Records that the endpoint has sent the head of an answer.
+    pub(crate) fn record_answered(&mut self) {
+        self.has_answered = true;
+    }
+
     /// Records that the request did not crash the endpoint: it did not run there, or was answered.
     pub(crate) fn resolve(&mut self) {
         let Some((request, _)) = self.take_unresolved() else { return };
@@ -83,6 +94,7 @@
 /// longer valid, or that the team's limit is used up. Nothing was sent by this call.
 pub(crate) async fn select(task: &Arc<Task>, sends: &Sends) -> Result<SelectedEndpoint, Failure> {
     let mut demand: Option<DemandGuard> = None;
+    let mut silent_count = 0;
     quota_reservation::check(task)?;
     loop {
         let changed = task.daemon.shared_view.changed();
@@ -96,8 +108,19 @@
                     endpoint,
                     task: Arc::clone(task),
                     unresolved_since_ms: None,
+                    has_answered: false,
                 });
             }
+            Selection::CheckEndpoint(endpoint) => {
+                if !connection_loss::gives_sign_of_life(&task.daemon, &endpoint).await {
+                    silent_count += 1;
+                }
+                if silent_count >= MAX_CHECKS {
+                    let why = Reason::NoSignOfLife.name();
+                    return Err(Failure::NotRun { retry_after_ms: NO_SIGN_RETRY_MS, why });
+                }
+                continue;
+            }
             Selection::RequestTrial => {
                 request_trial(task).await?;
                 continue;
@@ -209,7 +232,9 @@
 impl Drop for SelectedEndpoint {
     fn drop(&mut self) {
         if let Some((request, sent_ms)) = self.take_unresolved() {
-            connection_loss::record_abandoned(&self.task.daemon, &self.endpoint, request, sent_ms);
+            let (daemon, endpoint) = (&self.task.daemon, &self.endpoint);
+            let has_answered = self.has_answered;
+            connection_loss::record_abandoned(daemon, endpoint, request, sent_ms, has_answered);
         }
         let (model, adapter) = (self.task.head.model.as_ref(), self.task.head.adapter.as_ref());
         self.task
--- a/crates/trestle-entry/src/trial.rs
+++ b/crates/trestle-entry/src/trial.rs
@@ -1,9 +1,17 @@
 //! The permission of a request that may have crashed endpoints to run once more.
 //!
 //! A leader gives the permission. It is renewed until it is known whether the endpoint crashed
-//! under the attempt, so that no other daemon makes an attempt meanwhile.
+//! under the attempt, so that no other daemon makes an attempt meanwhile. If the endpoint gives no
+//! sign of life, the leader is told so, and delays the next attempt.
 
-use crate::{connection_loss, daemon::Daemon, trial_leader};
+mod attempt_end;
+mod permission;
+
+use self::{
+    attempt_end::{EndedAttempt, EndpointState},
+    permission::Permission,
+};
+use crate::{daemon::Daemon, trial_leader};
 use smol::{Task, Timer};
 use std::{
     sync::{
@@ -12,19 +20,12 @@
     },
     time::Duration,
 };
-use trestle_dispatch::{
-    endpoint::Endpoint, fingerprint::Fingerprint, trials::TRIAL_MS,
-    unresolved_requests::MAX_CRASH_DELAY_MS,
-};
+use trestle_dispatch::{endpoint::Endpoint, fingerprint::Fingerprint, trials::TRIAL_MS};
 use trestle_wire::trials::{TrialStep, WireTrialAnswer};
 
 /// Retry-after time for callers while no leader can be reached: about the time until there is a
 /// new leader.
 const NO_LEADER_MS: u64 = 1_000;
-/// Time between two renewals of a permission, so that one of them may be lost.
-const RENEWAL_INTERVAL_MS: u64 = TRIAL_MS / 3;
-/// Time between two checks whether it is known how an attempt ended.
-const RESOLUTION_CHECK_MS: u64 = 100;
 /// Time in which the report of a crash reaches all daemons.
 const CRASH_REPORTED_MS: u64 = 600;
 
@@ -38,11 +39,9 @@
 /// this one any more; otherwise they are held off until that is known.
 #[derive(Debug)]
 struct PermittedAttempt {
-    daemon: Arc<Daemon>,
+    permission: Permission,
     /// Id of the caller's request, for logs.
     id: String,
-    request: Fingerprint,
-    number: u64,
     /// When the permission was received.
     received_ms: u64,
     /// The end of the permission unless it is renewed, on this daemon's clock.
@@ -77,24 +76,33 @@
             return Err(for_ms);
         }
         let number = daemon.next_number();
-        let answer = trial_leader::ask(daemon, request, number, TrialStep::Begin).await;
-        let (must_run_serially, crashes, unresolved) = daemon.shared_view.with(|local_view| {
-            let crashes = &local_view.crashes;
-            let unresolved = local_view.unresolved_requests.unresolved_incarnations(
-                request,
-                crashes.answered_ms(request),
-                asked_ms,
-            );
-            (crashes.must_run_serially(request, 0), crashes.counted(request), unresolved)
-        });
-        tracing::info!(id, %request, number, answer = ?answer, is_known = must_run_serially, crashes, unresolved, "request: The request may crash endpoints; a leader was asked for permission.");
+        let mut answer = trial_leader::ask(daemon, request, number, TrialStep::Begin).await;
+        let (must_run_serially, crashes, suspected, unresolved) =
+            daemon.shared_view.with(|local_view| {
+                let crashes = &local_view.crashes;
+                let unresolved = local_view.unresolved_requests.unresolved_incarnations(
+                    request,
+                    crashes.answered_ms(request),
+                    asked_ms,
+                );
+                let suspected = crashes.suspected(request, asked_ms);
+                let must_run_serially = crashes.must_run_serially(request, 0);
+                (must_run_serially, crashes.counted(request), suspected, unresolved)
+            });
+        // If no leader answers, a request that is only suspected of crashing endpoints may run, with
+        // one attempt at a time at this daemon.
+        let is_alone = answer == WireTrialAnswer::Undecided && !must_run_serially;
+        if is_alone {
+            answer = trial_leader::decide_alone(daemon, request, number, TrialStep::Begin);
+        }
+        tracing::info!(id, %request, number, answer = ?answer, is_known = must_run_serially, crashes, suspected, unresolved, is_alone, "request: The request may crash endpoints; a leader was asked for permission.");
         let now_ms = daemon.shared_view.now_ms();
         match answer {
-            // If no leader answers, a request that is only suspected of crashing endpoints may run.
-            WireTrialAnswer::Undecided if must_run_serially => Err(NO_LEADER_MS),
-            WireTrialAnswer::Runs | WireTrialAnswer::Undecided => {
-                let attempt = PermittedAttempt::new(daemon, id, request, number, asked_ms);
-                *self.attempt() = Some(attempt);
+            WireTrialAnswer::Undecided => Err(NO_LEADER_MS),
+            WireTrialAnswer::Runs => {
+                let daemon = Arc::clone(daemon);
+                let permission = Permission { daemon, request, number, is_alone };
+                *self.attempt() = Some(PermittedAttempt::new(permission, id, asked_ms));
                 Ok(())
             }
             WireTrialAnswer::Waits { for_ms } => {
@@ -108,9 +116,10 @@
     /// on.
     pub(crate) fn sent(&self, endpoint: &Endpoint) {
         if let Some(attempt) = &mut *self.attempt() {
-            let now_ms = attempt.daemon.shared_view.now_ms();
+            let permission = &attempt.permission;
+            let now_ms = permission.daemon.shared_view.now_ms();
             tracing::info!(
-                id = attempt.id, request = %attempt.request, number = attempt.number,
+                id = attempt.id, request = %permission.request, number = permission.number,
                 endpoint = %endpoint.name, held_ms = attempt.held_ms(),
                 "request: A permitted attempt is sent."
             );
@@ -138,7 +147,7 @@
         let Some(mut attempt) = self.attempt().take() else { return };
         attempt.renewal = None;
         attempt.is_released = true;
-        trial_leader::ask(&attempt.daemon, attempt.request, attempt.number, TrialStep::End).await;
+        attempt.permission.tell(TrialStep::End).await;
     }
 
     fn attempt(&self) -> MutexGuard<'_, Option<PermittedAttempt>> {
@@ -147,21 +156,13 @@
 }
 
 impl PermittedAttempt {
-    fn new(
-        daemon: &Arc<Daemon>,
-        id: &str,
-        request: Fingerprint,
-        number: u64,
-        asked_ms: u64,
-    ) -> Self {
+    fn new(permission: Permission, id: &str, asked_ms: u64) -> Self {
         let valid_until_ms = Arc::new(AtomicU64::new(asked_ms + TRIAL_MS));
-        let renewal = renew(Arc::clone(daemon), request, number, Arc::clone(&valid_until_ms));
+        let renewal = permission.clone().renew(Arc::clone(&valid_until_ms));
         Self {
-            daemon: Arc::clone(daemon),
             id: id.to_owned(),
-            request,
-            number,
-            received_ms: daemon.shared_view.now_ms(),
+            received_ms: permission.daemon.shared_view.now_ms(),
+            permission,
             valid_until_ms,
             renewal: Some(smol::spawn(renewal)),
             at: None,
@@ -175,80 +176,41 @@
 
     /// Returns the time since the permission was received.
     fn held_ms(&self) -> u64 {
-        self.daemon.shared_view.now_ms().saturating_sub(self.received_ms)
+        self.permission.daemon.shared_view.now_ms().saturating_sub(self.received_ms)
     }
 }
 
 impl Drop for PermittedAttempt {
     fn drop(&mut self) {
+        let permission = self.permission.clone();
         let unresolved_at = self.at.as_ref().map(|(endpoint, _)| endpoint.name.as_str());
         tracing::info!(
-            id = self.id, request = %self.request, number = self.number, unresolved_at,
+            id = self.id, request = %permission.request, number = permission.number, unresolved_at,
             held_ms = self.held_ms(), "request: A permitted attempt has ended."
         );
         if self.is_released {
             return;
         }
-        let (daemon, request, number) = (Arc::clone(&self.daemon), self.request, self.number);
-        let (renewal, at) = (self.renewal.take(), self.at.take());
-        let end = async move {
-            if let Some((endpoint, sent_ms)) = at
-                && has_crashed_under(&daemon, &endpoint, request, sent_ms).await
-            {
-                Timer::after(Duration::from_millis(CRASH_REPORTED_MS)).await;
-            }
-            drop(renewal);
-            trial_leader::ask(&daemon, request, number, TrialStep::End).await;
-        };
-        smol::spawn(end).detach();
+        let at = self.at.take();
+        smol::spawn(end(permission, self.renewal.take(), at)).detach();
     }
 }
 
-/// Renews a permission again and again.
-async fn renew(
-    daemon: Arc<Daemon>,
-    request: Fingerprint,
-    number: u64,
-    valid_until_ms: Arc<AtomicU64>,
-) {
-    loop {
-        Timer::after(Duration::from_millis(RENEWAL_INTERVAL_MS)).await;
-        let asked_ms = daemon.shared_view.now_ms();
-        let answer = trial_leader::ask(&daemon, request, number, TrialStep::Renew).await;
-        if answer == WireTrialAnswer::Runs {
-            valid_until_ms.store(asked_ms + TRIAL_MS, Ordering::Relaxed);
+/// Ends a permission once it is known how the attempt ended that was sent to an endpoint.
+async fn end(permission: Permission, mut renewal: Option<Task<()>>, at: Option<(Endpoint, u64)>) {
+    if let Some((endpoint, sent_ms)) = at {
+        let (daemon, request) = (Arc::clone(&permission.daemon), permission.request);
+        let attempt = EndedAttempt { daemon, request, endpoint, sent_ms };
+        let mut state = attempt.first_known_state().await;
+        if state == EndpointState::Silent {
+            renewal = None;
+            permission.tell(TrialStep::EndUnanswered).await;
+            state = attempt.state_after_silence().await;
         }
-    }
-}
-
-/// Returns whether an endpoint crashed under a request that was sent there at `sent_ms` and has no
-/// answer, once that is known.
-async fn has_crashed_under(
-    daemon: &Arc<Daemon>,
-    endpoint: &Endpoint,
-    request: Fingerprint,
-    sent_ms: u64,
-) -> bool {
-    let incarnation = endpoint.incarnation();
-    let state = || {
-        let now_ms = daemon.shared_view.now_ms();
-        daemon.shared_view.with(|local_view| {
-            let unresolved = &local_view.unresolved_requests;
-            let is_unresolved = unresolved.is_unresolved(&incarnation, request, now_ms);
-            (is_unresolved, local_view.crashes.has_crashed(request, &incarnation))
-        })
-    };
-    for _ in 0..MAX_CRASH_DELAY_MS / RESOLUTION_CHECK_MS {
-        Timer::after(Duration::from_millis(RESOLUTION_CHECK_MS)).await;
-        if state().1 {
-            return true;
+        if state == EndpointState::Crashed {
+            Timer::after(Duration::from_millis(CRASH_REPORTED_MS)).await;
         }
     }
-    if state().0 {
-        connection_loss::record_lost(daemon, endpoint, request, sent_ms);
-    }
-    while state() == (true, false) {
-        Timer::after(Duration::from_millis(RESOLUTION_CHECK_MS)).await;
-    }
-    state().1
+    drop(renewal);
+    permission.tell(TrialStep::End).await;
 }
--- a/crates/trestle-entry/src/trial_leader.rs
+++ b/crates/trestle-entry/src/trial_leader.rs
@@ -1,5 +1,8 @@
 //! Asks the leader that decides on attempts of requests that may crash endpoints, and decides where
 //! this daemon leads.
+//!
+//! The last leader goes on deciding while no lease can be renewed. A daemon that reaches no leader
+//! at all decides for itself, but only on requests that are merely suspected of crashing endpoints.
 
 use crate::{control::message::Leader, daemon::Daemon, peer::calls};
 use std::net::SocketAddr;
@@ -17,8 +20,11 @@
     number: u64,
     step: TrialStep,
 ) -> WireTrialAnswer {
-    let vm = daemon.settings.vm.clone();
-    let trial = WireTrial::new(vm, *request.as_bytes(), number, step);
+    let trial = new_trial(daemon, request, number, step);
+    let (leader, since_ms) = calls::decision_leader(daemon, request.to_string()).await;
+    if matches!(leader, Leader::Here { .. }) {
+        return decide_here(daemon, &trial, since_ms);
+    }
     let call = async |leader: Leader| {
         let answer = match leader {
             Leader::Here { .. } => decide(daemon, trial.clone()).await,
@@ -30,6 +36,20 @@
     calls::first_answer(daemon, call).await.unwrap_or(WireTrialAnswer::Undecided)
 }
 
+/// Decides on an attempt of this daemon without a leader.
+pub(crate) fn decide_alone(
+    daemon: &Daemon,
+    request: Fingerprint,
+    number: u64,
+    step: TrialStep,
+) -> WireTrialAnswer {
+    decide_here(daemon, &new_trial(daemon, request, number, step), None)
+}
+
+fn new_trial(daemon: &Daemon, request: Fingerprint, number: u64, step: TrialStep) -> WireTrial {
+    WireTrial::new(daemon.settings.vm.clone(), *request.as_bytes(), number, step)
+}
+
 async fn ask_at(daemon: &Daemon, address: SocketAddr, trial: WireTrial) -> WireTrialAnswer {
     let call = async |client: ReplicasClient, context| client.try_out(context, trial).await;
     daemon.calls.call(address, call).await.unwrap_or(WireTrialAnswer::Undecided)
@@ -55,9 +75,10 @@
     let (step, number) = (trial.step(), trial.attempt_number());
     let vm = VmName::from(trial.vm.as_str());
     let now_ms = daemon.shared_view.now_ms();
-    let (rejected_for_ms, has_one_crash) = daemon.shared_view.with(|local_view| {
+    let (rejected_for_ms, has_one_crash, answered_ms) = daemon.shared_view.with(|local_view| {
         let crashes = &local_view.crashes;
-        (crashes.rejected_for_ms(request, now_ms), crashes.counted(request) == 1)
+        let rejected_for_ms = crashes.rejected_for_ms(request, now_ms);
+        (rejected_for_ms, crashes.counted(request) == 1, crashes.answered_ms(request))
     });
     // One crash may have any cause. A request is not refused for it while nothing is known of the
     // attempts that a previous leader allowed.
@@ -65,6 +86,7 @@
     let answer = daemon.with_trials(|trials| match step {
         TrialStep::Begin => {
             trials.set_leader_since(since_ms);
+            trials.set_answered(request, answered_ms);
             let begun = match rejected_for_ms {
                 Some(for_ms) => Err(for_ms),
                 None => trials.begin(request, vm, number, now_ms),
@@ -80,6 +102,10 @@
             trials.end(request, &vm, number, now_ms);
             WireTrialAnswer::Runs
         }
+        TrialStep::EndUnanswered => {
+            trials.end_unanswered(request, vm, number, now_ms);
+            WireTrialAnswer::Runs
+        }
     });
     tracing::info!(
         %request, vm = trial.vm, number, step = ?step, answer = ?answer,
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -172,7 +172,9 @@
         match selection::select(local_view, context, &request_state.sends, random, now_ms) {
             Selection::Send(endpoint) => self.send(request, endpoint),
             Selection::Wait { until_ms } => self.wait(request, until_ms, elapsed_ms),
-            Selection::RequestTrial => unreachable!("simulated engines never crash under requests"),
+            Selection::CheckEndpoint(_) | Selection::RequestTrial => {
+                unreachable!("simulated engines never crash under requests")
+            }
             Selection::ChargeQuota => unreachable!("simulated teams have no limits"),
             Selection::RequestSendPermit(_) | Selection::Throttled(_) => {
                 unreachable!("simulated engines announce no limits")
--- a/crates/trestle-wire/src/crashes.rs
+++ b/crates/trestle-wire/src/crashes.rs
@@ -5,21 +5,27 @@
     crashes::{CrashReport, ReportedCrash},
     endpoint::Incarnation,
     fingerprint::Fingerprint,
+    suspicions::{IncarnationDigest, ReportedSuspicion},
 };
 
 /// Endpoint name of the entry in [`WireCrashReport::ends`] that holds the age of the last complete
 /// answer. Daemons that do not know this entry take it for a crash, but count no crash of a request
 /// that is reported as served.
 const ANSWER_ENTRY: &str = "";
+/// Endpoint name of the entries in [`WireCrashReport::ends`] that hold suspicions, after that of the
+/// answer: each has a digest of the incarnation in place of its start time. Daemons that do not know
+/// these entries read the first entry with this name, if the request was served, and skip the others.
+const SUSPICION_ENTRY: &str = ANSWER_ENTRY;
 
 /// Crashes of endpoints under one request.
 #[trestle_macros::wire]
 pub struct WireCrashReport {
     /// Fingerprint of the request.
     pub request: [u8; 16],
-    /// Last crashes of endpoints under the request, and the entry [`ANSWER_ENTRY`] after a complete
-    /// answer. A second entry of the same incarnation holds the time since the request was last sent
-    /// there, if that was before the crash; daemons that do not know it skip it.
+    /// Last crashes of endpoints under the request, the entry [`ANSWER_ENTRY`] after a complete
+    /// answer, and the entries [`SUSPICION_ENTRY`]. A second entry of the same incarnation holds the
+    /// time since the request was last sent there, if that was before the crash; daemons that do not
+    /// know it skip it.
     pub ends: Vec<WireEndpointCrash>,
     /// Whether the request had a complete answer. It clears the crashes of endpoints to which the
     /// request was sent before the answer.
@@ -62,25 +68,38 @@
             born_ms: 0,
             age_ms,
         });
+        let suspicions = report.suspicions.iter().map(|suspicion| WireEndpointCrash {
+            endpoint: SUSPICION_ENTRY.to_owned(),
+            born_ms: suspicion.endpoint.number(),
+            age_ms: suspicion.sent_ago_ms,
+        });
         Self {
             request: *report.request.as_bytes(),
             is_served: answer.is_some(),
-            ends: crashes.chain(answer).collect(),
+            ends: crashes.chain(answer).chain(suspicions).collect(),
         }
     }
 }
 
 impl From<WireCrashReport> for CrashReport {
     fn from(wire: WireCrashReport) -> Self {
-        let (answers, entries): (Vec<WireEndpointCrash>, Vec<WireEndpointCrash>) =
+        let (unnamed, entries): (Vec<WireEndpointCrash>, Vec<WireEndpointCrash>) =
             wire.ends.into_iter().partition(|entry| entry.endpoint == ANSWER_ENTRY);
         let crashes = crashes_from(entries);
-        let answered_ago_ms = answers.first().map(|answer| answer.age_ms);
+        let answer =
+            unnamed.iter().find(|entry| IncarnationDigest::from_number(entry.born_ms).is_none());
+        let answered_ago_ms = answer.map(|answer| answer.age_ms);
+        let suspicions = unnamed.iter().filter_map(|entry| {
+            let endpoint = IncarnationDigest::from_number(entry.born_ms)?;
+            Some(ReportedSuspicion { endpoint, sent_ago_ms: entry.age_ms })
+        });
+        let suspicions = suspicions.collect();
         // A daemon that reports no time of the answer means an answer after all its crashes.
         let last_sent_ago_ms = || crashes.iter().map(|crash| crash.sent_ago_ms).min();
         let answered_ago_ms =
             if wire.is_served { answered_ago_ms.or_else(last_sent_ago_ms) } else { None };
-        Self { request: Fingerprint::from_bytes(wire.request), crashes, answered_ago_ms }
+        let request = Fingerprint::from_bytes(wire.request);
+        Self { request, crashes, suspicions, answered_ago_ms }
     }
 }
 
--- a/crates/trestle-wire/tests/crashes.rs
+++ b/crates/trestle-wire/tests/crashes.rs
@@ -5,6 +5,7 @@
     crashes::{CrashReport, ReportedCrash},
     endpoint::Incarnation,
     fingerprint::Fingerprint,
+    suspicions::{IncarnationDigest, ReportedSuspicion},
 };
 use trestle_wire::crashes::{WireCrashReport, WireEndpointCrash};
 
@@ -19,7 +20,16 @@
         sent_ago_ms,
     };
     let crashes = vec![crash("e", 900, 900), crash("ff", 100, 4_000)];
-    CrashReport { request: REQUEST, crashes, answered_ago_ms }
+    CrashReport { request: REQUEST, crashes, suspicions: Vec::new(), answered_ago_ms }
+}
+
+/// Returns a report with suspicions at two endpoints.
+fn with_suspicions(answered_ago_ms: Option<u64>) -> CrashReport {
+    let suspicion = |number, sent_ago_ms| ReportedSuspicion {
+        endpoint: IncarnationDigest::of(&Incarnation { name: "g".into(), started_unix_ms: number }),
+        sent_ago_ms,
+    };
+    CrashReport { suspicions: vec![suspicion(1, 30), suspicion(2, 70)], ..report(answered_ago_ms) }
 }
 
 macro_rules! cases {
@@ -29,8 +39,9 @@
 cases! {
     reports_arrive_as_they_were_sent => {
         for answered_ago_ms in [None, Some(0), Some(500)] {
-            let sent = report(answered_ago_ms);
-            assert_eq!(CrashReport::from(WireCrashReport::from(sent.clone())), sent);
+            for sent in [report(answered_ago_ms), with_suspicions(answered_ago_ms)] {
+                assert_eq!(CrashReport::from(WireCrashReport::from(sent.clone())), sent);
+            }
         }
     }
 
@@ -44,6 +55,19 @@
         assert_eq!(ages_ms, [900, 100, 4_000], "the first entry of an incarnation is its crash");
     }
 
+    /// A daemon that knows no suspicions reads the first entry without a name as the answer if the
+    /// request was served, and none otherwise. It must take a suspicion neither for an answer nor for
+    /// a crash.
+    suspicions_are_skipped_by_daemons_that_do_not_know_them => {
+        for answered_ago_ms in [None, Some(500)] {
+            let known = WireCrashReport::from(report(answered_ago_ms));
+            let wire = WireCrashReport::from(with_suspicions(answered_ago_ms));
+            assert_eq!(wire.is_served, known.is_served);
+            assert_eq!(wire.ends[..known.ends.len()], known.ends, "what follows is skipped");
+            assert!(wire.ends[known.ends.len()..].iter().all(|entry| entry.endpoint.is_empty()));
+        }
+    }
+
     /// A daemon that reports no time of an answer counts none of its crashes after one.
     a_served_report_without_a_time_clears_its_crashes => {
         let crash = |name: &str, age_ms| WireEndpointCrash { endpoint: name.to_owned(), born_ms: 0, age_ms };
