--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -199,8 +199,9 @@
         self.by_request.get(&request).map_or(0, CrashRecord::counted)
     }
 
-    /// Returns the number of endpoints that have given no sign of life since an attempt of a request
-    /// ended there without an answer, according to all daemons.
+    /// Returns the number of attempts of a request that ended without an answer at endpoints which
+    /// have given no sign of life since, according to all daemons. Several attempts at one endpoint
+    /// count once, or twice if they were made some time apart.
     pub fn suspected(&self, request: Fingerprint, now_ms: u64) -> usize {
         let from_ms = (now_ms + CLOCK_OFFSET_MS).saturating_sub(EXPIRY_MS);
         self.by_request.get(&request).map_or(0, |record| record.suspicions.count_since(from_ms))
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -199,17 +199,17 @@
     pending_demand(request, now_ms + retry_after_ms + RETURN_GRACE_MS).filter(|_| is_kept)
 }
 
-/// Returns the endpoint for the next send, other than those that are `silent`.
+/// Returns the endpoint for the next send, other than the `excluded` ones.
 fn choose_allowed(
     local_view: &mut LocalView,
     request: RequestContext<'_>,
     sends: &Sends,
-    silent: &BTreeSet<EndpointName>,
+    excluded: &BTreeSet<EndpointName>,
     random: u64,
     now_ms: u64,
 ) -> Option<Endpoint> {
     let mut choose = |mut allowed: Allowed| {
-        allowed.excluded.extend(silent.iter().cloned());
+        allowed.excluded.extend(excluded.iter().cloned());
         let chosen = |inputs: ChoiceInputs<'_>, requirements: Requirements<'_>| {
             let permit = request.send_permit.filter(|incarnation| {
                 choice::accepts_with_permit(inputs, requirements, incarnation)
--- a/crates/trestle-dispatch/src/trials.rs
+++ b/crates/trestle-dispatch/src/trials.rs
@@ -26,8 +26,8 @@
 const FIRST_UNANSWERED_MS: u64 = TRIAL_MS;
 /// Factor by which that time grows with each further attempt without an answer.
 const UNANSWERED_GROWTH: u64 = 4;
-/// Longest time for which others wait after an attempt without an answer. In an outage of an hour a
-/// request that crashes endpoints crashes ten of them at most.
+/// Longest time for which others wait after an attempt without an answer. In an outage of an hour one
+/// leader then permits ten such attempts of a request that crashes endpoints.
 const MAX_UNANSWERED_MS: u64 = 600_000;
 /// Largest number of attempts recorded at once; further ones are rejected.
 const MAX_TRIALS: usize = 4_096;
--- a/crates/trestle-dispatch/src/unresolved_requests.rs
+++ b/crates/trestle-dispatch/src/unresolved_requests.rs
@@ -9,7 +9,8 @@
 //!
 //! Requests that were aborted earlier must not be blamed: if an endpoint is alive some time after
 //! a request was aborted there, that request did not crash it. Any answer of the same incarnation
-//! proves this; if none arrives, the endpoint is probed.
+//! proves this; if none arrives, the endpoint is probed. If it does not answer that either, the request
+//! is suspected, which all daemons are told, and is remembered for much longer.
 
 use crate::{endpoint::Incarnation, fingerprint::Fingerprint};
 use std::{collections::BTreeMap, net::SocketAddr};
