Let endpoints that have survived not take the places of suspicions

Found by reading the whole change. What callers would have seen: a request that had lost answers at four endpoints, all of which answered later, was suspected nowhere when it began to crash others, for 20 minutes. Cause: survived endpoints counted towards the four that are kept for a request, so no further one was added, and what is suspected is not counted as unresolved either. Now those that count nothing make room.

--- a/crates/trestle-dispatch/src/suspicions.rs
+++ b/crates/trestle-dispatch/src/suspicions.rs
@@ -96,6 +96,10 @@
         if let Some(attempts) = self.attempts.get_mut(&endpoint) {
             return attempts.add(sent_ms);
         }
+        if self.attempts.len() >= MAX_KEPT {
+            // Endpoints that have survived must not take the places of others.
+            self.attempts.retain(|_, attempts| attempts.counted().next().is_some());
+        }
         let has_room = self.attempts.len() < MAX_KEPT;
         if has_room {
             let attempts =
--- a/crates/trestle-dispatch/tests/suspicions.rs
+++ b/crates/trestle-dispatch/tests/suspicions.rs
@@ -117,6 +117,19 @@
         assert_eq!(restriction(&other, 3_400), Restriction::None);
     }
 
+    /// Endpoints that had lost answers before took the places of those that crashed later.
+    attempts_are_suspected_after_many_endpoints_have_survived => {
+        let mut crashes = Crashes::default();
+        for number in 0..9 {
+            crashes.record_suspicion(REQUEST, &incarnation(number), 1_000, 1_900);
+            crashes.record_survival(REQUEST, &incarnation(number), 1_000, 2_000);
+        }
+        for number in 10..12 {
+            crashes.record_suspicion(REQUEST, &incarnation(number), 3_000, 3_900);
+        }
+        assert_eq!(crashes.suspected(REQUEST, 4_000), 2);
+    }
+
     /// Many requests that each lost one answer must not push out the one that crashes engines.
     requests_with_fewer_suspicions_are_forgotten_first => {
         let mut crashes = Crashes::default();
