Log and count when the endpoints of a service accept no connections from a daemon

All connections to endpoints are opened in one place now, which records the outcome (trestle_dispatch::reachability). Once two endpoints of a service have failed with none that accepted between, a line says so, with how the last one failed, and another when one accepts again; a gauge counts the endpoints whose last connection attempt failed. No decision changes.

--- a/crates/trestle-config/src/entry_settings.rs
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -30,6 +30,9 @@
     pub metrics_port: u16,
     /// Address of the store.
     pub store_address: SocketAddr,
+    /// IP address from which the daemon connects to endpoints; chosen by the system by default.
+    #[serde(default)]
+    pub source_address: Option<IpAddr>,
     /// Bounds that the operators have agreed with their users.
     pub bounds: Bounds,
     /// Format and amount of log output.
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //!   configuration), [`listing`] (the store's list of endpoints, ordered by version whichever
 //!   source it comes from), [`directory`] (the endpoints that may be used), [`replicas`] (where
 //!   models can be reached, as leaders report it), [`record`] (outcomes of requests at endpoints),
+//!   [`reachability`] (which endpoints accept connections of this daemon),
 //!   [`backpressure`] (what endpoints announce in their answers, read as [`signals`]),
 //!   [`unresolved_requests`], [`crashes`] and [`suspicions`] (requests under which endpoints
 //!   crashed, or may have), and [`local_demand`] (the demand of the daemon's own callers).
@@ -61,6 +62,7 @@
 pub mod quota;
 pub mod quota_allocator;
 pub mod rates;
+pub mod reachability;
 pub mod record;
 pub mod replicas;
 pub mod request;
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -14,6 +14,7 @@
     local_demand::LocalDemand,
     policy::Policy,
     quota::QuotaBounds,
+    reachability::Reachability,
     record::Records,
     replicas::ReplicaView,
     request::RequestHead,
@@ -126,6 +127,8 @@
     pub policy: Policy,
     /// Outcomes of requests, by endpoint.
     pub records: Records,
+    /// Outcomes of this daemon's connection attempts, by endpoint.
+    pub reachability: Reachability,
     /// Limits and backoffs that endpoints announced in their answers.
     pub backpressure: Backpressure,
     /// Requests without an answer, by incarnation of the endpoint.
@@ -168,6 +171,7 @@
             leader_lost_ms: None,
             policy: Policy::default(),
             records: Records::default(),
+            reachability: Reachability::default(),
             backpressure: Backpressure::default(),
             unresolved_requests: UnresolvedRequests::default(),
             crashes: Crashes::default(),
--- a/crates/trestle-entry/src/connection_loss.rs
+++ b/crates/trestle-entry/src/connection_loss.rs
@@ -9,11 +9,8 @@
 use crate::{
     crashes,
     daemon::Daemon,
-    net::{
-        connect,
-        exchange::{Answer, CallClient, Error},
-        pool::CONNECT_TIMEOUT_MS,
-    },
+    net::exchange::{Answer, Error},
+    paths,
 };
 use futures_lite::future;
 use http::StatusCode;
@@ -130,7 +127,7 @@
 
 /// Checks an endpoint that has lost a connection.
 async fn check_lost(daemon: Arc<Daemon>, endpoint: Endpoint) {
-    if let CheckResult::Terminated(evidence) = check_port(&endpoint).await {
+    if let CheckResult::Terminated(evidence) = check_port(&daemon, &endpoint).await {
         record_terminated(&daemon, &endpoint.incarnation(), evidence);
     }
     check_until_known(daemon, endpoint).await;
@@ -176,7 +173,7 @@
 
 /// Returns whether an endpoint answers now, whichever incarnation it is; `None` if another request
 /// has just had it checked.
-pub(crate) async fn gives_sign_of_life(daemon: &Daemon, endpoint: &Endpoint) -> Option<bool> {
+pub(crate) async fn gives_sign_of_life(daemon: &Arc<Daemon>, endpoint: &Endpoint) -> Option<bool> {
     let begun_ms = daemon.shared_view.now_ms();
     let is_first = daemon.shared_view.with(|local_view| {
         local_view.records.begin_check(&endpoint.name, begun_ms, begun_ms + ANSWER_MS)
@@ -196,8 +193,8 @@
 }
 
 /// Returns whether the process at an endpoint's address answers a call that waits for no slot.
-async fn answers(daemon: &Daemon, endpoint: &Endpoint) -> bool {
-    let client = CallClient::new(endpoint.address);
+async fn answers(daemon: &Arc<Daemon>, endpoint: &Endpoint) -> bool {
+    let client = paths::call_client(daemon, endpoint);
     let wire = &daemon.wire.endpoint;
     let service = daemon.shared_view.catalog().and_then(|catalog| {
         let service = catalog.services.get(&endpoint.service)?;
@@ -210,13 +207,13 @@
     };
     match call {
         Some(call) => client.exchange(call, ANSWER_MS).await.is_ok(),
-        None => matches!(check_port(endpoint).await, CheckResult::Accepts),
+        None => matches!(check_port(daemon, endpoint).await, CheckResult::Accepts),
     }
 }
 
 /// Checks whether a process listens at an endpoint's address.
-async fn check_port(endpoint: &Endpoint) -> CheckResult {
-    match connect::open(endpoint.address, CONNECT_TIMEOUT_MS).await {
+async fn check_port(daemon: &Daemon, endpoint: &Endpoint) -> CheckResult {
+    match paths::open(daemon, endpoint).await {
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
             CheckResult::Terminated(Evidence::Refused)
         }
@@ -226,17 +223,19 @@
 }
 
 /// Checks which endpoint listens at an endpoint's address.
-async fn check_identity(daemon: &Daemon, endpoint: &Endpoint) -> CheckResult {
-    let Some(catalog) = daemon.shared_view.catalog() else { return check_port(endpoint).await };
+async fn check_identity(daemon: &Arc<Daemon>, endpoint: &Endpoint) -> CheckResult {
+    let Some(catalog) = daemon.shared_view.catalog() else {
+        return check_port(daemon, endpoint).await;
+    };
     let Some(service) = catalog.services.get(&endpoint.service) else {
-        return check_port(endpoint).await;
+        return check_port(daemon, endpoint).await;
     };
     let wire = &daemon.wire.endpoint;
-    let client = CallClient::new(endpoint.address);
+    let client = paths::call_client(daemon, endpoint);
     // Only an engine's report distinguishes several incarnations with the same name.
     if endpoint.has_start_time() {
         if service.engine.is_none() {
-            return check_port(endpoint).await;
+            return check_port(daemon, endpoint).await;
         }
         return evaluate(client.exchange((wire.report_call)(), ANSWER_MS).await, |answer| {
             let report = (wire.report_answer)(answer.status, &answer.body).ok()?;
@@ -244,9 +243,9 @@
             is_known.then_some((report.is_from(endpoint), Evidence::StartedAgain))
         });
     }
-    let Some(path) = &service.health_path else { return check_port(endpoint).await };
+    let Some(path) = &service.health_path else { return check_port(daemon, endpoint).await };
     let Some(call) = (wire.identity_call)(&endpoint.name, path) else {
-        return check_port(endpoint).await;
+        return check_port(daemon, endpoint).await;
     };
     // An engine without a free slot does not say who it is in time, but it reports its state.
     let reports = async { service.engine.is_some() && answers(daemon, endpoint).await };
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod logs;
 mod metrics;
 mod net;
+mod paths;
 mod peer;
 mod send_permits;
 mod settings_watch;
@@ -210,6 +211,7 @@
         limited: local_view.backpressure.limited(),
         backing_off: local_view.backpressure.backing_off(now_ms),
         draining: local_view.directory.iter().filter(|endpoint| endpoint.is_draining).count(),
+        unreached: local_view.reachability.unreached(),
     })
 }
 
--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -27,6 +27,7 @@
     outdated_entries: Counter<u64>,
     log_drops: Gauge<u64>,
     asking_endpoints: Gauge<u64>,
+    unreached_endpoints: Gauge<u64>,
 }
 
 /// Values that are counted elsewhere, as of the time when metrics are requested.
@@ -44,6 +45,8 @@
     pub(crate) backing_off: usize,
     /// Listed endpoints that are draining.
     pub(crate) draining: usize,
+    /// Endpoints whose last connection attempt failed.
+    pub(crate) unreached: usize,
 }
 
 impl Metrics {
@@ -92,6 +95,10 @@
                 "trestle_asking_endpoints",
                 "Endpoints that this daemon knows to limit requests, to rest or to leave",
             ),
+            unreached_endpoints: gauge(
+                "trestle_unreached_endpoints",
+                "Endpoints that did not accept this daemon's last connection",
+            ),
             registry,
             _provider: provider,
         })
@@ -145,6 +152,7 @@
             ("rest", external.backing_off),
             ("leaving", external.draining),
         ];
+        self.unreached_endpoints.record(external.unreached as u64, &[]);
         for (what, count) in by_signal {
             self.asking_endpoints.record(count as u64, &[KeyValue::new("asks", what)]);
         }
--- a/crates/trestle-entry/src/net/connect.rs
+++ b/crates/trestle-entry/src/net/connect.rs
@@ -1,9 +1,14 @@
 //! Opens TCP connections and sets their options.
 
 use futures_lite::FutureExt;
-use smol::{Timer, net::TcpStream};
-use socket2::{SockRef, TcpKeepalive};
-use std::{io, net::SocketAddr, time::Duration};
+use rustix::io::Errno;
+use smol::{Async, Timer, net::TcpStream};
+use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 /// Idle time after which the system sends the first keep-alive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -21,11 +26,30 @@
 ///
 /// Fails if the connection is refused, or not established within `timeout_ms`.
 pub(crate) async fn open(address: SocketAddr, timeout_ms: u64) -> io::Result<TcpStream> {
+    open_from(None, address, timeout_ms).await
+}
+
+/// Opens a connection as [`open`] does, from a source address if one is given.
+///
+/// # Errors
+///
+/// Fails as [`open`] does, or if the source address cannot be used.
+pub(crate) async fn open_from(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    timeout_ms: u64,
+) -> io::Result<TcpStream> {
     let timed_out = async {
         Timer::after(Duration::from_millis(timeout_ms)).await;
         Err(io::ErrorKind::TimedOut.into())
     };
-    let stream = TcpStream::connect(address).or(timed_out).await?;
+    let connect = async {
+        match source {
+            Some(source) => connect_from(source, address).await,
+            None => TcpStream::connect(address).await,
+        }
+    };
+    let stream = connect.or(timed_out).await?;
     set_options(&stream)?;
     // A request that was given up must not be delivered later. With a linger time of zero, the
     // system discards unsent bytes when the connection is dropped, instead of sending them once an
@@ -34,6 +58,25 @@
     Ok(stream)
 }
 
+/// Opens a connection from a source address.
+async fn connect_from(source: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::new(source, 0).into())?;
+    // A connection that is not established at once makes the socket writable once it is.
+    if let Err(error) = socket.connect(&address.into())
+        && error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error())
+    {
+        return Err(error);
+    }
+    let stream = Async::try_from(std::net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(stream.into()),
+    }
+}
+
 /// Sets the options that every connection of the daemon has.
 pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/trestle-entry/src/net/exchange.rs
+++ b/crates/trestle-entry/src/net/exchange.rs
@@ -9,12 +9,13 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
-use smol::{Timer, lock::Mutex};
+use smol::{Timer, lock::Mutex, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
 use snafu::{ResultExt, Snafu};
 use std::{
-    io,
+    fmt, io,
     net::SocketAddr,
+    pin::Pin,
     time::{Duration, Instant},
 };
 
@@ -47,10 +48,33 @@
     }
 }
 
+/// Opens the connections of a client.
+pub(crate) struct Connector(Box<dyn Fn() -> Connecting + Send + Sync>);
+
+/// A connection that is being opened.
+type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>> + Send>>;
+
+impl Connector {
+    /// Returns a connector that opens connections with a function.
+    pub(crate) fn new<F>(connect: impl Fn() -> F + Send + Sync + 'static) -> Self
+    where
+        F: Future<Output = io::Result<TcpStream>> + Send + 'static,
+    {
+        Self(Box::new(move || Box::pin(connect())))
+    }
+}
+
+impl fmt::Debug for Connector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Connector")
+    }
+}
+
 /// A client of one address. It reuses one connection and makes one exchange at a time.
 #[derive(Debug)]
 pub(crate) struct CallClient {
     address: SocketAddr,
+    connector: Connector,
     idle: Mutex<Option<SendRequest<Full<Bytes>>>>,
 }
 
@@ -65,7 +89,13 @@
 impl CallClient {
     /// Creates a client that connects with its first exchange.
     pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Mutex::new(None) }
+        let connect = move || connect::open(address, CONNECT_TIMEOUT_MS);
+        Self::with_connector(address, Connector::new(connect))
+    }
+
+    /// Creates a client whose connections are opened by a connector.
+    pub(crate) fn with_connector(address: SocketAddr, connector: Connector) -> Self {
+        Self { address, connector, idle: Mutex::new(None) }
     }
 
     /// Drops the connection, so that the next exchange opens a new one.
@@ -83,13 +113,43 @@
         let mut idle = self.idle.lock().await;
         let address = self.address;
         let sender = idle.take();
-        let (response, sender) =
-            with_timeout(timeout_ms, address, send(sender, address, call)).await?;
+        let (response, sender) = with_timeout(timeout_ms, address, self.send(sender, call)).await?;
         let (head, body) = response.into_parts();
         let body = read_body(body, address, timeout_ms).await?;
         *idle = Some(sender);
         Ok(Answer { status: head.status.as_u16(), headers: head.headers, body })
     }
+
+    /// Sends a call over the idle connection, or over a new one if that is closed. Returns the head
+    /// of the answer, and the connection for the next call.
+    async fn send(
+        &self,
+        idle: Option<SendRequest<Full<Bytes>>>,
+        call: Call,
+    ) -> Result<(Response<Incoming>, SendRequest<Full<Bytes>>), Error> {
+        let address = self.address;
+        let mut sender = match idle {
+            Some(sender) if sender.is_ready() => sender,
+            _ => self.handshake().await?,
+        };
+        let request = to_request(call, address);
+        let response = sender.send_request(request).await.context(HttpSnafu { address })?;
+        Ok((response, sender))
+    }
+
+    /// Opens a connection, and drives it in a task of its own.
+    async fn handshake(&self) -> Result<SendRequest<Full<Bytes>>, Error> {
+        let address = self.address;
+        let stream = (self.connector.0)().await.context(ConnectSnafu { address })?;
+        let (sender, connection) =
+            http1::handshake(FuturesIo::new(stream)).await.context(HttpSnafu { address })?;
+        smol::spawn(async move {
+            // The exchange fails with an error on its connection, and reports it.
+            let _ = connection.await;
+        })
+        .detach();
+        Ok(sender)
+    }
 }
 
 /// Reads a body for as long as it keeps arriving, even beyond the timeout of the call. A large body
@@ -127,36 +187,6 @@
     future.or(timed_out).await
 }
 
-/// Sends a call over the idle connection, or over a new one if that is closed. Returns the head of
-/// the answer, and the connection for the next call.
-async fn send(
-    idle: Option<SendRequest<Full<Bytes>>>,
-    address: SocketAddr,
-    call: Call,
-) -> Result<(Response<Incoming>, SendRequest<Full<Bytes>>), Error> {
-    let mut sender = match idle {
-        Some(sender) if sender.is_ready() => sender,
-        _ => handshake(address).await?,
-    };
-    let request = to_request(call, address);
-    let response = sender.send_request(request).await.context(HttpSnafu { address })?;
-    Ok((response, sender))
-}
-
-/// Opens a connection, and drives it in a task of its own.
-async fn handshake(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Error> {
-    let stream =
-        connect::open(address, CONNECT_TIMEOUT_MS).await.context(ConnectSnafu { address })?;
-    let (sender, connection) =
-        http1::handshake(FuturesIo::new(stream)).await.context(HttpSnafu { address })?;
-    smol::spawn(async move {
-        // The exchange fails with an error on its connection, and reports it.
-        let _ = connection.await;
-    })
-    .detach();
-    Ok(sender)
-}
-
 fn to_request(call: Call, address: SocketAddr) -> Request<Full<Bytes>> {
     let mut request = call.map(|body| Full::new(Bytes::from(body)));
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
--- a/crates/trestle-entry/src/net/pool.rs
+++ b/crates/trestle-entry/src/net/pool.rs
@@ -4,7 +4,7 @@
 //! The pool closes it before the endpoint would, because a request that is sent while the endpoint
 //! closes the connection may be lost.
 
-use crate::{clock::Clock, net::connect};
+use crate::clock::Clock;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -12,11 +12,11 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
+use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use std::{
     collections::BTreeMap,
     io,
-    net::SocketAddr,
     sync::{Mutex, PoisonError},
 };
 use trestle_dispatch::endpoint::{Endpoint, Incarnation};
@@ -70,16 +70,26 @@
         Self { clock, idle: Mutex::default() }
     }
 
-    /// Returns an idle connection to an endpoint, or opens one.
+    /// Removes and returns an idle connection that can still be used.
+    pub(crate) fn take(&self, endpoint: &Incarnation) -> Option<Connection> {
+        let now_ms = self.clock.now_ms();
+        let mut idle = self.lock();
+        let connections = idle.get_mut(endpoint)?;
+        while let Some(IdleConnection { sender, expires_ms, opened_ms }) = connections.pop() {
+            if now_ms < expires_ms && sender.is_ready() {
+                return Some(Connection { sender, is_fresh: false, opened_ms });
+            }
+        }
+        None
+    }
+
+    /// Returns a new connection over a stream.
     ///
     /// # Errors
     ///
-    /// Fails if no connection can be opened.
-    pub(crate) async fn connection(&self, endpoint: &Endpoint) -> io::Result<Connection> {
-        if let Some(IdleConnection { sender, opened_ms, .. }) = self.take(&endpoint.incarnation()) {
-            return Ok(Connection { sender, is_fresh: false, opened_ms });
-        }
-        let sender = open(endpoint.address).await?;
+    /// Fails if the stream is closed.
+    pub(crate) async fn connection_over(&self, stream: TcpStream) -> io::Result<Connection> {
+        let sender = handshake(stream).await?;
         Ok(Connection { sender, is_fresh: true, opened_ms: self.clock.now_ms() })
     }
 
@@ -109,19 +119,6 @@
         });
     }
 
-    /// Removes and returns an idle connection that can still be used.
-    fn take(&self, endpoint: &Incarnation) -> Option<IdleConnection> {
-        let now_ms = self.clock.now_ms();
-        let mut idle = self.lock();
-        let connections = idle.get_mut(endpoint)?;
-        while let Some(candidate) = connections.pop() {
-            if now_ms < candidate.expires_ms && candidate.sender.is_ready() {
-                return Some(candidate);
-            }
-        }
-        None
-    }
-
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<Incarnation, Vec<IdleConnection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -158,9 +155,8 @@
     }
 }
 
-/// Opens a connection, and drives it in a task of its own.
-async fn open(address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
-    let stream = connect::open(address, CONNECT_TIMEOUT_MS).await?;
+/// Begins HTTP over a stream, and drives the connection in a task of its own.
+async fn handshake(stream: TcpStream) -> io::Result<SendRequest<Full<Bytes>>> {
     let (sender, connection) =
         http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
     smol::spawn(async move {
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -3,7 +3,7 @@
 use crate::{
     connection_loss,
     net::pool::{Connection, SendError},
-    signals,
+    paths, signals,
     traffic::{
         outcome::{AttemptError, CompleteAnswer},
         select::SelectedEndpoint,
@@ -109,9 +109,9 @@
     selected: &mut SelectedEndpoint,
     last_event_id: Option<u64>,
 ) -> Result<(Connection, Response<Incoming>, AnswerHead), AttemptError> {
-    let (daemon, pool) = (&task.daemon, &task.daemon.pool);
+    let daemon = &task.daemon;
     loop {
-        let connection = pool.connection(&selected.endpoint).await;
+        let connection = paths::connection(daemon, &selected.endpoint).await;
         let mut connection = connection.map_err(|error| {
             if error.kind() == ErrorKind::ConnectionRefused {
                 connection_loss::record_terminated(
