Connect to endpoints through other daemons where a daemon has no path of its own

Cause: an endpoint had one way to it, the daemon's own, although other daemons, which it reached all the while, used the same endpoints. Ruled out: pauses and budgets that outlast the cut (no send succeeded in it; served again within a second of its end), and readiness (the balancer uses all daemons of a domain once fewer than half are ready, and open connections stay).

The daemon that holds the caller goes on deciding; a detour that opens has sent nothing, and a cancel is a close. Connections to daemons of an earlier release are closed by these, as the first bytes exceed their limit.

A refused connection counted as the end of the endpoint's process, so behind a cut that refuses, harmless requests were taken for the cause of crashes.

--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -8,7 +8,8 @@
 //!   configuration), [`listing`] (the store's list of endpoints, ordered by version whichever
 //!   source it comes from), [`directory`] (the endpoints that may be used), [`replicas`] (where
 //!   models can be reached, as leaders report it), [`record`] (outcomes of requests at endpoints),
-//!   [`reachability`] (which endpoints accept connections of this daemon),
+//!   [`reachability`] (which endpoints accept connections of this daemon, and which way these
+//!   take), [`helpers`] (the daemons through which connections make a detour),
 //!   [`backpressure`] (what endpoints announce in their answers, read as [`signals`]),
 //!   [`unresolved_requests`], [`crashes`] and [`suspicions`] (requests under which endpoints
 //!   crashed, or may have), and [`local_demand`] (the demand of the daemon's own callers).
@@ -45,6 +46,7 @@
 pub mod endpoint_limits;
 pub mod fingerprint;
 pub mod groups;
+pub mod helpers;
 pub mod identity;
 pub mod lease;
 pub mod listing;
--- a/crates/trestle-entry/src/connection_loss.rs
+++ b/crates/trestle-entry/src/connection_loss.rs
@@ -10,7 +10,7 @@
     crashes,
     daemon::Daemon,
     net::exchange::{Answer, Error},
-    paths,
+    paths::{self, Ways},
 };
 use futures_lite::future;
 use http::StatusCode;
@@ -194,7 +194,7 @@
 
 /// Returns whether the process at an endpoint's address answers a call that waits for no slot.
 async fn answers(daemon: &Arc<Daemon>, endpoint: &Endpoint) -> bool {
-    let client = paths::call_client(daemon, endpoint);
+    let client = paths::call_client(daemon, endpoint, Ways::Any);
     let wire = &daemon.wire.endpoint;
     let service = daemon.shared_view.catalog().and_then(|catalog| {
         let service = catalog.services.get(&endpoint.service)?;
@@ -212,7 +212,7 @@
 }
 
 /// Checks whether a process listens at an endpoint's address.
-async fn check_port(daemon: &Daemon, endpoint: &Endpoint) -> CheckResult {
+async fn check_port(daemon: &Arc<Daemon>, endpoint: &Endpoint) -> CheckResult {
     match paths::open(daemon, endpoint).await {
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
             CheckResult::Terminated(Evidence::Refused)
@@ -231,7 +231,7 @@
         return check_port(daemon, endpoint).await;
     };
     let wire = &daemon.wire.endpoint;
-    let client = paths::call_client(daemon, endpoint);
+    let client = paths::call_client(daemon, endpoint, Ways::Any);
     // Only an engine's report distinguishes several incarnations with the same name.
     if endpoint.has_start_time() {
         if service.engine.is_none() {
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -1,6 +1,12 @@
 //! Carries out one change at one engine, one order after another.
 
-use crate::{control::message::Message, daemon::Daemon, net::exchange::CallClient, paths, signals};
+use crate::{
+    control::message::Message,
+    daemon::Daemon,
+    net::exchange::CallClient,
+    paths::{self, Ways},
+    signals,
+};
 use smol::Timer;
 use std::{sync::Arc, time::Duration};
 use trestle_core::names::ServiceName;
@@ -48,7 +54,7 @@
     change: Change,
     mut chain: OrderChain,
 ) {
-    let client = paths::call_client(&daemon, &endpoint);
+    let client = paths::call_client(&daemon, &endpoint, Ways::Direct);
     let started_ms = daemon.shared_view.now_ms();
     let limit_ms = change.done_at_ms + OVERTIME_MS;
     let failure = loop {
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -13,6 +13,7 @@
     wire::Wire,
 };
 use async_channel::Sender;
+use event_listener::Event;
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -24,8 +25,14 @@
 use trestle_config::entry_settings::{Bounds, EntrySettings};
 use trestle_core::names::{EndpointName, ServiceName};
 use trestle_dispatch::{
-    allowance::Allowances, endpoint::Endpoint, endpoint_limits::EndpointLimits,
-    order_log::OrderLog, policy::Policy, quota_allocator::QuotaAllocator, trials::Trials,
+    allowance::Allowances,
+    endpoint::Endpoint,
+    endpoint_limits::EndpointLimits,
+    helpers::{HelperRoster, Helpers},
+    order_log::OrderLog,
+    policy::Policy,
+    quota_allocator::QuotaAllocator,
+    trials::Trials,
 };
 
 /// The state that all parts of the daemon share.
@@ -45,6 +52,12 @@
     quota_allocator: Mutex<QuotaAllocator>,
     endpoint_limits: Mutex<EndpointLimits>,
     allowances: Mutex<Allowances>,
+    helpers: Mutex<Helpers>,
+    helper_roster: Mutex<HelperRoster>,
+    /// Signals that helpers are needed, or that this daemon no longer is one.
+    pub(crate) helpers_needed: Event,
+    /// Number of detours that this daemon has open for others.
+    pub(crate) open_detours: AtomicUsize,
     pub(crate) calls: LeaderCalls,
     pub(crate) freshness: Freshness,
     pub(crate) stopping: Stopping,
@@ -77,6 +90,10 @@
             quota_allocator: Mutex::default(),
             endpoint_limits: Mutex::default(),
             allowances: Mutex::default(),
+            helpers: Mutex::default(),
+            helper_roster: Mutex::default(),
+            helpers_needed: Event::new(),
+            open_detours: AtomicUsize::new(0),
             calls: LeaderCalls::default(),
             freshness: Freshness::new(&settings.bounds),
             stopping: Stopping::new(&settings.bounds),
@@ -136,6 +153,16 @@
         f(&mut self.allowances.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Calls a function with the helpers that this daemon knows.
+    pub(crate) fn with_helpers<R>(&self, f: impl FnOnce(&mut Helpers) -> R) -> R {
+        f(&mut self.helpers.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Calls a function with the daemons that report to this one as helpers.
+    pub(crate) fn with_helper_roster<R>(&self, f: impl FnOnce(&mut HelperRoster) -> R) -> R {
+        f(&mut self.helper_roster.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Returns the endpoints of a service that may receive new work.
     pub(crate) fn usable_endpoints(
         &self,
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod crashes;
 mod daemon;
 mod departures;
+mod detour;
 pub mod logs;
 mod metrics;
 mod net;
@@ -146,6 +147,7 @@
     smol::spawn(peer::server::run(Arc::clone(&daemon), peers)).detach();
     smol::spawn(peer::sync::run(Arc::clone(&daemon))).detach();
     smol::spawn(peer::leaders::run(Arc::clone(&daemon))).detach();
+    smol::spawn(detour::reports::run(Arc::clone(&daemon))).detach();
     smol::spawn(cleanup::run(Arc::clone(&daemon))).detach();
     serve_readiness(&daemon, readiness);
     serve_metrics(&daemon, logs, metrics);
--- a/crates/trestle-entry/src/net/pool.rs
+++ b/crates/trestle-entry/src/net/pool.rs
@@ -17,6 +17,7 @@
 use std::{
     collections::BTreeMap,
     io,
+    net::SocketAddr,
     sync::{Mutex, PoisonError},
 };
 use trestle_dispatch::endpoint::{Endpoint, Incarnation};
@@ -31,6 +32,14 @@
 /// Most idle connections that are kept to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
+/// An open connection to an endpoint, before HTTP begins.
+#[derive(Debug)]
+pub(crate) struct OpenStream {
+    pub(crate) stream: TcpStream,
+    /// The daemon through which it passes; `None` if it is direct.
+    pub(crate) helper: Option<SocketAddr>,
+}
+
 /// Idle connections, by the incarnation of the endpoint that they were opened to.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -45,6 +54,7 @@
     /// Until when the connection may be used, on the daemon's clock.
     expires_ms: u64,
     opened_ms: u64,
+    helper: Option<SocketAddr>,
 }
 
 /// A connection that carries one request.
@@ -53,6 +63,8 @@
     sender: SendRequest<Full<Bytes>>,
     is_fresh: bool,
     opened_ms: u64,
+    /// The daemon through which the connection passes; `None` if it is direct.
+    helper: Option<SocketAddr>,
 }
 
 /// Why a request got no answer.
@@ -70,14 +82,20 @@
         Self { clock, idle: Mutex::default() }
     }
 
-    /// Removes and returns an idle connection that can still be used.
-    pub(crate) fn take(&self, endpoint: &Incarnation) -> Option<Connection> {
+    /// Removes and returns an idle connection that can still be used. `may_use` returns whether one
+    /// may be used that is, or is not, a detour; others are closed.
+    pub(crate) fn take(
+        &self,
+        endpoint: &Incarnation,
+        may_use: impl Fn(bool) -> bool,
+    ) -> Option<Connection> {
         let now_ms = self.clock.now_ms();
         let mut idle = self.lock();
         let connections = idle.get_mut(endpoint)?;
-        while let Some(IdleConnection { sender, expires_ms, opened_ms }) = connections.pop() {
-            if now_ms < expires_ms && sender.is_ready() {
-                return Some(Connection { sender, is_fresh: false, opened_ms });
+        while let Some(IdleConnection { sender, expires_ms, opened_ms, helper }) = connections.pop()
+        {
+            if now_ms < expires_ms && sender.is_ready() && may_use(helper.is_some()) {
+                return Some(Connection { sender, is_fresh: false, opened_ms, helper });
             }
         }
         None
@@ -88,9 +106,10 @@
     /// # Errors
     ///
     /// Fails if the stream is closed.
-    pub(crate) async fn connection_over(&self, stream: TcpStream) -> io::Result<Connection> {
+    pub(crate) async fn connection_over(&self, opened: OpenStream) -> io::Result<Connection> {
+        let OpenStream { stream, helper } = opened;
         let sender = handshake(stream).await?;
-        Ok(Connection { sender, is_fresh: true, opened_ms: self.clock.now_ms() })
+        Ok(Connection { sender, is_fresh: true, opened_ms: self.clock.now_ms(), helper })
     }
 
     /// Returns a connection to the pool. `idle_ms` is the endpoint's own idle timeout, if it
@@ -104,8 +123,8 @@
         let mut idle = self.lock();
         let connections = idle.entry(endpoint.incarnation()).or_default();
         if connections.len() < MAX_IDLE_PER_ENDPOINT {
-            let Connection { sender, opened_ms, .. } = connection;
-            connections.push(IdleConnection { sender, expires_ms, opened_ms });
+            let Connection { sender, opened_ms, helper, .. } = connection;
+            connections.push(IdleConnection { sender, expires_ms, opened_ms, helper });
         }
     }
 
@@ -130,6 +149,11 @@
         self.is_fresh
     }
 
+    /// Returns the daemon through which the connection passes; `None` if it is direct.
+    pub(crate) fn helper(&self) -> Option<SocketAddr> {
+        self.helper
+    }
+
     /// Returns when the connection was opened, in milliseconds on the daemon's clock.
     pub(crate) fn opened_ms(&self) -> u64 {
         self.opened_ms
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -1,10 +1,17 @@
 //! The server for other daemons.
 
 use crate::{
-    allocation, control::message::Message, crashes, daemon::Daemon, departures, send_permits,
-    trial_leader,
+    allocation,
+    control::message::Message,
+    crashes,
+    daemon::Daemon,
+    departures,
+    detour::{reports, server},
+    send_permits, trial_leader,
 };
 use async_compat::{Compat, CompatExt};
+use bytes::Bytes;
+use futures_lite::AsyncReadExt;
 use futures_util::StreamExt;
 use smol::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -14,10 +21,11 @@
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
-use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::codec::{Framed, FramedParts, LengthDelimitedCodec};
 use trestle_dispatch::{local_view::LocalView, store_version::StoreVersion};
 use trestle_wire::{
     allocation::{WireAllocation, WireAllocationRequest},
+    detours::{self, WireHelper, WireHelperReport},
     relay::{WireConfigUpdate, WireListUpdate, WireRelay, WireSyncPosition},
     replicas::{Replicas, WireSyncRequest, WireSyncResponse},
     send_permits::{WireSendPermit, WireSendPermitRequest},
@@ -42,7 +50,18 @@
     if let Err(error) = crate::net::connect::set_options(&stream) {
         tracing::debug!(%error, "peer: Socket options could not be set; the connection keeps the system's defaults.");
     }
-    let framed = LengthDelimitedCodec::builder().new_framed(stream.compat());
+    let mut stream = stream;
+    let mut first = [0; detours::MAGIC.len()];
+    if let Err(error) = stream.read_exact(&mut first).await {
+        tracing::debug!(%error, "peer: A connection ended before its first request.");
+        return;
+    }
+    if first == detours::MAGIC {
+        return server::serve(daemon, stream).await;
+    }
+    let mut parts = FramedParts::new::<Bytes>(stream.compat(), LengthDelimitedCodec::new());
+    parts.read_buf.extend_from_slice(&first);
+    let framed = Framed::from_parts(parts);
     let transport = serde_transport::new(framed, Bincode::default());
     let requests = BaseChannel::with_defaults(transport).execute(Server(daemon).serve());
     // Most daemons send their next request only after they have received an answer.
@@ -78,6 +97,10 @@
         send_permits::grant(&self.0, request).await
     }
 
+    async fn find_helpers(self, _: Context, report: WireHelperReport) -> Vec<WireHelper> {
+        reports::answer(&self.0, report)
+    }
+
     async fn try_out(self, _: Context, trial: WireTrial) -> WireTrialAnswer {
         trial_leader::decide(&self.0, trial).await
     }
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -147,7 +147,10 @@
             // The idle connection was closed before the request was sent; take another one.
             Err(SendError::NotSent(_)) if !connection.is_fresh() => selected.resolve(),
             Err(SendError::NotSent(reason)) => return Err(AttemptError::Unreachable(reason)),
-            Err(SendError::Unknown(reason)) => return Err(AttemptError::ConnectionLost(reason)),
+            Err(SendError::Unknown(reason)) => {
+                paths::record_lost(daemon, &selected.endpoint, &connection);
+                return Err(AttemptError::ConnectionLost(reason));
+            }
         }
     }
 }
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -15,6 +15,7 @@
 //!   such a request may run.
 //! - [`allocation`]: allocations of team limits.
 //! - [`send_permits`]: send permits for endpoints that have announced limits.
+//! - [`detours`]: connections to endpoints that one daemon opens for another.
 //! - [`claim`]: claims on calls that must not run twice.
 //! - [`admin`]: the state of a daemon, for operators.
 //! - [`usage_profile`]: stored times of day at which models are used.
@@ -25,6 +26,7 @@
 pub mod claim;
 pub mod crashes;
 pub mod departures;
+pub mod detours;
 mod error;
 pub mod headers;
 pub mod order;
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -4,6 +4,7 @@
     allocation::{WireAllocation, WireAllocationRequest},
     crashes::{WireCrashReport, WireRestrictedRequests},
     departures::WireDeparture,
+    detours::{WireHelper, WireHelperReport},
     placements::{WireName, WirePlacementDelta},
     relay::{WireRelay, WireSyncPosition},
     send_permits::{WireSendPermit, WireSendPermitRequest},
@@ -35,6 +36,9 @@
     async fn lend(borrowing: WireAllocationRequest) -> WireAllocation;
     /// Requests a send permit for an endpoint that has announced a limit.
     async fn lend_place(asking: WireSendPermitRequest) -> WireSendPermit;
+    /// Reports whether this daemon is cut off from endpoints, and returns daemons through which it
+    /// can open detours. Daemons of earlier releases close the connection.
+    async fn find_helpers(report: WireHelperReport) -> Vec<WireHelper>;
 }
 
 /// Report of a daemon to a leader, with the position up to which the daemon has the leader's data.
