Let a leader that is cut off from its engines give up its lease

While the leader had lost its links to its engines, models that had to be loaded were refused at all daemons: its orders, which take no detour, did not arrive, but it went on renewing its lease and planning. Cause: the lease depends on the store alone. It does not step down again within 20 s, so that the lease does not move all the time where all are cut off. Engines that nobody reaches are no reason.

--- a/crates/trestle-dispatch/src/candidate.rs
+++ b/crates/trestle-dispatch/src/candidate.rs
@@ -2,7 +2,9 @@
 //!
 //! The leader's work grows with the number of daemons, so stronger VMs go first. While VMs are
 //! restarted one after the other, those that started long ago are about to stop, so the others go
-//! first. In the end any candidate that is left acquires the lease.
+//! first, and so do those that reach the engines before those that are cut off from them: orders
+//! take no detour, so a leader that is cut off can load nothing, for callers of all daemons. In the end
+//! any candidate that is left acquires the lease.
 
 use crate::lease::LeaseRow;
 
@@ -20,6 +22,13 @@
 /// Longest wait while no daemon has led yet, for the weakest VMs.
 const MAX_FIRST_DELAY_MS: u64 = 1_000;
 
+/// Time for which a daemon that is cut off from the engines leaves their lease to others. It is above
+/// the time in which a lease expires and another daemon acquires it.
+const CUT_OFF_DELAY_MS: u64 = 5_000;
+/// Time after a daemon has stepped down for which it does not do so again. Where every daemon is cut
+/// off from most engines, the lease must not move on all the time.
+const STEP_DOWN_INTERVAL_MS: u64 = 20_000;
+
 /// A daemon that may acquire the lease.
 #[trestle_macros::plain]
 #[derive(Copy)]
@@ -30,6 +39,8 @@
     pub age_ms: u64,
     /// Since when it has been ready to lead, on its clock.
     pub ready_since_ms: u64,
+    /// Whether it is cut off from most engines of the group, which others reach.
+    pub is_cut_off: bool,
 }
 
 impl Candidate {
@@ -47,14 +58,21 @@
     /// Returns the time for which this daemon leaves a lease that has just become free to others,
     /// given the row of the last holder.
     pub fn takeover_delay_ms(self, last: Option<&LeaseRow>) -> u64 {
+        let cut_off_delay_ms = if self.is_cut_off { CUT_OFF_DELAY_MS } else { 0 };
         let Some(last) = last else {
             let wait_ms = ONE_CORE_DELAY_MS * 1_000 / u64::from(self.millicores.max(1));
-            return wait_ms.min(MAX_FIRST_DELAY_MS);
+            return wait_ms.min(MAX_FIRST_DELAY_MS) + cut_off_delay_ms;
         };
         let is_weaker = self.millicores < last.millicores;
         let is_old = self.age_ms >= RECENT_START_MS;
         let weaker_delay_ms = if is_weaker { WEAKER_DELAY_MS } else { 0 };
         let old_delay_ms = if last.is_released && is_old { OLD_DELAY_MS } else { 0 };
-        weaker_delay_ms + old_delay_ms
+        weaker_delay_ms + old_delay_ms + cut_off_delay_ms
     }
 }
+
+/// Returns whether a leader should give up its lease because it is cut off from the engines while
+/// other daemons reach them; `last_ms` is when it last did so.
+pub fn should_step_down(is_cut_off: bool, last_ms: Option<u64>, now_ms: u64) -> bool {
+    is_cut_off && last_ms.is_none_or(|last_ms| now_ms >= last_ms + STEP_DOWN_INTERVAL_MS)
+}
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -186,6 +186,13 @@
         }
     }
 
+    /// Returns whether an endpoint is an engine, to which leaders give orders.
+    pub fn is_engine(&self, endpoint: &Endpoint) -> bool {
+        let service =
+            self.catalog.as_ref().and_then(|catalog| catalog.services.get(&endpoint.service));
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Returns the demand for a service, which is created if there is none.
     pub fn local_demand_for(&mut self, service: &ServiceName) -> &mut LocalDemand {
         self.local_demand.entry(service.clone()).or_default()
--- a/crates/trestle-entry/src/control/group_lease.rs
+++ b/crates/trestle-entry/src/control/group_lease.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use trestle_core::names::DomainName;
 use trestle_dispatch::{
+    candidate,
     lease::{Identity, Lease, LeaseRow, LeaseTiming, LeaseWrite, Resignation},
     store::{ConditionalWrite, Row, RowKey, RowPage, WriteOutcome},
     store_version::StoreVersion,
@@ -36,6 +37,8 @@
     group: DomainName,
     lease: Lease,
     is_acting: bool,
+    /// When this daemon last stepped down because it was cut off from the engines.
+    stepped_down_ms: Option<u64>,
     is_releasing: bool,
 }
 
@@ -56,7 +59,7 @@
             in_flight_ms: IN_FLIGHT_MS,
         };
         let lease = Lease::new(identity, timing);
-        Self { daemon, group, lease, is_acting: false, is_releasing: false }
+        Self { daemon, group, lease, is_acting: false, stepped_down_ms: None, is_releasing: false }
     }
 
     /// Sets the quiet time that the next takeover observes.
@@ -115,6 +118,17 @@
         }
     }
 
+    /// Gives up the lease if this daemon is cut off from the group's engines. Others learn of it from
+    /// their next sync and can lead at once.
+    pub(crate) fn step_down_if_cut_off(&mut self, is_cut_off: bool, now_ms: u64) {
+        let is_due = candidate::should_step_down(is_cut_off, self.stepped_down_ms, now_ms);
+        if is_due && self.lease.is_holder(now_ms) && !self.is_releasing {
+            self.lease.resign(now_ms);
+            self.stepped_down_ms = Some(now_ms);
+            tracing::warn!(group = %self.group, "lease: This daemon is cut off from engines that others reach; it steps down.");
+        }
+    }
+
     /// Does the work that is due. `may_acquire` returns whether this daemon may acquire the lease,
     /// given the time since which the lease has been free and the row of its last holder.
     pub(crate) fn tick(
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -211,7 +211,10 @@
         self.read_if_due(now_ms);
         let led = self.led(now_ms);
         let millicores = self.daemon.settings.millicores();
+        let cut_off = cut_off_groups(&self.daemon, now_ms);
         for (group, lease) in &mut self.by_group {
+            let is_cut_off = cut_off.contains(group);
+            lease.step_down_if_cut_off(is_cut_off, now_ms);
             let takeover_delay_ms =
                 self.groups.takeover_delay_ms(group, &self.domain, &led, now_ms);
             let home_since_ms = self
@@ -230,9 +233,11 @@
                     // become the home group of all VMs.
                     Some(home_since_ms) => {
                         let ready_since_ms = ready_since_ms.max(home_since_ms);
-                        let candidate = Candidate { millicores, age_ms: now_ms, ready_since_ms };
+                        let candidate =
+                            Candidate { millicores, age_ms: now_ms, ready_since_ms, is_cut_off };
                         candidate.may_acquire_from_ms(free_from_ms, last)
                     }
+                    None if is_cut_off => return false,
                     None => free_from_ms,
                 };
                 now_ms >= from_ms + wait_ms
@@ -429,6 +434,23 @@
     }
 }
 
+/// Returns the groups from whose engines this daemon is cut off while other daemons reach them.
+fn cut_off_groups(daemon: &Daemon, now_ms: u64) -> BTreeSet<DomainName> {
+    daemon.shared_view.with(|local_view| {
+        let reachability = &local_view.reachability;
+        if reachability.blocked() == 0 {
+            return BTreeSet::new();
+        }
+        let is_cut_off = |group: &DomainName| {
+            let directory = local_view.directory.iter();
+            let engines = directory
+                .filter(|endpoint| endpoint.domain == *group && local_view.is_engine(endpoint));
+            reachability.is_cut_off_from(engines, now_ms)
+        };
+        local_view.directory.domains().into_iter().filter(is_cut_off).collect()
+    })
+}
+
 async fn read(daemon: Arc<Daemon>, groups: BTreeSet<DomainName>) {
     let mut rows = BTreeMap::new();
     for group in groups {
--- a/crates/trestle-lab/src/control/leases.rs
+++ b/crates/trestle-lab/src/control/leases.rs
@@ -69,6 +69,7 @@
                 millicores: vm.millicores,
                 age_ms: now_ms - vm.started_ms,
                 ready_since_ms,
+                is_cut_off: false,
             };
             let Some(lease) = vm.leases.get_mut(&group) else { continue };
             if lease.has_run_out(now_ms) {
