Send to brittle endpoints only in slots that a leader lends

Cause: a daemon learns that an endpoint is full by a rejection, each daemon by its own, so that together they exceed the number; the load of one that has fallen goes to the next. Besides, each fall was taken for a crash under the requests that were open there, so a popular request was rejected everywhere for 30 s and longer.

While a service is brittle, a request goes to an endpoint only in a slot that the leader of its group has lent, no more than the endpoint has: room in the queue may shrink any time. A daemon reports what it uses with each request for a slot and when it uses less; with the number of slots received until then, the leader sees which are still on their way. After half of the survivable rejections in a second nothing is lent. Requests wait up to a third of their objective, since slots become free one after the other. Where no leader lends, each daemon uses its part of half of the slots, at random times where there are more daemons than slots, and stays away after a rejection for its part of the time. A crash of a brittle endpoint is attributed to no request; a request that really crashes it is then noticed only afterwards.

--- a/crates/trestle-dispatch/src/backpressure.rs
+++ b/crates/trestle-dispatch/src/backpressure.rs
@@ -338,8 +338,10 @@
         let limit = (unreadable_text(&signals.limit_per_ks), "limit");
         let draining = (unreadable_text(&signals.draining), "leaving");
         let backoff = (unreadable_text(&signals.backoff_ms), "rest");
-        let (text, what) =
-            [limit, draining, backoff].into_iter().find_map(|(text, what)| Some((text?, what)))?;
+        let brittle = (unreadable_text(&signals.max_rejections), "brittle");
+        let (text, what) = [limit, draining, backoff, brittle]
+            .into_iter()
+            .find_map(|(text, what)| Some((text?, what)))?;
         let is_new = self.unreadable.as_deref() != Some(text);
         self.unreadable = Some(text.to_owned());
         is_new.then(|| SignalChange::Unreadable { what, text: text.to_owned() })
--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -69,6 +69,8 @@
     pub for_ms: u64,
     /// Whether the endpoint has reported a limit.
     pub is_limited: bool,
+    /// Whether the endpoint is brittle and has no slot for this daemon.
+    pub is_brittle: bool,
 }
 
 /// Returns the endpoint for a request: the less loaded of two eligible ones, picked by `random`.
@@ -130,7 +132,7 @@
 /// Returns `None` if one accepts it or has a limit for which a send permit may be requested, or if
 /// none is eligible.
 pub fn throttled(inputs: ChoiceInputs<'_>, requirements: Requirements<'_>) -> Option<Throttled> {
-    if inputs.local_view.backpressure.is_empty() {
+    if inputs.local_view.backpressure.is_empty() && inputs.local_view.brittle.is_empty() {
         return None;
     }
     let directory = &inputs.local_view.directory;
@@ -142,7 +144,9 @@
         if soonest.as_ref().is_none_or(|soonest| for_ms < soonest.for_ms) {
             let incarnation = endpoint.incarnation();
             let is_limited = inputs.local_view.backpressure.limit(&incarnation).is_some();
-            soonest = Some(Throttled { incarnation, for_ms, is_limited });
+            let state = inputs.local_view.daemon_state(endpoint, inputs.now_ms);
+            let is_brittle = inputs.local_view.brittle.closed_for_ms(endpoint, state).is_some();
+            soonest = Some(Throttled { incarnation, for_ms, is_limited, is_brittle });
         }
     }
     soonest
@@ -164,7 +168,12 @@
 }
 
 fn availability(inputs: &ChoiceInputs<'_>, endpoint: &Endpoint) -> Availability {
-    let backpressure = &inputs.local_view.backpressure;
+    let ChoiceInputs { local_view, now_ms, .. } = inputs;
+    let state = local_view.daemon_state(endpoint, *now_ms);
+    if let Some(for_ms) = local_view.brittle.closed_for_ms(endpoint, state) {
+        return Availability::Closed { for_ms };
+    }
+    let backpressure = &local_view.backpressure;
     if backpressure.is_empty() {
         return Availability::Open;
     }
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -10,7 +10,8 @@
 //!   models can be reached, as leaders report it), [`record`] (outcomes of requests at endpoints),
 //!   [`reachability`] (which endpoints accept connections of this daemon, and which way these
 //!   take), [`helpers`] (the daemons through which connections make a detour),
-//!   [`backpressure`] (what endpoints announce in their answers, read as [`signals`]),
+//!   [`backpressure`] and [`brittle`] (what endpoints announce in their answers, read as
+//!   [`signals`]; a [`slot_allocator`] at each leader lends the slots of brittle ones),
 //!   [`unresolved_requests`], [`crashes`] and [`suspicions`] (requests under which endpoints
 //!   crashed, or may have), and [`local_demand`] (the demand of the daemon's own callers).
 //! - Callers: [`team`] has the teams with their keys and limits, [`identity`] determines which
@@ -31,6 +32,7 @@
 pub mod allowance;
 mod average;
 pub mod backpressure;
+pub mod brittle;
 pub mod candidate;
 pub mod catalog;
 pub mod change;
@@ -75,6 +77,7 @@
 pub mod service_state;
 pub mod sharing;
 pub mod signals;
+pub mod slot_allocator;
 pub mod store;
 pub mod store_version;
 pub mod suspicions;
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     backpressure::{Answer, Backpressure, SignalChange},
+    brittle::{BrittleChange, BrittleServices, DaemonState},
     catalog::Catalog,
     config_texts::ConfigTexts,
     crashes::Crashes,
@@ -19,6 +20,7 @@
     replicas::ReplicaView,
     request::RequestHead,
     retry_share::{RetryBounds, RetryShare},
+    signals::HeaderField,
     store_version::StoreVersion,
     unresolved_requests::{ConnectionLoss, Evidence, UnresolvedRequests},
 };
@@ -131,6 +133,8 @@
     pub reachability: Reachability,
     /// Limits and backoffs that endpoints announced in their answers.
     pub backpressure: Backpressure,
+    /// Services whose endpoints crash if they have to reject too many requests.
+    pub brittle: BrittleServices,
     /// Requests without an answer, by incarnation of the endpoint.
     pub unresolved_requests: UnresolvedRequests,
     /// Requests under which endpoints crashed.
@@ -173,6 +177,7 @@
             records: Records::default(),
             reachability: Reachability::default(),
             backpressure: Backpressure::default(),
+            brittle: BrittleServices::default(),
             unresolved_requests: UnresolvedRequests::default(),
             crashes: Crashes::default(),
             retries: BTreeMap::new(),
@@ -364,6 +369,34 @@
         changes
     }
 
+    /// Applies what an answer says about rejections that its endpoint survives. `is_rejection` tells
+    /// whether the endpoint rejected the request, which was sent at `sent_ms`, for want of room.
+    pub fn apply_brittle(
+        &mut self,
+        endpoint: &Endpoint,
+        max_rejections: &HeaderField<u32>,
+        is_rejection: bool,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> Option<BrittleChange> {
+        let state = self.daemon_state(endpoint, now_ms);
+        self.brittle.apply_answer(endpoint, max_rejections, is_rejection, sent_ms, state)
+    }
+
+    /// Returns whether an endpoint is brittle, so that it may crash without any request being the
+    /// cause.
+    pub fn is_brittle(&self, incarnation: &Incarnation) -> bool {
+        let listed = self.directory.get(&incarnation.name);
+        listed.is_some_and(|endpoint| self.brittle.contains(&endpoint.service))
+            || self.brittle.contains_endpoint(incarnation)
+    }
+
+    /// Returns what decisions on a brittle endpoint depend on besides its service.
+    pub fn daemon_state(&self, endpoint: &Endpoint, now_ms: u64) -> DaemonState {
+        let in_flight = self.records.of(&endpoint.name).in_flight;
+        DaemonState { daemons: self.daemons, in_flight, now_ms }
+    }
+
     /// Returns the changes of the endpoint list since a version. Endpoints that this daemon knows
     /// to be draining are marked as draining, so that the receiver does not use them either.
     pub fn list_since(&self, version: StoreVersion) -> ListUpdate {
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -26,6 +26,9 @@
 /// Retry delay given to callers while no endpoint answers that could run a request which may crash
 /// endpoints: about the time between two checks of such endpoints.
 pub const NO_SIGN_RETRY_MS: u64 = 1_000;
+/// Part of the route's objective for which a request waits for a slot of a brittle endpoint: slots
+/// become free one after the other, so most requests get one soon or none in time.
+const SLOT_WAIT_PART: u64 = 3;
 /// Time after a refused caller's announced retry for which the demand for its model is kept.
 const RETURN_GRACE_MS: u64 = 1_500;
 
@@ -70,6 +73,8 @@
     /// This endpoint can run the request, but it has reported a limit, so a send permit must be
     /// requested first.
     RequestSendPermit(Endpoint),
+    /// This endpoint can run the request, but it is brittle, so a slot must be requested first.
+    RequestSlot(Endpoint),
     /// Every endpoint that can run the request limits its load and accepts none now; the request is
     /// refused.
     Throttled(Throttled),
@@ -128,12 +133,14 @@
     if let Some(endpoint) = chosen {
         let needs_trial = !restriction.allows(request.is_trial);
         let incarnation = endpoint.incarnation();
-        let needs_permit = local_view.backpressure.limit(&incarnation).is_some()
-            && request.send_permit != Some(&incarnation);
+        let has_permit = request.send_permit == Some(&incarnation);
+        let needs_permit = local_view.backpressure.limit(&incarnation).is_some() && !has_permit;
+        let needs_slot = local_view.brittle.needs_slot(&endpoint, now_ms) && !has_permit;
         return match (needs_trial, request.has_quota) {
             (true, _) => Selection::RequestTrial,
             (false, false) => Selection::ChargeQuota,
             (false, true) if needs_permit => Selection::RequestSendPermit(endpoint),
+            (false, true) if needs_slot => Selection::RequestSlot(endpoint),
             (false, true) => Selection::Send(endpoint),
         };
     }
@@ -143,7 +150,12 @@
     }
     let everywhere = sends.allowed_at_all(request.route);
     if let Some(throttled) = query(local_view, request, &everywhere, now_ms, choice::throttled) {
-        return Selection::Throttled(throttled);
+        let wait_ms = request.route.objective_ms / SLOT_WAIT_PART;
+        let until_ms = request.elapsed_ms + throttled.for_ms;
+        return match throttled.is_brittle && until_ms < wait_ms {
+            true => Selection::Wait { until_ms },
+            false => Selection::Throttled(throttled),
+        };
     }
     if request.head.model.is_none() {
         return Selection::Refuse { retry_after_ms: PLAIN_RETRY_MS, reason: None };
--- a/crates/trestle-dispatch/src/signals.rs
+++ b/crates/trestle-dispatch/src/signals.rs
@@ -26,6 +26,8 @@
     pub draining: HeaderField<()>,
     /// Time for which the endpoint accepts no requests from this daemon, if it rejected this one.
     pub backoff_ms: HeaderField<u64>,
+    /// Rejections for want of room in a second that the endpoint survives; it crashes under more.
+    pub max_rejections: HeaderField<u32>,
 }
 
 impl<T> HeaderField<T> {
--- a/crates/trestle-dispatch/tests/backoff.rs
+++ b/crates/trestle-dispatch/tests/backoff.rs
@@ -99,7 +99,7 @@
         let mut sends = Sends::default();
         sends.record_send(&"y".into());
         sends.record_end(SendEnd::NotRun, NOW_MS);
-        let first = Selection::Throttled(Throttled { incarnation: incarnation("y"), for_ms: 900, is_limited: false });
+        let first = Selection::Throttled(Throttled { incarnation: incarnation("y"), for_ms: 900, is_limited: false, is_brittle: false });
         assert_eq!(select(&mut local_view, &sends, 1, NOW_MS + 100), first);
     }
 
--- a/crates/trestle-entry/src/cleanup.rs
+++ b/crates/trestle-entry/src/cleanup.rs
@@ -37,9 +37,11 @@
             .with(|local_view| local_view.directory.iter().map(Endpoint::incarnation).collect());
         daemon.shared_view.with(|local_view| {
             local_view.backpressure.retain(|incarnation| live.contains(incarnation), now_ms);
+            local_view.brittle.retain(|incarnation| live.contains(incarnation), now_ms);
             local_view.reachability.retain(|incarnation| live.contains(incarnation));
         });
         daemon.with_endpoint_limits(|limits| limits.cleanup(now_ms));
+        daemon.with_slot_allocator(|allocator| allocator.cleanup(now_ms));
         daemon.pool.cleanup(|incarnation| live.contains(incarnation));
     }
 }
--- a/crates/trestle-entry/src/connection_loss.rs
+++ b/crates/trestle-entry/src/connection_loss.rs
@@ -287,6 +287,9 @@
     let now_ms = daemon.shared_view.now_ms();
     let (is_new, suspected) = daemon.shared_view.with(|local_view| {
         let is_new = local_view.records.gave_no_sign(&incarnation.name, now_ms);
+        if local_view.is_brittle(incarnation) {
+            return (is_new, Vec::new());
+        }
         (is_new, local_view.endpoint_gave_no_sign(incarnation, checked_ms, now_ms))
     });
     if is_new {
@@ -328,8 +331,12 @@
     if count == 0 {
         return;
     }
-    let named: Vec<String> = requests.keys().take(MAX_LOGGED).map(ToString::to_string).collect();
     let (endpoint, started_unix_ms) = (&incarnation.name, incarnation.started_unix_ms);
+    if daemon.shared_view.with(|local_view| local_view.is_brittle(incarnation)) {
+        tracing::info!(%endpoint, born_ms = started_unix_ms, known_by, count, "endpoint: It ended while it was brittle; no request is taken for the cause.");
+        return;
+    }
+    let named: Vec<String> = requests.keys().take(MAX_LOGGED).map(ToString::to_string).collect();
     tracing::warn!(
         %endpoint, born_ms = started_unix_ms, known_by, count, requests = ?named,
         "endpoint: It ended under requests."
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -32,6 +32,7 @@
     order_log::OrderLog,
     policy::Policy,
     quota_allocator::QuotaAllocator,
+    slot_allocator::SlotAllocator,
     trials::Trials,
 };
 
@@ -58,7 +59,10 @@
     pub(crate) helpers_needed: Event,
     /// Number of detours that this daemon has open for others.
     pub(crate) open_detours: AtomicUsize,
+    slot_allocator: Mutex<SlotAllocator>,
     pub(crate) calls: LeaderCalls,
+    /// Calls on slots, apart from others since daemons of earlier releases close the connection.
+    pub(crate) slot_calls: LeaderCalls,
     pub(crate) freshness: Freshness,
     pub(crate) stopping: Stopping,
     pub(crate) in_flight: AtomicUsize,
@@ -94,7 +98,9 @@
             helper_roster: Mutex::default(),
             helpers_needed: Event::new(),
             open_detours: AtomicUsize::new(0),
+            slot_allocator: Mutex::default(),
             calls: LeaderCalls::default(),
+            slot_calls: LeaderCalls::default(),
             freshness: Freshness::new(&settings.bounds),
             stopping: Stopping::new(&settings.bounds),
             in_flight: AtomicUsize::new(0),
@@ -163,6 +169,11 @@
         f(&mut self.helper_roster.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Calls a function with the slots of brittle endpoints that this daemon lends while it leads.
+    pub(crate) fn with_slot_allocator<R>(&self, f: impl FnOnce(&mut SlotAllocator) -> R) -> R {
+        f(&mut self.slot_allocator.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Returns the endpoints of a service that may receive new work.
     pub(crate) fn usable_endpoints(
         &self,
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod settings_watch;
 mod shared_view;
 mod signals;
+mod slots;
 mod stop;
 mod stopping;
 mod store;
@@ -147,6 +148,7 @@
     smol::spawn(peer::server::run(Arc::clone(&daemon), peers)).detach();
     smol::spawn(peer::sync::run(Arc::clone(&daemon))).detach();
     smol::spawn(peer::leaders::run(Arc::clone(&daemon))).detach();
+    smol::spawn(slots::run(Arc::clone(&daemon))).detach();
     smol::spawn(detour::reports::run(Arc::clone(&daemon))).detach();
     smol::spawn(cleanup::run(Arc::clone(&daemon))).detach();
     serve_readiness(&daemon, readiness);
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -7,7 +7,7 @@
     daemon::Daemon,
     departures,
     detour::{reports, server},
-    send_permits, trial_leader,
+    send_permits, slots, trial_leader,
 };
 use async_compat::{Compat, CompatExt};
 use bytes::Bytes;
@@ -29,6 +29,7 @@
     relay::{WireConfigUpdate, WireListUpdate, WireRelay, WireSyncPosition},
     replicas::{Replicas, WireSyncRequest, WireSyncResponse},
     send_permits::{WireSendPermit, WireSendPermitRequest},
+    slots::{WireSlot, WireSlotRequest},
     store_version::{NoEra, WireStoreVersion},
     trials::{WireTrial, WireTrialAnswer},
 };
@@ -101,6 +102,10 @@
         reports::answer(&self.0, report)
     }
 
+    async fn request_slot(self, _: Context, request: WireSlotRequest) -> WireSlot {
+        slots::answer(&self.0, &request).into()
+    }
+
     async fn try_out(self, _: Context, trial: WireTrial) -> WireTrialAnswer {
         trial_leader::decide(&self.0, trial).await
     }
--- a/crates/trestle-entry/src/send_permits.rs
+++ b/crates/trestle-entry/src/send_permits.rs
@@ -70,7 +70,7 @@
     }
 }
 
-async fn leader_of(daemon: &Daemon, group: &str) -> Leader {
+pub(crate) async fn leader_of(daemon: &Daemon, group: &str) -> Leader {
     let group = DomainName::from(group);
     let leader = daemon.query(|reply| Message::GroupLeader { group, reply }).await;
     leader.unwrap_or(Leader::Nobody)
--- a/crates/trestle-entry/src/shared_view.rs
+++ b/crates/trestle-entry/src/shared_view.rs
@@ -12,8 +12,8 @@
 };
 use trestle_config::entry_settings::{Bounds, EntrySettings};
 use trestle_dispatch::{
-    catalog::Catalog, crashes::Crashes, local_view::LocalView, policy::Policy, quota::QuotaBounds,
-    retry_share::RetryBounds,
+    brittle::BrittleServices, catalog::Catalog, crashes::Crashes, local_view::LocalView,
+    policy::Policy, quota::QuotaBounds, retry_share::RetryBounds,
 };
 
 /// Longest time by which one daemon admits a rejected request later than another does. It is
@@ -42,6 +42,7 @@
         local_view.policy = policy;
         local_view.quota_bounds = quota_bounds(bounds);
         local_view.crashes = Crashes::with_delay(fastrand::u64(..MAX_RELEASE_DELAY_MS));
+        local_view.brittle = BrittleServices::with_seed(fastrand::u64(..));
         Self {
             local_view: Mutex::new(local_view),
             changed: Event::new(),
--- a/crates/trestle-entry/src/signals.rs
+++ b/crates/trestle-entry/src/signals.rs
@@ -4,6 +4,7 @@
 use http::{Response, StatusCode};
 use trestle_dispatch::{
     backpressure::{Answer, SignalChange},
+    brittle::BrittleChange,
     endpoint::Endpoint,
 };
 
@@ -22,6 +23,14 @@
     let (status, headers) = (response.status(), response.headers());
     let signals = (daemon.wire.head.read_signals)(status, headers);
     let is_success = status.is_success();
+    let is_rejection = status == StatusCode::SERVICE_UNAVAILABLE
+        && (daemon.wire.head.read_answer)(headers).is_not_run;
+    let now_ms = daemon.shared_view.now_ms();
+    let change = daemon.shared_view.with(|local_view| {
+        let max_rejections = &signals.max_rejections;
+        local_view.apply_brittle(endpoint, max_rejections, is_rejection, sent_ms, now_ms)
+    });
+    log_brittle(endpoint, change, id);
     apply(daemon, endpoint, Answer { signals: &signals, is_success, id, sent_ms });
 }
 
@@ -47,6 +56,19 @@
     }
 }
 
+fn log_brittle(endpoint: &Endpoint, change: Option<BrittleChange>, id: &str) {
+    let service = &endpoint.service;
+    match change {
+        Some(BrittleChange::Begins { max_rejections }) => {
+            tracing::info!(%service, endpoint = %endpoint.name, max_rejections, heard_in = id, "endpoint: The endpoints of the service are brittle; requests go there in lent slots.");
+        }
+        Some(BrittleChange::Ends) => {
+            tracing::info!(%service, endpoint = %endpoint.name, heard_in = id, "endpoint: The endpoints of the service are no longer brittle.");
+        }
+        None => {}
+    }
+}
+
 fn log(endpoint: &Endpoint, change: &SignalChange, id: &str) {
     let (endpoint, started_unix_ms) = (&endpoint.name, endpoint.started_unix_ms);
     match change {
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -3,7 +3,7 @@
 use crate::{
     connection_loss,
     daemon::Daemon,
-    send_permits,
+    send_permits, slots,
     traffic::{
         answer::{Failure, RETRY_SOON_MS},
         quota_reservation,
@@ -144,6 +144,13 @@
                 }
                 continue;
             }
+            Selection::RequestSlot(endpoint) => {
+                if let Some(until_ms) = slots::request(&task.daemon, &endpoint, &task.head.id).await
+                {
+                    task.held_permit.set(endpoint.incarnation(), until_ms);
+                }
+                continue;
+            }
             Selection::Throttled(throttled) => {
                 let retry_after_ms = throttled.for_ms;
                 // A backoff ends soon. Under a limit, which lasts longer, the model is loaded at
@@ -241,6 +248,7 @@
             .daemon
             .shared_view
             .with(|local_view| local_view.request_ended(&self.endpoint, model, adapter));
+        slots::report_free(&self.task.daemon, &self.endpoint);
     }
 }
 
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -176,7 +176,9 @@
                 unreachable!("simulated engines never crash under requests")
             }
             Selection::ChargeQuota => unreachable!("simulated teams have no limits"),
-            Selection::RequestSendPermit(_) | Selection::Throttled(_) => {
+            Selection::RequestSendPermit(_)
+            | Selection::RequestSlot(_)
+            | Selection::Throttled(_) => {
                 unreachable!("simulated engines announce no limits")
             }
             Selection::Refuse { retry_after_ms, .. } => self.reject(request, retry_after_ms),
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -8,6 +8,7 @@
     placements::{WireName, WirePlacementDelta},
     relay::{WireRelay, WireSyncPosition},
     send_permits::{WireSendPermit, WireSendPermitRequest},
+    slots::{WireSlot, WireSlotRequest},
     store_version::WireStoreVersion,
     trials::{WireTrial, WireTrialAnswer},
 };
@@ -39,6 +40,9 @@
     /// Reports whether this daemon is cut off from endpoints, and returns daemons through which it
     /// can open detours. Daemons of earlier releases close the connection.
     async fn find_helpers(report: WireHelperReport) -> Vec<WireHelper>;
+    /// Reports which slots of a brittle endpoint are used, and requests another one. Daemons of
+    /// earlier releases close the connection.
+    async fn request_slot(request: WireSlotRequest) -> WireSlot;
 }
 
 /// Report of a daemon to a leader, with the position up to which the daemon has the leader's data.
