--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -56,7 +56,12 @@
 use hyper::body::Incoming;
 use smol::net::TcpListener;
 use snafu::{ResultExt, Snafu};
-use std::{io, net::SocketAddr, path::PathBuf, sync::Arc};
+use std::{
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, atomic::Ordering},
+};
 use trestle_config::entry_settings::EntrySettings;
 use trestle_dispatch::policy::{Mechanism, Policy, UnknownMechanism};
 
@@ -216,6 +221,7 @@
         backing_off: local_view.backpressure.backing_off(now_ms),
         draining: local_view.directory.iter().filter(|endpoint| endpoint.is_draining).count(),
         unreached: local_view.reachability.unreached(),
+        open_detours: daemon.open_detours.load(Ordering::Relaxed),
     })
 }
 
--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -28,6 +28,7 @@
     log_drops: Gauge<u64>,
     asking_endpoints: Gauge<u64>,
     unreached_endpoints: Gauge<u64>,
+    open_detours: Gauge<u64>,
 }
 
 /// Values that are counted elsewhere, as of the time when metrics are requested.
@@ -47,6 +48,8 @@
     pub(crate) draining: usize,
     /// Endpoints whose last connection attempt failed.
     pub(crate) unreached: usize,
+    /// Detours that are open through this daemon.
+    pub(crate) open_detours: usize,
 }
 
 impl Metrics {
@@ -99,6 +102,10 @@
                 "trestle_unreached_endpoints",
                 "Endpoints that did not accept this daemon's last connection",
             ),
+            open_detours: gauge(
+                "trestle_open_detours",
+                "Connections to endpoints that this daemon has open for other daemons",
+            ),
             registry,
             _provider: provider,
         })
@@ -153,6 +160,7 @@
             ("leaving", external.draining),
         ];
         self.unreached_endpoints.record(external.unreached as u64, &[]);
+        self.open_detours.record(external.open_detours as u64, &[]);
         for (what, count) in by_signal {
             self.asking_endpoints.record(count as u64, &[KeyValue::new("asks", what)]);
         }
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     connection_loss,
+    detour::client,
     net::pool::{Connection, SendError},
     paths, signals,
     traffic::{
@@ -91,11 +92,15 @@
             if matches!(error, AttemptError::ConnectionLost(_)) {
                 selected.record_connection_lost();
             }
+            if let (AttemptError::TimedOut(_), Some(helper)) = (&error, task.helper()) {
+                client::helper_failed(&task.daemon, helper);
+            }
             let (list, name) = (task.list_info(), &selected.endpoint.name);
             tracing::info!(
                 id = task.head.id, request = task.fingerprint(), endpoint = %name,
                 list_version = list.version.number, list_era = list.version.era,
                 list_age_ms = list.age_ms, list_from = list.source,
+                detour_by = task.helper().map(tracing::field::display),
                 reason = error.reason(), elapsed_ms = task.elapsed_ms(), "request: A send failed."
             );
             Err(error)
@@ -122,6 +127,7 @@
             }
             AttemptError::Unreachable(error.to_string())
         })?;
+        task.record_helper(connection.helper());
         if task.is_restricted() {
             return Err(AttemptError::Restricted);
         }
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -153,6 +153,7 @@
         trial: Trial::default(),
         quota_reservation: QuotaReservation::default(),
         held_permit: HeldPermit::default(),
+        helper: Mutex::default(),
         throttle: Mutex::default(),
     })
 }
--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -73,6 +73,7 @@
         end = end.name(),
         why,
         endpoint,
+        detour_by = task.helper().map(tracing::field::display),
         held_back_by = throttle.map(|info| info.endpoint.as_str()),
         limit_per_s = throttle.and_then(|info| info.limit_per_s),
         rest_left_ms = throttle.and_then(|info| info.backoff_left_ms),
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -11,9 +11,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 use trestle_core::names::{EndpointName, ServiceName};
 use trestle_dispatch::{
@@ -58,6 +61,8 @@
     pub(crate) quota_reservation: QuotaReservation,
     /// The permit to send the request to an endpoint that limits its requests.
     pub(crate) held_permit: HeldPermit,
+    /// The daemon through which the last send passed, for logs; `None` if it was direct.
+    pub(crate) helper: Mutex<Option<SocketAddr>>,
     /// The endpoint whose limit or backoff kept the request from being sent, for logs.
     pub(crate) throttle: Mutex<Option<ThrottleInfo>>,
 }
@@ -230,6 +235,16 @@
         *self.list_info.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records the daemon through which the request is sent, if it takes a detour.
+    pub(crate) fn record_helper(&self, helper: Option<SocketAddr>) {
+        *self.helper.lock().unwrap_or_else(PoisonError::into_inner) = helper;
+    }
+
+    /// Returns the daemon through which the last send passed; `None` if it was direct.
+    pub(crate) fn helper(&self) -> Option<SocketAddr> {
+        *self.helper.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that the request is sent to an endpoint; only the first send counts.
     pub(crate) fn record_sent(&self) {
         self.sent_after_ms.fetch_min(self.elapsed_ms(), Ordering::Relaxed);
