--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -77,6 +77,7 @@
         held_back_by = throttle.map(|info| info.endpoint.as_str()),
         limit_per_s = throttle.and_then(|info| info.limit_per_s),
         rest_left_ms = throttle.and_then(|info| info.backoff_left_ms),
+        no_slot = throttle.map(|info| info.lacks_slot),
         heard_ago_ms = throttle.map(|info| info.observed_ago_ms),
         heard_in = throttle.map(|info| info.observed_in.as_str()),
         list_version = list_info.map(|info| info.version.number),
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -87,8 +87,10 @@
     pub(crate) backoff_left_ms: Option<u64>,
     /// Time since the endpoint last reported the limit or backoff.
     pub(crate) observed_ago_ms: u64,
-    /// Id of the request whose answer reported the limit or backoff.
+    /// Id of the request whose answer reported the limit or backoff; empty if a slot was lacking.
     pub(crate) observed_in: String,
+    /// Whether the endpoint is brittle and had no slot left.
+    pub(crate) lacks_slot: bool,
 }
 
 /// Value of [`Task::sent_after_ms`] for a request that was not sent to an endpoint yet.
@@ -167,6 +169,7 @@
                 backoff_left_ms: Some(backoff.until_ms.saturating_sub(now_ms)),
                 observed_ago_ms: now_ms.saturating_sub(backoff.observed_ms),
                 observed_in: backoff.observed_in.clone(),
+                lacks_slot: false,
             }),
             (None, Some(limit)) => Some(ThrottleInfo {
                 endpoint,
@@ -174,6 +177,15 @@
                 backoff_left_ms: None,
                 observed_ago_ms: now_ms.saturating_sub(limit.observed_ms),
                 observed_in: limit.observed_in.clone(),
+                lacks_slot: false,
+            }),
+            (None, None) if local_view.is_brittle(incarnation) => Some(ThrottleInfo {
+                endpoint,
+                limit_per_s: None,
+                backoff_left_ms: None,
+                observed_ago_ms: 0,
+                observed_in: String::new(),
+                lacks_slot: true,
             }),
             (None, None) => None,
         };
