--- a/crates/trestle-entry/src/paths.rs
+++ b/crates/trestle-entry/src/paths.rs
@@ -356,8 +356,14 @@
         let result = change(&mut local_view.reachability);
         (was_blocked, result, local_view.reachability.is_blocked(&incarnation))
     });
-    if was_blocked != is_blocked {
-        tracing::info!(endpoint = %endpoint.name, is_blocked, "endpoint: Whether only this daemon does not reach it has changed; connections take a detour while it is blocked.");
+    match (was_blocked, is_blocked) {
+        (false, true) => {
+            tracing::info!(endpoint = %endpoint.name, "endpoint: Others reach it and this daemon does not; connections take a detour.");
+        }
+        (true, false) => {
+            tracing::info!(endpoint = %endpoint.name, "endpoint: Connections go to it directly again.");
+        }
+        _ => {}
     }
     result
 }
