--- a/crates/trestle-dispatch/src/helpers.rs
+++ b/crates/trestle-dispatch/src/helpers.rs
@@ -141,7 +141,9 @@
         let near = others().filter(|(_, member)| member.helper.domain == *domain);
         let (reaching, cut_off): (Vec<_>, Vec<_>) = near.partition(|(_, member)| reaches(member));
         let stays_near = reaching.len() > cut_off.len();
-        let reaching = others().filter(move |(_, member)| reaches(member));
+        // Where no daemon reaches most endpoints of a service, each may still reach some.
+        let has_reaching = others().any(|(_, member)| reaches(member));
+        let reaching = others().filter(move |(_, member)| reaches(member) || !has_reaching);
         let candidates = reaching.map(|(_, member)| &member.helper);
         candidates.filter(move |helper| !stays_near || helper.domain == *domain)
     }
--- a/crates/trestle-dispatch/src/reachability.rs
+++ b/crates/trestle-dispatch/src/reachability.rs
@@ -22,8 +22,8 @@
 const PROBE_INTERVAL_MS: u64 = 1_000;
 /// Time for which no detour is tried to an endpoint that another daemon did not reach either.
 const FAILED_DETOUR_PAUSE_MS: u64 = 1_000;
-/// Time for which an accepted connection shows that an endpoint is reached.
-const CONNECTED_VALID_MS: u64 = 3_000;
+/// Time for which an accepted connection or an answer shows that an endpoint is reached.
+const REACHED_VALID_MS: u64 = 3_000;
 /// Time for which an endpoint must be blocked before this daemon counts as cut off from it, so that
 /// a leader does not give up its lease for a short interruption.
 const CUT_OFF_AFTER_MS: u64 = 1_000;
@@ -94,7 +94,8 @@
 struct Path {
     /// How the last direct attempt failed; `None` if it did not.
     failure: Option<ConnectFailure>,
-    connected_ms: Option<u64>,
+    /// When the endpoint last accepted a direct connection, or answered over one.
+    answered_ms: Option<u64>,
     /// Whether direct connections were reset as soon as they were accepted.
     is_reset: bool,
     /// Since when a detour has worked while direct attempts fail.
@@ -127,13 +128,18 @@
         if is_reset && !has_held {
             return None;
         }
-        let path = Path { connected_ms: Some(now_ms), ..Path::default() };
+        let path = Path { answered_ms: Some(now_ms), ..Path::default() };
         self.paths.insert(endpoint.incarnation(), path);
         let failing = self.failing.remove(&endpoint.service)?;
         let after_ms = now_ms.saturating_sub(failing.since_ms);
         failing.is_reported.then_some(ServiceChange::Regained { after_ms })
     }
 
+    /// Records that an endpoint answered over a direct connection, which may be an old one.
+    pub fn answered(&mut self, endpoint: &Endpoint, now_ms: u64) {
+        self.paths.entry(endpoint.incarnation()).or_default().answered_ms = Some(now_ms);
+    }
+
     /// Records that a direct connection was reset as soon as it was accepted.
     pub fn reset(&mut self, endpoint: &Endpoint, now_ms: u64) -> Option<ServiceChange> {
         self.paths.entry(endpoint.incarnation()).or_default().is_reset = true;
@@ -284,7 +290,7 @@
     }
 
     fn is_reached(&self, now_ms: u64) -> bool {
-        let is_recent = |at_ms| now_ms < at_ms + CONNECTED_VALID_MS;
-        self.failure.is_none() && self.connected_ms.is_some_and(is_recent)
+        let is_recent = |at_ms| now_ms < at_ms + REACHED_VALID_MS;
+        self.failure.is_none() && self.answered_ms.is_some_and(is_recent)
     }
 }
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -154,6 +154,10 @@
         let until_ms = request.elapsed_ms + throttled.for_ms;
         return match throttled.is_brittle && until_ms < wait_ms {
             true => Selection::Wait { until_ms },
+            false if throttled.is_brittle => {
+                let for_ms = throttled.for_ms.max(PLAIN_RETRY_MS);
+                Selection::Throttled(Throttled { for_ms, ..throttled })
+            }
             false => Selection::Throttled(throttled),
         };
     }
--- a/crates/trestle-dispatch/tests/helpers.rs
+++ b/crates/trestle-dispatch/tests/helpers.rs
@@ -71,6 +71,11 @@
         assert_eq!(named, []);
     }
 
+    a_daemon_is_named_where_none_reaches_most_endpoints => {
+        let mut roster = roster(&[("a", true), ("b", true)]);
+        assert_eq!(named(&mut roster, 0, "a", 7), BTreeSet::from([1]));
+    }
+
     // Where every daemon has lost some service, each can still help with the others.
     a_daemon_that_lost_another_service_is_named => {
         let mut roster = HelperRoster::default();
--- a/crates/trestle-dispatch/tests/reachability.rs
+++ b/crates/trestle-dispatch/tests/reachability.rs
@@ -110,6 +110,18 @@
         assert!(!reachability.is_cut_off_from(all.iter(), 1_200));
     }
 
+    // Under steady traffic connections are old, and one endpoint that crashed was all that new ones showed.
+    an_endpoint_that_answers_over_an_old_connection_is_reached => {
+        let all = ["x", "y", "z"].map(|name| endpoint(name, "z", &[]));
+        let mut reachability = Reachability::default();
+        reachability.answered(&all[0], 4_000);
+        reachability.failed(&all[1], ConnectFailure::Refused, 5_000);
+        assert!(reachability.unreached_services(all.iter(), 5_000).is_empty());
+        reachability.failed(&all[0], ConnectFailure::Refused, 5_100);
+        reachability.answered(&all[0], 5_200);
+        assert_eq!(reachability.unreached_services(all.iter(), 5_300).len(), 1, "new ones are refused");
+    }
+
     endpoints_that_nobody_reaches_do_not_cut_a_daemon_off => {
         let all = ["x", "y"].map(|name| endpoint(name, "z", &[]));
         let mut reachability = Reachability::default();
--- a/crates/trestle-entry/src/paths.rs
+++ b/crates/trestle-entry/src/paths.rs
@@ -204,10 +204,10 @@
 /// the endpoint, for decisions on who gives orders to it.
 async fn open_or_classify(daemon: &Arc<Daemon>, endpoint: &Endpoint) -> io::Result<TcpStream> {
     let opened = open_direct(daemon, endpoint, CONNECT_TIMEOUT_MS).await;
-    let is_blocked = daemon
-        .shared_view
-        .with(|local_view| local_view.reachability.is_blocked(&endpoint.incarnation()));
-    if opened.is_err() && !is_blocked {
+    let now_ms = daemon.shared_view.now_ms();
+    let route =
+        daemon.shared_view.with(|local_view| local_view.reachability.route(endpoint, now_ms));
+    if opened.is_err() && matches!(route, Route::DirectFirst { .. }) {
         let (daemon, endpoint) = (Arc::clone(daemon), endpoint.clone());
         let classify = async move {
             match client::open(&daemon, &endpoint).await {
@@ -275,6 +275,14 @@
     })
 }
 
+/// Records that an endpoint answered over a connection.
+pub(crate) fn record_answer(daemon: &Daemon, endpoint: &Endpoint, connection: &Connection) {
+    if connection.helper().is_none() {
+        let now_ms = daemon.shared_view.now_ms();
+        daemon.shared_view.with(|local_view| local_view.reachability.answered(endpoint, now_ms));
+    }
+}
+
 /// Records that a new connection to an endpoint was lost before an answer.
 pub(crate) fn record_lost(daemon: &Daemon, endpoint: &Endpoint, connection: &Connection) {
     let age_ms = daemon.shared_view.now_ms().saturating_sub(connection.opened_ms());
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -148,6 +148,7 @@
                 }
                 let (status, opened_ms) = (response.status(), connection.opened_ms());
                 record_answer_status(task, &selected.endpoint, status, sent_ms, opened_ms);
+                paths::record_answer(daemon, &selected.endpoint, &connection);
                 return validate(task, connection, response).await;
             }
             // The idle connection was closed before the request was sent; take another one.
