Ask for slots through the own leader, and tell brittle endpoints from others of their service

A daemon that did not know the leader of an endpoint's group took it for none, and used half of the slots by chance; its own leader now passes the request on, once, as for send permits. An endpoint that announces nothing beside others that do ended the state of the whole service; it is now no longer brittle itself, and the service once none of its endpoints is.

--- a/crates/trestle-dispatch/src/brittle.rs
+++ b/crates/trestle-dispatch/src/brittle.rs
@@ -53,6 +53,8 @@
 /// What this daemon knows of one endpoint of a brittle service.
 #[derive(Debug, Default, Clone, Copy)]
 struct EndpointState {
+    /// Whether its last answer announced that it is brittle; `None` if it has not answered.
+    is_announced: Option<bool>,
     closed_until_ms: u64,
     /// Until when no slot is requested, since no leader lends any.
     unled_until_ms: u64,
@@ -123,17 +125,11 @@
                 let service = self.by_service.entry(endpoint.service.clone()).or_default();
                 service.max_rejections = *max_rejections;
                 service.announced_ms = state.now_ms;
+                service.endpoint_mut(endpoint).is_announced = Some(true);
                 is_new.then_some(BrittleChange::Begins { max_rejections: *max_rejections })
             }
             // An answer to a request that was sent earlier reflects an earlier state.
-            HeaderField::Absent if !is_rejection => {
-                let has_ended = |service: &BrittleService| sent_ms >= service.announced_ms;
-                let ended = self.by_service.get(&endpoint.service).is_some_and(has_ended);
-                if ended {
-                    self.by_service.remove(&endpoint.service);
-                }
-                ended.then_some(BrittleChange::Ends)
-            }
+            HeaderField::Absent if !is_rejection => self.apply_silence(endpoint, sent_ms),
             HeaderField::Absent | HeaderField::Unreadable(_) => None,
         };
         if is_rejection {
@@ -142,6 +138,22 @@
         change
     }
 
+    /// Applies an answer without an announcement. The service is no longer brittle once none of its
+    /// endpoints is known to be.
+    fn apply_silence(&mut self, endpoint: &Endpoint, sent_ms: u64) -> Option<BrittleChange> {
+        let service = self.by_service.get_mut(&endpoint.service)?;
+        if sent_ms < service.announced_ms {
+            return None;
+        }
+        service.endpoint_mut(endpoint).is_announced = Some(false);
+        let is_brittle = |state: &EndpointState| state.is_announced == Some(true);
+        if service.by_endpoint.values().any(is_brittle) {
+            return None;
+        }
+        self.by_service.remove(&endpoint.service);
+        Some(BrittleChange::Ends)
+    }
+
     /// Returns whether no service is brittle.
     pub fn is_empty(&self) -> bool {
         self.by_service.is_empty()
@@ -189,7 +201,7 @@
         self.service(endpoint, now_ms)?;
         let service = self.by_service.get_mut(&endpoint.service)?;
         let max_rejections = service.max_rejections;
-        let state = service.by_endpoint.entry(endpoint.incarnation()).or_default();
+        let state = service.endpoint_mut(endpoint);
         let rejections = std::mem::take(&mut state.rejections);
         Some(SlotReport { used: in_flight, received: state.received, rejections, max_rejections })
     }
@@ -228,9 +240,12 @@
         service.by_endpoint.get_mut(&endpoint.incarnation())
     }
 
+    /// Returns the service of an endpoint if the endpoint is brittle, or may be as others of it are.
     fn service(&self, endpoint: &Endpoint, now_ms: u64) -> Option<&BrittleService> {
         let service = self.by_service.get(&endpoint.service)?;
-        Some(service).filter(|service| now_ms < service.announced_ms + VALID_MS)
+        let state = service.by_endpoint.get(&endpoint.incarnation());
+        let is_sound = state.is_some_and(|state| state.is_announced == Some(false));
+        (!is_sound && now_ms < service.announced_ms + VALID_MS).then_some(service)
     }
 
     /// Returns the slots of an endpoint that a daemon uses while no leader lends any.
@@ -248,7 +263,7 @@
     fn record_rejection(&mut self, endpoint: &Endpoint, daemon: DaemonState) {
         let Some(service) = self.by_service.get_mut(&endpoint.service) else { return };
         let max_rejections = u64::from(service.max_rejections.max(1));
-        let state = service.by_endpoint.entry(endpoint.incarnation()).or_default();
+        let state = service.endpoint_mut(endpoint);
         state.rejections += 1;
         let pause_ms = match daemon.now_ms < state.unled_until_ms {
             true => {
@@ -262,6 +277,12 @@
     }
 }
 
+impl BrittleService {
+    fn endpoint_mut(&mut self, endpoint: &Endpoint) -> &mut EndpointState {
+        self.by_endpoint.entry(endpoint.incarnation()).or_default()
+    }
+}
+
 fn known_daemons(state: DaemonState) -> usize {
     if state.daemons == 0 { UNKNOWN_DAEMONS } else { state.daemons }
 }
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -103,7 +103,7 @@
     }
 
     async fn request_slot(self, _: Context, request: WireSlotRequest) -> WireSlot {
-        slots::answer(&self.0, &request).into()
+        slots::answer(&self.0, request).await.into()
     }
 
     async fn try_out(self, _: Context, trial: WireTrial) -> WireTrialAnswer {
--- a/crates/trestle-entry/src/slots.rs
+++ b/crates/trestle-entry/src/slots.rs
@@ -1,7 +1,7 @@
 //! Slots of brittle endpoints. For each request a daemon obtains one from the leader of the
 //! endpoint's group, and reports when it uses fewer.
 
-use crate::{control::message::Leader, daemon::Daemon, send_permits};
+use crate::{control::message::Leader, daemon::Daemon, peer::calls, send_permits};
 use smol::Timer;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use trestle_core::names::DomainName;
@@ -79,12 +79,16 @@
     let _ = send(&daemon, WireSlotRequest { is_report: true, ..request }).await;
 }
 
-/// Sends a request to the leader of the endpoint's group.
+/// Sends a request to the leader of the endpoint's group. If this daemon does not know that leader,
+/// its own leader passes the request on.
 async fn send(daemon: &Daemon, request: WireSlotRequest) -> Slot {
     match send_permits::leader_of(daemon, &request.group).await {
         Leader::At { address, .. } => send_to(daemon, address, request).await,
-        Leader::Here { .. } => answer(daemon, &request),
-        Leader::Nobody => Slot::NotLending,
+        Leader::Here { .. } => answer_here(daemon, &request),
+        Leader::Nobody => match calls::leader(daemon, 0).await {
+            Leader::At { address, .. } => send_to(daemon, address, request).await,
+            Leader::Here { .. } | Leader::Nobody => answer_here(daemon, &request),
+        },
     }
 }
 
@@ -95,8 +99,29 @@
     answer.unwrap_or(WireSlot::NotLending).into()
 }
 
+/// Answers a request of another daemon: decides if this daemon leads the endpoint's group, and
+/// otherwise returns the answer of the leader that does.
+pub(crate) async fn answer(daemon: &Daemon, request: WireSlotRequest) -> Slot {
+    let slot = answer_here(daemon, &request);
+    let is_led_here = slot != Slot::NotLending || leads(daemon, &request);
+    if is_led_here || request.is_passed_on {
+        return slot;
+    }
+    match send_permits::leader_of(daemon, &request.group).await {
+        Leader::At { address, .. } => {
+            send_to(daemon, address, WireSlotRequest { is_passed_on: true, ..request }).await
+        }
+        Leader::Here { .. } | Leader::Nobody => slot,
+    }
+}
+
+fn leads(daemon: &Daemon, request: &WireSlotRequest) -> bool {
+    let now_ms = daemon.shared_view.now_ms();
+    daemon.order_permits.held(now_ms).contains_key(&DomainName::from(request.group.as_str()))
+}
+
 /// Decides on a request by the lease that this daemon holds at this moment.
-pub(crate) fn answer(daemon: &Daemon, request: &WireSlotRequest) -> Slot {
+fn answer_here(daemon: &Daemon, request: &WireSlotRequest) -> Slot {
     let now_ms = daemon.shared_view.now_ms();
     let group = DomainName::from(request.group.as_str());
     let token = daemon.order_permits.held(now_ms).remove(&group).map(|lease| lease.token);
--- a/crates/trestle-wire/src/slots.rs
+++ b/crates/trestle-wire/src/slots.rs
@@ -30,6 +30,8 @@
     pub max_rejections: u32,
     /// Whether the daemon only reports and requests no slot.
     pub is_report: bool,
+    /// Whether the leader of another group forwards this request, so that it is not forwarded again.
+    pub is_passed_on: bool,
 }
 
 /// Answer to a request for a slot.
@@ -62,6 +64,7 @@
             rejections: report.rejections,
             max_rejections: report.max_rejections,
             is_report: false,
+            is_passed_on: false,
         }
     }
 
