Log the software version of endpoints, and which streams callers continue

What callers saw: streams whose events come from two software versions. The logs could not tell a stream that the daemon continued at another version from one that a caller continued, nor name a version: the adapter dropped it. Change: an endpoint's entry keeps its version; the list's lines, failed streams and continued streams name it, and the id that a caller continues. Nothing decides by it yet. Daemons that get the list from a leader do not know versions: the relayed entries leave them out.

--- a/crates/trestle-core/src/names.rs
+++ b/crates/trestle-core/src/names.rs
@@ -73,4 +73,6 @@
     ServiceName;
     /// Name of an adapter, unique within its model.
     AdapterName;
+    /// Version of an endpoint's software. Versions have no order.
+    SoftwareVersion;
 }
--- a/crates/trestle-dispatch/examples/plan_time.rs
+++ b/crates/trestle-dispatch/examples/plan_time.rs
@@ -34,6 +34,7 @@
     Endpoint {
         name: format!("i-{number:010}").into(),
         service: "s".into(),
+        software_version: None,
         address: ([127, 0, 0, 1], 9_000).into(),
         domain: format!("d{}", number % DOMAINS).into(),
         slots: 12,
--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -103,8 +103,8 @@
         true
     }
 
-    /// Applies an entry that does not say what its engine holds; the contents that are known of the
-    /// same incarnation are kept. Returns whether the entry was accepted.
+    /// Applies an entry that does not say what its engine holds; the contents and the version that
+    /// are known of the same incarnation are kept. Returns whether the entry was accepted.
     pub fn apply_listed(&mut self, mut endpoint: Endpoint) -> bool {
         let known = self.endpoints.get(&endpoint.name);
         if let Some(known) = known.filter(|known| known.started_unix_ms == endpoint.started_unix_ms)
@@ -113,6 +113,9 @@
             endpoint.held.clone_from(&known.held);
             endpoint.in_memory.clone_from(&known.in_memory);
             endpoint.on_disk.clone_from(&known.on_disk);
+            if endpoint.software_version.is_none() {
+                endpoint.software_version.clone_from(&known.software_version);
+            }
         }
         self.apply_written(endpoint)
     }
--- a/crates/trestle-dispatch/src/endpoint.rs
+++ b/crates/trestle-dispatch/src/endpoint.rs
@@ -4,7 +4,9 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
 };
-use trestle_core::names::{AdapterName, DomainName, EndpointName, ModelName, ServiceName};
+use trestle_core::names::{
+    AdapterName, DomainName, EndpointName, ModelName, ServiceName, SoftwareVersion,
+};
 
 /// Models in an engine's memory, each with its loaded adapters.
 pub type Held = BTreeMap<ModelName, BTreeSet<AdapterName>>;
@@ -30,6 +32,8 @@
     pub started_unix_ms: u64,
     /// The service to which the endpoint belongs.
     pub service: ServiceName,
+    /// Version of the endpoint's software; `None` while this daemon does not know it.
+    pub software_version: Option<SoftwareVersion>,
     /// The address on which the endpoint listens.
     pub address: SocketAddr,
     /// The failure domain of the endpoint.
@@ -72,6 +76,7 @@
             name: self.name.clone(),
             started_unix_ms: self.started_unix_ms,
             service: self.service.clone(),
+            software_version: self.software_version.clone(),
             address: self.address,
             domain: self.domain.clone(),
             slots: self.slots,
--- a/crates/trestle-dispatch/src/request.rs
+++ b/crates/trestle-dispatch/src/request.rs
@@ -18,6 +18,8 @@
     pub adapter: Option<AdapterName>,
     /// Id of the last event of the stream that the caller has received, if it resumes one.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's attempt that began the stream, if the request continues one.
+    pub continues: Option<String>,
     /// Number of tokens of the prompt and of the longest answer, if the request reports it.
     pub tokens: Option<u64>,
     /// The credential that the caller sent.
--- a/crates/trestle-dispatch/tests/common/mod.rs
+++ b/crates/trestle-dispatch/tests/common/mod.rs
@@ -16,6 +16,7 @@
     Endpoint {
         name: name.into(),
         service: "s".into(),
+        software_version: None,
         address: "127.0.0.1:9000".parse().expect("an address"),
         domain: domain.into(),
         slots: 8,
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -6,7 +6,7 @@
     departures,
     store::follow::{self, FollowedTable},
 };
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 use trestle_core::names::EndpointName;
 use trestle_dispatch::{
     endpoint::Endpoint,
@@ -215,9 +215,16 @@
     let added: Vec<&str> = new.map(|entry| entry.key.as_str()).collect();
     let removed: Vec<&str> =
         removed.iter().take(MAX_LOGGED_NAMES).map(|(key, _)| key.as_str()).collect();
+    let software: BTreeSet<(&str, &str)> = written
+        .iter()
+        .filter_map(|ListedEntry { endpoint, .. }| {
+            Some((endpoint.service.as_str(), endpoint.software_version.as_ref()?.as_str()))
+        })
+        .take(MAX_LOGGED_NAMES)
+        .collect();
     tracing::info!(
         count, version = version.number, era = version.era, came = ?added, gone = ?removed,
-        "endpoint: The list was read."
+        ?software, "endpoint: The list was read."
     );
 }
 
@@ -283,8 +290,9 @@
     let (endpoint, started_unix_ms) = (&new.name, new.started_unix_ms);
     if was_draining != Some(new.is_draining) {
         let (address, is_draining) = (new.address, new.is_draining);
+        let software = new.software_version.as_ref().map(AsRef::<str>::as_ref);
         tracing::info!(
-            %endpoint, born_ms = started_unix_ms, %address, leaving = is_draining, version, era,
+            %endpoint, born_ms = started_unix_ms, %address, software, leaving = is_draining, version, era,
             "endpoint: Listed."
         );
     }
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -42,6 +42,11 @@
 }
 
 impl SelectedEndpoint {
+    /// Returns the version of the endpoint's software, for logs.
+    pub(crate) fn software(&self) -> Option<&str> {
+        self.endpoint.software_version.as_ref().map(AsRef::as_ref)
+    }
+
     /// Records that the request is sent to the endpoint, which it may crash from now on.
     pub(crate) fn record_sent(&mut self) {
         let Some(request) = self.task.head.fingerprint else { return };
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -37,6 +37,7 @@
     let is_stream = matches!(start, Ok(StreamStart::Events(..)));
     let response = match start {
         Ok(StreamStart::Events(parts, first)) => {
+            transfer.log_if_continued();
             task.daemon.metrics.record_first_part(&task.route.name, task.elapsed_ms());
             let stats = StreamStats { first_ms: Some(task.elapsed_ms()), ..StreamStats::default() };
             let last_event_ms = task.elapsed_ms();
@@ -125,6 +126,17 @@
         }
     }
 
+    /// Logs at which version of the software the stream goes on that a caller continues.
+    fn log_if_continued(&self) {
+        let (head, source) = (&self.task.head, self.source.as_ref());
+        let Some(source) = source.filter(|_| head.last_event_id.is_some()) else { return };
+        tracing::info!(
+            id = head.id, continues = head.continues, after = head.last_event_id,
+            endpoint = %source.selected.endpoint.name, software = source.selected.software(),
+            "request: A caller continues a stream."
+        );
+    }
+
     /// Sends the request until a first event arrives, or an answer that is no stream.
     async fn open(&mut self) -> Result<StreamStart, Failure> {
         loop {
@@ -164,6 +176,11 @@
         loop {
             match self.send().await {
                 Ok(attempt) if attempt.response.status() == StatusCode::OK => {
+                    tracing::info!(
+                        id = self.task.head.id, endpoint = %attempt.selected.endpoint.name,
+                        software = attempt.selected.software(), last_id = self.buffer.last_id(),
+                        "request: A stream continues at another endpoint."
+                    );
                     self.set_source(attempt);
                     return true;
                 }
@@ -278,7 +295,7 @@
         daemon.shared_view.with(|local_view| local_view.records.failed(name, now_ms));
         tracing::info!(
             id = self.task.head.id, request = self.task.fingerprint(), endpoint = %name,
-            reason = error.reason(), last_id = self.buffer.last_id(), elapsed_ms = self.task.elapsed_ms(), "request: A stream failed at its endpoint."
+            software = source.selected.software(), reason = error.reason(), last_id = self.buffer.last_id(), elapsed_ms = self.task.elapsed_ms(), "request: A stream failed at its endpoint."
         );
         if matches!(error, StreamError::Connection(_)) {
             source.selected.record_connection_lost();
--- a/crates/trestle-lab/src/sim/simulation.rs
+++ b/crates/trestle-lab/src/sim/simulation.rs
@@ -405,6 +405,7 @@
         let endpoint = Endpoint {
             name: engine.name.clone(),
             service: self.service.clone(),
+            software_version: None,
             address: ([127, 0, 0, 1], 1).into(),
             domain: engine.domain.as_str().into(),
             slots: self.spec.slots,
--- a/crates/trestle-wire/src/relay.rs
+++ b/crates/trestle-wire/src/relay.rs
@@ -85,8 +85,8 @@
     pub version: WireStoreVersion,
 }
 
-/// Live endpoint without its models and the copies of weights on its host. Leaders read those from
-/// the store, and report where models are by their placement logs.
+/// Live endpoint without its models, the copies of weights on its host, and the version of its
+/// software. Leaders read those from the store, and report where models are by their placement logs.
 #[trestle_macros::wire]
 pub struct WireListedEndpoint {
     /// Name of the endpoint.
@@ -219,6 +219,7 @@
             name: wire.name.into(),
             started_unix_ms: wire.born_ms,
             service: wire.service.into(),
+            software_version: None,
             address: wire.address,
             domain: wire.domain.into(),
             slots: wire.slots,
--- a/crates/trestle-wire/tests/detours.rs
+++ b/crates/trestle-wire/tests/detours.rs
@@ -12,6 +12,7 @@
         name: name.into(),
         started_unix_ms: 7,
         service: "s".into(),
+        software_version: None,
         address: "127.0.0.1:9000".parse().expect("an address"),
         domain: "z".into(),
         slots: 8,
