Continue streams only at the software version that began them

Cause: a decision took all endpoints of a service for alike. The version of an endpoint was decoded and dropped, and nobody remembered at which one a stream began; the id of the first attempt, which callers send, was read by nobody. Ruled out: endpoints that change the version under one name (each start had a name of its own). Change: a stream is bound at its first event, and every selection heeds it. Nothing is sent while a service has had one version only; the store keeps which versions there are for daemons that start. What cannot be known, or cannot be served, is refused at once. The service of a split route follows the first id too. Why it works: the same fact decides the daemon's own resumption and a caller's, and it outlives the daemon, the leader and an outage of the store.

--- a/crates/trestle-dispatch/src/admission.rs
+++ b/crates/trestle-dispatch/src/admission.rs
@@ -102,6 +102,8 @@
     OnTrial,
     /// Endpoints may have crashed under the request, and no endpoint that could run it answers.
     NoSignOfLife,
+    /// No endpoint that has the model runs the version of the software that began the stream.
+    VersionMissing,
     /// The model will be ready too late for this caller.
     ReadyTooLate,
     /// No daemon knows when the model will be ready.
@@ -117,6 +119,7 @@
             Self::EndsEndpoints => "ends_endpoints",
             Self::OnTrial => "on_trial",
             Self::NoSignOfLife => "no_sign_of_life",
+            Self::VersionMissing => "version_missing",
             Self::ReadyTooLate => "ready_too_late",
             Self::ReadyUnknown => "ready_unknown",
             Self::Disagreement => "disagreement",
--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -8,7 +8,7 @@
     replicas::ReplicaView,
 };
 use std::collections::BTreeSet;
-use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName};
+use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName, SoftwareVersion};
 
 /// Cost of an endpoint in another failure domain, as a share of its slots. On an engine of 64 slots
 /// it equals half a request, so that an even load comes before a short path.
@@ -29,6 +29,8 @@
     pub model: Option<&'a ModelName>,
     /// The adapter of that model, if the request names one.
     pub adapter: Option<&'a AdapterName>,
+    /// The version of the software that must run the request; `None` if any may.
+    pub version: Option<&'a SoftwareVersion>,
     /// Endpoints to which the request must not be sent.
     pub excluded: &'a BTreeSet<EndpointName>,
     /// If set, the only endpoints allowed, since the request has been sent to as many as it may.
@@ -113,7 +115,10 @@
 pub fn is_loaded(inputs: ChoiceInputs<'_>, requirements: Requirements<'_>) -> bool {
     let Some(model) = requirements.model else { return false };
     let mut usable = inputs.local_view.directory.usable(requirements.service);
-    usable.any(|endpoint| inputs.replicas.can_run(endpoint, model, requirements.adapter))
+    usable.any(|endpoint| {
+        runs_version(&requirements, endpoint)
+            && inputs.replicas.can_run(endpoint, model, requirements.adapter)
+    })
 }
 
 /// Returns whether an eligible endpoint exists that did not fail lately and has reported neither a
@@ -209,6 +214,7 @@
 ) -> bool {
     let is_listed = endpoint.service == *requirements.service && !endpoint.is_draining;
     is_listed
+        && runs_version(requirements, endpoint)
         && !requirements.excluded.contains(&endpoint.name)
         && requirements.only.is_none_or(|only| only.contains(&endpoint.name))
         && requirements
@@ -216,6 +222,10 @@
             .is_none_or(|model| holds(inputs, endpoint, model, requirements.adapter))
 }
 
+fn runs_version(requirements: &Requirements<'_>, endpoint: &Endpoint) -> bool {
+    requirements.version.is_none_or(|version| endpoint.software_version.as_ref() == Some(version))
+}
+
 /// Returns whether an endpoint has a model, and the adapter if one is given.
 fn holds(
     inputs: &ChoiceInputs<'_>,
--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -13,7 +13,7 @@
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
-use trestle_core::names::{DomainName, EndpointName, ServiceName};
+use trestle_core::names::{DomainName, EndpointName, ServiceName, SoftwareVersion};
 
 /// Time after the store's return in which live endpoints write their lapsed entries again.
 /// Endpoints are specified to do so within about two seconds.
@@ -120,6 +120,16 @@
         self.apply_written(endpoint)
     }
 
+    /// Sets the version of the software that an incarnation runs.
+    pub fn set_software_version(&mut self, incarnation: &Incarnation, version: SoftwareVersion) {
+        let known = self.endpoints.get_mut(&incarnation.name);
+        if let Some(known) =
+            known.filter(|known| known.started_unix_ms == incarnation.started_unix_ms)
+        {
+            Arc::make_mut(known).software_version = Some(version);
+        }
+    }
+
     /// Returns whether an endpoint wrote this entry before its last entry was removed. Without
     /// start times incarnations cannot be distinguished, and message numbers may have restarted.
     fn is_outdated(&self, endpoint: &Endpoint) -> bool {
--- a/crates/trestle-dispatch/src/helpers.rs
+++ b/crates/trestle-dispatch/src/helpers.rs
@@ -12,11 +12,14 @@
     net::SocketAddr,
 };
 use trestle_core::names::{DomainName, ServiceName, VmName};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Most helpers that a daemon knows.
 const MAX_KNOWN: usize = 8;
 /// Helpers that a leader names for one service in one answer.
 const PER_ANSWER: usize = 4;
+/// Daemons of each failure domain that a leader names as keepers of what must outlive one daemon.
+const KEEPERS_PER_DOMAIN: usize = 8;
 /// Time after a daemon's last report for which a leader names it: several intervals between reports.
 const REPORT_VALID_MS: u64 = 10_000;
 /// Time for which a helper that did not answer, or has no capacity left, is not asked.
@@ -122,6 +125,23 @@
         named.into_iter().take(MAX_KNOWN).collect()
     }
 
+    /// Returns some daemons of each failure domain. The choice depends only on the names of their VMs,
+    /// so leaders agree on it, and it hardly changes when daemons come and go.
+    pub fn keepers(&self, now_ms: u64) -> Vec<Helper> {
+        let mut by_domain: BTreeMap<&DomainName, Vec<(u64, &Helper)>> = BTreeMap::new();
+        let live =
+            self.members.iter().filter(|(_, member)| now_ms < member.reported_ms + REPORT_VALID_MS);
+        for (vm, member) in live {
+            let rank = xxh3_64(vm.as_str().as_bytes());
+            by_domain.entry(&member.helper.domain).or_default().push((rank, &member.helper));
+        }
+        let keepers = by_domain.into_values().flat_map(|mut members| {
+            members.sort();
+            members.into_iter().take(KEEPERS_PER_DOMAIN).map(|(_, helper)| helper.clone())
+        });
+        keepers.collect()
+    }
+
     /// Returns the daemons that can help a daemon of a failure domain to reach a service; `None`
     /// stands for all services.
     ///
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -21,7 +21,9 @@
     request::RequestHead,
     retry_share::{RetryBounds, RetryShare},
     signals::HeaderField,
+    software_versions::SoftwareVersions,
     store_version::StoreVersion,
+    stream_origins::StreamOrigins,
     unresolved_requests::{ConnectionLoss, Evidence, UnresolvedRequests},
 };
 use std::{
@@ -39,6 +41,11 @@
 /// one that lost contact with another leader, counts too few daemons for some seconds.
 const COUNT_VALID_MS: u64 = 30_000;
 
+/// Attempts of a caller, each as long as its route allows, for which a stream can be continued.
+const ATTEMPTS_IN_LIFETIME: u64 = 2;
+/// Longest time of an attempt while there is no configuration.
+const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+
 /// How a request under which endpoints crashed, or may have, is restricted.
 #[trestle_macros::plain]
 #[derive(Copy)]
@@ -135,6 +142,10 @@
     pub backpressure: Backpressure,
     /// Services whose endpoints crash if they have to reject too many requests.
     pub brittle: BrittleServices,
+    /// Versions of the software that streams of each service may have begun at.
+    pub software_versions: SoftwareVersions,
+    /// At which version of the software streams began.
+    pub stream_origins: StreamOrigins,
     /// Requests without an answer, by incarnation of the endpoint.
     pub unresolved_requests: UnresolvedRequests,
     /// Requests under which endpoints crashed.
@@ -178,6 +189,8 @@
             reachability: Reachability::default(),
             backpressure: Backpressure::default(),
             brittle: BrittleServices::default(),
+            software_versions: SoftwareVersions::default(),
+            stream_origins: StreamOrigins::default(),
             unresolved_requests: UnresolvedRequests::default(),
             crashes: Crashes::default(),
             retries: BTreeMap::new(),
@@ -327,6 +340,26 @@
         }
     }
 
+    /// Returns the time for which a stream can be continued: two attempts of the longest that the
+    /// configuration allows.
+    pub fn stream_lifetime_ms(&self) -> u64 {
+        let routes = self.catalog.iter().flat_map(|catalog| catalog.routes.iter());
+        let resumable = routes.filter(|route| route.is_stream() && route.is_idempotent());
+        let longest_ms = resumable.map(|route| route.timeout_ms).max();
+        ATTEMPTS_IN_LIFETIME * longest_ms.unwrap_or(DEFAULT_TIMEOUT_MS)
+    }
+
+    /// Records the versions of the software of all listed endpoints.
+    pub fn observe_versions(&mut self, now_ms: u64) {
+        let lifetime_ms = self.stream_lifetime_ms();
+        self.software_versions.observe(self.directory.iter(), lifetime_ms, now_ms);
+    }
+
+    /// Returns the time since the list of endpoints was known to be current.
+    pub fn list_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.list_origin.known_ms)
+    }
+
     /// Applies a changed entry of the list. Returns whether it names a usable endpoint.
     pub fn apply_entry(&mut self, entry: ListedEntry, source: Source) -> bool {
         let ListedEntry { key, endpoint, version } = entry;
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -19,13 +19,16 @@
     sends::{Allowed, Sends},
 };
 use std::collections::BTreeSet;
-use trestle_core::names::{EndpointName, ServiceName};
+use trestle_core::names::{EndpointName, ServiceName, SoftwareVersion};
 
 /// Retry delay given to the caller of a plain service that has no endpoint left to try.
 const PLAIN_RETRY_MS: u64 = 300;
 /// Retry delay given to callers while no endpoint answers that could run a request which may crash
 /// endpoints: about the time between two checks of such endpoints.
 pub const NO_SIGN_RETRY_MS: u64 = 1_000;
+/// Retry delay given to callers whose stream began at a version that no endpoint with the model
+/// runs now: about the time until an endpoint that crashed has started again, or has loaded a model.
+const VERSION_RETRY_MS: u64 = 2_000;
 /// Part of the route's objective for which a request waits for a slot of a brittle endpoint: slots
 /// become free one after the other, so most requests get one soon or none in time.
 const SLOT_WAIT_PART: u64 = 3;
@@ -47,6 +50,8 @@
     pub elapsed_ms: u64,
     /// The number of the request's pending demand; `None` while it does not wait.
     pub demand_id: Option<u64>,
+    /// The version of the software that began the stream; `None` if any may run the request.
+    pub version: Option<&'a SoftwareVersion>,
     /// Whether the leader allows this attempt although endpoints may have crashed under the
     /// request.
     pub is_trial: bool,
@@ -164,6 +169,13 @@
     if request.head.model.is_none() {
         return Selection::Refuse { retry_after_ms: PLAIN_RETRY_MS, reason: None };
     }
+    // Leaders load models without regard to versions, so waiting would be in vain.
+    if request.version.is_some()
+        && !query(local_view, request, &Allowed::everywhere(), now_ms, choice::is_loaded)
+    {
+        let reason = Some(Reason::VersionMissing);
+        return Selection::Refuse { retry_after_ms: VERSION_RETRY_MS, reason };
+    }
     match wait_or_refuse(local_view, request, now_ms) {
         Admission::Wait { until_ms } => Selection::Wait { until_ms },
         Admission::Refuse { retry_after_ms, reason } => {
@@ -253,6 +265,7 @@
         service: request.service,
         model: request.head.model.as_ref(),
         adapter: request.head.adapter.as_ref(),
+        version: request.version,
         excluded: &allowed.excluded,
         only: allowed.only.as_ref(),
     };
@@ -280,8 +293,7 @@
 fn forecast(local_view: &mut LocalView, request: RequestContext<'_>, now_ms: u64) -> Forecast {
     let Some(model) = &request.head.model else { return Forecast::Unknown };
     if !local_view.has_leader {
-        let everywhere = Allowed { excluded: BTreeSet::new(), only: None };
-        if query(local_view, request, &everywhere, now_ms, choice::is_loaded) {
+        if query(local_view, request, &Allowed::everywhere(), now_ms, choice::is_loaded) {
             return Forecast::Here { for_ms: ready_for_ms(local_view, request, now_ms) };
         }
         let is_awaited = local_view.policy.has(Mechanism::AwaitLeader);
--- a/crates/trestle-dispatch/src/sends.rs
+++ b/crates/trestle-dispatch/src/sends.rs
@@ -63,6 +63,13 @@
     pub only: Option<BTreeSet<EndpointName>>,
 }
 
+impl Allowed {
+    /// Returns that the next send may go anywhere.
+    pub fn everywhere() -> Self {
+        Self { excluded: BTreeSet::new(), only: None }
+    }
+}
+
 impl Sends {
     /// Records a send.
     pub fn record_send(&mut self, endpoint: &EndpointName) {
--- a/crates/trestle-dispatch/tests/backoff.rs
+++ b/crates/trestle-dispatch/tests/backoff.rs
@@ -66,6 +66,7 @@
         allowed_ms: 4_000,
         elapsed_ms: 0,
         demand_id: None,
+        version: None,
         is_trial: false,
         has_quota: true,
         send_permit: None,
--- a/crates/trestle-dispatch/tests/selection.rs
+++ b/crates/trestle-dispatch/tests/selection.rs
@@ -58,6 +58,7 @@
             allowed_ms: ALLOWED_MS,
             elapsed_ms,
             demand_id: self.demand_id,
+            version: None,
             is_trial: false,
             has_quota: true,
             send_permit: None,
@@ -73,6 +74,7 @@
             allowed_ms: ALLOWED_MS,
             elapsed_ms,
             demand_id: *demand_id,
+            version: None,
             is_trial: false,
             has_quota: true,
             send_permit: None,
@@ -202,7 +204,7 @@
         let has_alternative = |fixture: &mut Fixture| {
             let Fixture { local_view, route, service, head, sends, demand_id } = fixture;
             let request =
-                RequestContext { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, demand_id: *demand_id, is_trial: false, has_quota: true, send_permit: None };
+                RequestContext { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, demand_id: *demand_id, version: None, is_trial: false, has_quota: true, send_permit: None };
             selection::has_alternative(local_view, request, sends, NOW_MS)
         };
         fixture.local_view.daemons = 1;
--- a/crates/trestle-dispatch/tests/suspicions_at_all_daemons.rs
+++ b/crates/trestle-dispatch/tests/suspicions_at_all_daemons.rs
@@ -65,6 +65,7 @@
         allowed_ms: 15_000,
         elapsed_ms: 0,
         demand_id: None,
+        version: None,
         is_trial: true,
         has_quota: true,
         send_permit: None,
--- a/crates/trestle-dispatch/tests/traffic.rs
+++ b/crates/trestle-dispatch/tests/traffic.rs
@@ -46,6 +46,7 @@
         let inputs =
             ChoiceInputs { local_view: &self.local_view, replicas: self.replicas(), now_ms: 1_000 };
         let requirements = Requirements {
+            version: None,
             service: &service,
             model: model.as_ref(),
             adapter: adapter.as_ref(),
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -33,6 +33,7 @@
     policy::Policy,
     quota_allocator::QuotaAllocator,
     slot_allocator::SlotAllocator,
+    stream_keepers::StreamKeepers,
     trials::Trials,
 };
 
@@ -57,6 +58,11 @@
     helper_roster: Mutex<HelperRoster>,
     /// Signals that helpers are needed, or that this daemon no longer is one.
     pub(crate) helpers_needed: Event,
+    stream_keepers: Mutex<StreamKeepers>,
+    /// Signals that other daemons must be told where a stream began.
+    pub(crate) stream_untold: Event,
+    /// Calls about streams, apart from others since daemons of earlier releases close the connection.
+    pub(crate) stream_calls: LeaderCalls,
     /// Number of detours that this daemon has open for others.
     pub(crate) open_detours: AtomicUsize,
     slot_allocator: Mutex<SlotAllocator>,
@@ -97,6 +103,9 @@
             helpers: Mutex::default(),
             helper_roster: Mutex::default(),
             helpers_needed: Event::new(),
+            stream_keepers: Mutex::default(),
+            stream_untold: Event::new(),
+            stream_calls: LeaderCalls::default(),
             open_detours: AtomicUsize::new(0),
             slot_allocator: Mutex::default(),
             calls: LeaderCalls::default(),
@@ -169,6 +178,11 @@
         f(&mut self.helper_roster.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Calls a function with the daemons that keep where streams began.
+    pub(crate) fn with_stream_keepers<R>(&self, f: impl FnOnce(&mut StreamKeepers) -> R) -> R {
+        f(&mut self.stream_keepers.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Calls a function with the slots of brittle endpoints that this daemon lends while it leads.
     pub(crate) fn with_slot_allocator<R>(&self, f: impl FnOnce(&mut SlotAllocator) -> R) -> R {
         f(&mut self.slot_allocator.lock().unwrap_or_else(PoisonError::into_inner))
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod stop;
 mod stopping;
 mod store;
+mod streams;
 mod traffic;
 mod trial;
 mod trial_leader;
@@ -155,6 +156,9 @@
     smol::spawn(peer::leaders::run(Arc::clone(&daemon))).detach();
     smol::spawn(slots::run(Arc::clone(&daemon))).detach();
     smol::spawn(detour::reports::run(Arc::clone(&daemon))).detach();
+    smol::spawn(streams::versions::run(Arc::clone(&daemon))).detach();
+    smol::spawn(streams::keepers::run(Arc::clone(&daemon))).detach();
+    smol::spawn(streams::keepers::tell(Arc::clone(&daemon))).detach();
     smol::spawn(cleanup::run(Arc::clone(&daemon))).detach();
     serve_readiness(&daemon, readiness);
     serve_metrics(&daemon, logs, metrics);
--- a/crates/trestle-entry/src/peer/calls.rs
+++ b/crates/trestle-entry/src/peer/calls.rs
@@ -19,8 +19,9 @@
 const ANSWER_MS: u64 = 250;
 /// Number of leaders that are tried before a call is given up.
 const MAX_LEADERS_TRIED: usize = 2;
-/// Most open connections: to the leaders of all groups, and to some former leaders.
-const MAX_OPEN: usize = 16;
+/// Most open connections: to the leaders of all groups and some former leaders, or to daemons that
+/// keep where streams began.
+const MAX_OPEN: usize = 64;
 
 /// Open connections to leaders.
 #[derive(Debug, Default)]
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -7,7 +7,9 @@
     daemon::Daemon,
     departures,
     detour::{reports, server},
-    send_permits, slots, trial_leader,
+    send_permits, slots,
+    streams::{keepers, lookup, versions},
+    trial_leader,
 };
 use async_compat::{Compat, CompatExt};
 use bytes::Bytes;
@@ -31,6 +33,7 @@
     send_permits::{WireSendPermit, WireSendPermitRequest},
     slots::{WireSlot, WireSlotRequest},
     store_version::{NoEra, WireStoreVersion},
+    streams::{WireIncarnation, WireStreamKnowledge, WireStreamOrigin, WireStreamQuestion},
     trials::{WireTrial, WireTrialAnswer},
 };
 
@@ -106,6 +109,22 @@
         slots::answer(&self.0, request).await.into()
     }
 
+    async fn endpoint_versions(self, _: Context, of: Vec<WireIncarnation>) -> Vec<Option<String>> {
+        versions::answer(&self.0, of)
+    }
+
+    async fn stream_keepers(self, _: Context) -> Vec<WireHelper> {
+        keepers::answer(&self.0)
+    }
+
+    async fn keep_streams(self, _: Context, streams: Vec<WireStreamOrigin>) {
+        keepers::keep(&self.0, streams);
+    }
+
+    async fn find_stream(self, _: Context, question: WireStreamQuestion) -> WireStreamKnowledge {
+        lookup::answer(&self.0, &question)
+    }
+
     async fn try_out(self, _: Context, trial: WireTrial) -> WireTrialAnswer {
         trial_leader::decide(&self.0, trial).await
     }
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -118,6 +118,9 @@
         let is_whole = newer.is_whole;
         let has_changes = is_whole || !newer.written.is_empty() || !newer.removed.is_empty();
         added = apply_newer(local_view, newer, source, is_restored, now_ms);
+        if has_changes {
+            local_view.observe_versions(now_ms);
+        }
         (is_whole, has_changes)
     });
     if has_changes {
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -21,7 +21,7 @@
 use smol::Timer;
 use std::{
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -121,7 +121,9 @@
     if let Some(priority) = identity.team().and_then(|team| team.priority) {
         route.priority = priority;
     }
-    let service = route.target(&head.id).ok_or(Failure::NoRoute)?.clone();
+    // A stream goes on at the service that began it.
+    let stream_id = head.continues.as_ref().unwrap_or(&head.id);
+    let service = route.target(stream_id).ok_or(Failure::NoRoute)?.clone();
     let allowed_ms = route.timeout_ms.min(head.deadline_ms.unwrap_or(u64::MAX));
     if !daemon.stopping.can_accept(arrived_ms, allowed_ms) {
         return Err(Failure::NotRun { retry_after_ms: STOPPING_RETRY_MS, why: "stopping" });
@@ -154,6 +156,7 @@
         quota_reservation: QuotaReservation::default(),
         held_permit: HeldPermit::default(),
         helper: Mutex::default(),
+        version: OnceLock::new(),
         throttle: Mutex::default(),
     })
 }
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -5,16 +5,19 @@
 //! another endpoint after the last event that was passed on. Otherwise the caller's connection is
 //! closed without the end of the stream.
 
-use crate::traffic::{
-    answer::{BodyError, Failure, RETRY_SOON_MS, full_body},
-    attempt::{self, Attempt},
-    events::EventBuffer,
-    outcome::CompleteAnswer,
-    plain::ForwardOutcome,
-    report::{self, RequestEnd, StreamStats},
-    select::{self, SelectedEndpoint},
-    task::Task,
-    wait_limit::WaitLimit,
+use crate::{
+    streams::lookup,
+    traffic::{
+        answer::{BodyError, Failure, RETRY_SOON_MS, full_body},
+        attempt::{self, Attempt},
+        events::EventBuffer,
+        outcome::CompleteAnswer,
+        plain::ForwardOutcome,
+        report::{self, RequestEnd, StreamStats},
+        select::{self, SelectedEndpoint},
+        task::Task,
+        wait_limit::WaitLimit,
+    },
 };
 use bytes::Bytes;
 use futures_lite::stream;
@@ -31,13 +34,17 @@
 /// Runs a request until the first event of its stream; the body of the answer forwards the rest.
 pub(crate) async fn run(task: &Arc<Task>) -> ForwardOutcome {
     let mut transfer = StreamTransfer::new(task);
-    let start = transfer.open().await;
+    let start = match lookup::bind_to_origin(task).await {
+        Ok(()) => transfer.open().await,
+        Err(failure) => Err(failure),
+    };
     let endpoint = transfer.sends.last.as_ref().map(ToString::to_string);
     let sends = transfer.sends.count;
     let is_stream = matches!(start, Ok(StreamStart::Events(..)));
     let response = match start {
         Ok(StreamStart::Events(parts, first)) => {
             transfer.log_if_continued();
+            transfer.bind_to_source();
             task.daemon.metrics.record_first_part(&task.route.name, task.elapsed_ms());
             let stats = StreamStats { first_ms: Some(task.elapsed_ms()), ..StreamStats::default() };
             let last_event_ms = task.elapsed_ms();
@@ -171,8 +178,21 @@
         }
     }
 
-    /// Resumes the stream at another endpoint. Returns whether one accepted it.
+    /// Binds the stream to the version of its source, which has sent the first event, and records
+    /// where it began.
+    fn bind_to_source(&self) {
+        let Some(source) = &self.source else { return };
+        if self.is_resumable() {
+            lookup::bind_to_endpoint(&self.task, &source.selected.endpoint);
+        }
+    }
+
+    /// Resumes the stream at another endpoint, which must run the version that began it. Returns
+    /// whether one accepted it.
     async fn resume(&mut self) -> bool {
+        if self.task.version.get().is_none() {
+            return false;
+        }
         loop {
             match self.send().await {
                 Ok(attempt) if attempt.response.status() == StatusCode::OK => {
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -14,11 +14,11 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
 };
-use trestle_core::names::{EndpointName, ServiceName};
+use trestle_core::names::{EndpointName, ServiceName, SoftwareVersion};
 use trestle_dispatch::{
     endpoint::{Endpoint, Incarnation},
     identity::Identity,
@@ -63,6 +63,8 @@
     pub(crate) held_permit: HeldPermit,
     /// The daemon through which the last send passed, for logs; `None` if it was direct.
     pub(crate) helper: Mutex<Option<SocketAddr>>,
+    /// The version of the software at which the stream began; empty while any may run it.
+    pub(crate) version: OnceLock<SoftwareVersion>,
     /// The endpoint whose limit or backoff kept the request from being sent, for logs.
     pub(crate) throttle: Mutex<Option<ThrottleInfo>>,
 }
@@ -107,6 +109,7 @@
             allowed_ms: self.allowed_ms,
             elapsed_ms: self.elapsed_ms(),
             demand_id: None,
+            version: self.version.get(),
             is_trial: self.trial.is_permitted(now_ms),
             has_quota: self.quota_reservation.allows_send(self, now_ms),
             send_permit: None,
@@ -257,6 +260,11 @@
         *self.helper.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the id of the caller's attempt that brings or has brought the stream's first event.
+    pub(crate) fn stream_id(&self) -> &str {
+        self.head.continues.as_ref().unwrap_or(&self.head.id)
+    }
+
     /// Records that the request is sent to an endpoint; only the first send counts.
     pub(crate) fn record_sent(&self) {
         self.sent_after_ms.fetch_min(self.elapsed_ms(), Ordering::Relaxed);
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod send_permits;
 pub mod slots;
 pub mod store_version;
+pub mod streams;
 pub mod table;
 pub mod trials;
 pub mod usage_profile;
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -10,6 +10,7 @@
     send_permits::{WireSendPermit, WireSendPermitRequest},
     slots::{WireSlot, WireSlotRequest},
     store_version::WireStoreVersion,
+    streams::{WireIncarnation, WireStreamKnowledge, WireStreamOrigin, WireStreamQuestion},
     trials::{WireTrial, WireTrialAnswer},
 };
 use std::{collections::BTreeMap, iter, net::SocketAddr, sync::Arc};
@@ -43,6 +44,16 @@
     /// Reports which slots of a brittle endpoint are used, and requests another one. Daemons of
     /// earlier releases close the connection.
     async fn request_slot(request: WireSlotRequest) -> WireSlot;
+    /// Returns the versions of the software that incarnations of endpoints run; `None` for each that
+    /// this daemon does not know. Daemons of earlier releases close the connection.
+    async fn endpoint_versions(of: Vec<WireIncarnation>) -> Vec<Option<String>>;
+    /// Returns daemons of each failure domain that keep where streams began. Daemons of earlier
+    /// releases close the connection.
+    async fn stream_keepers() -> Vec<WireHelper>;
+    /// Tells where streams began. Daemons of earlier releases close the connection.
+    async fn keep_streams(streams: Vec<WireStreamOrigin>);
+    /// Returns where a stream began. Daemons of earlier releases close the connection.
+    async fn find_stream(question: WireStreamQuestion) -> WireStreamKnowledge;
 }
 
 /// Report of a daemon to a leader, with the position up to which the daemon has the leader's data.
