Log the parts of the prompts of requests that fail at endpoints

What callers saw: engines that crash one after the other under requests which are never sent twice. The logs could not tell requests with a part in common from unrelated ones, nor from crashes with another cause. Change: the shared parts of a prompt are decoded, each with a digest by service, and failed sends and streams name them. Nothing decides by them yet.

--- a/crates/trestle-dispatch/src/request.rs
+++ b/crates/trestle-dispatch/src/request.rs
@@ -22,10 +22,14 @@
     pub continues: Option<String>,
     /// Number of tokens of the prompt and of the longest answer, if the request reports it.
     pub tokens: Option<u64>,
+    /// Ids of the parts of the prompt that other requests may share, in their order.
+    pub shared_parts: Vec<String>,
     /// The credential that the caller sent.
     pub credential: Credential,
     /// Fingerprint of the request, once its body was read.
     pub fingerprint: Option<Fingerprint>,
+    /// Fingerprints of the shared parts of its prompt, once its service is known.
+    pub part_fingerprints: Vec<Fingerprint>,
 }
 
 /// Values that the daemon sets on a request that it forwards.
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -101,7 +101,7 @@
                 list_version = list.version.number, list_era = list.version.era,
                 list_age_ms = list.age_ms, list_from = list.source,
                 detour_by = task.helper().map(tracing::field::display),
-                reason = error.reason(), elapsed_ms = task.elapsed_ms(), "request: A send failed."
+                parts = task.parts(), reason = error.reason(), elapsed_ms = task.elapsed_ms(), "request: A send failed."
             );
             Err(error)
         }
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -45,6 +45,9 @@
 /// Retry-after time for callers while this daemon is stopping. Another daemon serves the retry.
 const STOPPING_RETRY_MS: u64 = 100;
 
+/// Most parts of a prompt by which a request is known, the first ones.
+const MAX_PARTS: usize = 32;
+
 /// Returns the answer to one request. Failures are answers, too.
 pub(crate) async fn handle(daemon: Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
     let _in_flight = InFlightGuard::new(&daemon);
@@ -137,6 +140,8 @@
         body: &body,
     };
     head.fingerprint = Some(Fingerprint::of(content));
+    let parts = head.shared_parts.iter().take(MAX_PARTS);
+    head.part_fingerprints = parts.map(|part| Fingerprint::of_part(&service, part)).collect();
     Ok(Task {
         daemon: Arc::clone(daemon),
         service,
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -315,7 +315,7 @@
         daemon.shared_view.with(|local_view| local_view.records.failed(name, now_ms));
         tracing::info!(
             id = self.task.head.id, request = self.task.fingerprint(), endpoint = %name,
-            software = source.selected.software(), reason = error.reason(), last_id = self.buffer.last_id(), elapsed_ms = self.task.elapsed_ms(), "request: A stream failed at its endpoint."
+            software = source.selected.software(), parts = self.task.parts(), reason = error.reason(), last_id = self.buffer.last_id(), elapsed_ms = self.task.elapsed_ms(), "request: A stream failed at its endpoint."
         );
         if matches!(error, StreamError::Connection(_)) {
             source.selected.record_connection_lost();
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -129,6 +129,12 @@
         self.head.fingerprint.map(|fingerprint| fingerprint.to_string())
     }
 
+    /// Returns the fingerprints of the shared parts of the prompt, for logs; empty if there are none.
+    pub(crate) fn parts(&self) -> String {
+        let parts = self.head.part_fingerprints.iter().map(ToString::to_string);
+        parts.collect::<Vec<_>>().join(",")
+    }
+
     /// Returns whether the request may be sent to an endpoint now. The endpoint may have begun to
     /// drain, or reported a limit, while the connection was opened.
     pub(crate) fn may_send(&self, endpoint: &Endpoint) -> bool {
