--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -140,8 +140,8 @@
         body: &body,
     };
     head.fingerprint = Some(Fingerprint::of(content));
-    let parts = head.shared_parts.iter().take(MAX_PARTS);
-    head.part_fingerprints = parts.map(|part| Fingerprint::of_part(&service, part)).collect();
+    let shared = head.shared_parts.iter().take(MAX_PARTS);
+    head.part_fingerprints = shared.map(|part| Fingerprint::of_part(&service, part)).collect();
     Ok(Task {
         daemon: Arc::clone(daemon),
         service,
