Record crashes of engines by the shared parts of prompts too

Cause: a crash was recorded by a digest of the whole request alone, so a kind of request that never comes twice was never known. Ruled out: crashes that become known too late; engines that crash of load. Change: each shared part has a fingerprint in the same record, with the same reports, permissions and times of rejection. A first event clears a part; a part answered in the last 4 s is no suspect; crashes count for a part only in turn, so that engines which lose power together restrict nobody; two in turn allow one attempt at a time, four reject. Why it works: what the requests have in common is what is counted, and the parts that sound requests share are cleared by their answers before they add up.

--- a/crates/trestle-dispatch/src/crashes.rs
+++ b/crates/trestle-dispatch/src/crashes.rs
@@ -13,6 +13,13 @@
 //! again. To make an answer possible, a rejected request is admitted again after a time that grows
 //! with each further crash.
 //!
+//! The same is recorded of the shared parts of prompts: requests of which no two are alike may have a
+//! part in common that crashes each engine which begins to answer. A first event is proof for a part,
+//! and engines that lose power together are one occasion, however many parts were open there. So
+//! crashes count for a part only if it was sent after the one before had been observed, and a part
+//! is rejected one crash later than a request, since one attempt at a time can still show which of
+//! several parts it is.
+//!
 //! A request is called restricted while it is rejected, or while only one attempt of it may run
 //! at a time.
 
@@ -31,6 +38,8 @@
 /// requests that only ran beside such a request would have been rejected as well; with one more,
 /// each such request crashes another endpoint and aborts everything that runs there.
 pub const MAX_CRASHES: usize = 3;
+/// The same number for a part of prompts.
+const MAX_PART_CRASHES: usize = MAX_CRASHES + 1;
 /// Number of crashes from which on only one attempt of a request runs at a time, whether or not a
 /// leader can be reached: a request that crashes endpoints then crashes one more, not as many as its
 /// callers reach at once.
@@ -57,6 +66,8 @@
 /// Number of crashes that are kept for one request: [`MAX_CRASHES`], and one for each of the three
 /// steps in which the time of rejection grows to its longest.
 const MAX_KEPT_CRASHES: usize = MAX_CRASHES + 3;
+/// The same number for a part of prompts, some of whose crashes belong to one occasion.
+const MAX_KEPT_PART_CRASHES: usize = MAX_PART_CRASHES + 6;
 /// Time from the last crash on in which a request with one crash runs one attempt at a time. By then
 /// engines have loaded its model again, also if that takes several tries.
 const SERIAL_FOR_MS: u64 = 60_000;
@@ -85,6 +96,8 @@
 /// What this daemon knows of one request under which endpoints crashed.
 #[derive(Debug, Default)]
 struct CrashRecord {
+    /// Whether this is the record of a part of prompts.
+    is_part: bool,
     /// The most recent incarnations that crashed under the request.
     crashes: BTreeMap<Incarnation, Crash>,
     /// Attempts of which it is not known whether their endpoints crashed, and no answer followed.
@@ -234,7 +247,7 @@
     /// Returns whether only one attempt of a request may run at a time at engines while a leader
     /// can be asked.
     pub fn must_run_serially_at_engines(&self, request: Fingerprint, now_ms: u64) -> bool {
-        self.by_request.get(&request).is_some_and(|record| {
+        self.by_request.get(&request).filter(|record| !record.is_part).is_some_and(|record| {
             let is_recent = now_ms + CLOCK_OFFSET_MS < record.last_ms() + SERIAL_FOR_MS;
             is_recent && record.counted() >= SERIAL_CRASHES_AT_ENGINES
         })
@@ -311,6 +324,7 @@
         for report in reports {
             let was_rejected = self.rejected_for_ms(report.request, now_ms).is_some();
             let record = self.by_request.entry(report.request).or_default();
+            record.is_part = report.request.is_part();
             if record.apply(report, now_ms + CLOCK_OFFSET_MS) {
                 self.record_change(report.request, false);
             }
@@ -346,7 +360,8 @@
         if self.crashes.contains_key(endpoint) {
             return false;
         }
-        if self.crashes.len() >= MAX_KEPT_CRASHES {
+        let max_kept = if self.is_part { MAX_KEPT_PART_CRASHES } else { MAX_KEPT_CRASHES };
+        if self.crashes.len() >= max_kept {
             let by_age = |(_, crash): &(&Incarnation, &Crash)| crash.at_ms;
             let cleared =
                 self.crashes.iter().filter(|(_, crash)| !self.counts(crash)).min_by_key(by_age);
@@ -437,14 +452,21 @@
         self.answered_ms.is_none_or(|answered_ms| answered_ms < crash.sent_ms)
     }
 
-    /// Returns the times of the crashes that no answer has cleared.
-    fn counted_ms(&self) -> impl Iterator<Item = u64> {
-        self.crashes.values().filter(|crash| self.counts(crash)).map(|crash| crash.at_ms)
+    /// Returns the times of the crashes that count, in their order: those that no answer has cleared,
+    /// and of a part only those under attempts that were sent after the one before.
+    fn counted_ms(&self) -> Vec<u64> {
+        let uncleared = self.crashes.values().filter(|crash| self.counts(crash));
+        let sent_and_at_ms = uncleared.map(|crash| (crash.sent_ms, crash.at_ms)).collect();
+        report::counted_ms(sent_and_at_ms, self.is_part)
     }
 
-    /// Returns the number of crashes that no answer has cleared.
+    /// Returns the number of crashes that count.
     fn counted(&self) -> usize {
-        self.counted_ms().count()
+        self.counted_ms().len()
+    }
+
+    fn max_crashes(&self) -> usize {
+        if self.is_part { MAX_PART_CRASHES } else { MAX_CRASHES }
     }
 
     fn last_ms(&self) -> u64 {
@@ -458,16 +480,16 @@
     }
 
     fn rejected_until_ms(&self) -> Option<u64> {
-        let last_ms = self.counted_ms().max().filter(|_| self.counted() >= MAX_CRASHES)?;
-        Some(last_ms + self.rejected_ms())
+        let counted_ms = self.counted_ms();
+        let last_ms = counted_ms.last().filter(|_| counted_ms.len() >= self.max_crashes())?;
+        Some(last_ms + self.rejected_ms(&counted_ms))
     }
 
     /// Returns for how long the request is rejected, from its last crash on.
-    fn rejected_ms(&self) -> u64 {
-        let mut times: Vec<u64> = self.counted_ms().collect();
-        times.sort_unstable();
+    fn rejected_ms(&self, counted_ms: &[u64]) -> u64 {
+        let max_crashes = self.max_crashes();
         let Some((mut last_ms, further)) =
-            times.get(MAX_CRASHES - 1).copied().zip(times.get(MAX_CRASHES..))
+            counted_ms.get(max_crashes - 1).copied().zip(counted_ms.get(max_crashes..))
         else {
             return 0;
         };
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod order_log;
 pub mod orders;
 pub mod outage;
+pub mod part_answers;
 pub mod placement_log;
 pub mod placing;
 pub mod policy;
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -13,6 +13,7 @@
     listing::{ListUpdate, ListedEntry, Listing, Source},
     loadable::{self, Loadable},
     local_demand::LocalDemand,
+    part_answers::PartAnswers,
     policy::Policy,
     quota::QuotaBounds,
     reachability::Reachability,
@@ -150,6 +151,8 @@
     pub unresolved_requests: UnresolvedRequests,
     /// Requests under which endpoints crashed.
     pub crashes: Crashes,
+    /// Parts of prompts that engines have lately begun to answer.
+    pub part_answers: PartAnswers,
     /// This daemon's share of the retry budgets, by service.
     pub retries: BTreeMap<ServiceName, RetryShare>,
     /// Demand of this daemon's callers that is reported to the leader, by service.
@@ -193,6 +196,7 @@
             stream_origins: StreamOrigins::default(),
             unresolved_requests: UnresolvedRequests::default(),
             crashes: Crashes::default(),
+            part_answers: PartAnswers::default(),
             retries: BTreeMap::new(),
             local_demand: BTreeMap::new(),
             daemons: 0,
@@ -545,6 +549,9 @@
         now_ms: u64,
     ) -> Vec<Fingerprint> {
         let suspected = self.unresolved_requests.gave_no_sign(incarnation, checked_ms);
+        // Silent endpoints would make all requests with a common part run one at a time.
+        let suspected: BTreeMap<Fingerprint, u64> =
+            suspected.into_iter().filter(|(request, _)| !request.is_part()).collect();
         for (request, sent_ms) in &suspected {
             self.crashes.record_suspicion(*request, incarnation, *sent_ms, now_ms);
         }
@@ -582,6 +589,34 @@
         }
     }
 
+    /// Returns the fingerprints to which a crash of an endpoint under this request would be attributed:
+    /// that of the request, and those of parts that engines have not lately begun to answer.
+    pub fn suspects(&self, head: &RequestHead, now_ms: u64) -> Vec<Fingerprint> {
+        let parts = head.part_fingerprints.iter().copied();
+        let parts = parts.filter(|part| !self.part_answers.is_recent(*part, now_ms));
+        head.fingerprint.into_iter().chain(parts).collect()
+    }
+
+    /// Records that an engine has begun to answer a request with these parts, so that they crashed
+    /// nothing until now.
+    pub fn parts_answered(&mut self, parts: &[Fingerprint], now_ms: u64) {
+        for part in parts {
+            self.part_answers.record(*part, now_ms);
+            self.unresolved_requests.served(*part);
+            self.crashes.served(*part, now_ms);
+        }
+    }
+
+    /// Returns the fingerprint for which a leader must allow an attempt of a restricted request: that
+    /// of the part with the most crashes, or else of the request. All attempts of the request have
+    /// the part.
+    pub fn restricted_fingerprint(&self, head: &RequestHead) -> Option<Fingerprint> {
+        let parts = head.part_fingerprints.iter();
+        let serial = parts.filter(|part| self.crashes.must_run_serially(**part, 0));
+        let most = serial.max_by_key(|part| self.crashes.counted(**part));
+        most.copied().or(head.fingerprint)
+    }
+
     /// Records that a request was answered completely. Returns the number of crashes that the
     /// answer clears, if any.
     pub fn served(&mut self, request: Option<Fingerprint>, now_ms: u64) -> Option<usize> {
@@ -594,9 +629,15 @@
     /// those for which that is unresolved.
     pub fn restriction(&self, head: &RequestHead, now_ms: u64) -> Restriction {
         let Some(request) = head.fingerprint else { return Restriction::None };
-        if let Some(for_ms) = self.crashes.rejected_for_ms(request, now_ms) {
+        let all = head.part_fingerprints.iter().chain([&request]);
+        let rejected = all.filter_map(|one| self.crashes.rejected_for_ms(*one, now_ms));
+        if let Some(for_ms) = rejected.max() {
             return Restriction::Rejected { for_ms };
         }
+        let mut parts = head.part_fingerprints.iter();
+        if parts.any(|part| self.crashes.must_run_serially(*part, 0)) {
+            return Restriction::Serial;
+        }
         let answered_ms = self.crashes.answered_ms(request);
         let unresolved =
             self.unresolved_requests.unresolved_incarnations(request, answered_ms, now_ms)
--- a/crates/trestle-entry/src/crashes.rs
+++ b/crates/trestle-entry/src/crashes.rs
@@ -132,11 +132,15 @@
     let now_ms = daemon.shared_view.now_ms();
     let (mut rejected, _) =
         daemon.shared_view.with(|local_view| local_view.crashes.restricted_reports(now_ms));
-    rejected.retain(|report| report.counted() >= MAX_CRASHES);
+    rejected.retain(CrashReport::is_rejected);
     rejected.truncate(MAX_IN_ROW);
     rejected
 }
 
 fn log_rejected(request: Fingerprint) {
+    if request.is_part() {
+        tracing::warn!(part = %request, "request: A part of prompts crashes endpoints; requests with it are rejected from now on.");
+        return;
+    }
     tracing::warn!(%request, ends = MAX_CRASHES, "request: The request crashes endpoints; it is rejected from now on.");
 }
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -35,8 +35,11 @@
 pub(crate) struct SelectedEndpoint {
     pub(crate) endpoint: Endpoint,
     task: Arc<Task>,
-    /// When the request was sent, while it is not known whether it crashed the endpoint.
-    unresolved_since_ms: Option<u64>,
+    /// The fingerprints of the request and of parts of its prompt of which it is not known whether they
+    /// crashed the endpoint.
+    unresolved: Vec<Fingerprint>,
+    /// When the request was last sent there.
+    sent_ms: u64,
     /// Whether the endpoint has sent the head of an answer.
     has_answered: bool,
 }
@@ -49,14 +52,27 @@
 
     /// Records that the request is sent to the endpoint, which it may crash from now on.
     pub(crate) fn record_sent(&mut self) {
-        let Some(request) = self.task.head.fingerprint else { return };
         let now_ms = self.task.daemon.shared_view.now_ms();
-        self.unresolved_since_ms = Some(now_ms);
+        self.sent_ms = now_ms;
         self.has_answered = false;
-        self.task
-            .daemon
-            .shared_view
-            .with(|local_view| local_view.track_request(&self.endpoint, request, now_ms));
+        self.unresolved = self.task.daemon.shared_view.with(|local_view| {
+            let suspects = local_view.suspects(&self.task.head, now_ms);
+            for suspect in &suspects {
+                local_view.track_request(&self.endpoint, *suspect, now_ms);
+            }
+            suspects
+        });
+    }
+
+    /// Records that the endpoint has begun to answer, so that no part of the prompt has crashed it.
+    pub(crate) fn record_begun(&mut self) {
+        let (parts, request) = self.unresolved.drain(..).partition(Fingerprint::is_part);
+        self.unresolved = request;
+        self.resolve_all(parts);
+        let now_ms = self.task.daemon.shared_view.now_ms();
+        let parts = &self.task.head.part_fingerprints;
+        self.task.daemon.shared_view.with(|local_view| local_view.parts_answered(parts, now_ms));
+        self.task.trial.part_settled();
     }
 
     /// Records that the endpoint has sent the head of an answer.
@@ -66,29 +82,27 @@
 
     /// Records that the request did not crash the endpoint: it did not run there, or was answered.
     pub(crate) fn resolve(&mut self) {
-        let Some((request, _)) = self.take_unresolved() else { return };
+        let unresolved = std::mem::take(&mut self.unresolved);
+        self.resolve_all(unresolved);
+    }
+
+    fn resolve_all(&self, fingerprints: Vec<Fingerprint>) {
         let incarnation = self.endpoint.incarnation();
-        self.task
-            .daemon
-            .shared_view
-            .with(|local_view| local_view.unresolved_requests.resolved(&incarnation, request));
+        self.task.daemon.shared_view.with(|local_view| {
+            for fingerprint in fingerprints {
+                local_view.unresolved_requests.resolved(&incarnation, fingerprint);
+            }
+        });
     }
 
     /// Records that the connection to the endpoint was lost after the request was sent.
     pub(crate) fn record_connection_lost(&mut self) {
-        if let (Some(request), Some(sent_ms)) =
-            (self.task.head.fingerprint, self.unresolved_since_ms)
-        {
-            connection_loss::record_lost(&self.task.daemon, &self.endpoint, request, sent_ms);
+        for fingerprint in &self.unresolved {
+            let daemon = &self.task.daemon;
+            connection_loss::record_lost(daemon, &self.endpoint, *fingerprint, self.sent_ms);
         }
         self.resolve();
     }
-
-    /// Returns the request and when it was sent, if it was not known until now whether it crashed
-    /// the endpoint.
-    fn take_unresolved(&mut self) -> Option<(Fingerprint, u64)> {
-        Some((self.task.head.fingerprint?, self.unresolved_since_ms.take()?))
-    }
 }
 
 /// Selects an endpoint for the next send of a request, and waits for one where that can help.
@@ -112,7 +126,8 @@
                 return Ok(SelectedEndpoint {
                     endpoint,
                     task: Arc::clone(task),
-                    unresolved_since_ms: None,
+                    unresolved: Vec::new(),
+                    sent_ms: 0,
                     has_answered: false,
                 });
             }
@@ -187,7 +202,9 @@
 
 /// Requests permission to run a request that is suspected of crashing endpoints.
 async fn request_trial(task: &Task) -> Result<(), Failure> {
-    let Some(request) = task.head.fingerprint else { return Ok(()) };
+    let restricted =
+        task.daemon.shared_view.with(|local_view| local_view.restricted_fingerprint(&task.head));
+    let Some(request) = restricted else { return Ok(()) };
     let permitted = task.trial.begin(&task.daemon, &task.head.id, request).await;
     let why = Reason::OnTrial.name();
     permitted.map_err(|retry_after_ms| Failure::NotRun { retry_after_ms, why })
@@ -243,10 +260,10 @@
 
 impl Drop for SelectedEndpoint {
     fn drop(&mut self) {
-        if let Some((request, sent_ms)) = self.take_unresolved() {
+        for fingerprint in std::mem::take(&mut self.unresolved) {
             let (daemon, endpoint) = (&self.task.daemon, &self.endpoint);
-            let has_answered = self.has_answered;
-            connection_loss::record_abandoned(daemon, endpoint, request, sent_ms, has_answered);
+            let (sent_ms, has_answered) = (self.sent_ms, self.has_answered);
+            connection_loss::record_abandoned(daemon, endpoint, fingerprint, sent_ms, has_answered);
         }
         let (model, adapter) = (self.task.head.model.as_ref(), self.task.head.adapter.as_ref());
         self.task
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -120,6 +120,8 @@
     idle_ms: Option<u64>,
     /// Whether the framing of the answer shows when the body is complete.
     has_explicit_end: bool,
+    /// Whether an event has come.
+    has_begun: bool,
 }
 
 impl StreamTransfer {
@@ -247,6 +249,7 @@
             body,
             idle_ms: attempt.head.idle_ms,
             has_explicit_end,
+            has_begun: false,
         });
         parts
     }
@@ -256,6 +259,7 @@
     async fn next_step(&mut self, limit_ms: u64) -> Step {
         loop {
             if let Some(events) = self.buffer.take_complete() {
+                self.record_begun();
                 return Step::Events(events);
             }
             let Some(source) = &mut self.source else {
@@ -281,6 +285,14 @@
         }
     }
 
+    /// Records the first event of the source.
+    fn record_begun(&mut self) {
+        if let Some(source) = self.source.as_mut().filter(|source| !source.has_begun) {
+            source.has_begun = true;
+            source.selected.record_begun();
+        }
+    }
+
     /// Ends the stream, and returns the connection to the pool.
     fn end(&mut self) -> Step {
         if let Some(mut source) = self.source.take() {
--- a/crates/trestle-entry/src/trial.rs
+++ b/crates/trestle-entry/src/trial.rs
@@ -134,6 +134,16 @@
         }
     }
 
+    /// Ends a permission that was given for a part of the prompt, since the endpoint has begun to
+    /// answer.
+    pub(crate) fn part_settled(&self) {
+        let is_part = |attempt: &mut PermittedAttempt| attempt.permission.request.is_part();
+        let ended = self.attempt().take_if(is_part);
+        if let Some(mut attempt) = ended {
+            attempt.at = None;
+        }
+    }
+
     /// Records that the attempt may have run without a complete answer. The request needs a new
     /// permission.
     pub(crate) fn unanswered(&self) {
