Take a stream that ends with its connection before any event for broken off

What callers saw: an engine that sends the head of a stream without a length and then crashes; the caller's connection was closed without an answer, with no further attempt. Cause: the end of a body without a length was taken for the end of the stream, also where nothing had come, so the answer began with an empty part. Change: without any event such an end is a failure, like a lost connection: the endpoint is checked, and the request is sent again where it may be, else answered 502.

--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -280,11 +280,22 @@
                     let reason = "it ended in the middle of an event".to_owned();
                     return Step::Error(StreamError::Connection(reason));
                 }
+                None if self.has_lost_beginning() => {
+                    let reason = "its connection ended before the first event".to_owned();
+                    return Step::Error(StreamError::Connection(reason));
+                }
                 None => return self.end(),
             }
         }
     }
 
+    /// Returns whether the stream ended with its connection and without any event: its endpoint has
+    /// crashed, or will never send one.
+    fn has_lost_beginning(&self) -> bool {
+        let has_end = self.source.as_ref().is_some_and(|source| source.has_explicit_end);
+        !has_end && self.buffer.last_id().is_none()
+    }
+
     /// Records the first event of the source.
     fn record_begun(&mut self) {
         if let Some(source) = self.source.as_mut().filter(|source| !source.has_begun) {
