Let daemons know early who keeps where streams began, and bound the list's age by the settings

Cause: a leader names the daemons that have reported to it; the first report may come 3 s after the start and the next question 3 s later, so a daemon knew one other, or none. Evidence: lines 'asked=1' of two other daemons. Change: the question is a report itself and is asked every 0.3 s at first; streams are told once somebody is known. Read again: the age of the list that tells the version comes from the settings in place of 1.5 s, since relays may be older where bounds are longer; a daemon that knows no other no longer concludes anything from an old list; the list is observed twice a second besides its changes, not ten times.

--- a/crates/trestle-dispatch/src/software_versions.rs
+++ b/crates/trestle-dispatch/src/software_versions.rs
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Returns whether some listed endpoint had a version that is not known here when the list was last
+    /// observed.
+    pub fn has_unknown(&self) -> bool {
+        self.by_service.values().any(|listed| listed.has_unknown)
+    }
+
     /// Returns whether a service is known to have had one version only.
     pub fn has_one(&self, service: &ServiceName, now_ms: u64) -> bool {
         matches!(self.of(service, now_ms), KnownVersions::Only(_))
--- a/crates/trestle-dispatch/src/stream_keepers.rs
+++ b/crates/trestle-dispatch/src/stream_keepers.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Returns whether this daemon knows none.
+    pub fn is_empty(&self) -> bool {
+        self.named_ms.is_empty()
+    }
+
     /// Records that a daemon did not answer.
     pub fn failed(&mut self, address: SocketAddr, now_ms: u64) {
         self.failed_until_ms.retain(|_, until_ms| now_ms < *until_ms);
--- a/crates/trestle-dispatch/src/stream_origins.rs
+++ b/crates/trestle-dispatch/src/stream_origins.rs
@@ -16,8 +16,6 @@
 const MAX_STREAMS: usize = 32_768;
 /// Most streams that are told to other daemons at once.
 const MAX_TOLD: usize = 256;
-/// Age of the list of endpoints up to which it names every version that streams can have begun at.
-const MAX_LIST_AGE_MS: u64 = 1_500;
 
 /// The version that began a stream.
 #[trestle_macros::plain]
@@ -133,10 +131,14 @@
 }
 
 /// Returns the version at which a stream goes on that this daemon has no record of, from its own
-/// list of endpoints alone.
-pub fn version_from_list(known: KnownVersions<'_>, list_age_ms: u64) -> Option<&SoftwareVersion> {
+/// list of endpoints alone. A list that is older than `max_age_ms` may lack a version.
+pub fn version_from_list(
+    known: KnownVersions<'_>,
+    list_age_ms: u64,
+    max_age_ms: u64,
+) -> Option<&SoftwareVersion> {
     match known {
-        KnownVersions::Only(version) if list_age_ms <= MAX_LIST_AGE_MS => Some(version),
+        KnownVersions::Only(version) if list_age_ms <= max_age_ms => Some(version),
         _ => None,
     }
 }
@@ -158,12 +160,11 @@
         KnownVersions::Only(version) | KnownVersions::AtLeast(version) => Some(version),
         KnownVersions::Unknown => None,
     };
-    let is_alone = answers.asked == 0 && matches!(known, KnownVersions::Only(_));
-    if !is_alone && 2 * answers.received.len() <= answers.asked {
+    if 2 * answers.received.len() <= answers.asked {
         return None;
     }
     let mut named = answers.received.iter().map(|knowledge| knowledge.only_version.as_ref());
-    let version = named.next().flatten().or(own.filter(|_| is_alone))?;
+    let version = named.next().flatten()?;
     let all_agree = named.all(|other| other == Some(version));
     (all_agree && own.is_none_or(|own| own == version)).then(|| version.clone())
 }
--- a/crates/trestle-entry/src/detour/reports.rs
+++ b/crates/trestle-entry/src/detour/reports.rs
@@ -46,10 +46,7 @@
 
 /// Sends one report, and returns the helpers that the leader names; none if it does not answer.
 async fn report(daemon: &Arc<Daemon>, open: &mut Open, attempt: usize) -> Vec<WireHelper> {
-    let unreached = paths::unreached_services(daemon).iter().map(ToString::to_string).collect();
-    let helper =
-        WireHelper { address: daemon.peers_address(), domain: daemon.settings.domain.clone() };
-    let report = WireHelperReport { vm: daemon.settings.vm.clone(), helper, unreached };
+    let report = own_report(daemon);
     match calls::leader(daemon, attempt).await {
         Leader::Here { .. } => answer(daemon, report),
         Leader::At { address, .. } => match send(open, address, report).await {
@@ -63,6 +60,14 @@
     }
 }
 
+/// Returns the report of this daemon.
+pub(crate) fn own_report(daemon: &Daemon) -> WireHelperReport {
+    let unreached = paths::unreached_services(daemon).iter().map(ToString::to_string).collect();
+    let helper =
+        WireHelper { address: daemon.peers_address(), domain: daemon.settings.domain.clone() };
+    WireHelperReport { vm: daemon.settings.vm.clone(), helper, unreached }
+}
+
 async fn send(
     open: &mut Open,
     address: SocketAddr,
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -113,8 +113,8 @@
         versions::answer(&self.0, of)
     }
 
-    async fn stream_keepers(self, _: Context) -> Vec<WireHelper> {
-        keepers::answer(&self.0)
+    async fn stream_keepers(self, _: Context, report: WireHelperReport) -> Vec<WireHelper> {
+        keepers::answer(&self.0, report)
     }
 
     async fn keep_streams(self, _: Context, streams: Vec<WireStreamOrigin>) {
--- a/crates/trestle-entry/src/streams/keepers.rs
+++ b/crates/trestle-entry/src/streams/keepers.rs
@@ -1,16 +1,23 @@
 //! Tells other daemons where streams began, and keeps what they tell.
 
-use crate::{control::message::Leader, daemon::Daemon, peer::calls};
+use crate::{control::message::Leader, daemon::Daemon, detour::reports, peer::calls};
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use trestle_dispatch::{helpers::Helper, stream_origins::StreamOrigin};
-use trestle_wire::{detours::WireHelper, replicas::ReplicasClient, streams::WireStreamOrigin};
+use trestle_wire::{
+    detours::{WireHelper, WireHelperReport},
+    replicas::ReplicasClient,
+    streams::WireStreamOrigin,
+};
 
 /// Time between two questions to leaders which daemons keep where streams began.
 const INTERVAL_MS: u64 = 3_000;
-/// The same before any leader has answered.
-const FIRST_INTERVAL_MS: u64 = 200;
+/// The same for the first questions: a leader names those that have reported to it, and daemons that
+/// start together do so within about a second.
+const FIRST_INTERVAL_MS: u64 = 300;
+/// Answers of leaders after which the questions become rarer.
+const FIRST_ANSWERS: u32 = 6;
 /// Longest time between two checks for streams of which others must be told.
 const CHECK_MS: u64 = 200;
 /// Time for which streams are collected before others are told of them.
@@ -18,29 +25,33 @@
 
 /// Asks leaders which daemons keep where streams began, until the process terminates.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
-    let mut interval_ms = FIRST_INTERVAL_MS;
+    let mut answers = 0;
     for attempt in 0.. {
+        let report = reports::own_report(&daemon);
         let named = match calls::leader(&daemon, attempt).await {
-            Leader::Here { .. } => answer(&daemon),
+            Leader::Here { .. } => answer(&daemon, report),
             Leader::At { address, .. } => {
-                let call =
-                    async |client: ReplicasClient, context| client.stream_keepers(context).await;
+                let call = async |client: ReplicasClient, context| {
+                    client.stream_keepers(context, report).await
+                };
                 daemon.stream_calls.call(address, call).await.unwrap_or_default()
             }
             Leader::Nobody => Vec::new(),
         };
         if !named.is_empty() {
-            interval_ms = INTERVAL_MS;
+            answers += 1;
             let (own_address, now_ms) = (daemon.peers_address(), daemon.shared_view.now_ms());
             let named = named.into_iter().map(Helper::from);
             daemon.with_stream_keepers(|keepers| keepers.named(named, own_address, now_ms));
         }
+        let interval_ms = if answers < FIRST_ANSWERS { FIRST_INTERVAL_MS } else { INTERVAL_MS };
         Timer::after(Duration::from_millis(interval_ms)).await;
     }
 }
 
-/// Returns the daemons that this one, as a leader, names to others.
-pub(crate) fn answer(daemon: &Daemon) -> Vec<WireHelper> {
+/// Records the report of a daemon, and returns the daemons that this one, as a leader, names to it.
+pub(crate) fn answer(daemon: &Daemon, report: WireHelperReport) -> Vec<WireHelper> {
+    reports::answer(daemon, report);
     let now_ms = daemon.shared_view.now_ms();
     let keepers = daemon.with_helper_roster(|roster| roster.keepers(now_ms));
     keepers.into_iter().map(WireHelper::from).collect()
@@ -76,6 +87,9 @@
 
 /// Returns the streams of which others must be told, by the daemons to tell.
 fn take_untold(daemon: &Daemon) -> BTreeMap<SocketAddr, Vec<WireStreamOrigin>> {
+    if daemon.with_stream_keepers(|keepers| keepers.is_empty()) {
+        return BTreeMap::new();
+    }
     let now_ms = daemon.shared_view.now_ms();
     let untold = daemon.shared_view.with(|local_view| {
         let versions = &local_view.software_versions;
--- a/crates/trestle-entry/src/streams/lookup.rs
+++ b/crates/trestle-entry/src/streams/lookup.rs
@@ -78,7 +78,9 @@
             .and_then(|id| local_view.stream_origins.version(&task.service, id, now_ms));
         let from_list = || {
             let known = local_view.software_versions.of(&task.service, now_ms);
-            stream_origins::version_from_list(known, local_view.list_age_ms(now_ms))
+            let list_age_ms = local_view.list_age_ms(now_ms);
+            let max_age_ms = task.daemon.freshness.shortest_bound_ms();
+            stream_origins::version_from_list(known, list_age_ms, max_age_ms)
         };
         recorded.or_else(from_list).cloned()
     })
--- a/crates/trestle-entry/src/streams/versions.rs
+++ b/crates/trestle-entry/src/streams/versions.rs
@@ -21,8 +21,9 @@
 
 /// Time between two rounds.
 const INTERVAL_MS: u64 = 100;
-/// Rounds between two comparisons of the row with what this daemon knows.
-const ROUNDS_PER_ROW: u64 = 3;
+/// Rounds between two observations of the list, besides those at its changes, and between two
+/// comparisons of the row with what this daemon knows.
+const ROUNDS_PER_OBSERVATION: u64 = 5;
 /// Rounds for which no leader may name a version until the list is read from the store.
 const ROUNDS_PER_READ: u64 = 20;
 /// Most endpoints whose versions are asked for at once.
@@ -49,17 +50,20 @@
         if !has_begun(&daemon) {
             begin(&daemon, &mut row).await;
         }
+        let is_observed = round.is_multiple_of(ROUNDS_PER_OBSERVATION);
         let unknown = unknown_versions(&daemon);
         rounds_without_version = if unknown.is_empty() { 0 } else { rounds_without_version + 1 };
         if !unknown.is_empty() {
             learn(&daemon, unknown, rounds_without_version).await;
         }
         let now_ms = daemon.shared_view.now_ms();
-        daemon.shared_view.with(|local_view| {
-            local_view.observe_versions(now_ms);
-            local_view.stream_origins.cleanup(now_ms);
-        });
-        if round.is_multiple_of(ROUNDS_PER_ROW) && leads_first_group(&daemon) {
+        if is_observed {
+            daemon.shared_view.with(|local_view| {
+                local_view.observe_versions(now_ms);
+                local_view.stream_origins.cleanup(now_ms);
+            });
+        }
+        if is_observed && leads_first_group(&daemon) {
             update_row(&daemon, &mut row).await;
         }
         Timer::after(Duration::from_millis(INTERVAL_MS)).await;
@@ -94,6 +98,9 @@
 /// Returns the endpoints whose versions this daemon does not know.
 fn unknown_versions(daemon: &Daemon) -> Vec<Incarnation> {
     daemon.shared_view.with(|local_view| {
+        if !local_view.software_versions.has_unknown() {
+            return Vec::new();
+        }
         let unknown =
             local_view.directory.iter().filter(|endpoint| endpoint.software_version.is_none());
         unknown.take(MAX_ASKED).map(Endpoint::incarnation).collect()
@@ -130,10 +137,12 @@
     let known = versions
         .filter_map(|(incarnation, version)| Some((incarnation, SoftwareVersion::from(version?))));
     let known: Vec<_> = known.collect();
+    let now_ms = daemon.shared_view.now_ms();
     daemon.shared_view.with(|local_view| {
         for (incarnation, version) in known {
             local_view.directory.set_software_version(&incarnation, version);
         }
+        local_view.observe_versions(now_ms);
     });
 }
 
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -47,9 +47,9 @@
     /// Returns the versions of the software that incarnations of endpoints run; `None` for each that
     /// this daemon does not know. Daemons of earlier releases close the connection.
     async fn endpoint_versions(of: Vec<WireIncarnation>) -> Vec<Option<String>>;
-    /// Returns daemons of each failure domain that keep where streams began. Daemons of earlier
-    /// releases close the connection.
-    async fn stream_keepers() -> Vec<WireHelper>;
+    /// Reports as [`Self::find_helpers`] does, and returns daemons of each failure domain that keep where
+    /// streams began. Daemons of earlier releases close the connection.
+    async fn stream_keepers(report: WireHelperReport) -> Vec<WireHelper>;
     /// Tells where streams began. Daemons of earlier releases close the connection.
     async fn keep_streams(streams: Vec<WireStreamOrigin>);
     /// Returns where a stream began. Daemons of earlier releases close the connection.
