Clear parts by complete plain answers too, and log all versions of a list

Read again: an answer that is no stream never cleared the parts of its prompt; the line about a whole list named the versions of the first eight entries, not eight versions.

--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -223,8 +223,8 @@
         .filter_map(|ListedEntry { endpoint, .. }| {
             Some((endpoint.service.as_str(), endpoint.software_version.as_ref()?.as_str()))
         })
-        .take(MAX_LOGGED_NAMES)
         .collect();
+    let software: Vec<_> = software.into_iter().take(MAX_LOGGED_NAMES).collect();
     tracing::info!(
         count, version = version.number, era = version.era, came = ?added, gone = ?removed,
         ?software, "endpoint: The list was read."
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -248,6 +248,9 @@
                     true => local_view.records.succeeded(name, now_ms),
                     false => local_view.records.failed(name, now_ms),
                 });
+                if parts.status.is_success() {
+                    selected.record_begun();
+                }
                 if has_explicit_end {
                     task.trial.settled();
                     selected.resolve();
