Ask leaders of the release before less often, and do not take an unreadable row for none

A leader of the release before closes the connection on the question who keeps streams, and a daemon went on asking every 0.3 s for as long as it led: the number of questions counts now, not that of answers. A row of versions that is not understood was taken for a fleet without any, so a daemon that starts could have concluded a version from its list alone; it is logged and counts as unknown.

--- a/crates/trestle-entry/src/streams/keepers.rs
+++ b/crates/trestle-entry/src/streams/keepers.rs
@@ -16,8 +16,9 @@
 /// The same for the first questions: a leader names those that have reported to it, and daemons that
 /// start together do so within about a second.
 const FIRST_INTERVAL_MS: u64 = 300;
-/// Answers of leaders after which the questions become rarer.
-const FIRST_ANSWERS: u32 = 6;
+/// Questions to leaders, answered or not, after which they become rarer. A leader of an earlier release
+/// closes the connection.
+const FIRST_QUESTIONS: u32 = 6;
 /// Longest time between two checks for streams of which others must be told.
 const CHECK_MS: u64 = 200;
 /// Time for which streams are collected before others are told of them.
@@ -25,10 +26,12 @@
 
 /// Asks leaders which daemons keep where streams began, until the process terminates.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
-    let mut answers = 0;
+    let mut questions = 0;
     for attempt in 0.. {
         let report = reports::own_report(&daemon);
-        let named = match calls::leader(&daemon, attempt).await {
+        let leader = calls::leader(&daemon, attempt).await;
+        questions += u32::from(leader != Leader::Nobody);
+        let named = match leader {
             Leader::Here { .. } => answer(&daemon, report),
             Leader::At { address, .. } => {
                 let call = async |client: ReplicasClient, context| {
@@ -39,12 +42,12 @@
             Leader::Nobody => Vec::new(),
         };
         if !named.is_empty() {
-            answers += 1;
             let (own_address, now_ms) = (daemon.peers_address(), daemon.shared_view.now_ms());
             let named = named.into_iter().map(Helper::from);
             daemon.with_stream_keepers(|keepers| keepers.named(named, own_address, now_ms));
         }
-        let interval_ms = if answers < FIRST_ANSWERS { FIRST_INTERVAL_MS } else { INTERVAL_MS };
+        let interval_ms =
+            if questions <= FIRST_QUESTIONS { FIRST_INTERVAL_MS } else { INTERVAL_MS };
         Timer::after(Duration::from_millis(interval_ms)).await;
     }
 }
--- a/crates/trestle-entry/src/streams/versions.rs
+++ b/crates/trestle-entry/src/streams/versions.rs
@@ -38,6 +38,8 @@
 struct KnownRow {
     version: StoreVersion,
     content: Option<WireVersionsRow>,
+    /// Whether the row holds something that this release does not understand.
+    is_unreadable: bool,
     /// Whether the row must be read before it can be written.
     must_read: bool,
 }
@@ -206,7 +208,15 @@
         let row = page.rows.iter().find(|row| row.key.key == KEY);
         let absent = StoreVersion { number: 0, ..page.version };
         self.version = row.map_or(absent, |row| row.version);
-        self.content = row.and_then(|row| serde_json::from_slice(&row.value).ok());
+        self.is_unreadable = false;
+        self.content = row.and_then(|row| match serde_json::from_slice(&row.value) {
+            Ok(content) => Some(content),
+            Err(error) => {
+                tracing::error!(%error, "stream: The row of versions in service is not understood; it counts as unknown.");
+                self.is_unreadable = true;
+                None
+            }
+        });
         self.must_read = false;
     }
 
@@ -216,7 +226,7 @@
         match &self.content {
             Some(row) if row.era == self.version.era => Some(row.clone().into_versions()),
             Some(_) => None,
-            None => (self.version.era == 0).then(ServiceVersions::new),
+            None => (self.version.era == 0 && !self.is_unreadable).then(ServiceVersions::new),
         }
     }
 }
