--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 //!   an endpoint and [`admission`] to decide whether the request waits or is rejected; [`sends`]
 //!   decides where the next attempt may go, and [`retry_share`] bounds the number of attempts. With
 //!   [`trials`] a leader admits one attempt at a time of a request under which endpoints crashed.
+//!   Where prompts are large, the leader decides by [`load`] which engine reads one, and when.
 //! - Replicas: [`lease`] decides which daemon may give orders, [`groups`] to which engines, and
 //!   [`candidate`] which daemon is preferred as leader. [`member_count`] counts the daemons that
 //!   share budgets, [`demand`] adds up the demand of all daemons, and [`service_state`] is what the
@@ -52,6 +53,7 @@
 pub mod identity;
 pub mod lease;
 pub mod listing;
+pub mod load;
 pub mod loadable;
 pub mod local_demand;
 pub mod local_view;
--- /dev/null
+++ b/crates/trestle-dispatch/src/load/mod.rs
@@ -0,0 +1,11 @@
+//! The load of engines, counted in the work that requests cause there.
+//!
+//! - [`request_size`]: the size of one request and the parts of its prompt.
+//! - [`prompt_profile`]: decides whether the prompts of a service are large enough to be scheduled.
+//! - [`reading_queue`]: what one engine still has to read.
+//! - [`model_work`]: the reading that the requests of each model cause, for planning replicas.
+
+pub mod model_work;
+pub mod prompt_profile;
+pub mod reading_queue;
+pub mod request_size;
