--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -21,7 +21,8 @@
 //!   an endpoint and [`admission`] to decide whether the request waits or is rejected; [`sends`]
 //!   decides where the next attempt may go, and [`retry_share`] bounds the number of attempts. With
 //!   [`trials`] a leader admits one attempt at a time of a request under which endpoints crashed.
-//!   Where prompts are large, the leader decides by [`load`] which engine reads one, and when.
+//!   Where prompts are large, the leader decides by [`load`] which engine reads one, and when;
+//!   [`waiting`] orders the requests that wait for that.
 //! - Replicas: [`lease`] decides which daemon may give orders, [`groups`] to which engines, and
 //!   [`candidate`] which daemon is preferred as leader. [`member_count`] counts the daemons that
 //!   share budgets, [`demand`] adds up the demand of all daemons, and [`service_state`] is what the
@@ -94,3 +95,4 @@
 pub mod unresolved_requests;
 pub mod usage;
 pub mod wait_limit;
+pub mod waiting;
