--- a/crates/trestle-dispatch/examples/plan_time.rs
+++ b/crates/trestle-dispatch/examples/plan_time.rs
@@ -61,6 +61,7 @@
         slots: 12,
         memory_mb: 230_000,
         adapter_slots: 8,
+        cache_tokens: None,
         models: models.collect(),
     })
 }
--- a/crates/trestle-dispatch/src/admission.rs
+++ b/crates/trestle-dispatch/src/admission.rs
@@ -139,6 +139,12 @@
     MIN_CALLER_TIMEOUT_MS.max(by_objective).max(by_pause).min(deadline_ms)
 }
 
+/// Returns the time from the arrival of a request until which an endpoint must have begun with it, or
+/// its caller gives up before the first event.
+pub fn latest_start_ms(route: &Route, deadline_ms: u64) -> u64 {
+    caller_timeout_ms(route, deadline_ms).saturating_sub(FIRST_EVENT_MS)
+}
+
 /// Decides whether a request waits or is refused, given when its model will be ready.
 pub fn decide(wait: Wait, forecast: Forecast) -> Admission {
     let until_ms = wait.caller_timeout_ms.saturating_sub(FIRST_EVENT_MS);
--- a/crates/trestle-dispatch/src/catalog.rs
+++ b/crates/trestle-dispatch/src/catalog.rs
@@ -57,6 +57,8 @@
     pub memory_mb: u64,
     /// Number of adapters that an engine can hold.
     pub adapter_slots: u32,
+    /// Tokens that an engine's KV cache holds; `None` if the configuration does not tell.
+    pub cache_tokens: Option<u64>,
     /// The models of the service.
     pub models: BTreeMap<ModelName, ModelSpec>,
 }
--- a/crates/trestle-dispatch/src/choice.rs
+++ b/crates/trestle-dispatch/src/choice.rs
@@ -8,7 +8,9 @@
     replicas::ReplicaView,
 };
 use std::collections::BTreeSet;
-use trestle_core::names::{AdapterName, EndpointName, ModelName, ServiceName, SoftwareVersion};
+use trestle_core::names::{
+    AdapterName, DomainName, EndpointName, ModelName, ServiceName, SoftwareVersion,
+};
 
 /// Cost of an endpoint in another failure domain, as a share of its slots. On an engine of 64 slots
 /// it equals half a request, so that an even load comes before a short path.
@@ -20,6 +22,10 @@
 /// streams there would stall behind the prompts.
 const CHOICES: usize = 2;
 
+/// Most endpoints among which a leader chooses for one request: few models have more replicas, and the
+/// call that names them stays small.
+const MAX_CANDIDATES: usize = 16;
+
 /// Which endpoints a request can be sent to.
 #[derive(Debug, Clone, Copy)]
 pub struct Requirements<'a> {
@@ -62,6 +68,15 @@
     },
 }
 
+/// An endpoint that may be assigned a request.
+#[trestle_macros::plain]
+pub struct Candidate {
+    /// The incarnation of the endpoint.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: DomainName,
+}
+
 /// An endpoint that could run a request but accepts none now, by its own limit or backoff.
 #[trestle_macros::plain]
 pub struct Throttled {
@@ -110,6 +125,31 @@
     picked.into_iter().min_by(|one, other| cost(&inputs, one).total_cmp(&cost(&inputs, other)))
 }
 
+/// Returns endpoints among which a leader may choose: those that did not fail lately and have reported
+/// neither a limit nor a backoff, at most [`MAX_CANDIDATES`], picked by `random`.
+pub fn candidates(
+    inputs: ChoiceInputs<'_>,
+    requirements: Requirements<'_>,
+    random: u64,
+) -> Vec<Candidate> {
+    let directory = &inputs.local_view.directory;
+    let open = directory.iter().filter(|endpoint| {
+        is_eligible(&inputs, &requirements, endpoint)
+            && is_healthy(&inputs, endpoint)
+            && availability(&inputs, endpoint) == Availability::Open
+    });
+    let mut open: Vec<&Endpoint> = open.collect();
+    if open.len() > MAX_CANDIDATES {
+        open.sort_by_key(|endpoint| hash(random, &endpoint.name));
+        open.truncate(MAX_CANDIDATES);
+    }
+    let candidate = |endpoint: &Endpoint| Candidate {
+        incarnation: endpoint.incarnation(),
+        domain: endpoint.domain.clone(),
+    };
+    open.into_iter().map(candidate).collect()
+}
+
 /// Returns whether some endpoint has the model and adapter of a request, even if it is full or
 /// excluded now.
 pub fn is_loaded(inputs: ChoiceInputs<'_>, requirements: Requirements<'_>) -> bool {
--- a/crates/trestle-dispatch/src/load/mod.rs
+++ b/crates/trestle-dispatch/src/load/mod.rs
@@ -6,10 +6,14 @@
 //! - [`reading_speeds`]: how long engines and models take to read a token.
 //! - [`kept_parts`]: the parts of prompts that an engine keeps in its KV cache.
 //! - [`model_work`]: the reading that the requests of each model cause, for planning replicas.
+//! - [`prompt_scheduler`]: the leader's decision on which engine reads a prompt, and when.
+//! - [`call_budget`]: bounds the calls of a daemon to such leaders.
 
+pub mod call_budget;
 pub mod kept_parts;
 pub mod model_work;
 pub mod prompt_profile;
+pub mod prompt_scheduler;
 pub mod reading_queue;
 pub mod reading_speeds;
 pub mod request_size;
--- a/crates/trestle-dispatch/src/load/model_work.rs
+++ b/crates/trestle-dispatch/src/load/model_work.rs
@@ -16,10 +16,12 @@
 const MIN_SHARE: f64 = 0.001;
 
 /// Reading time that was assigned lately.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct ModelWork {
     /// Average reading time of one request, by model.
     read_ms: BTreeMap<ModelName, f64>,
+    /// The same over all models.
+    average_ms: f64,
     by_engine: BTreeMap<EndpointName, DecayedSum>,
 }
 
@@ -40,13 +42,20 @@
     pub fn record(&mut self, engine: &EndpointName, model: &ModelName, read_ms: f64, now_ms: u64) {
         let average_ms = self.read_ms.entry(model.clone()).or_insert(read_ms);
         *average_ms += (read_ms - *average_ms) * NEWEST_WEIGHT;
+        self.average_ms += (read_ms - self.average_ms) * NEWEST_WEIGHT;
         let sum = self.by_engine.entry(engine.clone()).or_default();
         *sum = DecayedSum { sum_ms: sum.decayed_ms(now_ms) + read_ms, at_ms: now_ms };
     }
 
-    /// Returns the average reading time of a model's requests; 0 if none is known.
+    /// Returns whether no reading is known.
+    pub fn is_empty(&self) -> bool {
+        self.read_ms.is_empty()
+    }
+
+    /// Returns the average reading time of a model's requests; that of all models while other leaders
+    /// schedule its prompts, and 0 if none is known.
     pub fn read_ms(&self, model: &ModelName) -> f64 {
-        self.read_ms.get(model).copied().unwrap_or_default()
+        self.read_ms.get(model).copied().unwrap_or(self.average_ms)
     }
 
     /// Returns the part of its time for which an engine has lately been assigned prompts to read.
--- a/crates/trestle-dispatch/src/load/prompt_profile.rs
+++ b/crates/trestle-dispatch/src/load/prompt_profile.rs
@@ -17,6 +17,9 @@
 const ASSUMED_TOKENS_PER_MS: f64 = 30.0;
 /// Number of typical prompts that must together take longer than a pause.
 const PROMPTS_IN_PAUSE: f64 = 4.0;
+/// The same number while few prompts are known: a daemon that has just started must not wait for more if
+/// the first ones are long.
+const FEW_PROMPTS_IN_PAUSE: f64 = 2.0;
 
 /// The sizes of the prompts of one service's requests that arrived lately at one daemon.
 #[derive(Debug, Clone, Copy, Default)]
@@ -43,10 +46,19 @@
         self.squared_tokens / self.tokens.max(1.0)
     }
 
+    /// Returns whether a prompt is among the large ones of the service.
+    pub fn is_large(&self, prompt_tokens: u64) -> bool {
+        prompt_tokens as f64 * 2.0 >= self.typical_tokens()
+    }
+
     /// Returns whether a few prompts of the service that meet at one engine stall the streams there
     /// for longer than `shortest_pause_ms`.
     pub fn needs_scheduling(&self, shortest_pause_ms: u64) -> bool {
         let typical_ms = self.typical_tokens() / ASSUMED_TOKENS_PER_MS;
-        self.weight >= MIN_WEIGHT && typical_ms * PROMPTS_IN_PAUSE > shortest_pause_ms as f64
+        let prompts = match self.weight >= MIN_WEIGHT {
+            true => PROMPTS_IN_PAUSE,
+            false => FEW_PROMPTS_IN_PAUSE,
+        };
+        typical_ms * prompts > shortest_pause_ms as f64
     }
 }
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -11,16 +11,18 @@
     endpoint::{Endpoint, Incarnation},
     fingerprint::Fingerprint,
     listing::{ListUpdate, ListedEntry, Listing, Source},
+    load::{prompt_profile::PromptProfile, request_size::RequestSize},
     loadable::{self, Loadable},
     local_demand::LocalDemand,
     part_answers::PartAnswers,
-    policy::Policy,
+    policy::{Mechanism, Policy},
     quota::QuotaBounds,
     reachability::Reachability,
     record::Records,
     replicas::ReplicaView,
     request::RequestHead,
     retry_share::{RetryBounds, RetryShare},
+    route::Route,
     signals::HeaderField,
     software_versions::SoftwareVersions,
     store_version::StoreVersion,
@@ -157,6 +159,8 @@
     pub retries: BTreeMap<ServiceName, RetryShare>,
     /// Demand of this daemon's callers that is reported to the leader, by service.
     pub local_demand: BTreeMap<ServiceName, LocalDemand>,
+    /// Sizes of the prompts of this daemon's callers, by service.
+    pub prompt_profiles: BTreeMap<ServiceName, PromptProfile>,
     /// Number of daemons that share budgets; 0 until a leader has counted them.
     pub daemons: usize,
     /// When `daemons` was last set or confirmed.
@@ -199,6 +203,7 @@
             part_answers: PartAnswers::default(),
             retries: BTreeMap::new(),
             local_demand: BTreeMap::new(),
+            prompt_profiles: BTreeMap::new(),
             daemons: 0,
             daemons_ms: 0,
             leader_clients: 1,
@@ -244,6 +249,24 @@
         demand.rates.record_arrivals(model, 1, now_ms);
     }
 
+    /// Records the size of a caller's prompt for a service.
+    pub fn prompt_arrived(&mut self, service: &ServiceName, size: RequestSize, now_ms: u64) {
+        let profile = self.prompt_profiles.entry(service.clone()).or_default();
+        profile.record(size.prompt_tokens, now_ms);
+    }
+
+    /// Returns whether a leader must decide which engine reads the prompt of a request, and when.
+    pub fn needs_schedule(&self, service: &ServiceName, route: &Route, head: &RequestHead) -> bool {
+        let is_sized = route.is_stream() && head.size.is_some() && head.model.is_some();
+        if !is_sized || !self.policy.has(Mechanism::ScheduledPrompts) {
+            return false;
+        }
+        let Some(profile) = self.prompt_profiles.get(service) else { return false };
+        let pause_ms =
+            self.catalog.as_ref().and_then(|catalog| catalog.routes.shortest_pause_ms(service));
+        pause_ms.is_some_and(|pause_ms| profile.needs_scheduling(pause_ms))
+    }
+
     /// Records that a request was sent to an endpoint.
     pub fn request_started(
         &mut self,
--- a/crates/trestle-dispatch/src/placing.rs
+++ b/crates/trestle-dispatch/src/placing.rs
@@ -19,6 +19,7 @@
     change::Change,
     demand::{AggregateDemand, Demand},
     endpoint::{Endpoint, Held},
+    load::model_work::ModelWork,
     loadable::Loadable,
     observed_times::ObservedTimes,
     policy::{Mechanism, Policy},
@@ -77,6 +78,8 @@
     pub changes: Vec<Change>,
     /// Expected time until each model or adapter in demand is ready.
     pub ready_in_ms: BTreeMap<Loadable, u64>,
+    /// Whether models would gain by further replicas, and none finds room.
+    pub lacks_room: bool,
 }
 
 /// The inputs of planning other than the engines.
@@ -86,12 +89,16 @@
     pub spec: &'a EngineSpec,
     /// The demand of all callers.
     pub demand: &'a Demand,
+    /// The reading that their requests cause, as far as this leader schedules prompts.
+    pub work: &'a ModelWork,
     /// Times observed in earlier changes.
     pub observed_times: &'a ObservedTimes,
     /// The mechanisms in use.
     pub policy: &'a Policy,
     /// What other leaders are responsible for.
     pub sharing: &'a Sharing,
+    /// Whether further replicas are planned now.
+    pub plans_further: bool,
     /// Time on the monotonic clock.
     pub now_ms: u64,
 }
@@ -101,6 +108,7 @@
 pub struct Planner<'a> {
     spec: &'a EngineSpec,
     demand: &'a Demand,
+    work: &'a ModelWork,
     observed_times: &'a ObservedTimes,
     policy: &'a Policy,
     sharing: &'a Sharing,
@@ -125,13 +133,23 @@
     /// again only where it has changed.
     candidates: Option<BTreeMap<&'a EndpointName, EvictionCandidates>>,
     remote_loads: usize,
+    plans_further: bool,
     plan: Plan,
 }
 
 impl<'a> Planner<'a> {
     /// Creates the planner of one service.
     pub fn new(inputs: PlanInputs<'a>, engines: impl IntoIterator<Item = EngineState<'a>>) -> Self {
-        let PlanInputs { spec, demand, observed_times, policy, sharing, now_ms } = inputs;
+        let PlanInputs {
+            spec,
+            demand,
+            work,
+            observed_times,
+            policy,
+            sharing,
+            plans_further,
+            now_ms,
+        } = inputs;
         let engines: BTreeMap<_, _> =
             engines.into_iter().map(|state| (&state.endpoint.name, state)).collect();
         let kept = || {
@@ -148,6 +166,7 @@
         Self {
             spec,
             demand,
+            work,
             observed_times,
             policy,
             sharing,
@@ -162,6 +181,7 @@
             adapters_in_demand: BTreeSet::new(),
             candidates: None,
             remote_loads,
+            plans_further,
             plan: Plan::default(),
         }
     }
@@ -326,7 +346,7 @@
         let eviction = candidates.make_room(spec.weights_mb)?;
         let unload_ms = if eviction.models.is_empty() { 0 } else { UNLOAD_MS };
         let ready_in_ms = busy_ms + unload_ms + eviction.run_wait_ms as u64 + load_ms;
-        let fill = f64::from(self.usage.at(&endpoint.name)) / f64::from(self.spec.slots.max(1));
+        let fill = self.fill_of(&endpoint.name);
         let late_ms = gain_ms * value::late_share(fill);
         let cost_ms = ready_in_ms as f64 + eviction.lost_ms + fill * FULL_ENGINE_MS + late_ms;
         let change = Change {
@@ -361,7 +381,7 @@
 
     /// Loads a further replica of the model that gains most by it, if that evicts less value.
     fn plan_further_replica(&mut self) {
-        if !self.policy.has(Mechanism::FurtherReplicas) {
+        if !self.policy.has(Mechanism::FurtherReplicas) || !self.plans_further {
             return;
         }
         let loaded = self.replicas.iter().filter(|(_, count)| **count > 0);
@@ -372,19 +392,36 @@
         });
         let mut gains: Vec<_> = gains.filter(|(gain_ms, _)| *gain_ms > 0.0).collect();
         gains.sort_by(|one, other| other.0.total_cmp(&one.0));
-        let limit = if self.sharing.is_alone() { 1 } else { MAX_FURTHER_CONSIDERED };
-        let mut considered = gains.into_iter().take(limit);
-        let Some((gain_ms, model)) = considered.find(|(_, model)| self.is_next_replica_here(model))
-        else {
-            return;
+        let is_by_work = !self.work.is_empty() && self.policy.has(Mechanism::ReplicasByWork);
+        let limit = match self.sharing.is_alone() && !is_by_work {
+            true => 1,
+            false => MAX_FURTHER_CONSIDERED,
         };
-        let model = model.clone();
-        let model = &model;
+        let considered = gains.into_iter().take(limit);
+        let mut considered: Vec<(f64, ModelName)> = considered
+            .filter(|(_, model)| self.is_next_replica_here(model))
+            .map(|(gain_ms, model)| (gain_ms, model.clone()))
+            .collect();
+        if !is_by_work {
+            considered.truncate(1);
+        }
+        // Several models read all the time; that one of them finds no room keeps none of the others
+        // from a replica.
+        let has_begun = considered.iter().any(|(gain_ms, model)| self.add_replica(model, *gain_ms));
+        self.plan.lacks_room = is_by_work && !has_begun && !considered.is_empty();
+    }
+
+    /// Loads a further replica of a model if that evicts less value than `gain_ms`. Returns whether a
+    /// change begins.
+    fn add_replica(&mut self, model: &ModelName, gain_ms: f64) -> bool {
         let source = if self.is_worth_remote_load(model) { Source::Remote } else { Source::Local };
-        let Some(option) = self.best_option(model, gain_ms, source) else { return };
-        if let Some(change) = option.change {
+        let option = self.best_option(model, gain_ms, source);
+        let change = option.and_then(|option| option.change);
+        let has_change = change.is_some();
+        if let Some(change) = change {
             self.begin(change);
         }
+        has_change
     }
 }
 
--- a/crates/trestle-dispatch/src/placing/remote.rs
+++ b/crates/trestle-dispatch/src/placing/remote.rs
@@ -21,8 +21,8 @@
 const MAKE_ROOM_MS: u64 = 1_000;
 /// Time without a replica for which a model with a local copy is not loaded from the weight store.
 const LOCAL_COPY_WAIT_MS: u64 = 4_000;
-/// A model is worth a further replica from the weight store if its requests fill more than the
-/// slots of its replicas divided by this. Such a load takes 6 s, while demand shifts in some 10 s.
+/// A model is worth a further replica from the weight store if its requests take more than the slots or
+/// the time of its replicas divided by this. Such a load takes 6 s, while demand shifts in some 10 s.
 const REMOTE_REPLICA_FILL_PART: f64 = 4.0;
 /// Largest number of simultaneous loads from the weight store for further replicas. These gain more
 /// than loads of rare models, which would otherwise never be loaded.
@@ -64,12 +64,13 @@
     /// Returns whether a model is so busy that a further replica may be loaded from the weight
     /// store.
     pub(super) fn is_worth_remote_load(&self, model: &ModelName) -> bool {
-        let filled = self.running(model) * REMOTE_REPLICA_FILL_PART;
-        let slots = f64::from(self.replicas(model) * self.spec.slots);
+        let replicas = f64::from(self.replicas(model));
+        let by_slots = self.running(model) / f64::from(self.spec.slots.max(1));
+        let filled = by_slots.max(self.reading_engines(model)) * REMOTE_REPLICA_FILL_PART;
         let in_progress = self.engines.values().filter_map(|state| state.change);
         let further =
             in_progress.filter(|change| change.is_remote && self.present(&change.model) > 0);
-        filled > slots && further.count() < MAX_FURTHER_LOADS
+        filled > replicas && further.count() < MAX_FURTHER_LOADS
     }
 
     fn remote_value(&self, demand: &AggregateDemand<'_>) -> f64 {
--- a/crates/trestle-dispatch/src/placing/value.rs
+++ b/crates/trestle-dispatch/src/placing/value.rs
@@ -9,7 +9,7 @@
 
 use super::Planner;
 use crate::{demand::AggregateDemand, policy::Mechanism};
-use trestle_core::names::ModelName;
+use trestle_core::names::{EndpointName, ModelName};
 
 /// The planning horizon: demand shifts within some ten seconds, and an evicted model is requested
 /// again within about three.
@@ -63,7 +63,27 @@
             return missed_ms + self.recency_ms(model);
         }
         let slots = replicas.saturating_mul(self.spec.slots).max(1);
-        missed_ms * LATE_PART * late_share(self.running(model) / f64::from(slots))
+        let slot_share = self.running(model) / f64::from(slots);
+        let reading_share = self.reading_engines(model) / f64::from(replicas);
+        missed_ms * LATE_PART * late_share(slot_share.max(reading_share))
+    }
+
+    /// Returns the share of an engine's slots or of its time, whichever is larger, that requests take.
+    pub(super) fn fill_of(&self, endpoint: &EndpointName) -> f64 {
+        let slot_share = f64::from(self.usage.at(endpoint)) / f64::from(self.spec.slots.max(1));
+        match self.policy.has(Mechanism::ReplicasByWork) {
+            true => slot_share.max(self.work.reading_share(endpoint, self.now_ms)),
+            false => slot_share,
+        }
+    }
+
+    /// Returns the number of engines that the prompts of a model would keep reading all the time. A
+    /// model of few long prompts takes few slots and much of an engine's time.
+    pub(super) fn reading_engines(&self, model: &ModelName) -> f64 {
+        match self.policy.has(Mechanism::ReplicasByWork) {
+            true => self.arrivals_per_s(model) * self.work.read_ms(model) / 1e3,
+            false => 0.0,
+        }
     }
 
     /// Returns the number of requests for a model that would run at once if all were served: the
@@ -71,12 +91,15 @@
     /// become busy.
     pub(super) fn running(&self, model: &ModelName) -> f64 {
         let observed = self.usage.of_model(model).max(self.demand.peak(model, self.now_ms));
+        f64::from(observed).max(self.arrivals_per_s(model) * self.demand.run_s())
+    }
+
+    fn arrivals_per_s(&self, model: &ModelName) -> f64 {
         let rates = self.demand.rates();
-        let arrivals_per_s = match self.policy.has(Mechanism::Surges) {
+        match self.policy.has(Mechanism::Surges) {
             true => rates.surge_per_s(model, self.now_ms),
             false => rates.per_s(model, self.now_ms),
-        };
-        f64::from(observed).max(arrivals_per_s * self.demand.run_s())
+        }
     }
 
     fn recency_ms(&self, model: &ModelName) -> f64 {
--- a/crates/trestle-dispatch/src/policy.rs
+++ b/crates/trestle-dispatch/src/policy.rs
@@ -32,11 +32,21 @@
     LearntTimes,
     /// Demand that rises within two seconds counts at once.
     Surges,
+    /// Leaders schedule large prompts.
+    ScheduledPrompts,
+    /// Replicas are valued by the reading that requests cause, too.
+    ReplicasByWork,
+    /// The scheduler takes into account what engines keep of a prompt.
+    KeptParts,
+    /// The scheduler takes into account how fast each engine reads.
+    EngineSpeeds,
+    /// The scheduler serves waiting requests by rank and share; without it, in any order.
+    OrderedWaiting,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 16] = [
         Self::TwoChoices,
         Self::WaitWhileCallerStays,
         Self::KeepForReturning,
@@ -48,6 +58,11 @@
         Self::EvictionBySize,
         Self::LearntTimes,
         Self::Surges,
+        Self::ScheduledPrompts,
+        Self::ReplicasByWork,
+        Self::KeptParts,
+        Self::EngineSpeeds,
+        Self::OrderedWaiting,
     ];
 
     /// Returns the name of the mechanism in settings and tables.
@@ -64,6 +79,11 @@
             Self::EvictionBySize => "eviction_by_size",
             Self::LearntTimes => "learnt_times",
             Self::Surges => "surges",
+            Self::ScheduledPrompts => "scheduled_prompts",
+            Self::ReplicasByWork => "replicas_by_work",
+            Self::KeptParts => "kept_parts",
+            Self::EngineSpeeds => "engine_speeds",
+            Self::OrderedWaiting => "ordered_waiting",
         }
     }
 }
--- a/crates/trestle-dispatch/src/request.rs
+++ b/crates/trestle-dispatch/src/request.rs
@@ -1,6 +1,11 @@
 //! The parts of a request and of its answer that decisions depend on.
 
-use crate::{fingerprint::Fingerprint, identity::Identity, team::Credential};
+use crate::{
+    fingerprint::Fingerprint,
+    identity::Identity,
+    load::request_size::{PromptPart, RequestSize},
+    team::Credential,
+};
 use trestle_core::names::{AdapterName, EndpointName, ModelName};
 
 /// The parts of a request's head that decisions depend on.
@@ -20,8 +25,10 @@
     pub last_event_id: Option<u64>,
     /// Id of the caller's attempt that began the stream, if the request continues one.
     pub continues: Option<String>,
-    /// Number of tokens of the prompt and of the longest answer, if the request reports it.
-    pub tokens: Option<u64>,
+    /// The size of the request, if it reports it.
+    pub size: Option<RequestSize>,
+    /// All parts of the prompt, in their order.
+    pub prompt_parts: Vec<PromptPart>,
     /// Ids of the parts of the prompt that other requests may share, in their order.
     pub shared_parts: Vec<String>,
     /// The credential that the caller sent.
@@ -32,6 +39,14 @@
     pub part_fingerprints: Vec<Fingerprint>,
 }
 
+impl RequestHead {
+    /// Returns the tokens of the prompt and of the longest answer together, if the request reports
+    /// them.
+    pub fn tokens(&self) -> Option<u64> {
+        self.size.map(RequestSize::total_tokens)
+    }
+}
+
 /// Values that the daemon sets on a request that it forwards.
 #[derive(Debug, Clone, Copy)]
 pub struct Forwarded<'a> {
--- a/crates/trestle-dispatch/src/route.rs
+++ b/crates/trestle-dispatch/src/route.rs
@@ -85,17 +85,32 @@
 #[derive(Default)]
 pub struct RouteTable {
     by_host: BTreeMap<String, BTreeMap<String, Route>>,
+    /// Shortest bound on pauses among the stream routes to each service.
+    shortest_pauses_ms: BTreeMap<ServiceName, u64>,
 }
 
 impl RouteTable {
     /// Creates a table of routes.
     pub fn new(routes: impl IntoIterator<Item = Route>) -> Self {
         let mut by_host: BTreeMap<String, BTreeMap<String, Route>> = BTreeMap::new();
+        let mut shortest_pauses_ms = BTreeMap::new();
         for route in routes {
+            let targets = route.targets.iter().filter(|_| route.is_stream() && route.pause_ms > 0);
+            for target in targets {
+                let shortest_ms =
+                    shortest_pauses_ms.entry(target.service.clone()).or_insert(route.pause_ms);
+                *shortest_ms = route.pause_ms.min(*shortest_ms);
+            }
             let of_host = by_host.entry(route.host.clone()).or_default();
             of_host.insert(route.prefix.clone(), route);
         }
-        Self { by_host }
+        Self { by_host, shortest_pauses_ms }
+    }
+
+    /// Returns the shortest bound on pauses among the stream routes to a service; `None` if none has
+    /// a bound.
+    pub fn shortest_pause_ms(&self, service: &ServiceName) -> Option<u64> {
+        self.shortest_pauses_ms.get(service).copied()
     }
 
     /// Returns the route of a host with the longest prefix of a path.
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     admission::{self, Admission, Forecast, Reason, Wait},
-    choice::{self, ChoiceInputs, Requirements, Throttled},
+    choice::{self, Candidate, ChoiceInputs, Requirements, Throttled},
     endpoint::{Endpoint, Incarnation},
     loadable::Loadable,
     local_demand::PendingDemand,
@@ -57,6 +57,10 @@
     pub is_trial: bool,
     /// Whether the limit of the request's team has been charged for it.
     pub has_quota: bool,
+    /// The incarnation of the engine that a leader assigned the request to, if any.
+    pub assignment: Option<&'a Incarnation>,
+    /// Whether leaders were asked in vain which engine reads the prompt.
+    pub is_unscheduled: bool,
     /// The incarnation of a limited endpoint that has granted a send permit for the request, if
     /// any.
     pub send_permit: Option<&'a Incarnation>,
@@ -80,6 +84,9 @@
     RequestSendPermit(Endpoint),
     /// This endpoint can run the request, but it is brittle, so a slot must be requested first.
     RequestSlot(Endpoint),
+    /// These engines can run the request, and a leader must decide which of them reads its prompt, and
+    /// when.
+    Schedule(Vec<Candidate>),
     /// Every endpoint that can run the request limits its load and accepts none now; the request is
     /// refused.
     Throttled(Throttled),
@@ -143,10 +150,18 @@
         let needs_slot = local_view.brittle.needs_slot(&endpoint, now_ms) && !has_permit;
         return match (needs_trial, request.has_quota) {
             (true, _) => Selection::RequestTrial,
+            // The leader that decides on a prompt charges the limit, too.
+            (false, false) if !has_permit && !is_serial && !needs_permit && !needs_slot => {
+                match schedule_or_send(local_view, request, sends, endpoint, random, now_ms) {
+                    Selection::Send(_) => Selection::ChargeQuota,
+                    schedule => schedule,
+                }
+            }
             (false, false) => Selection::ChargeQuota,
             (false, true) if needs_permit => Selection::RequestSendPermit(endpoint),
             (false, true) if needs_slot => Selection::RequestSlot(endpoint),
-            (false, true) => Selection::Send(endpoint),
+            (false, true) if has_permit || is_serial => Selection::Send(endpoint),
+            (false, true) => schedule_or_send(local_view, request, sends, endpoint, random, now_ms),
         };
     }
     if !silent.is_empty() && choose(&BTreeSet::new()).is_some() {
@@ -184,6 +199,31 @@
     }
 }
 
+/// Returns that a request is sent to the chosen endpoint, or that a leader must decide first.
+fn schedule_or_send(
+    local_view: &mut LocalView,
+    request: RequestContext<'_>,
+    sends: &Sends,
+    chosen: Endpoint,
+    random: u64,
+    now_ms: u64,
+) -> Selection {
+    let is_assigned = request.assignment == Some(&chosen.incarnation());
+    let is_decided = is_assigned || request.is_unscheduled;
+    if is_decided || !local_view.needs_schedule(request.service, request.route, request.head) {
+        return Selection::Send(chosen);
+    }
+    let allowed = sends.allowed(request.route, now_ms);
+    let candidates = |inputs: ChoiceInputs<'_>, requirements: Requirements<'_>| {
+        choice::candidates(inputs, requirements, random)
+    };
+    let candidates = query(local_view, request, &allowed, now_ms, candidates);
+    match candidates.is_empty() {
+        true => Selection::Send(chosen),
+        false => Selection::Schedule(candidates),
+    }
+}
+
 /// Returns whether an endpoint other than the last could run the request now and the retry budget
 /// allows the send. Without the check of the budget, 400 of 20,000 streams that waited in an
 /// engine's queue were aborted and then sent nowhere.
@@ -239,7 +279,8 @@
     let mut choose = |mut allowed: Allowed| {
         allowed.excluded.extend(excluded.iter().cloned());
         let chosen = |inputs: ChoiceInputs<'_>, requirements: Requirements<'_>| {
-            let permit = request.send_permit.filter(|incarnation| {
+            let decided = request.send_permit.or(request.assignment);
+            let permit = decided.filter(|incarnation| {
                 choice::accepts_with_permit(inputs, requirements, incarnation)
             });
             match permit {
--- a/crates/trestle-dispatch/src/service_state.rs
+++ b/crates/trestle-dispatch/src/service_state.rs
@@ -6,6 +6,7 @@
     demand::Demand,
     directory::Directory,
     endpoint::{Endpoint, Held, Incarnation},
+    load::model_work::ModelWork,
     loadable::{self, Loadable},
     observed_times::ObservedTimes,
     orders::OrderChain,
@@ -27,6 +28,9 @@
 /// Time for which an engine that does not answer orders counts as gone; the entry of a crashed one
 /// is removed by then.
 const SILENT_MS: u64 = 4_000;
+/// Time for which no further replicas are planned after none found room. To look for room at each plan
+/// took a fifth of a leader's time.
+const LACKS_ROOM_MS: u64 = 300;
 /// Time after a change within which an engine's entry may still show the state before it.
 const ENTRY_AGE_MS: u64 = 3_000;
 
@@ -38,10 +42,14 @@
     /// What other leaders are responsible for.
     pub sharing: Sharing,
     engines: BTreeMap<EndpointName, EngineRecord>,
+    /// The reading that requests cause, as far as this leader schedules prompts.
+    work: ModelWork,
     /// Engines that have reported a limit. What they hold counts as absent, since they reject
     /// callers.
     limited: BTreeSet<EndpointName>,
     ready_in_ms: BTreeMap<Loadable, u64>,
+    /// Until when no further replicas are planned, since none found room.
+    lacks_room_until_ms: u64,
     planned_ms: u64,
     observed_times: ObservedTimes,
     /// Number of changes so far of which daemons should learn at once.
@@ -76,6 +84,11 @@
         self.limited = limited;
     }
 
+    /// Sets the reading that requests cause.
+    pub fn set_work(&mut self, work: ModelWork) {
+        self.work = work;
+    }
+
     /// Plans, and returns the changes that begin now.
     ///
     /// Orders may be given from `orders_in_ms` on. Until then no change begins, and the expected
@@ -115,12 +128,17 @@
         let inputs = PlanInputs {
             spec,
             demand: &self.demand,
+            work: &self.work,
             observed_times: &self.observed_times,
             policy,
             sharing: &self.sharing,
+            plans_further: now_ms >= self.lacks_room_until_ms,
             now_ms,
         };
         let plan = Planner::new(inputs, states).plan();
+        if plan.lacks_room {
+            self.lacks_room_until_ms = now_ms + LACKS_ROOM_MS;
+        }
         self.ready_in_ms = plan.ready_in_ms;
         self.planned_ms = now_ms;
         if orders_in_ms > 0 {
--- a/crates/trestle-dispatch/tests/backoff.rs
+++ b/crates/trestle-dispatch/tests/backoff.rs
@@ -70,6 +70,8 @@
         is_trial: false,
         has_quota: true,
         send_permit: None,
+        assignment: None,
+        is_unscheduled: false,
     };
     selection::select(local_view, context, sends, random, now_ms)
 }
--- a/crates/trestle-dispatch/tests/common/mod.rs
+++ b/crates/trestle-dispatch/tests/common/mod.rs
@@ -57,6 +57,7 @@
         slots: 8,
         memory_mb: 220,
         adapter_slots: 2,
+        cache_tokens: None,
         models: names.into_iter().map(|name| (name, model)).collect(),
     })
 }
--- a/crates/trestle-dispatch/tests/placing.rs
+++ b/crates/trestle-dispatch/tests/placing.rs
@@ -10,6 +10,7 @@
     change::Change,
     demand::{Demand, DemandReport, Waiting},
     endpoint::Endpoint,
+    load::model_work::ModelWork,
     loadable::Loadable,
     observed_times::ObservedTimes,
     placing::{EngineState, Plan, PlanInputs, Planner},
@@ -26,6 +27,7 @@
     changes: BTreeMap<EndpointName, Change>,
     without_orders: BTreeSet<EndpointName>,
     demand: Demand,
+    work: ModelWork,
 }
 
 impl Fixture {
@@ -53,9 +55,11 @@
         let inputs = PlanInputs {
             spec,
             demand: &self.demand,
+            work: &self.work,
             observed_times: &observed,
             policy: &policy,
             sharing: &Sharing::default(),
+            plans_further: true,
             now_ms: NOW_MS,
         };
         Planner::new(inputs, states).plan()
--- a/crates/trestle-dispatch/tests/selection.rs
+++ b/crates/trestle-dispatch/tests/selection.rs
@@ -62,6 +62,8 @@
             is_trial: false,
             has_quota: true,
             send_permit: None,
+            assignment: None,
+            is_unscheduled: false,
         }
     }
 
@@ -78,6 +80,8 @@
             is_trial: false,
             has_quota: true,
             send_permit: None,
+            assignment: None,
+            is_unscheduled: false,
         };
         selection::select(local_view, request, sends, 1, NOW_MS + elapsed_ms)
     }
@@ -204,7 +208,7 @@
         let has_alternative = |fixture: &mut Fixture| {
             let Fixture { local_view, route, service, head, sends, demand_id } = fixture;
             let request =
-                RequestContext { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, demand_id: *demand_id, version: None, is_trial: false, has_quota: true, send_permit: None };
+                RequestContext { route, service, head, allowed_ms: ALLOWED_MS, elapsed_ms: 0, demand_id: *demand_id, version: None, is_trial: false, has_quota: true, send_permit: None, assignment: None, is_unscheduled: false };
             selection::has_alternative(local_view, request, sends, NOW_MS)
         };
         fixture.local_view.daemons = 1;
--- a/crates/trestle-dispatch/tests/streams_over_versions.rs
+++ b/crates/trestle-dispatch/tests/streams_over_versions.rs
@@ -87,6 +87,8 @@
         is_trial: false,
         has_quota: true,
         send_permit: None,
+        assignment: None,
+        is_unscheduled: false,
     };
     selection::select(&mut local_view, request, &Sends::default(), 1, 10_000)
 }
--- a/crates/trestle-dispatch/tests/suspicions_at_all_daemons.rs
+++ b/crates/trestle-dispatch/tests/suspicions_at_all_daemons.rs
@@ -69,6 +69,8 @@
         is_trial: true,
         has_quota: true,
         send_permit: None,
+        assignment: None,
+        is_unscheduled: false,
     };
     selection::select(&mut local_view, request, &Sends::default(), random, 10_000)
 }
--- a/crates/trestle-entry/src/cleanup.rs
+++ b/crates/trestle-entry/src/cleanup.rs
@@ -42,6 +42,11 @@
         });
         daemon.with_endpoint_limits(|limits| limits.cleanup(now_ms));
         daemon.with_slot_allocator(|allocator| allocator.cleanup(now_ms));
+        let leads = !daemon.order_permits.held(now_ms).is_empty();
+        daemon.with_prompt_scheduler(|scheduler| match leads {
+            true => scheduler.cleanup(|incarnation| live.contains(incarnation), now_ms),
+            false => scheduler.clear(),
+        });
         daemon.pool.cleanup(|incarnation| live.contains(incarnation));
     }
 }
--- a/crates/trestle-entry/src/control/planning.rs
+++ b/crates/trestle-entry/src/control/planning.rs
@@ -70,6 +70,7 @@
             let others = sharing_leaders(&self.others, service, &led, foreign, now_ms);
             state.sharing.update(others);
             state.set_limited(limited.clone());
+            state.set_work(self.daemon.with_prompt_scheduler(|scheduler| scheduler.work(service)));
             let daemon = &self.daemon;
             let may_order_at = |name: &EndpointName| {
                 own.get(name).is_some_and(|endpoint| {
--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -6,6 +6,7 @@
     metrics::Metrics,
     net::pool::Pool,
     peer::calls::LeaderCalls,
+    schedule::SchedulingState,
     shared_view::SharedView,
     stopping::Stopping,
     store::{client::Store, freshness::Freshness},
@@ -29,6 +30,7 @@
     endpoint::Endpoint,
     endpoint_limits::EndpointLimits,
     helpers::{HelperRoster, Helpers},
+    load::prompt_scheduler::PromptScheduler,
     order_log::OrderLog,
     policy::Policy,
     quota_allocator::QuotaAllocator,
@@ -67,6 +69,10 @@
     pub(crate) open_detours: AtomicUsize,
     slot_allocator: Mutex<SlotAllocator>,
     pub(crate) calls: LeaderCalls,
+    prompt_scheduler: Mutex<PromptScheduler>,
+    scheduling: Mutex<SchedulingState>,
+    /// Calls on prompts, apart from others since daemons of earlier releases close the connection.
+    pub(crate) schedule_calls: LeaderCalls,
     /// Calls on slots, apart from others since daemons of earlier releases close the connection.
     pub(crate) slot_calls: LeaderCalls,
     pub(crate) freshness: Freshness,
@@ -110,6 +116,9 @@
             slot_allocator: Mutex::default(),
             calls: LeaderCalls::default(),
             slot_calls: LeaderCalls::default(),
+            prompt_scheduler: Mutex::default(),
+            scheduling: Mutex::default(),
+            schedule_calls: LeaderCalls::default(),
             freshness: Freshness::new(&settings.bounds),
             stopping: Stopping::new(&settings.bounds),
             in_flight: AtomicUsize::new(0),
@@ -188,6 +197,16 @@
         f(&mut self.slot_allocator.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Calls a function with the scheduler of prompts, which is used while this daemon leads.
+    pub(crate) fn with_prompt_scheduler<R>(&self, f: impl FnOnce(&mut PromptScheduler) -> R) -> R {
+        f(&mut self.prompt_scheduler.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Calls a function with what this daemon knows about the leaders that schedule prompts.
+    pub(crate) fn with_scheduling<R>(&self, f: impl FnOnce(&mut SchedulingState) -> R) -> R {
+        f(&mut self.scheduling.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Returns the endpoints of a service that may receive new work.
     pub(crate) fn usable_endpoints(
         &self,
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod net;
 mod paths;
 mod peer;
+mod schedule;
 mod send_permits;
 mod settings_watch;
 mod shared_view;
--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -20,6 +20,7 @@
     whole_ms: Histogram<f64>,
     change_ms: Histogram<f64>,
     sends: Counter<u64>,
+    prompts: Counter<u64>,
     unread_entries: Counter<u64>,
     config_version: Gauge<u64>,
     store_calls: Gauge<u64>,
@@ -79,6 +80,10 @@
             whole_ms: histogram("trestle_whole_ms", "Time from request to the answer's end"),
             change_ms: histogram("trestle_change_ms", "Time of changes at engines"),
             sends: sends.build(),
+            prompts: meter
+                .u64_counter("trestle_prompts")
+                .with_description("Decisions of leaders on prompts, by outcome")
+                .build(),
             unread_entries: meter
                 .u64_counter("trestle_unread_entries")
                 .with_description("Entries of endpoints that were not understood")
@@ -127,6 +132,11 @@
         self.sends.add(1, &[KeyValue::new("first", is_first)]);
     }
 
+    /// Records the outcome of a request for a leader's decision on a prompt.
+    pub(crate) fn record_schedule(&self, outcome: &'static str) {
+        self.prompts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records an entry of an endpoint that could not be parsed.
     pub(crate) fn record_unreadable_entry(&self) {
         self.unread_entries.add(1, &[]);
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -7,7 +7,7 @@
     daemon::Daemon,
     departures,
     detour::{reports, server},
-    send_permits, slots,
+    schedule, send_permits, slots,
     streams::{keepers, lookup, versions},
     trial_leader,
 };
@@ -30,6 +30,7 @@
     detours::{self, WireHelper, WireHelperReport},
     relay::{WireConfigUpdate, WireListUpdate, WireRelay, WireSyncPosition},
     replicas::{Replicas, WireSyncRequest, WireSyncResponse},
+    schedule::{WireSchedule, WireScheduleRequest},
     send_permits::{WireSendPermit, WireSendPermitRequest},
     slots::{WireSlot, WireSlotRequest},
     store_version::{NoEra, WireStoreVersion},
@@ -125,6 +126,10 @@
         lookup::answer(&self.0, &question)
     }
 
+    async fn schedule_prompt(self, _: Context, request: WireScheduleRequest) -> WireSchedule {
+        schedule::answer(&self.0, request).await
+    }
+
     async fn try_out(self, _: Context, trial: WireTrial) -> WireTrialAnswer {
         trial_leader::decide(&self.0, trial).await
     }
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -4,7 +4,7 @@
     connection_loss,
     detour::client,
     net::pool::{Connection, SendError},
-    paths, signals,
+    paths, schedule, signals,
     traffic::{
         outcome::{AttemptError, CompleteAnswer},
         select::SelectedEndpoint,
@@ -60,6 +60,7 @@
         Err(AttemptError::Unreachable(_) | AttemptError::NotSent | AttemptError::Restricted)
     ) {
         task.held_permit.clear();
+        task.prompt_schedule.sent();
     }
     match answered {
         Ok((connection, response, head)) => Ok(Attempt { selected, connection, response, head }),
@@ -71,6 +72,9 @@
                     selected.resolve();
                 }
             }
+            if error.is_endpoint_failure() {
+                schedule::record_start(task, &selected.endpoint, None);
+            }
             let name = &selected.endpoint.name;
             task.daemon.shared_view.with(|local_view| match &error {
                 AttemptError::NotRun(StatusCode::MISDIRECTED_REQUEST) => match &task.head.model {
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -6,6 +6,7 @@
         answer::{Body, Failure},
         held_permit::HeldPermit,
         plain,
+        prompt_schedule::PromptSchedule,
         quota_reservation::QuotaReservation,
         report::{self, RequestEnd, StreamStats},
         stream,
@@ -121,6 +122,7 @@
     let route = catalog.routes.find(host, parts.uri.path());
     let mut route = route.ok_or_else(|| unknown_route_failure(daemon, arrived_ms))?.clone();
     let identity = identify(daemon, catalog, &route, head.credential, arrived_ms)?;
+    let route_rank = route.priority;
     if let Some(priority) = identity.team().and_then(|team| team.priority) {
         route.priority = priority;
     }
@@ -160,6 +162,8 @@
         trial: Trial::default(),
         quota_reservation: QuotaReservation::default(),
         held_permit: HeldPermit::default(),
+        route_rank,
+        prompt_schedule: PromptSchedule::default(),
         helper: Mutex::default(),
         version: OnceLock::new(),
         throttle: Mutex::default(),
@@ -248,6 +252,9 @@
 fn record_arrival(task: &Task) {
     task.daemon.shared_view.with(|local_view| {
         local_view.request_arrived(&task.service, task.arrived_ms);
+        if let Some(size) = task.head.size.filter(|_| task.route.is_stream()) {
+            local_view.prompt_arrived(&task.service, size, task.arrived_ms);
+        }
         if let Some(model) = &task.head.model {
             local_view.model_request_arrived(&task.service, model, task.arrived_ms);
         }
--- a/crates/trestle-entry/src/traffic/mod.rs
+++ b/crates/trestle-entry/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod held_permit;
 pub(crate) mod outcome;
 mod plain;
+pub(crate) mod prompt_schedule;
 pub(crate) mod quota_reservation;
 pub(crate) mod report;
 pub(crate) mod select;
--- a/crates/trestle-entry/src/traffic/outcome.rs
+++ b/crates/trestle-entry/src/traffic/outcome.rs
@@ -41,6 +41,18 @@
         }
     }
 
+    /// Returns whether the failure speaks against the endpoint.
+    pub(crate) fn is_endpoint_failure(&self) -> bool {
+        match self {
+            Self::NotSent | Self::Restricted => false,
+            Self::NotRun(status) => *status != StatusCode::MISDIRECTED_REQUEST,
+            Self::Unreachable(_)
+            | Self::ConnectionLost(_)
+            | Self::InvalidAnswer(_)
+            | Self::TimedOut(_) => true,
+        }
+    }
+
     /// Returns a short reason, for logs.
     pub(crate) fn reason(&self) -> String {
         match self {
--- a/crates/trestle-entry/src/traffic/quota_reservation.rs
+++ b/crates/trestle-entry/src/traffic/quota_reservation.rs
@@ -95,7 +95,7 @@
 fn cost(task: &Task) -> Option<Cost<'_>> {
     let team = task.identity.team()?;
     let limit = team.limit?;
-    Some(Cost { team: &team.name, limit, units: limit.cost(task.head.tokens) })
+    Some(Cost { team: &team.name, limit, units: limit.cost(task.head.tokens()) })
 }
 
 /// Checks that the team's limit is not used up for longer than the request would wait.
@@ -174,3 +174,57 @@
         task.daemon.with_allowances(|allowances| allowances.add(team, units, until_ms));
     }
 }
+
+/// Returns the units that a leader must allocate with its decision on the prompt; 0 if the request has
+/// reserved them or needs none.
+pub(crate) fn units_to_allocate(task: &Task) -> u64 {
+    let Some(Cost { team, units, .. }) = cost(task) else { return 0 };
+    let daemon = &task.daemon;
+    let now_ms = daemon.shared_view.now_ms();
+    if task.quota_reservation.allows_send(task, now_ms) {
+        return 0;
+    }
+    // Units that another request did not need.
+    match daemon.with_allowances(|allowances| allowances.spend(team, units, now_ms)) {
+        Some(until_ms) => {
+            *task.quota_reservation.state() = ReservationState::Reserved { until_ms };
+            0
+        }
+        None => units,
+    }
+}
+
+/// Records that a leader that was asked at `asked_ms` has allocated the units of the request.
+pub(crate) fn allocated(task: &Task, asked_ms: u64) {
+    let Some(Cost { limit, .. }) = cost(task) else { return };
+    let bounds = task.daemon.shared_view.with(|local_view| local_view.quota_bounds);
+    let until_ms = asked_ms + bounds.valid_ms(&limit);
+    *task.quota_reservation.state() = ReservationState::Reserved { until_ms };
+}
+
+/// Waits until the limit of the request's team may have units again.
+///
+/// # Errors
+///
+/// Fails if that takes longer than the request would wait.
+pub(crate) async fn wait_for_units(task: &Task, in_ms: u64) -> Result<(), Failure> {
+    let Some(Cost { team, .. }) = cost(task) else { return Ok(()) };
+    let now_ms = task.daemon.shared_view.now_ms();
+    task.daemon.with_allowances(|allowances| allowances.refused(team, in_ms, now_ms));
+    if task.elapsed_ms() + in_ms > max_wait_ms(task) {
+        return Err(Failure::OverLimit { retry_after_ms: in_ms });
+    }
+    Timer::after(Duration::from_millis(in_ms.max(1))).await;
+    Ok(())
+}
+
+/// Makes the reserved units available to other requests if they lapse while this one waits until
+/// `until_ms`. It must reserve units again then.
+pub(crate) fn give_back_lapsing(task: &Task, until_ms: u64) {
+    let state = *task.quota_reservation.state();
+    if matches!(state, ReservationState::Reserved { until_ms: lapses_ms } if lapses_ms <= until_ms)
+    {
+        release(task);
+        *task.quota_reservation.state() = ReservationState::Unreserved;
+    }
+}
--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -59,6 +59,7 @@
     let list_info = endpoint.map(|_| task.list_info());
     let throttle = task.throttle();
     let throttle = throttle.as_ref();
+    let assignment = task.prompt_schedule.last_assignment();
     tracing::info!(
         id = task.head.id,
         request = task.fingerprint(),
@@ -67,7 +68,10 @@
         model = task.head.model.as_ref().map(AsRef::<str>::as_ref),
         adapter = task.head.adapter.as_ref().map(AsRef::<str>::as_ref),
         team = task.identity.team().map(|team| team.name.as_str()),
-        tokens = task.head.tokens,
+        tokens = task.head.tokens(),
+        unread_tokens = assignment.map(|assignment| assignment.unread_tokens),
+        expected_ms = assignment.map(|assignment| assignment.expected_ms),
+        room_wait_ms = assignment.map(|assignment| assignment.room_wait_ms),
         priority = task.route.priority,
         objective_ms = task.route.objective_ms,
         end = end.name(),
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -3,6 +3,7 @@
 use crate::{
     connection_loss,
     daemon::Daemon,
+    schedule::{self, Outcome},
     send_permits, slots,
     traffic::{
         answer::{Failure, RETRY_SOON_MS},
@@ -16,6 +17,7 @@
 use trestle_core::names::ServiceName;
 use trestle_dispatch::{
     admission::Reason,
+    choice::Candidate,
     endpoint::Endpoint,
     fingerprint::Fingerprint,
     selection::{self, NO_SIGN_RETRY_MS, RequestContext, Selection},
@@ -66,6 +68,8 @@
 
     /// Records that the endpoint has begun to answer, so that no part of the prompt has crashed it.
     pub(crate) fn record_begun(&mut self) {
+        let observed_ms = self.task.daemon.shared_view.now_ms().saturating_sub(self.sent_ms);
+        schedule::record_start(&self.task, &self.endpoint, Some(observed_ms));
         let (parts, request) = self.unresolved.drain(..).partition(Fingerprint::is_part);
         self.unresolved = request;
         self.resolve_all(parts);
@@ -171,6 +175,10 @@
                 }
                 continue;
             }
+            Selection::Schedule(candidates) => {
+                schedule_prompt(task, &candidates).await?;
+                continue;
+            }
             Selection::Throttled(throttled) => {
                 let retry_after_ms = throttled.for_ms;
                 // A backoff ends soon. Under a limit, which lasts longer, the model is loaded at
@@ -200,6 +208,28 @@
     }
 }
 
+/// Requests a decision on which engine reads the prompt, and waits if none has room now.
+async fn schedule_prompt(task: &Task, candidates: &[Candidate]) -> Result<(), Failure> {
+    task.prompt_schedule.requested(task.daemon.shared_view.now_ms());
+    match schedule::request(task, candidates).await {
+        Outcome::Decided => Ok(()),
+        Outcome::Later { in_ms } => {
+            let until_ms = task.daemon.shared_view.now_ms() + in_ms;
+            quota_reservation::give_back_lapsing(task, until_ms);
+            Timer::after(Duration::from_millis(in_ms)).await;
+            match task.daemon.stopping.can_send(task.daemon.shared_view.now_ms()) {
+                true => Ok(()),
+                false => Err(Failure::NotRun { retry_after_ms: RETRY_SOON_MS, why: "stopping" }),
+            }
+        }
+        Outcome::OverLimit { in_ms } => quota_reservation::wait_for_units(task, in_ms).await,
+        Outcome::Refused { in_ms } => {
+            record_returning(task, in_ms);
+            Err(Failure::NotRun { retry_after_ms: in_ms, why: "no_room" })
+        }
+    }
+}
+
 /// Requests permission to run a request that is suspected of crashing endpoints.
 async fn request_trial(task: &Task) -> Result<(), Failure> {
     let restricted =
@@ -215,9 +245,14 @@
     let random = fastrand::u64(..);
     let now_ms = task.daemon.shared_view.now_ms();
     let send_permit = task.held_permit.incarnation(now_ms);
+    let assignment = task.prompt_schedule.engine(now_ms);
     task.daemon.shared_view.with(|local_view| {
-        let context =
-            RequestContext { demand_id, send_permit: send_permit.as_ref(), ..task.context() };
+        let context = RequestContext {
+            demand_id,
+            send_permit: send_permit.as_ref(),
+            assignment: assignment.as_ref(),
+            ..task.context()
+        };
         let selection = selection::select(local_view, context, sends, random, now_ms);
         if let Selection::Throttled(throttled) = &selection {
             task.record_throttle(local_view, &throttled.incarnation, now_ms);
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -6,6 +6,7 @@
 //! closed without the end of the stream.
 
 use crate::{
+    schedule,
     streams::lookup,
     traffic::{
         answer::{BodyError, Failure, RETRY_SOON_MS, full_body},
@@ -334,6 +335,9 @@
         let Some(mut source) = self.source.take() else { return };
         let name = &source.selected.endpoint.name;
         let daemon = &self.task.daemon;
+        if !source.has_begun {
+            schedule::record_start(&self.task, &source.selected.endpoint, None);
+        }
         let now_ms = daemon.shared_view.now_ms();
         daemon.shared_view.with(|local_view| local_view.records.failed(name, now_ms));
         tracing::info!(
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -4,6 +4,7 @@
     daemon::Daemon,
     traffic::{
         held_permit::HeldPermit,
+        prompt_schedule::PromptSchedule,
         quota_reservation::{self, QuotaReservation},
     },
     trial::Trial,
@@ -28,6 +29,7 @@
     selection::RequestContext,
     sends::Sends,
     store_version::StoreVersion,
+    waiting::order,
 };
 
 /// The most urgent and the least urgent priority that endpoints accept.
@@ -61,6 +63,10 @@
     pub(crate) quota_reservation: QuotaReservation,
     /// The permit to send the request to an endpoint that limits its requests.
     pub(crate) held_permit: HeldPermit,
+    /// The rank of the route, whatever the rank of the caller's team.
+    pub(crate) route_rank: u8,
+    /// What leaders decided on which engine reads the prompt, and when.
+    pub(crate) prompt_schedule: PromptSchedule,
     /// The daemon through which the last send passed, for logs; `None` if it was direct.
     pub(crate) helper: Mutex<Option<SocketAddr>>,
     /// The version of the software at which the stream began; empty while any may run it.
@@ -113,6 +119,8 @@
             is_trial: self.trial.is_permitted(now_ms),
             has_quota: self.quota_reservation.allows_send(self, now_ms),
             send_permit: None,
+            assignment: None,
+            is_unscheduled: self.prompt_schedule.is_unscheduled(now_ms),
         }
     }
 
@@ -296,6 +304,18 @@
         self.remaining_ms() == 0
     }
 
+    /// Returns the priority of the request at an endpoint. Where leaders schedule prompts, routes order
+    /// the requests of teams of one rank.
+    fn endpoint_priority(&self) -> u8 {
+        match self.prompt_schedule.was_requested() {
+            true => {
+                let team_rank = self.identity.team().and_then(|team| team.priority);
+                order::endpoint_priority(team_rank, self.route_rank)
+            }
+            false => self.route.priority.clamp(PRIORITY_RANGE.0, PRIORITY_RANGE.1),
+        }
+    }
+
     /// Builds the HTTP request for an endpoint. A stream is to continue after `last_event_id`.
     pub(crate) fn to_http_request(
         &self,
@@ -309,7 +329,7 @@
         let forwarded = Forwarded {
             endpoint: &endpoint.name,
             deadline_ms: self.remaining_ms(),
-            priority: self.route.priority.clamp(PRIORITY_RANGE.0, PRIORITY_RANGE.1),
+            priority: self.endpoint_priority(),
             last_event_id,
             identity: &self.identity,
         };
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -168,6 +168,8 @@
             is_trial: false,
             has_quota: true,
             send_permit: None,
+            assignment: None,
+            is_unscheduled: false,
         };
         let local_view = &mut self.daemons[request_state.daemon].local_view;
         match selection::select(local_view, context, &request_state.sends, random, now_ms) {
@@ -212,6 +214,8 @@
             is_trial: false,
             has_quota: true,
             send_permit: None,
+            assignment: None,
+            is_unscheduled: false,
         };
         let Some(pending_demand) = selection::pending_demand(context, due_ms) else { return };
         daemon.next_demand_id += 1;
@@ -421,6 +425,8 @@
             is_trial: false,
             has_quota: true,
             send_permit: None,
+            assignment: None,
+            is_unscheduled: false,
         };
         let local_view = &mut self.daemons[request_state.daemon].local_view;
         let can_move = request_state.sends.has_attempt_left(route)
@@ -488,6 +494,8 @@
             is_trial: false,
             has_quota: true,
             send_permit: None,
+            assignment: None,
+            is_unscheduled: false,
         };
         let daemon = &mut self.daemons[request_state.daemon];
         let pending_demand =
--- a/crates/trestle-lab/src/sim/simulation.rs
+++ b/crates/trestle-lab/src/sim/simulation.rs
@@ -507,6 +507,7 @@
         slots: engines.slots,
         memory_mb: engines.memory_mb,
         adapter_slots: engines.adapter_slots,
+        cache_tokens: None,
         models: (0..models.count).map(|number| (model_name(number), spec(number))).collect(),
     }
 }
--- a/crates/trestle-wire/src/lib.rs
+++ b/crates/trestle-wire/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`send_permits`]: send permits for endpoints that have announced limits.
 //! - [`detours`]: connections to endpoints that one daemon opens for another.
 //! - [`slots`]: slots of endpoints that crash if they have to reject too many requests.
+//! - [`schedule`]: decisions on which engine reads a prompt.
 //! - [`claim`]: claims on calls that must not run twice.
 //! - [`admin`]: the state of a daemon, for operators.
 //! - [`usage_profile`]: stored times of day at which models are used.
@@ -36,6 +37,7 @@
 pub mod relay;
 pub mod replicas;
 pub mod row;
+pub mod schedule;
 pub mod send_permits;
 pub mod slots;
 pub mod store_version;
--- a/crates/trestle-wire/src/replicas.rs
+++ b/crates/trestle-wire/src/replicas.rs
@@ -7,6 +7,7 @@
     detours::{WireHelper, WireHelperReport},
     placements::{WireName, WirePlacementDelta},
     relay::{WireRelay, WireSyncPosition},
+    schedule::{WireSchedule, WireScheduleRequest},
     send_permits::{WireSendPermit, WireSendPermitRequest},
     slots::{WireSlot, WireSlotRequest},
     store_version::WireStoreVersion,
@@ -54,6 +55,9 @@
     async fn keep_streams(streams: Vec<WireStreamOrigin>);
     /// Returns where a stream began. Daemons of earlier releases close the connection.
     async fn find_stream(question: WireStreamQuestion) -> WireStreamKnowledge;
+    /// Requests a decision on which engine reads a prompt, and when. Daemons of earlier releases close
+    /// the connection.
+    async fn schedule_prompt(request: WireScheduleRequest) -> WireSchedule;
 }
 
 /// Report of a daemon to a leader, with the position up to which the daemon has the leader's data.
