--- a/crates/trestle-config/src/entry_settings.rs
+++ b/crates/trestle-config/src/entry_settings.rs
@@ -20,6 +20,10 @@
     /// processor should lead.
     #[serde(default = "one_core")]
     pub processor_cores: f64,
+    /// Memory of the VM, in MB; `None` if it is not known. The daemon holds request bodies and answers
+    /// in a part of it.
+    #[serde(default, deserialize_with = "whole::below_if_given")]
+    pub memory_mb: Option<u64>,
     /// Address at which the daemon serves callers.
     pub callers_address: SocketAddr,
     /// Address at which the load balancer queries whether the daemon is ready.
