--- a/crates/trestle-entry/src/daemon.rs
+++ b/crates/trestle-entry/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::Clock,
     control::{message::Message, permit::OrderPermits},
+    held_bytes::HeldBytes,
     metrics::Metrics,
     net::pool::Pool,
     peer::calls::LeaderCalls,
@@ -72,6 +73,8 @@
     pub(crate) freshness: Freshness,
     pub(crate) stopping: Stopping,
     pub(crate) in_flight: AtomicUsize,
+    /// Bytes that are held for request bodies and answers.
+    pub(crate) held_bytes: Arc<HeldBytes>,
     /// Whether this daemon was the last to lead a group, so that other daemons still report to it.
     pub(crate) is_last_holder: AtomicBool,
     next_number: AtomicU64,
@@ -113,6 +116,7 @@
             freshness: Freshness::new(&settings.bounds),
             stopping: Stopping::new(&settings.bounds),
             in_flight: AtomicUsize::new(0),
+            held_bytes: HeldBytes::new(settings.memory_mb),
             is_last_holder: AtomicBool::new(false),
             // A leader must not take an attempt for one of an earlier process of this daemon.
             next_number: AtomicU64::new(u64::from(fastrand::u32(1..)) << u16::BITS),
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod daemon;
 mod departures;
 mod detour;
+mod held_bytes;
 pub mod logs;
 mod metrics;
 mod net;
@@ -226,6 +227,7 @@
         draining: local_view.directory.iter().filter(|endpoint| endpoint.is_draining).count(),
         unreached: local_view.reachability.unreached(),
         open_detours: daemon.open_detours.load(Ordering::Relaxed),
+        held_bytes: daemon.held_bytes.count(),
     })
 }
 
--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -29,6 +29,7 @@
     asking_endpoints: Gauge<u64>,
     unreached_endpoints: Gauge<u64>,
     open_detours: Gauge<u64>,
+    held_bytes: Gauge<u64>,
 }
 
 /// Values that are counted elsewhere, as of the time when metrics are requested.
@@ -50,6 +51,8 @@
     pub(crate) unreached: usize,
     /// Detours that are open through this daemon.
     pub(crate) open_detours: usize,
+    /// Bytes that are held for request bodies and answers.
+    pub(crate) held_bytes: usize,
 }
 
 impl Metrics {
@@ -106,6 +109,10 @@
                 "trestle_open_detours",
                 "Connections to endpoints that this daemon has open for other daemons",
             ),
+            held_bytes: gauge(
+                "trestle_held_bytes",
+                "Bytes held for request bodies and answers that were not passed on yet",
+            ),
             registry,
             _provider: provider,
         })
@@ -161,6 +168,7 @@
         ];
         self.unreached_endpoints.record(external.unreached as u64, &[]);
         self.open_detours.record(external.open_detours as u64, &[]);
+        self.held_bytes.record(external.held_bytes as u64, &[]);
         for (what, count) in by_signal {
             self.asking_endpoints.record(count as u64, &[KeyValue::new("asks", what)]);
         }
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -3,6 +3,7 @@
 use crate::{
     connection_loss,
     detour::client,
+    held_bytes::{Content, HeldGuard},
     net::pool::{Connection, SendError},
     paths, signals,
     traffic::{
@@ -12,9 +13,10 @@
         wait_limit::WaitLimit,
     },
 };
+use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http::{HeaderMap, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use smol::Timer;
 use std::{io::ErrorKind, sync::Arc, time::Duration};
@@ -22,9 +24,6 @@
     endpoint::Endpoint, loadable::Loadable, request::AnswerHead, unresolved_requests::Evidence,
 };
 
-/// Largest answer body that is accepted for a request that is no stream.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
-
 /// A send that was answered: the head of the answer, whose body is not read yet.
 #[derive(Debug)]
 pub(crate) struct Attempt {
@@ -214,6 +213,20 @@
     Ok((connection, response, head))
 }
 
+/// Reads a body completely. While too many bytes are held, nothing further is read.
+async fn read_held(mut body: Incoming, held: &mut HeldGuard) -> Result<Bytes, AttemptError> {
+    let mut content = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| AttemptError::ConnectionLost(error.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            let too_large = || AttemptError::ConnectionLost("the answer is too large".to_owned());
+            held.grow(data.len()).await.map_err(|_| too_large())?;
+            content.extend_from_slice(&data);
+        }
+    }
+    Ok(content.freeze())
+}
+
 impl Attempt {
     /// Reads the complete body, and returns the connection to the pool.
     ///
@@ -228,20 +241,18 @@
         let Self { mut selected, connection, response, head } = self;
         let (mut parts, body) = response.into_parts();
         let has_explicit_end = has_explicit_end(&parts.headers);
-        let read = async {
-            let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-            collected
-                .map(|content| content.to_bytes())
-                .map_err(|error| AttemptError::ConnectionLost(error.to_string()))
-        };
+        let mut held = task.daemon.held_bytes.guard(Content::Answer);
+        let read = read_held(body, &mut held);
         let timed_out = async {
             Timer::after(Duration::from_millis(timeout_ms)).await;
             Err(AttemptError::TimedOut(timeout_ms))
         };
         let shared_view = &task.daemon.shared_view;
         let name = &selected.endpoint.name;
-        match read.or(timed_out).await {
+        let result = read.or(timed_out).await;
+        match result {
             Ok(content) => {
+                let content = held.release_with(content);
                 let is_healthy = !parts.status.is_server_error();
                 let now_ms = shared_view.now_ms();
                 shared_view.with(|local_view| match is_healthy {
@@ -266,7 +277,10 @@
             Err(error) => {
                 task.trial.unanswered();
                 let now_ms = shared_view.now_ms();
-                shared_view.with(|local_view| local_view.records.failed(name, now_ms));
+                // The endpoint is not to blame if its answer had to wait for others here.
+                if !held.is_waiting() {
+                    shared_view.with(|local_view| local_view.records.failed(name, now_ms));
+                }
                 if matches!(error, AttemptError::ConnectionLost(_)) {
                     selected.record_connection_lost();
                 }
--- a/crates/trestle-entry/src/traffic/events.rs
+++ b/crates/trestle-entry/src/traffic/events.rs
@@ -5,17 +5,22 @@
 /// The field that holds an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Length of the longest separator of two events.
+const MAX_SEPARATOR_BYTES: usize = 4;
+
 /// The bytes of a stream that have arrived and were not passed on yet.
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
     buffer: BytesMut,
+    /// Number of bytes at the beginning in which no event ends.
+    searched_bytes: usize,
     last_id: Option<u64>,
 }
 
 impl EventBuffer {
     /// Creates an empty buffer for a stream whose events up to `last_id` the caller already has.
     pub(crate) fn resuming_after(last_id: Option<u64>) -> Self {
-        Self { buffer: BytesMut::new(), last_id }
+        Self { buffer: BytesMut::new(), searched_bytes: 0, last_id }
     }
 
     /// Appends bytes of the stream.
@@ -25,8 +30,13 @@
 
     /// Removes and returns all complete events; `None` if there is none.
     pub(crate) fn take_complete(&mut self) -> Option<Bytes> {
-        let end = end_of_last_event(&self.buffer)?;
-        let complete = self.buffer.split_to(end).freeze();
+        // The search of an event that arrives in many parts would take quadratic time if each part
+        // began it anew.
+        let start = self.searched_bytes.saturating_sub(MAX_SEPARATOR_BYTES - 1);
+        let end = end_of_last_event(&self.buffer[start..]);
+        let complete = end.map(|end| self.buffer.split_to(start + end).freeze());
+        self.searched_bytes = self.buffer.len();
+        let complete = complete?;
         if let Some(id) = complete.split(|byte| *byte == b'\n').rev().find_map(event_id) {
             self.last_id = Some(id);
         }
@@ -46,6 +56,7 @@
     /// Discards the beginning of an event whose end will not arrive.
     pub(crate) fn discard_partial_event(&mut self) {
         self.buffer.clear();
+        self.searched_bytes = 0;
     }
 }
 
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     daemon::Daemon,
+    held_bytes::{Content, NotHeld},
     traffic::{
         answer::{Body, Failure},
         held_permit::HeldPermit,
@@ -13,9 +14,10 @@
     },
     trial::Trial,
 };
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http::{HeaderValue, Request, Response, header, request::Parts, uri::PathAndQuery};
+use http_body::Body as _;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use smol::Timer;
@@ -45,6 +47,10 @@
 /// Retry-after time for callers while this daemon is stopping. Another daemon serves the retry.
 const STOPPING_RETRY_MS: u64 = 100;
 
+/// Retry-after time for callers while too many bytes are held. Most answers are passed on within
+/// this time.
+const FULL_RETRY_MS: u64 = 1_000;
+
 /// Most parts of a prompt by which a request is known, the first ones.
 const MAX_PARTS: usize = 32;
 
@@ -94,7 +100,7 @@
     if both_lengths {
         return Err(reject(Failure::BadRequest));
     }
-    let body = read_body(body, &catalog).await.map_err(reject)?;
+    let body = read_body(daemon, body, &catalog).await.map_err(reject)?;
     let task = build_task(daemon, &catalog, ReceivedRequest { parts, head, body, arrived_ms })
         .map_err(reject)?;
     Ok(Arc::new(task))
@@ -198,20 +204,56 @@
 }
 
 /// Reads a request body, within the limits that the configuration sets on its size and on the time
-/// that reading it may take.
-async fn read_body(body: Incoming, catalog: &Catalog) -> Result<Bytes, Failure> {
+/// that reading it may take, and within the bound on held bytes.
+async fn read_body(daemon: &Daemon, body: Incoming, catalog: &Catalog) -> Result<Bytes, Failure> {
+    let mut held = daemon.held_bytes.guard(Content::RequestBody);
+    let max_bytes = catalog.limits.body_bytes;
+    let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut body = Limited::new(body, max_bytes);
     let collected = async {
-        match Limited::new(body, catalog.limits.body_bytes).collect().await {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(Failure::TooLarge),
-            Err(_) => Err(Failure::BadRequest),
+        if (1..=max_bytes).contains(&announced_bytes) {
+            held.check(announced_bytes).map_err(not_held_failure)?;
+        }
+        let mut content = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+                true => Failure::TooLarge,
+                false => Failure::BadRequest,
+            })?;
+            if let Ok(data) = frame.into_data() {
+                held.try_grow(data.len()).map_err(not_held_failure)?;
+                content.extend_from_slice(&data);
+            }
         }
+        Ok(held.release_with(content.freeze()))
     };
     let timed_out = async {
         Timer::after(Duration::from_millis(catalog.limits.idle_ms)).await;
         Err(Failure::BadRequest)
     };
-    collected.or(timed_out).await
+    let result = collected.or(timed_out).await;
+    if matches!(result, Err(Failure::NotRun { .. })) {
+        smol::spawn(discard(body, catalog.limits.idle_ms)).detach();
+    }
+    result
+}
+
+/// Returns the failure for a request whose body may not be held.
+fn not_held_failure(reason: NotHeld) -> Failure {
+    match reason {
+        NotHeld::Full => Failure::NotRun { retry_after_ms: FULL_RETRY_MS, why: "memory_full" },
+        NotHeld::TooLarge => Failure::TooLarge,
+    }
+}
+
+/// Reads and discards the rest of a refused body. A connection that is closed with unread bytes is
+/// reset by the system, and its caller may not get the answer and the retry time.
+async fn discard(mut body: Limited<Incoming>, timeout_ms: u64) {
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    let timed_out = async {
+        Timer::after(Duration::from_millis(timeout_ms)).await;
+    };
+    read.or(timed_out).await;
 }
 
 /// Forwards a request and reports how it ended. The end of a stream is reported later, when its
--- a/crates/trestle-entry/src/traffic/mod.rs
+++ b/crates/trestle-entry/src/traffic/mod.rs
@@ -4,6 +4,8 @@
 //! forwards requests with a single answer, [`stream`] those whose answer is a stream of events.
 //! Both choose endpoints with [`select`] and send with [`attempt`]. Every request ends either with
 //! the complete answer that belongs to it, or with a failure that says whether it may have run.
+//!
+//! Request bodies and answers are held only within the bounds of [`held_bytes`](crate::held_bytes).
 
 pub(crate) mod answer;
 pub(crate) mod attempt;
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -6,6 +6,7 @@
 //! closed without the end of the stream.
 
 use crate::{
+    held_bytes::{Content, HeldGuard},
     streams::lookup,
     traffic::{
         answer::{BodyError, Failure, RETRY_SOON_MS, full_body},
@@ -20,12 +21,13 @@
     },
 };
 use bytes::Bytes;
-use futures_lite::stream;
+use futures_lite::{FutureExt, stream};
 use http::{Response, StatusCode, header, response::Parts};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
-use std::sync::Arc;
+use smol::Timer;
+use std::{sync::Arc, time::Duration};
 use trestle_dispatch::{
     sends::{SendEnd, Sends},
     wait_limit,
@@ -87,6 +89,10 @@
     Connection(String),
     /// No event arrived within the wait limit.
     Stalled,
+    /// An event is larger than any may be.
+    TooLarge,
+    /// Others held too many bytes until the time of the request was used up.
+    NoRoom,
     /// There is no endpoint to read from.
     NoSource,
 }
@@ -96,6 +102,8 @@
         match self {
             Self::Connection(reason) => reason,
             Self::Stalled => "no event came for too long",
+            Self::TooLarge => "an event is too large",
+            Self::NoRoom => "too many bytes were held for others",
             Self::NoSource => "there is no source",
         }
     }
@@ -108,6 +116,8 @@
     /// The last failure that an endpoint answered; passed on if no later send succeeds.
     failed_answer: Option<CompleteAnswer>,
     buffer: EventBuffer,
+    /// The bytes in `buffer`.
+    held: HeldGuard,
     source: Option<EventSource>,
 }
 
@@ -131,6 +141,7 @@
             sends: Sends::default(),
             failed_answer: None,
             buffer: EventBuffer::resuming_after(task.head.last_event_id),
+            held: task.daemon.held_bytes.guard(Content::Answer),
             source: None,
         }
     }
@@ -260,7 +271,7 @@
         loop {
             if let Some(events) = self.buffer.take_complete() {
                 self.record_begun();
-                return Step::Events(events);
+                return Step::Events(self.held.release_with(events));
             }
             let Some(source) = &mut self.source else {
                 return Step::Error(StreamError::NoSource);
@@ -272,6 +283,9 @@
             match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        if let Err(error) = self.hold(data.len()).await {
+                            return Step::Error(error);
+                        }
                         self.buffer.push(&data);
                     }
                 }
@@ -289,6 +303,18 @@
         }
     }
 
+    /// Holds this many more bytes. While too many are held, nothing further is read; this time does
+    /// not count as a pause of the endpoint.
+    async fn hold(&mut self, more_bytes: usize) -> Result<(), StreamError> {
+        let remaining_ms = self.task.remaining_ms();
+        let grown = async { self.held.grow(more_bytes).await.map_err(|_| StreamError::TooLarge) };
+        let timed_out = async {
+            Timer::after(Duration::from_millis(remaining_ms)).await;
+            Err(StreamError::NoRoom)
+        };
+        grown.or(timed_out).await
+    }
+
     /// Returns whether the stream ended with its connection and without any event: its endpoint has
     /// crashed, or will never send one.
     fn has_lost_beginning(&self) -> bool {
@@ -330,17 +356,20 @@
     fn record_stream_error(&mut self, error: &StreamError) {
         self.record_failed();
         self.buffer.discard_partial_event();
+        self.held.clear();
         self.task.trial.unanswered();
         let Some(mut source) = self.source.take() else { return };
         let name = &source.selected.endpoint.name;
         let daemon = &self.task.daemon;
         let now_ms = daemon.shared_view.now_ms();
-        daemon.shared_view.with(|local_view| local_view.records.failed(name, now_ms));
+        if !matches!(error, StreamError::NoRoom) {
+            daemon.shared_view.with(|local_view| local_view.records.failed(name, now_ms));
+        }
         tracing::info!(
             id = self.task.head.id, request = self.task.fingerprint(), endpoint = %name,
             software = source.selected.software(), parts = self.task.parts(), reason = error.reason(), last_id = self.buffer.last_id(), elapsed_ms = self.task.elapsed_ms(), "request: A stream failed at its endpoint."
         );
-        if matches!(error, StreamError::Connection(_)) {
+        if matches!(error, StreamError::Connection(_) | StreamError::TooLarge) {
             source.selected.record_connection_lost();
         }
     }
