--- a/crates/trestle-entry/src/net/pool.rs
+++ b/crates/trestle-entry/src/net/pool.rs
@@ -27,6 +27,9 @@
 /// Idle time after which a connection is closed if the endpoint does not report its own idle
 /// timeout. It is below the shortest timeout that endpoints report.
 const DEFAULT_IDLE_MS: u64 = 900;
+/// Largest read buffer of a connection to an endpoint. It may fill up while a caller reads slowly,
+/// and it must take the head of an answer. The library's default is 400 KiB.
+const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Fraction of the endpoint's own idle timeout for which a connection is kept.
 const IDLE_FRACTION: f64 = 0.6;
 /// Most idle connections that are kept to one endpoint.
@@ -181,8 +184,10 @@
 
 /// Begins HTTP over a stream, and drives the connection in a task of its own.
 async fn handshake(stream: TcpStream) -> io::Result<SendRequest<Full<Bytes>>> {
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BUFFER_BYTES);
     let (sender, connection) =
-        http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
+        builder.handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
     smol::spawn(async move {
         // The request fails with an error on its connection, and reports it.
         let _ = connection.await;
--- a/crates/trestle-entry/src/traffic/mod.rs
+++ b/crates/trestle-entry/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 
 pub(crate) mod answer;
 pub(crate) mod attempt;
+mod caller_stream;
 pub(crate) mod events;
 pub(crate) mod handle;
 mod held_permit;
--- a/crates/trestle-entry/src/traffic/serve.rs
+++ b/crates/trestle-entry/src/traffic/serve.rs
@@ -1,5 +1,6 @@
 //! Accepts connections and serves HTTP requests on them.
 
+use crate::traffic::caller_stream::CallerStream;
 use event_listener::Event;
 use futures_lite::{FutureExt, pin};
 use http::{Request, Response};
@@ -115,7 +116,9 @@
         .timer(SmolTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
+        // Otherwise the library copies answers, and the copies are not counted as held bytes.
+        .writev(true)
+        .serve_connection(FuturesIo::new(CallerStream::new(stream)), service);
     pin!(connection);
     let shutdown_requested = async {
         shutdown.wait().await;
