--- a/crates/trestle-dispatch/tests/placing.rs
+++ b/crates/trestle-dispatch/tests/placing.rs
@@ -425,6 +425,27 @@
         assert_eq!((&plan.changes[0].model, &plan.changes[0].endpoint), (&"a".into(), &"y".into()));
     }
 
+    // One engine read the long prompts of a model all the time, and every stream there stalled, while
+    // its few running requests seemed to need no further replica. Another model without room for a
+    // replica must not keep it from one.
+    model_of_few_long_prompts_gets_a_further_replica => {
+        for (read_ms, started) in [(20.0, 0), (200.0, 1)] {
+            let engines = vec![
+                all_on_disk(endpoint("x", "z", &["a", "b", "c"])),
+                all_on_disk(endpoint("y", "z", &["e", "f", "g"])),
+            ];
+            let mut fixture = Fixture::new(engines);
+            fixture.work.record(&"x".into(), &"a".into(), read_ms, NOW_MS);
+            let running = BTreeMap::from([(ModelName::from("a"), 1)]);
+            fixture.add_report(DemandReport {
+                arrivals: arrivals(&[("a", 20)]),
+                running: BTreeMap::from([(EndpointName::from("x"), running)]),
+                ..DemandReport::default()
+            });
+            assert_eq!(fixture.plan().changes.len(), started, "{read_ms} ms a prompt");
+        }
+    }
+
     // Few engines have a local copy of a model.
     very_busy_model_gets_a_replica_from_the_weight_store => {
         let engines = vec![
