--- a/crates/trestle-dispatch/src/admission.rs
+++ b/crates/trestle-dispatch/src/admission.rs
@@ -171,6 +171,7 @@
 ///
 /// It is at most a third of the caller's remaining time.
 pub fn retry_after_ms(elapsed_ms: u64, deadline_ms: u64, ready_in_ms: Option<u64>) -> u64 {
-    let ready_ms = ready_in_ms.map_or(UNKNOWN_READY_MS, |ready_ms| ready_ms + RETRY_MARGIN_MS);
+    let ready_ms =
+        ready_in_ms.map_or(UNKNOWN_READY_MS, |ready_ms| ready_ms.saturating_add(RETRY_MARGIN_MS));
     ready_ms.min(deadline_ms.saturating_sub(elapsed_ms) / RETRY_PART)
 }
--- a/crates/trestle-dispatch/src/load/model_work.rs
+++ b/crates/trestle-dispatch/src/load/model_work.rs
@@ -12,6 +12,8 @@
 const DECAY_MS: f64 = 4_000.0;
 /// Weight of the newest request in a model's average.
 const NEWEST_WEIGHT: f64 = 0.05;
+/// Time without scheduled prompts after which what is known of models no longer counts.
+const UNUSED_MS: u64 = 40_000;
 /// Rate of work below which an engine is forgotten.
 const MIN_SHARE: f64 = 0.001;
 
@@ -22,6 +24,7 @@
     read_ms: BTreeMap<ModelName, f64>,
     /// The same over all models.
     average_ms: f64,
+    recorded_ms: u64,
     by_engine: BTreeMap<EndpointName, DecayedSum>,
 }
 
@@ -43,6 +46,7 @@
         let average_ms = self.read_ms.entry(model.clone()).or_insert(read_ms);
         *average_ms += (read_ms - *average_ms) * NEWEST_WEIGHT;
         self.average_ms += (read_ms - self.average_ms) * NEWEST_WEIGHT;
+        self.recorded_ms = now_ms;
         let sum = self.by_engine.entry(engine.clone()).or_default();
         *sum = DecayedSum { sum_ms: sum.decayed_ms(now_ms) + read_ms, at_ms: now_ms };
     }
@@ -63,8 +67,11 @@
         self.by_engine.get(engine).map_or(0.0, |sum| sum.decayed_ms(now_ms) / DECAY_MS)
     }
 
-    /// Drops engines without recent work.
+    /// Drops engines without recent work, and models after some time without any.
     pub fn drop_lapsed(&mut self, now_ms: u64) {
+        if now_ms > self.recorded_ms + UNUSED_MS {
+            *self = Self::default();
+        }
         self.by_engine.retain(|_, sum| sum.decayed_ms(now_ms) / DECAY_MS >= MIN_SHARE);
     }
 }
--- a/crates/trestle-dispatch/src/load/prompt_profile.rs
+++ b/crates/trestle-dispatch/src/load/prompt_profile.rs
@@ -12,6 +12,8 @@
 const DECAY_MS: f64 = 30_000.0;
 /// Weight of prompts from which on the average counts.
 const MIN_WEIGHT: f64 = 8.0;
+/// Tokens that a prompt counts at most; callers may claim any number.
+const MAX_TOKENS: u64 = 200_000;
 /// Tokens that an engine is assumed to read in a millisecond, which decides only whether prompts are
 /// scheduled; the scheduler observes the speed.
 const ASSUMED_TOKENS_PER_MS: f64 = 30.0;
@@ -34,7 +36,7 @@
     /// Records the prompt of a request that arrived.
     pub fn record(&mut self, prompt_tokens: u64, now_ms: u64) {
         let decay = (-(now_ms.saturating_sub(self.recorded_ms) as f64) / DECAY_MS).exp();
-        let tokens = prompt_tokens as f64;
+        let tokens = prompt_tokens.min(MAX_TOKENS) as f64;
         self.weight = self.weight * decay + 1.0;
         self.tokens = self.tokens * decay + tokens;
         self.squared_tokens = self.squared_tokens * decay + tokens * tokens;
--- a/crates/trestle-dispatch/src/load/prompt_scheduler.rs
+++ b/crates/trestle-dispatch/src/load/prompt_scheduler.rs
@@ -87,6 +87,18 @@
     pub parts: &'a [PromptPart],
 }
 
+impl Prompt<'_> {
+    /// Returns the prompt with no more tokens than an engine can hold; callers may claim any number.
+    fn within(self, bounds: EngineBounds) -> Self {
+        let RequestSize { prompt_tokens, answer_tokens } = self.size;
+        let size = RequestSize {
+            prompt_tokens: prompt_tokens.min(bounds.cache_tokens),
+            answer_tokens: answer_tokens.min(bounds.cache_tokens),
+        };
+        Self { size, ..self }
+    }
+}
+
 /// The time to the first event of a request, as it was expected and as it was.
 #[trestle_macros::plain]
 pub struct ObservedStart {
@@ -117,7 +129,8 @@
         /// Time after which it should ask again.
         in_ms: u64,
     },
-    /// No engine will have room in time. The request keeps its place until its caller retries.
+    /// No engine will have room in time. When the request first arrived is remembered until its caller
+    /// retries.
     Refused {
         /// Time after which the caller should retry.
         in_ms: u64,
@@ -166,7 +179,8 @@
 }
 
 impl PromptScheduler {
-    /// Decides on a prompt of a request, which names the engines that may read it.
+    /// Decides on a prompt of a request, which names the engines that may read it. An assignment counts
+    /// once it is committed.
     pub fn schedule(
         &mut self,
         service: &ServiceName,
@@ -182,19 +196,18 @@
             .schedule(prompt, request, bounds, policy, now_ms)
     }
 
-    /// Takes back the assignment of a prompt that is not sent after all.
-    pub fn cancel(
+    /// Records that a prompt is sent to the engine that it was assigned to.
+    pub fn commit(
         &mut self,
         service: &ServiceName,
-        model: &ModelName,
+        prompt: Prompt<'_>,
+        request: &WaitingRequest,
         engine: &Incarnation,
-        unread_tokens: u64,
+        bounds: EngineBounds,
+        now_ms: u64,
     ) {
-        let Some(scheduler) = self.services.get_mut(service) else { return };
-        let read_ms = unread_tokens as f64 * scheduler.speeds.ms_per_token(model, engine);
-        if let Some(load) = scheduler.engines.get_mut(engine) {
-            load.queue.remove(read_ms);
-        }
+        let scheduler = self.services.entry(service.clone()).or_default();
+        scheduler.commit(prompt.within(bounds), request, engine, bounds, now_ms);
     }
 
     /// Records when the first event of earlier requests came.
@@ -267,7 +280,7 @@
         };
         let options = request.engines.iter().zip(ahead_ms);
         let options: Vec<EngineOption<'_>> = options
-            .map(|(engine, ahead_ms)| self.option(engine, prompt, ahead_ms, bounds, policy, now_ms))
+            .map(|(engine, ahead_ms)| self.option(engine, prompt, ahead_ms, bounds, now_ms))
             .collect();
         let soonest =
             options.iter().min_by(|one, other| one.room_in_ms.total_cmp(&other.room_in_ms));
@@ -284,11 +297,8 @@
         let best = open.min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms));
         if let Some(best) = best {
             let (expected_ms, unread_tokens) = (best.expected_ms as u64, best.unread_tokens);
-            let (engine, read_ms) = (best.engine, best.read_ms);
-            self.assign(engine, prompt, read_ms, bounds, now_ms);
-            self.line.remove(&request.id);
-            self.line.record_served(request.team.as_ref(), request.route_rank, read_ms, now_ms);
-            return Schedule::Assigned { engine: engine.clone(), expected_ms, unread_tokens };
+            let engine = best.engine.clone();
+            return Schedule::Assigned { engine, expected_ms, unread_tokens };
         }
         let begins_ms = request.waited_ms as f64 + room_in_ms + read_ms;
         let request = WaitingRequest { work_ms: read_ms, ..request.clone() };
@@ -302,21 +312,30 @@
         Schedule::Later { in_ms }
     }
 
+    /// Returns the tokens of a prompt that an engine does not keep.
+    fn unread_tokens(&self, prompt: Prompt<'_>, engine: &Incarnation) -> u64 {
+        let load = self.engines.get(engine);
+        let kept_tokens =
+            load.map_or(0, |load| load.kept.kept_tokens(weights_key(prompt), prompt.parts));
+        prompt.size.prompt_tokens.saturating_sub(kept_tokens).max(1)
+    }
+
+    fn read_ms(&self, prompt: Prompt<'_>, engine: &Incarnation) -> f64 {
+        let unread_tokens = self.unread_tokens(prompt, engine);
+        unread_tokens as f64 * self.speeds.ms_per_token(prompt.model, engine)
+    }
+
     fn option<'a>(
         &self,
         engine: &'a Incarnation,
         prompt: Prompt<'_>,
         ahead_ms: f64,
         bounds: EngineBounds,
-        policy: &Policy,
         now_ms: u64,
     ) -> EngineOption<'a> {
         let load = self.engines.get(engine);
-        let kept_tokens = load
-            .filter(|_| policy.has(Mechanism::KeptParts))
-            .map_or(0, |load| load.kept.kept_tokens(weights_key(prompt), prompt.parts));
-        let unread_tokens = prompt.size.prompt_tokens.saturating_sub(kept_tokens).max(1);
-        let read_ms = unread_tokens as f64 * self.speeds.ms_per_token(prompt.model, engine);
+        let unread_tokens = self.unread_tokens(prompt, engine);
+        let read_ms = self.read_ms(prompt, engine);
         let queue = load.map(|load| load.queue).unwrap_or_default();
         let pause_ms = bounds.shortest_pause_ms;
         let room_in_ms = queue.room_in_ms(read_ms, ahead_ms, pause_ms, now_ms);
@@ -331,14 +350,17 @@
         EngineOption { engine, unread_tokens, read_ms, expected_ms, cost_ms, room_in_ms, stalled }
     }
 
-    fn assign(
+    fn commit(
         &mut self,
-        engine: &Incarnation,
         prompt: Prompt<'_>,
-        read_ms: f64,
+        request: &WaitingRequest,
+        engine: &Incarnation,
         bounds: EngineBounds,
         now_ms: u64,
     ) {
+        let read_ms = self.read_ms(prompt, engine);
+        self.line.remove(&request.id);
+        self.line.record_served(request.team.as_ref(), request.route_rank, read_ms, now_ms);
         let new = || EngineLoad {
             queue: ReadingQueue::default(),
             kept: KeptParts::new(bounds.cache_tokens),
--- a/crates/trestle-dispatch/src/load/reading_queue.rs
+++ b/crates/trestle-dispatch/src/load/reading_queue.rs
@@ -51,11 +51,6 @@
         self.ends_at_ms = self.ends_at_ms.max(now_ms as f64) + read_ms;
     }
 
-    /// Removes a prompt that is not read after all.
-    pub fn remove(&mut self, read_ms: f64) {
-        self.ends_at_ms = (self.ends_at_ms - read_ms).max(self.begins_at_ms);
-    }
-
     /// Returns the length of the run that a prompt would continue; 0 if it would begin another.
     fn current_run_ms(&self, pause_ms: u64, now_ms: u64) -> f64 {
         let (_, gap_ms) = run_and_gap_ms(pause_ms);
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -258,7 +258,12 @@
     /// Returns whether a leader must decide which engine reads the prompt of a request, and when.
     pub fn needs_schedule(&self, service: &ServiceName, route: &Route, head: &RequestHead) -> bool {
         let is_sized = route.is_stream() && head.size.is_some() && head.model.is_some();
-        if !is_sized || !self.policy.has(Mechanism::ScheduledPrompts) {
+        is_sized && self.schedules_prompts(service)
+    }
+
+    /// Returns whether leaders schedule the prompts of a service.
+    pub fn schedules_prompts(&self, service: &ServiceName) -> bool {
+        if !self.policy.has(Mechanism::ScheduledPrompts) {
             return false;
         }
         let Some(profile) = self.prompt_profiles.get(service) else { return false };
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -279,10 +279,9 @@
     let mut choose = |mut allowed: Allowed| {
         allowed.excluded.extend(excluded.iter().cloned());
         let chosen = |inputs: ChoiceInputs<'_>, requirements: Requirements<'_>| {
-            let decided = request.send_permit.or(request.assignment);
-            let permit = decided.filter(|incarnation| {
-                choice::accepts_with_permit(inputs, requirements, incarnation)
-            });
+            let mut decided = request.send_permit.into_iter().chain(request.assignment);
+            let permit = decided
+                .find(|incarnation| choice::accepts_with_permit(inputs, requirements, incarnation));
             match permit {
                 Some(incarnation) => inputs.local_view.directory.get(&incarnation.name).cloned(),
                 None => choice::choose(inputs, requirements, random).cloned(),
--- a/crates/trestle-dispatch/tests/placing.rs
+++ b/crates/trestle-dispatch/tests/placing.rs
@@ -429,7 +429,7 @@
     // its few running requests seemed to need no further replica. Another model without room for a
     // replica must not keep it from one.
     model_of_few_long_prompts_gets_a_further_replica => {
-        for (read_ms, started) in [(20.0, 0), (200.0, 1)] {
+        for (read_ms, started) in [(5.0, 0), (200.0, 1)] {
             let engines = vec![
                 all_on_disk(endpoint("x", "z", &["a", "b", "c"])),
                 all_on_disk(endpoint("y", "z", &["e", "f", "g"])),
--- a/crates/trestle-dispatch/tests/prompt_scheduler.rs
+++ b/crates/trestle-dispatch/tests/prompt_scheduler.rs
@@ -68,7 +68,12 @@
         let prompt = Prompt { model: &model, adapter: None, size, parts };
         let bounds = EngineBounds { shortest_pause_ms: PAUSE_MS, cache_tokens: 100_000 };
         let service = ServiceName::from("s");
-        self.scheduler.schedule(&service, prompt, request, bounds, &self.policy, now_ms)
+        let schedule =
+            self.scheduler.schedule(&service, prompt, request, bounds, &self.policy, now_ms);
+        if let Schedule::Assigned { engine, .. } = &schedule {
+            self.scheduler.commit(&service, prompt, request, engine, bounds, now_ms);
+        }
+        schedule
     }
 
     /// Returns the number of the engine that is assigned, if one is.
@@ -264,6 +269,13 @@
         assert!(counts[0] > 0 && counts[1] > 3 * counts[0] / 2, "{counts:?}");
     }
 
+    /// One caller's claim of 2^64 tokens kept an engine from all others for a minute.
+    absurd_size_blocks_an_engine_for_no_longer_than_its_memory => {
+        let mut leader = Leader::default();
+        assert_eq!(leader.assign(u64::MAX, 0, &[0], 1_000), Some(0));
+        assert_eq!(leader.assign(SHORT_TOKENS, 1, &[0], 5_000), Some(0));
+    }
+
     /// A leader's work would grow with the daemons.
     calls_of_all_daemons_stay_bounded => {
         for daemons in [1, 70, 300] {
--- a/crates/trestle-entry/src/schedule.rs
+++ b/crates/trestle-entry/src/schedule.rs
@@ -7,11 +7,14 @@
     daemon::Daemon,
     peer::calls,
     send_permits,
-    traffic::{prompt_schedule::Assignment, quota_reservation, task::Task},
+    traffic::{quota_reservation, task::Task},
 };
+use futures_lite::FutureExt;
+use smol::Timer;
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
+    time::Duration,
 };
 use trestle_core::names::{
     AdapterName, DomainName, EndpointName, ModelName, ServiceName, TeamName,
@@ -23,10 +26,10 @@
     fingerprint::Fingerprint,
     load::{
         call_budget::CallBudget,
-        prompt_scheduler::{EngineBounds, ObservedStart, Prompt},
-        request_size::RequestSize,
+        prompt_scheduler::{EngineBounds, ObservedStart, Prompt, Schedule},
+        request_size::{PromptPart, RequestSize},
     },
-    policy::Mechanism,
+    policy::{Mechanism, Policy},
     waiting::line::WaitingRequest,
 };
 use trestle_wire::{
@@ -43,6 +46,14 @@
 const NAMED_VALID_MS: u64 = 2_000;
 /// Most first events that are kept until they can be reported, and that are reported at once.
 const MAX_STARTS: usize = 32;
+/// Time for which the first event of a request, or a failure, tells something of its engine.
+const START_VALID_MS: u64 = 3_000;
+/// Longest time that a leader may take to obtain units of a team's limit from other leaders. The daemon
+/// waits 250 ms for the whole answer.
+const UNITS_MS: u64 = 100;
+/// Most engines and parts of a prompt that are taken from a request of another daemon.
+const MAX_ENGINES: usize = 16;
+const MAX_PARTS: usize = 64;
 /// Most leaders that are asked in one round, since a model has replicas in several groups.
 const MAX_ASKED: usize = 2;
 /// Least time between two log lines about leaders that schedule no prompts.
@@ -55,12 +66,23 @@
     leaders: BTreeMap<DomainName, (Leader, u64)>,
     /// Until when leaders are not asked.
     paused_until_ms: BTreeMap<SocketAddr, u64>,
-    budget: CallBudget,
-    /// First events that were not reported yet, with the group of their engine.
-    starts: VecDeque<(DomainName, ServiceName, ObservedStart)>,
+    /// What is left of this daemon's part of the calls that each leader answers.
+    budgets: BTreeMap<SocketAddr, CallBudget>,
+    /// First events that were not reported yet.
+    starts: VecDeque<UnreportedStart>,
     logged_ms: u64,
 }
 
+/// The first event of a request, or the failure of its engine, that no leader has been told of.
+#[derive(Debug)]
+struct UnreportedStart {
+    /// The group of the engine.
+    group: DomainName,
+    service: ServiceName,
+    start: ObservedStart,
+    recorded_ms: u64,
+}
+
 /// What happens to a prompt.
 #[derive(Debug)]
 pub(crate) enum Outcome {
@@ -79,19 +101,29 @@
 pub(crate) async fn request(task: &Task, candidates: &[Candidate]) -> Outcome {
     let daemon = &task.daemon;
     let mut later: Option<Outcome> = None;
-    for (leader, engines) in by_leader(daemon, candidates).await.into_iter().take(MAX_ASKED) {
-        let now_ms = daemon.shared_view.now_ms();
-        if !may_ask(task, &leader, now_ms) {
+    let mut is_undecided = false;
+    let mut asked = 0;
+    for (leader, engines) in by_leader(daemon, candidates).await {
+        let asked_ms = daemon.shared_view.now_ms();
+        if asked >= MAX_ASKED || !may_ask(task, &leader, asked_ms) {
+            is_undecided = true;
             continue;
         }
-        match ask_with_redirect(task, &leader, &engines).await {
+        asked += 1;
+        let (schedule, leader) = ask_with_redirect(task, leader, &engines).await;
+        match schedule {
             WireSchedule::Assigned { engine, expected_ms, unread_tokens, has_units } => {
+                let engine = Incarnation::from(engine);
+                if !engines.iter().any(|candidate| candidate.incarnation == engine) {
+                    is_undecided = true;
+                    continue;
+                }
                 daemon.metrics.record_schedule("assigned");
                 if has_units {
-                    quota_reservation::allocated(task, now_ms);
+                    quota_reservation::allocated(task, asked_ms);
                 }
                 let now_ms = daemon.shared_view.now_ms();
-                task.prompt_schedule.assign(engine.into(), expected_ms, unread_tokens, now_ms);
+                task.prompt_schedule.assign(engine, expected_ms, unread_tokens, now_ms);
                 return Outcome::Decided;
             }
             WireSchedule::OverLimit { in_ms } => return Outcome::OverLimit { in_ms },
@@ -100,10 +132,13 @@
                 later = Some(sooner(later, Outcome::Refused { in_ms }));
             }
             WireSchedule::AskAt { .. } | WireSchedule::NotScheduling => {
-                pause(daemon, &leader, &engines)
+                is_undecided = true;
+                pause(daemon, &leader, &engines);
             }
         }
     }
+    // Engines of which no leader decided may have room.
+    let later = later.filter(|later| !is_undecided || matches!(later, Outcome::Later { .. }));
     match &later {
         Some(Outcome::Later { in_ms }) => {
             daemon.metrics.record_schedule("waited");
@@ -198,12 +233,14 @@
         let is_large = profile
             .zip(task.head.size)
             .is_some_and(|(profile, size)| profile.is_large(size.prompt_tokens));
-        (local_view.leader_clients, is_large)
+        // Daemons of other leaders ask this one, too.
+        (local_view.daemons.max(local_view.leader_clients), is_large)
     });
     daemon.with_scheduling(|state| {
         let is_paused =
             state.paused_until_ms.get(&address).is_some_and(|until_ms| now_ms < *until_ms);
-        !is_paused && state.budget.spend(daemons, is_large, now_ms)
+        let budget = state.budgets.entry(address).or_default();
+        !is_paused && budget.spend(daemons, is_large, now_ms)
     })
 }
 
@@ -233,29 +270,33 @@
 /// Records when the first event of a request came, or that the endpoint failed before, if a leader
 /// assigned the request to it.
 pub(crate) fn record_start(task: &Task, endpoint: &Endpoint, observed_ms: Option<u64>) {
-    let Some(Assignment { expected_ms, .. }) = task.prompt_schedule.last_assignment() else {
-        return;
-    };
-    let Some(model) = task.head.model.clone() else { return };
-    let start = ObservedStart { model, engine: endpoint.incarnation(), expected_ms, observed_ms };
+    let Some(assignment) = task.prompt_schedule.last_assignment() else { return };
+    let (engine, model) = (endpoint.incarnation(), task.head.model.clone());
+    let Some(model) = model.filter(|_| assignment.engine == engine) else { return };
+    let start = ObservedStart { model, engine, expected_ms: assignment.expected_ms, observed_ms };
+    let (group, service) = (endpoint.domain.clone(), task.service.clone());
+    let recorded_ms = task.daemon.shared_view.now_ms();
     task.daemon.with_scheduling(|state| {
         if state.starts.len() >= MAX_STARTS {
             state.starts.pop_front();
         }
-        state.starts.push_back((endpoint.domain.clone(), task.service.clone(), start));
+        state.starts.push_back(UnreportedStart { group, service, start, recorded_ms });
     });
 }
 
-/// Takes the first events at engines of the same groups, which the same leader orders.
+/// Takes the first events at engines of the same groups, which the same leader orders. Old ones, which
+/// tell nothing of the engines now, are dropped.
 fn take_starts(daemon: &Daemon, service: &ServiceName, engines: &[Candidate]) -> Vec<WireStart> {
+    let now_ms = daemon.shared_view.now_ms();
     daemon.with_scheduling(|state| {
-        let is_here = |(domain, of, _): &(DomainName, ServiceName, ObservedStart)| {
-            of == service && engines.iter().any(|engine| engine.domain == *domain)
+        let is_here = |start: &UnreportedStart| {
+            start.service == *service && engines.iter().any(|engine| engine.domain == start.group)
         };
-        let all = std::mem::take(&mut state.starts);
-        let (here, kept): (VecDeque<_>, VecDeque<_>) = all.into_iter().partition(is_here);
+        let all = std::mem::take(&mut state.starts).into_iter();
+        let recent = all.filter(|start| now_ms < start.recorded_ms + START_VALID_MS);
+        let (here, kept): (VecDeque<_>, VecDeque<_>) = recent.partition(is_here);
         state.starts = kept;
-        here.into_iter().map(|(_, _, start)| WireStart::from(start)).collect()
+        here.into_iter().map(|unreported| WireStart::from(unreported.start)).collect()
     })
 }
 
@@ -285,14 +326,21 @@
     }
 }
 
-/// Asks a leader, and the one that it names if another leads the engines.
-async fn ask_with_redirect(task: &Task, leader: &Leader, engines: &[Candidate]) -> WireSchedule {
+/// Asks a leader, and the one that it names if another leads the engines. Returns the answer and the
+/// leader that gave it.
+async fn ask_with_redirect(
+    task: &Task,
+    leader: Leader,
+    engines: &[Candidate],
+) -> (WireSchedule, Leader) {
     let daemon = &task.daemon;
     let starts = take_starts(daemon, &task.service, engines);
     let request = wire_request(task, engines, starts);
-    let schedule = ask(daemon, leader, request.clone()).await;
-    let WireSchedule::AskAt { address } = schedule else { return schedule };
-    let Some(group) = engines.first().map(|engine| engine.domain.clone()) else { return schedule };
+    let schedule = ask(daemon, &leader, request.clone()).await;
+    let WireSchedule::AskAt { address } = schedule else { return (schedule, leader) };
+    let Some(group) = engines.first().map(|engine| engine.domain.clone()) else {
+        return (schedule, leader);
+    };
     let leader = Leader::At { address, group, token: 0 };
     let now_ms = daemon.shared_view.now_ms();
     daemon.with_scheduling(|state| {
@@ -300,7 +348,10 @@
             state.leaders.insert(engine.domain.clone(), (leader.clone(), now_ms + NAMED_VALID_MS));
         }
     });
-    ask(daemon, &leader, request).await
+    match may_ask(task, &leader, now_ms) {
+        true => (ask(daemon, &leader, request).await, leader),
+        false => (WireSchedule::NotScheduling, leader),
+    }
 }
 
 async fn ask(daemon: &Daemon, leader: &Leader, request: WireScheduleRequest) -> WireSchedule {
@@ -332,85 +383,126 @@
     }
 }
 
-/// Decides as [`answer_here`] does, and allocates the units of the team's limit that an assigned request
-/// needs. Units that were allocated before a wait for room would lapse.
+/// Decides on a prompt for the engines whose groups this daemon leads at this moment, and allocates the
+/// units of the team's limit that an assigned request needs. Units that were allocated before a wait for
+/// room would lapse.
 async fn decide_here(daemon: &Daemon, request: WireScheduleRequest) -> WireSchedule {
-    let (service, model, units) = (request.service.clone(), request.model.clone(), request.units);
-    let team = request.team.clone().filter(|_| units > 0);
-    let schedule = answer_here(daemon, request);
-    let (WireSchedule::Assigned { engine, expected_ms, unread_tokens, .. }, Some(team)) =
-        (&schedule, team)
-    else {
-        return schedule;
+    let Some(question) = Question::new(daemon, request) else { return WireSchedule::NotScheduling };
+    let schedule = question.decide(daemon);
+    let Schedule::Assigned { engine, .. } = &schedule else { return schedule.into() };
+    let allocation = match question.team_units() {
+        Some(request) => allocate(daemon, request).await,
+        None => WireAllocation::NotLending,
     };
-    let request = WireAllocationRequest { team, units, is_leader: false };
-    match allocation::allocate(daemon, request).await {
-        WireAllocation::Lent { .. } => WireSchedule::Assigned {
-            engine: engine.clone(),
-            expected_ms: *expected_ms,
-            unread_tokens: *unread_tokens,
-            has_units: true,
-        },
-        WireAllocation::Refused { in_ms } => {
-            let (service, model) = (ServiceName::from(service), ModelName::from(model));
-            let engine = Incarnation::from(engine.clone());
-            daemon.with_prompt_scheduler(|scheduler| {
-                scheduler.cancel(&service, &model, &engine, *unread_tokens);
-            });
-            WireSchedule::OverLimit { in_ms }
+    if let WireAllocation::Refused { in_ms } = allocation {
+        return WireSchedule::OverLimit { in_ms };
+    }
+    question.commit(daemon, engine);
+    let has_units = matches!(allocation, WireAllocation::Lent { .. });
+    match WireSchedule::from(schedule) {
+        WireSchedule::Assigned { engine, expected_ms, unread_tokens, .. } => {
+            WireSchedule::Assigned { engine, expected_ms, unread_tokens, has_units }
         }
-        WireAllocation::NotLending => schedule,
+        other => other,
     }
 }
 
-/// Decides on a prompt for the engines whose groups this daemon leads at this moment.
-fn answer_here(daemon: &Daemon, request: WireScheduleRequest) -> WireSchedule {
-    let now_ms = daemon.shared_view.now_ms();
-    let led = daemon.order_permits.held(now_ms);
-    let service = ServiceName::from(request.service.as_str());
-    let engines = request.engines.iter().cloned().map(Incarnation::from);
-    let (bounds, engines, policy) = daemon.shared_view.with(|local_view| {
-        let is_led = |engine: &Incarnation| {
-            let endpoint = local_view.directory.get(&engine.name);
-            endpoint.is_some_and(|endpoint| led.contains_key(&endpoint.domain))
-        };
-        let catalog = local_view.catalog.as_ref();
-        let bounds = catalog.and_then(|catalog| EngineBounds::of(catalog, &service));
-        let engines: Vec<Incarnation> = engines.filter(is_led).collect();
-        (bounds, engines, local_view.policy.clone())
-    });
-    let Some(bounds) = bounds.filter(|_| !engines.is_empty()) else {
-        return WireSchedule::NotScheduling;
+/// Allocates units from what leaders hold; without an answer in time the daemon reserves them itself.
+async fn allocate(daemon: &Daemon, request: WireAllocationRequest) -> WireAllocation {
+    let timed_out = async {
+        Timer::after(Duration::from_millis(UNITS_MS)).await;
+        WireAllocation::NotLending
     };
-    let parts = request.prompt_parts();
-    let (model, adapter) = (
-        ModelName::from(request.model.as_str()),
-        request.adapter.as_deref().map(AdapterName::from),
-    );
-    let WireScheduleRequest { prompt_tokens, answer_tokens, .. } = request;
-    let prompt = Prompt {
-        model: &model,
-        adapter: adapter.as_ref(),
-        size: RequestSize { prompt_tokens, answer_tokens },
-        parts: &parts,
-    };
-    let waiting = WaitingRequest {
-        id: Fingerprint::from_bytes(request.request),
-        team: request.team.map(TeamName::from),
-        team_rank: request.team_rank.unwrap_or(request.route_rank),
-        route_rank: request.route_rank,
-        waited_ms: request.waited_ms,
-        max_wait_ms: request.max_wait_ms,
-        due_in_ms: request.due_in_ms,
-        work_ms: 0.0,
-        engines,
-    };
-    let starts: Vec<ObservedStart> = request.starts.into_iter().map(ObservedStart::from).collect();
-    let schedule = daemon.with_prompt_scheduler(|scheduler| {
-        if policy.has(Mechanism::EngineSpeeds) {
-            scheduler.record_starts(&service, &starts, now_ms);
-        }
-        scheduler.schedule(&service, prompt, &waiting, bounds, &policy, now_ms)
-    });
-    schedule.into()
+    allocation::allocate(daemon, request).or(timed_out).await
+}
+
+/// A daemon's request for a decision, with what the decision depends on.
+struct Question {
+    service: ServiceName,
+    model: ModelName,
+    adapter: Option<AdapterName>,
+    size: RequestSize,
+    parts: Vec<PromptPart>,
+    waiting: WaitingRequest,
+    starts: Vec<ObservedStart>,
+    units: u64,
+    bounds: EngineBounds,
+    policy: Policy,
+}
+
+impl Question {
+    /// Reads a request; `None` if this daemon leads none of its engines.
+    fn new(daemon: &Daemon, request: WireScheduleRequest) -> Option<Self> {
+        let now_ms = daemon.shared_view.now_ms();
+        let led = daemon.order_permits.held(now_ms);
+        let service = ServiceName::from(request.service.as_str());
+        let engines = request.engines.iter().take(MAX_ENGINES).cloned().map(Incarnation::from);
+        let engines: BTreeSet<Incarnation> = engines.collect();
+        let (bounds, engines, policy) = daemon.shared_view.with(|local_view| {
+            let is_led = |engine: &Incarnation| {
+                let endpoint = local_view.directory.get(&engine.name);
+                endpoint.is_some_and(|endpoint| led.contains_key(&endpoint.domain))
+            };
+            let catalog = local_view.catalog.as_ref();
+            let bounds = catalog.and_then(|catalog| EngineBounds::of(catalog, &service));
+            let engines: Vec<Incarnation> = engines.into_iter().filter(is_led).collect();
+            (bounds, engines, local_view.policy.clone())
+        });
+        let bounds = bounds.filter(|_| !engines.is_empty())?;
+        let has_parts = policy.has(Mechanism::KeptParts);
+        let parts = request.prompt_parts().into_iter().take(MAX_PARTS).filter(|_| has_parts);
+        let WireScheduleRequest { prompt_tokens, answer_tokens, .. } = request;
+        Some(Self {
+            service,
+            model: request.model.as_str().into(),
+            adapter: request.adapter.as_deref().map(AdapterName::from),
+            size: RequestSize { prompt_tokens, answer_tokens },
+            parts: parts.collect(),
+            starts: request.starts.into_iter().take(MAX_STARTS).map(Into::into).collect(),
+            units: request.units,
+            bounds,
+            policy,
+            waiting: WaitingRequest {
+                id: Fingerprint::from_bytes(request.request),
+                team: request.team.map(TeamName::from),
+                team_rank: request.team_rank.unwrap_or(request.route_rank),
+                route_rank: request.route_rank,
+                waited_ms: request.waited_ms,
+                max_wait_ms: request.max_wait_ms,
+                due_in_ms: request.due_in_ms,
+                work_ms: 0.0,
+                engines,
+            },
+        })
+    }
+
+    fn prompt(&self) -> Prompt<'_> {
+        let Self { model, adapter, size, parts, .. } = self;
+        Prompt { model, adapter: adapter.as_ref(), size: *size, parts }
+    }
+
+    /// Returns the request for the units that the decision must allocate; `None` if it needs none.
+    fn team_units(&self) -> Option<WireAllocationRequest> {
+        let team = self.waiting.team.as_ref().filter(|_| self.units > 0)?;
+        Some(WireAllocationRequest { team: team.to_string(), units: self.units, is_leader: false })
+    }
+
+    fn decide(&self, daemon: &Daemon) -> Schedule {
+        let now_ms = daemon.shared_view.now_ms();
+        let Self { service, waiting, bounds, policy, .. } = self;
+        daemon.with_prompt_scheduler(|scheduler| {
+            if policy.has(Mechanism::EngineSpeeds) {
+                scheduler.record_starts(service, &self.starts, now_ms);
+            }
+            scheduler.schedule(service, self.prompt(), waiting, *bounds, policy, now_ms)
+        })
+    }
+
+    fn commit(&self, daemon: &Daemon, engine: &Incarnation) {
+        let now_ms = daemon.shared_view.now_ms();
+        let Self { service, waiting, bounds, .. } = self;
+        daemon.with_prompt_scheduler(|scheduler| {
+            scheduler.commit(service, self.prompt(), waiting, engine, *bounds, now_ms);
+        });
+    }
 }
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -71,7 +71,7 @@
                     selected.resolve();
                 }
             }
-            if error.is_endpoint_failure() {
+            if error.is_endpoint_failure() && !task.is_expired() {
                 schedule::record_start(task, &selected.endpoint, None);
             }
             let name = &selected.endpoint.name;
--- a/crates/trestle-entry/src/traffic/quota_reservation.rs
+++ b/crates/trestle-entry/src/traffic/quota_reservation.rs
@@ -199,7 +199,10 @@
     let Some(Cost { limit, .. }) = cost(task) else { return };
     let bounds = task.daemon.shared_view.with(|local_view| local_view.quota_bounds);
     let until_ms = asked_ms + bounds.valid_ms(&limit);
-    *task.quota_reservation.state() = ReservationState::Reserved { until_ms };
+    // Units of an answer that came too late have lapsed.
+    if task.daemon.shared_view.now_ms() < until_ms {
+        *task.quota_reservation.state() = ReservationState::Reserved { until_ms };
+    }
 }
 
 /// Waits until the limit of the request's team may have units again.
@@ -211,7 +214,8 @@
     let Some(Cost { team, .. }) = cost(task) else { return Ok(()) };
     let now_ms = task.daemon.shared_view.now_ms();
     task.daemon.with_allowances(|allowances| allowances.refused(team, in_ms, now_ms));
-    if task.elapsed_ms() + in_ms > max_wait_ms(task) {
+    let is_in_time = task.elapsed_ms().saturating_add(in_ms) <= task.route.objective_ms;
+    if in_ms > max_wait_ms(task) || !is_in_time {
         return Err(Failure::OverLimit { retry_after_ms: in_ms });
     }
     Timer::after(Duration::from_millis(in_ms.max(1))).await;
--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -60,6 +60,7 @@
     let throttle = task.throttle();
     let throttle = throttle.as_ref();
     let assignment = task.prompt_schedule.last_assignment();
+    let assignment = assignment.as_ref();
     tracing::info!(
         id = task.head.id,
         request = task.fingerprint(),
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -16,7 +16,7 @@
 use std::{sync::Arc, time::Duration};
 use trestle_core::names::ServiceName;
 use trestle_dispatch::{
-    admission::Reason,
+    admission::{self, Reason},
     choice::Candidate,
     endpoint::Endpoint,
     fingerprint::Fingerprint,
@@ -28,6 +28,9 @@
 /// daemon has begun to stop, or that an endpoint excluded for a time may be tried again.
 const POLL_INTERVAL_MS: u64 = 250;
 
+/// Longest time after which a prompt that waits for room asks again, whatever a leader says.
+const MAX_ASK_AGAIN_MS: u64 = 250;
+
 /// Most endpoints that are checked for one request before it is refused, each within 0.4 s.
 const MAX_CHECKS: u32 = 2;
 
@@ -214,6 +217,10 @@
     match schedule::request(task, candidates).await {
         Outcome::Decided => Ok(()),
         Outcome::Later { in_ms } => {
+            let in_ms = in_ms.clamp(1, MAX_ASK_AGAIN_MS).min(task.remaining_ms());
+            if in_ms == 0 {
+                return Err(Failure::OutOfTime);
+            }
             let until_ms = task.daemon.shared_view.now_ms() + in_ms;
             quota_reservation::give_back_lapsing(task, until_ms);
             Timer::after(Duration::from_millis(in_ms)).await;
@@ -224,8 +231,10 @@
         }
         Outcome::OverLimit { in_ms } => quota_reservation::wait_for_units(task, in_ms).await,
         Outcome::Refused { in_ms } => {
-            record_returning(task, in_ms);
-            Err(Failure::NotRun { retry_after_ms: in_ms, why: "no_room" })
+            let retry_after_ms =
+                admission::retry_after_ms(task.elapsed_ms(), task.allowed_ms, Some(in_ms));
+            record_returning(task, retry_after_ms);
+            Err(Failure::NotRun { retry_after_ms, why: "no_room" })
         }
     }
 }
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -362,7 +362,7 @@
         let Some(mut source) = self.source.take() else { return };
         let name = &source.selected.endpoint.name;
         let daemon = &self.task.daemon;
-        if !source.has_begun {
+        if !source.has_begun && !matches!(error, StreamError::NoRoom | StreamError::TooLarge) {
             schedule::record_start(&self.task, &source.selected.endpoint, None);
         }
         let now_ms = daemon.shared_view.now_ms();
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -307,7 +307,10 @@
     /// Returns the priority of the request at an endpoint. Where leaders schedule prompts, routes order
     /// the requests of teams of one rank.
     fn endpoint_priority(&self) -> u8 {
-        match self.prompt_schedule.was_requested() {
+        let schedules_prompts = |local_view: &mut LocalView| {
+            self.route.is_stream() && local_view.schedules_prompts(&self.service)
+        };
+        match self.daemon.shared_view.with(schedules_prompts) {
             true => {
                 let team_rank = self.identity.team().and_then(|team| team.priority);
                 order::endpoint_priority(team_rank, self.route_rank)
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -178,6 +178,7 @@
             Selection::CheckEndpoint(_) | Selection::RequestTrial => {
                 unreachable!("simulated engines never crash under requests")
             }
+            Selection::Schedule(_) => unreachable!("simulated requests report no size"),
             Selection::ChargeQuota => unreachable!("simulated teams have no limits"),
             Selection::RequestSendPermit(_)
             | Selection::RequestSlot(_)
