--- a/crates/trestle-dispatch/src/waiting/order.rs
+++ b/crates/trestle-dispatch/src/waiting/order.rs
@@ -136,7 +136,7 @@
 
 /// Returns the value of `Request-Priority`, by which engines order requests, from 0 (the most
 /// urgent) to 9. Where teams have ranks, these come first and the route's rank counts within them;
-/// otherwise the value is the route's rank.
+/// otherwise the value is the route's rank, as far as the range reaches.
 pub fn endpoint_priority(team_rank: Option<u8>, route_rank: u8) -> u8 {
     let Some(team_rank) = team_rank else { return route_rank.min(LAST_PRIORITY) };
     let first = team_rank.saturating_mul(ROUTE_RANKS);
