--- a/crates/trestle-entry/src/schedule.rs
+++ b/crates/trestle-entry/src/schedule.rs
@@ -54,6 +54,8 @@
 /// Most engines and parts of a prompt that are taken from a request of another daemon.
 const MAX_ENGINES: usize = 16;
 const MAX_PARTS: usize = 64;
+/// Most leaders of which the budget of calls is kept, some of them former ones.
+const MAX_BUDGETS: usize = 64;
 /// Most leaders that are asked in one round, since a model has replicas in several groups.
 const MAX_ASKED: usize = 2;
 /// Least time between two log lines about leaders that schedule no prompts.
@@ -239,6 +241,9 @@
     daemon.with_scheduling(|state| {
         let is_paused =
             state.paused_until_ms.get(&address).is_some_and(|until_ms| now_ms < *until_ms);
+        if state.budgets.len() >= MAX_BUDGETS {
+            state.budgets.clear();
+        }
         let budget = state.budgets.entry(address).or_default();
         !is_paused && budget.spend(daemons, is_large, now_ms)
     })
