--- a/crates/trestle-dispatch/src/load/kept_parts.rs
+++ b/crates/trestle-dispatch/src/load/kept_parts.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Number of parts remembered per engine: at 48 bytes each in trees that are two thirds full, some
-/// 40 KB, thus 6 MB for 140 engines at a leader on a VM of 160 MB. Engines hold far fewer long parts, and short ones save little time.
+/// 40 KB. Engines hold far fewer long parts, and short ones save little time.
 const MAX_ENTRIES: usize = 512;
 
 /// The parts of prompts that one incarnation of an engine keeps.
--- a/crates/trestle-dispatch/src/load/prompt_scheduler.rs
+++ b/crates/trestle-dispatch/src/load/prompt_scheduler.rs
@@ -15,8 +15,11 @@
     catalog::Catalog,
     endpoint::Incarnation,
     load::{
-        kept_parts::KeptParts, model_work::ModelWork, reading_queue::ReadingQueue,
-        reading_speeds::ReadingSpeeds, request_size::PromptPart, request_size::RequestSize,
+        kept_parts::KeptParts,
+        model_work::ModelWork,
+        reading_queue::ReadingQueue,
+        reading_speeds::ReadingSpeeds,
+        request_size::{PromptPart, RequestSize},
     },
     policy::{Mechanism, Policy},
     waiting::line::{Line, PLACE_GRACE_MS, WaitingRequest},
@@ -190,10 +193,13 @@
         policy: &Policy,
         now_ms: u64,
     ) -> Schedule {
-        self.services
-            .entry(service.clone())
-            .or_default()
-            .schedule(prompt, request, bounds, policy, now_ms)
+        self.services.entry(service.clone()).or_default().schedule(
+            prompt.within(bounds),
+            request,
+            bounds,
+            policy,
+            now_ms,
+        )
     }
 
     /// Records that a prompt is sent to the engine that it was assigned to.
--- a/crates/trestle-dispatch/src/load/reading_speeds.rs
+++ b/crates/trestle-dispatch/src/load/reading_speeds.rs
@@ -21,8 +21,8 @@
 };
 use trestle_core::names::ModelName;
 
-/// Initial time per token, somewhat slower than the 38 tokens per ms measured, so that a new leader
-/// does not assign too much.
+/// Initial time per token. It is rather too long, so that a new leader does not assign too much before
+/// it has observations.
 const INITIAL_MS_PER_TOKEN: f64 = 1.0 / 30.0;
 /// Logarithm of the largest deviation of the base from its initial value: a factor of 100.
 const MAX_BASE_LN: f64 = 2.0 * LN_10;
--- a/crates/trestle-dispatch/src/waiting/line.rs
+++ b/crates/trestle-dispatch/src/waiting/line.rs
@@ -25,7 +25,7 @@
 /// Number of places. More than ten seconds of work of the 16 engines that a request may use, and few
 /// enough to look through all of them for each question.
 pub const MAX_PLACES: usize = 1_024;
-/// Number of teams whose served work is known; the deployments have up to 16.
+/// Number of teams whose served work is known; it bounds the memory, not the teams that are served.
 pub const MAX_TEAMS: usize = 256;
 /// Time in which the weight of served work decays to 1/e. An idle team catches up for that long.
 const SERVED_DECAY_MS: f64 = 2_000.0;
--- a/crates/trestle-dispatch/src/waiting/order.rs
+++ b/crates/trestle-dispatch/src/waiting/order.rs
@@ -17,9 +17,9 @@
 
 use crate::fingerprint::Fingerprint;
 
-/// Work by which a team must have been served more than another to come after it: about one typical
-/// prompt of the deployments that mix 240 ms and 22 ms. With less, teams with the same demand would
-/// be ordered by chance instead of by when their requests are due.
+/// Work by which a team must have been served more than another to come after it: about one prompt of
+/// medium length. With less, teams with the same demand would be ordered by chance instead of by when
+/// their requests are due.
 const SERVED_STEP_MS: f64 = 100.0;
 /// Part of the average work of a class below which a class is neglected. With a half, an overload
 /// from eight teams of a low rank delays a top rank by at most 140 ms in the test of that load.
--- a/crates/trestle-dispatch/tests/prompt_scheduler.rs
+++ b/crates/trestle-dispatch/tests/prompt_scheduler.rs
@@ -274,6 +274,10 @@
         let mut leader = Leader::default();
         assert_eq!(leader.assign(u64::MAX, 0, &[0], 1_000), Some(0));
         assert_eq!(leader.assign(SHORT_TOKENS, 1, &[0], 5_000), Some(0));
+        // The expected time is compared with the observed one, and would make the engine look fast.
+        let schedule = leader.schedule(u64::MAX, &[], &request(2, 0, &[1]), 9_000);
+        let Schedule::Assigned { expected_ms, .. } = schedule else { panic!("{schedule:?}") };
+        assert!(expected_ms <= 4_000, "{expected_ms}");
     }
 
     /// A leader's work would grow with the daemons.
