Log and measure each daemon's share of the retry budget

No log line and no metric told what a share allows, by how many daemons it is divided, how much of it is used or that it began anew, so the hypotheses of the incident could not be told apart. No logic is changed.

--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -21,7 +21,7 @@
     record::Records,
     replicas::ReplicaView,
     request::RequestHead,
-    retry_share::{RetryBounds, RetryShare},
+    retry_share::{RetryBounds, RetryShare, RetryUsage},
     route::Route,
     signals::HeaderField,
     software_versions::SoftwareVersions,
@@ -237,6 +237,19 @@
         share.has_room(now_ms, &self.retry_bounds, self.daemons)
     }
 
+    /// Returns what of the daemon's share of a service's retry budget is used.
+    pub fn retry_usage(&mut self, service: &ServiceName, now_ms: u64) -> RetryUsage {
+        let share = self.retries.entry(service.clone()).or_default();
+        share.usage(now_ms, &self.retry_bounds, self.daemons)
+    }
+
+    /// Returns what of the daemon's shares of all retry budgets is used, by service.
+    pub fn retry_usages(&mut self, now_ms: u64) -> BTreeMap<ServiceName, RetryUsage> {
+        let (bounds, daemons) = (&self.retry_bounds, self.daemons);
+        let shares = self.retries.iter_mut();
+        shares.map(|(name, share)| (name.clone(), share.usage(now_ms, bounds, daemons))).collect()
+    }
+
     /// Records that a caller's request for a service arrived.
     pub fn request_arrived(&mut self, service: &ServiceName, now_ms: u64) {
         self.retries.entry(service.clone()).or_default().record_request(now_ms);
--- a/crates/trestle-dispatch/src/retry_share.rs
+++ b/crates/trestle-dispatch/src/retry_share.rs
@@ -31,6 +31,17 @@
     pub fixed: u32,
 }
 
+/// What of a daemon's share is used, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryUsage {
+    /// Further sends within the window until now.
+    pub sent: u32,
+    /// Further sends that are allowed now.
+    pub available: f64,
+    /// Number of daemons that share the fixed number; 0 while it is not known.
+    pub daemons: usize,
+}
+
 /// One daemon's share of the retry budget for one service.
 #[derive(Debug, Default)]
 pub struct RetryShare {
@@ -64,6 +75,11 @@
 
     /// Returns whether the share allows one further send.
     pub fn has_room(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> bool {
+        self.usage(now_ms, bounds, daemons).available >= 1.0
+    }
+
+    /// Returns what of the share is used now.
+    pub fn usage(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> RetryUsage {
         self.drop_old(now_ms, bounds.window_ms);
         let first = (now_ms / SLICE_MS + 1 + SPARE_SLICES)
             .saturating_sub(bounds.window_ms.div_ceil(SLICE_MS));
@@ -75,7 +91,8 @@
             daemons => f64::from(bounds.fixed) * SHARED_PART / daemons as f64,
         };
         let earned = f64::from(requests) * bounds.ratio * USED_RATIO;
-        f64::from(further_sends + 1) <= earned + fixed
+        let available = (earned + fixed - f64::from(further_sends)).max(0.0);
+        RetryUsage { sent: further_sends, available, daemons }
     }
 
     fn slice(&mut self, now_ms: u64) -> &mut Slice {
--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -6,6 +6,9 @@
 };
 use opentelemetry_sdk::{error::OTelSdkError, metrics::SdkMeterProvider};
 use prometheus::{Encoder, Registry, TextEncoder};
+use std::collections::BTreeMap;
+use trestle_core::names::ServiceName;
+use trestle_dispatch::retry_share::RetryUsage;
 
 /// Upper bounds of the histogram buckets, in milliseconds.
 const BOUNDS_MS: [f64; 13] =
@@ -31,10 +34,13 @@
     unreached_endpoints: Gauge<u64>,
     open_detours: Gauge<u64>,
     held_bytes: Gauge<u64>,
+    retries_used: Gauge<u64>,
+    retries_available: Gauge<f64>,
+    retry_daemons: Gauge<u64>,
 }
 
 /// Values that are counted elsewhere, as of the time when metrics are requested.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct ExternalCounts {
     /// Calls to the store since the start.
     pub(crate) store_calls: u64,
@@ -54,6 +60,10 @@
     pub(crate) open_detours: usize,
     /// Bytes that are held for request bodies and answers.
     pub(crate) held_bytes: usize,
+    /// What of this daemon's shares of the retry budgets is used, by service.
+    pub(crate) retries: BTreeMap<ServiceName, RetryUsage>,
+    /// Number of daemons that share budgets; 0 while it is not known.
+    pub(crate) daemons: usize,
 }
 
 impl Metrics {
@@ -118,6 +128,18 @@
                 "trestle_held_bytes",
                 "Bytes held for request bodies and answers that were not passed on yet",
             ),
+            retries_used: gauge(
+                "trestle_retries_used",
+                "Further sends of this daemon within the window of the retry budget",
+            ),
+            retries_available: meter
+                .f64_gauge("trestle_retries_available")
+                .with_description("Further sends that this daemon's share of the budget allows now")
+                .build(),
+            retry_daemons: gauge(
+                "trestle_retry_daemons",
+                "Daemons that share budgets, as this one knows; 0 while it does not",
+            ),
             registry,
             _provider: provider,
         })
@@ -179,6 +201,12 @@
         self.unreached_endpoints.record(external.unreached as u64, &[]);
         self.open_detours.record(external.open_detours as u64, &[]);
         self.held_bytes.record(external.held_bytes as u64, &[]);
+        self.retry_daemons.record(external.daemons as u64, &[]);
+        for (service, usage) in &external.retries {
+            let labels = [KeyValue::new("service", service.to_string())];
+            self.retries_used.record(u64::from(usage.sent), &labels);
+            self.retries_available.record(usage.available, &labels);
+        }
         for (what, count) in by_signal {
             self.asking_endpoints.record(count as u64, &[KeyValue::new("asks", what)]);
         }
--- a/crates/trestle-entry/src/peer/sync.rs
+++ b/crates/trestle-entry/src/peer/sync.rs
@@ -247,8 +247,9 @@
                 .with(|local_view| local_view.update_replicas(service, view, planned, now_ms));
         }
         let daemons = daemon.shared_view.with(|local_view| local_view.daemons);
-        if previously_counted == 0 && daemons > 0 {
-            tracing::info!(daemons, "sync: The daemons that share budgets were counted.");
+        if previously_counted != daemons {
+            let before = previously_counted;
+            tracing::info!(daemons, before, "sync: The daemons that share budgets were counted.");
         }
         if has_changed {
             daemon.shared_view.notify_changed();
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -25,6 +25,7 @@
     identity::Identity,
     local_view::LocalView,
     request::{Forwarded, RequestHead},
+    retry_share::RetryUsage,
     route::Route,
     selection::RequestContext,
     sends::Sends,
@@ -128,8 +129,34 @@
     pub(crate) fn reserve_next_send(&self, sends: &mut Sends) -> bool {
         let shared_view = &self.daemon.shared_view;
         let now_ms = shared_view.now_ms();
-        shared_view
-            .with(|local_view| sends.reserve_next(&self.route, &self.service, local_view, now_ms))
+        let (is_reserved, usage) = shared_view.with(|local_view| {
+            let is_reserved = sends.reserve_next(&self.route, &self.service, local_view, now_ms);
+            (is_reserved, local_view.retry_usage(&self.service, now_ms))
+        });
+        if sends.count > 0 {
+            self.log_further_send(sends, is_reserved, usage, now_ms);
+        }
+        is_reserved
+    }
+
+    /// Logs whether a request that was sent before is sent once more, and what remains of this
+    /// daemon's share of the retry budget. `running_ms` is the time since the daemon started.
+    fn log_further_send(
+        &self,
+        sends: &Sends,
+        is_reserved: bool,
+        usage: RetryUsage,
+        running_ms: u64,
+    ) {
+        let RetryUsage { sent, available, daemons } = usage;
+        let message = match is_reserved {
+            true => "budget: A request is sent again.",
+            false => "budget: A request is not sent again.",
+        };
+        tracing::info!(
+            id = self.head.id, service = %self.service, sends = sends.count, used = sent,
+            available, daemons, running_ms, "{message}"
+        );
     }
 
     /// Returns the fingerprint that all attempts of the same request share, for logs.
