Let each daemon's share of the retry budget start empty

Cause: a share was counted in the memory of its process, over the last window. Ruled out: sends that arrive later than they are counted (the logs have all sends of the window).

Change: a share is a token bucket that starts empty. Requests add the ratio; of the daemon's part of the fixed number half may be saved up and half accrues over the window. What the processes of one VM send again in a window was earned in it, or saved when it began by the only process that ran then, so the sum keeps the budget for any number of starts. Where no part is a whole send, what is saved is a probability.

The metric of further sends in the window, which no share keeps any more, is replaced by their number since the start and by what may be saved up.

--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -252,7 +252,8 @@
 
     /// Records that a caller's request for a service arrived.
     pub fn request_arrived(&mut self, service: &ServiceName, now_ms: u64) {
-        self.retries.entry(service.clone()).or_default().record_request(now_ms);
+        let share = self.retries.entry(service.clone()).or_default();
+        share.record_request(now_ms, &self.retry_bounds, self.daemons);
     }
 
     /// Records that a caller's request for a model arrived.
--- a/crates/trestle-dispatch/src/retry_share.rs
+++ b/crates/trestle-dispatch/src/retry_share.rs
@@ -2,23 +2,28 @@
 //!
 //! Within any window the whole system may make further sends up to a ratio of the requests plus a
 //! fixed number. Daemons cannot consult each other at every send, and must keep the budget while
-//! they are partitioned. So each daemon uses the ratio of its own requests and an equal part of the
-//! fixed number, once it knows the number of daemons. The shares sum to the budget whatever the
-//! daemons know of each other.
+//! they are partitioned. A process that has just started does not know what the process before it
+//! has sent, and many may start at once, or one many times.
+//!
+//! So a share is a token bucket that starts empty. Each request of the daemon adds the ratio, and the
+//! daemon's part of the fixed number is split: one half may be saved up, the other accrues over the
+//! window. What the processes of one VM send again within a window was either earned in it or saved
+//! when it began, and only one process had saved anything then. The sum keeps the budget for any
+//! number of starts, at any time and in any order.
 
-use std::collections::VecDeque;
+use fastrand::Rng;
 
-/// Length of a counting interval; the window is rounded up to whole ones.
-const SLICE_MS: u64 = 1_000;
 /// Part of the ratio that is used: not every message that a daemon takes for a caller's request
 /// counts as one in the budget.
 const USED_RATIO: f64 = 0.85;
-/// Slices by which the window of requests is shorter than that of further sends, so that rounding
-/// to whole slices never adds requests to a window.
-const SPARE_SLICES: u64 = 2;
-/// Part of the fixed number that is distributed; the rest covers daemons that have just started and
-/// are not counted yet.
-const SHARED_PART: f64 = 0.7;
+/// Part of the fixed number that is distributed. The rest covers sends that arrive later than they
+/// are made, and daemons that are not counted yet.
+const DISTRIBUTED_PART: f64 = 0.8;
+/// Part of a daemon's fixed number that may be saved up.
+const SAVED_PART: f64 = 0.5;
+/// Further sends that may be saved up while the number of daemons is not known. One must be, or no
+/// request would ever be sent again.
+const SAVED_WHILE_UNCOUNTED: f64 = 1.0;
 
 /// The bounds on further sends of the whole system.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -34,80 +39,89 @@
 /// What of a daemon's share is used, for logs and metrics.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryUsage {
-    /// Further sends within the window until now.
-    pub sent: u32,
+    /// Further sends since the daemon started.
+    pub sent: u64,
     /// Further sends that are allowed now.
     pub available: f64,
+    /// Most further sends that may be saved up.
+    pub capacity: f64,
     /// Number of daemons that share the fixed number; 0 while it is not known.
     pub daemons: usize,
 }
 
-/// One daemon's share of the retry budget for one service.
+/// One daemon's share of the retry budget for one service. Times are those since the daemon started.
 #[derive(Debug, Default)]
 pub struct RetryShare {
-    slices: VecDeque<Slice>,
+    saved: f64,
+    credited_ms: u64,
+    sent: u64,
+    rng: Rng,
 }
 
-#[derive(Debug, Default)]
-struct Slice {
-    number: u64,
-    requests: u32,
-    further_sends: u32,
+/// What a daemon's part of the fixed number allows.
+struct FixedPart {
+    capacity: f64,
+    per_ms: f64,
+}
+
+impl FixedPart {
+    /// Returns the part of one of `daemons`. While their number is not known (0), none is used: 295
+    /// daemons that had started at once and assumed 12 would have used 24 times the fixed number.
+    fn new(bounds: &RetryBounds, daemons: usize) -> Self {
+        if daemons == 0 {
+            return Self { capacity: SAVED_WHILE_UNCOUNTED, per_ms: 0.0 };
+        }
+        let sends = f64::from(bounds.fixed) * DISTRIBUTED_PART / daemons as f64;
+        let saved = sends * SAVED_PART;
+        // A whole send, if the part has one.
+        let capacity = if sends < 1.0 { saved } else { saved.max(1.0) };
+        Self { capacity, per_ms: (sends - capacity) / bounds.window_ms as f64 }
+    }
 }
 
 impl RetryShare {
+    /// Returns an empty share whose random decisions are determined by `seed`.
+    pub fn with_seed(seed: u64) -> Self {
+        Self { rng: Rng::with_seed(seed), ..Self::default() }
+    }
+
     /// Records a request of a caller.
-    pub fn record_request(&mut self, now_ms: u64) {
-        self.slice(now_ms).requests += 1;
+    pub fn record_request(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) {
+        self.credit(bounds.ratio * USED_RATIO, now_ms, bounds, daemons);
     }
 
     /// Reserves one further send and returns whether the share allows it.
     ///
-    /// While the number of daemons is not known (0), nothing of the fixed number is used: 295
-    /// daemons that had started at once and assumed 12 would have used 24 times that number.
+    /// Where so many daemons share the fixed number that none can save up a whole send, what is saved
+    /// is the probability that the send is allowed, and is used up either way.
     pub fn spend(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> bool {
-        let has_room = self.has_room(now_ms, bounds, daemons);
-        if has_room {
-            self.slice(now_ms).further_sends += 1;
+        let capacity = self.credit(0.0, now_ms, bounds, daemons);
+        let cost = self.saved.min(1.0);
+        let is_allowed = cost >= 1.0 || (capacity < 1.0 && self.rng.f64() < cost);
+        if is_allowed || capacity < 1.0 {
+            self.saved -= cost;
         }
-        has_room
+        self.sent += u64::from(is_allowed);
+        is_allowed
     }
 
-    /// Returns whether the share allows one further send.
+    /// Returns whether the share is certain to allow one further send.
     pub fn has_room(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> bool {
         self.usage(now_ms, bounds, daemons).available >= 1.0
     }
 
     /// Returns what of the share is used now.
     pub fn usage(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> RetryUsage {
-        self.drop_old(now_ms, bounds.window_ms);
-        let first = (now_ms / SLICE_MS + 1 + SPARE_SLICES)
-            .saturating_sub(bounds.window_ms.div_ceil(SLICE_MS));
-        let counted = self.slices.iter().filter(|slice| slice.number >= first);
-        let requests: u32 = counted.map(|slice| slice.requests).sum();
-        let further_sends: u32 = self.slices.iter().map(|slice| slice.further_sends).sum();
-        let fixed = match daemons {
-            0 => 0.0,
-            daemons => f64::from(bounds.fixed) * SHARED_PART / daemons as f64,
-        };
-        let earned = f64::from(requests) * bounds.ratio * USED_RATIO;
-        let available = (earned + fixed - f64::from(further_sends)).max(0.0);
-        RetryUsage { sent: further_sends, available, daemons }
-    }
-
-    fn slice(&mut self, now_ms: u64) -> &mut Slice {
-        let number = now_ms / SLICE_MS;
-        if self.slices.back().is_none_or(|slice| slice.number != number) {
-            self.slices.push_back(Slice { number, ..Slice::default() });
-        }
-        self.slices.back_mut().expect("a slice was just added")
+        let capacity = self.credit(0.0, now_ms, bounds, daemons);
+        RetryUsage { sent: self.sent, available: self.saved, capacity, daemons }
     }
 
-    /// Drops slices that are older than any window that ends now.
-    fn drop_old(&mut self, now_ms: u64, window_ms: u64) {
-        let oldest = (now_ms / SLICE_MS).saturating_sub(window_ms.div_ceil(SLICE_MS));
-        while self.slices.front().is_some_and(|slice| slice.number < oldest) {
-            self.slices.pop_front();
-        }
+    /// Adds what has been earned until now, and returns how much may be saved up.
+    fn credit(&mut self, earned: f64, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> f64 {
+        let fixed = FixedPart::new(bounds, daemons);
+        let passed_ms = now_ms.saturating_sub(self.credited_ms) as f64;
+        self.credited_ms = now_ms;
+        self.saved = (self.saved + earned + passed_ms * fixed.per_ms).min(fixed.capacity);
+        fixed.capacity
     }
 }
--- a/crates/trestle-dispatch/tests/retry_budget.rs
+++ b/crates/trestle-dispatch/tests/retry_budget.rs
@@ -40,8 +40,9 @@
 }
 
 impl Vm {
-    fn start(now_ms: u64) -> Self {
-        Self { share: RetryShare::default(), started_ms: now_ms, paused_until_ms: 0, daemons: 0 }
+    fn start(now_ms: u64, rng: &mut Rng) -> Self {
+        let share = RetryShare::with_seed(rng.u64(..));
+        Self { share, started_ms: now_ms, paused_until_ms: 0, daemons: 0 }
     }
 }
 
@@ -76,7 +77,7 @@
 fn play(seed: u64, vms: usize, disruptions: Disruptions) -> Outcome {
     let mut rng = Rng::with_seed(seed);
     let mut outcome = Outcome::default();
-    let mut fleet: Vec<Vm> = (0..vms).map(|_| Vm::start(0)).collect();
+    let mut fleet: Vec<Vm> = (0..vms).map(|_| Vm::start(0, &mut rng)).collect();
     let mut requests_per_s = 8;
     for now_ms in (0..LENGTH_MS).step_by(STEP_MS as usize) {
         if now_ms % SPELL_MS == 0 {
@@ -85,7 +86,7 @@
         let restart_all = happens(&mut rng, disruptions.restart_all_s);
         for vm in &mut fleet {
             if restart_all || happens(&mut rng, disruptions.restart_s) {
-                *vm = Vm::start(now_ms);
+                *vm = Vm::start(now_ms, &mut rng);
             }
             if happens(&mut rng, disruptions.freeze_s) {
                 vm.paused_until_ms = now_ms + rng.u64(0..MAX_FREEZE_MS);
@@ -95,7 +96,7 @@
             if rng.u64(0..1_000 / STEP_MS) < requests_per_s {
                 outcome.requests_ms.push(now_ms);
                 if now_ms >= vm.paused_until_ms {
-                    vm.share.record_request(clock_ms);
+                    vm.share.record_request(clock_ms, &BOUNDS, vm.daemons);
                 }
             }
             while now_ms >= vm.paused_until_ms && vm.share.spend(clock_ms, &BOUNDS, vm.daemons) {
@@ -133,7 +134,7 @@
     for now_ms in (0..LENGTH_MS).step_by(STEP_MS as usize) {
         for share in &mut shares {
             if now_ms % (1_000 / requests_per_s / STEP_MS * STEP_MS) == 0 {
-                share.record_request(now_ms);
+                share.record_request(now_ms, &BOUNDS, vms);
                 outcome.requests_ms.push(now_ms);
             }
             while share.spend(now_ms, &BOUNDS, vms) {
@@ -211,11 +212,25 @@
         }
     }
 
+    /// No daemon's part of the fixed number is a whole send, and few have a request within the window.
+    shares_below_one_send_are_used_and_keep_the_budget => {
+        let vms = 300;
+        let (mut saved, mut sent) = (0, 0);
+        for seed in 0..vms {
+            let mut share = RetryShare::with_seed(seed);
+            let _ = share.spend(0, &BOUNDS, vms as usize);
+            sent += usize::from(share.spend(BOUNDS.window_ms, &BOUNDS, vms as usize));
+            saved += usize::from(share.has_room(BOUNDS.window_ms, &BOUNDS, vms as usize));
+        }
+        assert_eq!(saved, 0, "no daemon is certain of a send");
+        assert!((10..=BOUNDS.fixed as usize).contains(&sent), "{sent} sends");
+    }
+
     a_daemon_that_has_just_started_sends_again_after_some_requests => {
         let mut share = RetryShare::default();
         let mut allowed_ms = None;
         for now_ms in (0..2_000).step_by(125) {
-            share.record_request(now_ms);
+            share.record_request(now_ms, &BOUNDS, 9);
             allowed_ms = allowed_ms.or(share.spend(now_ms, &BOUNDS, 9).then_some(now_ms));
         }
         assert!(allowed_ms.is_some_and(|at_ms| at_ms <= 1_000), "sent again after {allowed_ms:?} ms");
@@ -223,7 +238,7 @@
 
     a_daemon_that_sent_nothing_again_has_saved_several_sends => {
         let mut share = RetryShare::default();
-        (0..10_000).step_by(125).for_each(|now_ms| share.record_request(now_ms));
+        (0..10_000).step_by(125).for_each(|now_ms| share.record_request(now_ms, &BOUNDS, 9));
         let saved = (0..10).filter(|_| share.spend(10_000, &BOUNDS, 9)).count();
         assert!(saved >= 2, "{saved} sends saved");
     }
--- a/crates/trestle-dispatch/tests/sharing.rs
+++ b/crates/trestle-dispatch/tests/sharing.rs
@@ -328,7 +328,7 @@
         for _ in 0..295 {
             let mut share = RetryShare::default();
             let (requests, daemons) = (4, 0);
-            (0..requests).for_each(|_| share.record_request(1_000));
+            (0..requests).for_each(|_| share.record_request(1_000, &bounds, daemons));
             spent += (0..50).filter(|_| share.spend(1_100, &bounds, daemons)).count();
         }
         assert!(spent as f64 <= 295.0 * 4.0 * 0.2 + 630.0, "{spent}");
--- a/crates/trestle-dispatch/tests/traffic.rs
+++ b/crates/trestle-dispatch/tests/traffic.rs
@@ -279,7 +279,7 @@
             let share = &mut shares[now_ms as usize / 10 % 6];
             let gap_ms = if now_ms < 25_000 { 10 } else { 40 };
             if now_ms % gap_ms == 0 {
-                share.record_request(now_ms);
+                share.record_request(now_ms, &bounds, 6);
                 // Every tenth request only tests the configuration.
                 if now_ms / gap_ms % 10 != 0 {
                     counted.push(now_ms);
@@ -311,7 +311,7 @@
             for now_ms in (0..60_000).step_by(20) {
                 let share = &mut shares[rng.usize(0..daemons)];
                 if rng.u32(0..3) == 0 {
-                    share.record_request(now_ms);
+                    share.record_request(now_ms, &bounds, daemons);
                     requests.push(now_ms);
                 }
                 if share.spend(now_ms, &bounds, daemons) {
--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -34,8 +34,9 @@
     unreached_endpoints: Gauge<u64>,
     open_detours: Gauge<u64>,
     held_bytes: Gauge<u64>,
-    retries_used: Gauge<u64>,
+    retries: Gauge<u64>,
     retries_available: Gauge<f64>,
+    retries_capacity: Gauge<f64>,
     retry_daemons: Gauge<u64>,
 }
 
@@ -87,6 +88,9 @@
         let gauge = |name: &'static str, text: &'static str| {
             meter.u64_gauge(name).with_description(text).build()
         };
+        let share = |name: &'static str, text: &'static str| {
+            meter.f64_gauge(name).with_description(text).build()
+        };
         let sends = meter.u64_counter("trestle_sends").with_description("Sends to endpoints");
         Ok(Self {
             first_ms: histogram("trestle_first_ms", "Time from request to the answer's first part"),
@@ -128,14 +132,15 @@
                 "trestle_held_bytes",
                 "Bytes held for request bodies and answers that were not passed on yet",
             ),
-            retries_used: gauge(
-                "trestle_retries_used",
-                "Further sends of this daemon within the window of the retry budget",
+            retries: gauge("trestle_retries", "Further sends since this daemon started"),
+            retries_available: share(
+                "trestle_retries_available",
+                "Further sends that this daemon's share of the budget allows now",
+            ),
+            retries_capacity: share(
+                "trestle_retries_capacity",
+                "Most further sends that this daemon may save up",
             ),
-            retries_available: meter
-                .f64_gauge("trestle_retries_available")
-                .with_description("Further sends that this daemon's share of the budget allows now")
-                .build(),
             retry_daemons: gauge(
                 "trestle_retry_daemons",
                 "Daemons that share budgets, as this one knows; 0 while it does not",
@@ -204,8 +209,9 @@
         self.retry_daemons.record(external.daemons as u64, &[]);
         for (service, usage) in &external.retries {
             let labels = [KeyValue::new("service", service.to_string())];
-            self.retries_used.record(u64::from(usage.sent), &labels);
+            self.retries.record(usage.sent, &labels);
             self.retries_available.record(usage.available, &labels);
+            self.retries_capacity.record(usage.capacity, &labels);
         }
         for (what, count) in by_signal {
             self.asking_endpoints.record(count as u64, &[KeyValue::new("asks", what)]);
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -148,14 +148,14 @@
         usage: RetryUsage,
         running_ms: u64,
     ) {
-        let RetryUsage { sent, available, daemons } = usage;
+        let RetryUsage { sent, available, capacity, daemons } = usage;
         let message = match is_reserved {
             true => "budget: A request is sent again.",
             false => "budget: A request is not sent again.",
         };
         tracing::info!(
-            id = self.head.id, service = %self.service, sends = sends.count, used = sent,
-            available, daemons, running_ms, "{message}"
+            id = self.head.id, service = %self.service, sends = sends.count,
+            available, capacity, sent_again = sent, daemons, running_ms, "{message}"
         );
     }
 
