Return further sends that were not made to the retry budget at once

Requests whose further send is reserved and not made, because the endpoint began to leave meanwhile, wait for a model for up to their deadline (13 s; the window is 10 s). When it is loaded, all are sent, beside what the budget allows then.

Cause: the reservation stayed with the request, without an end.

Change: the send is returned to the share as soon as it is known that it was not made, and the next one is reserved anew. The four places that record the end of a send go through one function of the task.

--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -231,6 +231,11 @@
         share.spend(now_ms, &self.retry_bounds, self.daemons)
     }
 
+    /// Returns a retry to a service's budget that was spent and not made.
+    pub fn return_retry(&mut self, service: &ServiceName) {
+        self.retries.entry(service.clone()).or_default().return_unused();
+    }
+
     /// Returns whether a service's budget allows a retry.
     pub fn has_retry(&mut self, service: &ServiceName, now_ms: u64) -> bool {
         let share = self.retries.entry(service.clone()).or_default();
--- a/crates/trestle-dispatch/src/retry_share.rs
+++ b/crates/trestle-dispatch/src/retry_share.rs
@@ -105,6 +105,12 @@
         is_allowed
     }
 
+    /// Returns a further send that was reserved and not made.
+    pub fn return_unused(&mut self) {
+        self.saved += 1.0;
+        self.sent = self.sent.saturating_sub(1);
+    }
+
     /// Returns whether the share is certain to allow one further send.
     pub fn has_room(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> bool {
         self.usage(now_ms, bounds, daemons).available >= 1.0
--- a/crates/trestle-dispatch/src/sends.rs
+++ b/crates/trestle-dispatch/src/sends.rs
@@ -48,8 +48,6 @@
     paused_until_ms: BTreeMap<EndpointName, u64>,
     /// Whether the last send was the first to its endpoint.
     is_last_new: bool,
-    /// Whether a further send was reserved in the budget but not made.
-    has_reserved_send: bool,
     /// Endpoints that took too long; another send would only add to their load.
     too_slow: BTreeSet<EndpointName>,
 }
@@ -78,11 +76,23 @@
         self.last = Some(endpoint.clone());
     }
 
-    /// Records that the last send ended without an answer to pass on.
-    pub fn record_end(&mut self, end: SendEnd, now_ms: u64) {
+    /// Records that the last send ended without an answer to pass on. A further send that was not
+    /// made is returned to the retry budget of the service at once: the request may wait for longer
+    /// than the budget's window before the next one.
+    pub fn record_end(
+        &mut self,
+        end: SendEnd,
+        service: &ServiceName,
+        local_view: &mut LocalView,
+        now_ms: u64,
+    ) {
         self.may_have_run |= end.may_have_run();
         if end == SendEnd::NotSent {
-            return self.revert_last();
+            self.revert_last();
+            if self.count > 0 {
+                local_view.return_retry(service);
+            }
+            return;
         }
         let Some(last) = &self.last else { return };
         let until_ms = if end == SendEnd::NotRun { now_ms + REFUSED_PAUSE_MS } else { u64::MAX };
@@ -92,14 +102,13 @@
         }
     }
 
-    /// Reverts a send that was not made; its place in the budget is left for the next one.
+    /// Reverts a send that was not made.
     fn revert_last(&mut self) {
         let Some(last) = &self.last else { return };
         if self.is_last_new {
             self.sent_to.remove(last);
         }
         self.count = self.count.saturating_sub(1);
-        self.has_reserved_send = self.count > 0;
     }
 
     /// Returns where a send may go now or later.
@@ -144,9 +153,7 @@
         now_ms: u64,
     ) -> bool {
         let is_exhausted = self.may_have_run && !self.has_attempt_left(route);
-        let is_reserved = std::mem::take(&mut self.has_reserved_send);
-        self.count == 0
-            || (!is_exhausted && (is_reserved || local_view.spend_retry(service, now_ms)))
+        self.count == 0 || (!is_exhausted && local_view.spend_retry(service, now_ms))
     }
 
     fn only(&self, route: &Route) -> Option<BTreeSet<EndpointName>> {
--- a/crates/trestle-dispatch/tests/retry_budget.rs
+++ b/crates/trestle-dispatch/tests/retry_budget.rs
@@ -254,12 +254,13 @@
         };
         let mut waiting = Vec::new();
         for now_ms in (0..12_000).step_by(100) {
+            local_view.request_arrived(&service, now_ms);
             let mut sends = Sends::default();
             sends.record_send(&"e1".into());
-            sends.record_end(SendEnd::NotRun, now_ms);
+            sends.record_end(SendEnd::NotRun, &service, &mut local_view, now_ms);
             if reserve(&mut sends, &mut local_view, now_ms) {
                 sends.record_send(&"e2".into());
-                sends.record_end(SendEnd::NotSent, now_ms);
+                sends.record_end(SendEnd::NotSent, &service, &mut local_view, now_ms);
                 waiting.push(sends);
             }
         }
@@ -269,4 +270,20 @@
         let more = (0..1_000).filter(|_| local_view.spend_retry(&service, now_ms)).count();
         assert!(made + more <= BOUNDS.fixed as usize, "{made} reserved sends and {more} more");
     }
+
+    a_further_send_that_was_not_made_costs_nothing => {
+        let mut local_view = LocalView::new("z".into(), 2_000, BOUNDS);
+        local_view.daemons = 1;
+        let (service, route) = ("s".into(), route("/", RouteKind::Idempotent));
+        let before = local_view.retry_usage(&service, 10_000);
+        let mut sends = Sends::default();
+        sends.record_send(&"e1".into());
+        sends.record_end(SendEnd::NotRun, &service, &mut local_view, 10_000);
+        for _ in 0..100 {
+            assert!(sends.reserve_next(&route, &service, &mut local_view, 10_000));
+            sends.record_send(&"e2".into());
+            sends.record_end(SendEnd::NotSent, &service, &mut local_view, 10_000);
+        }
+        assert_eq!(local_view.retry_usage(&service, 10_000), before);
+    }
 }
--- a/crates/trestle-entry/src/traffic/plain.rs
+++ b/crates/trestle-entry/src/traffic/plain.rs
@@ -41,11 +41,11 @@
         }
         match send(task, selected, &mut sends).await {
             Ok(answer) if answer.response.status().is_server_error() && is_idempotent => {
-                sends.record_end(SendEnd::Failed, task.daemon.shared_view.now_ms());
+                task.record_send_end(&mut sends, SendEnd::Failed);
                 failed_answer = Some(answer);
             }
             Ok(answer) => break Ok(answer),
-            Err(error) => sends.record_end(error.send_end(), task.daemon.shared_view.now_ms()),
+            Err(error) => task.record_send_end(&mut sends, error.send_end()),
         }
         if task.is_expired() || (sends.may_have_run && !is_idempotent) {
             break Err(Failure::MayHaveRun);
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -241,7 +241,7 @@
         match attempt::send(&self.task, selected, last_event_id, wait_limit).await {
             Ok(attempt) => Ok(attempt),
             Err(error) => {
-                self.sends.record_end(error.send_end(), self.task.daemon.shared_view.now_ms());
+                self.task.record_send_end(&mut self.sends, error.send_end());
                 let is_final = error.send_end().may_have_run() && !self.is_resumable();
                 Err(is_final.then_some(Failure::MayHaveRun))
             }
@@ -350,7 +350,7 @@
 
     /// Records that the last send ran and failed.
     fn record_failed(&mut self) {
-        self.sends.record_end(SendEnd::Failed, self.task.daemon.shared_view.now_ms());
+        self.task.record_send_end(&mut self.sends, SendEnd::Failed);
     }
 
     /// Records that the stream failed at its endpoint, and drops the connection.
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -28,7 +28,7 @@
     retry_share::RetryUsage,
     route::Route,
     selection::RequestContext,
-    sends::Sends,
+    sends::{SendEnd, Sends},
     store_version::StoreVersion,
     waiting::order,
 };
@@ -139,6 +139,14 @@
         is_reserved
     }
 
+    /// Records that the last send of the request ended without an answer to pass on.
+    pub(crate) fn record_send_end(&self, sends: &mut Sends, end: SendEnd) {
+        let now_ms = self.daemon.shared_view.now_ms();
+        self.daemon
+            .shared_view
+            .with(|local_view| sends.record_end(end, &self.service, local_view, now_ms));
+    }
+
     /// Logs whether a request that was sent before is sent once more, and what remains of this
     /// daemon's share of the retry budget. `running_ms` is the time since the daemon started.
     fn log_further_send(
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -369,7 +369,8 @@
         self.release_endpoint(request);
         let now_ms = self.now_ms();
         let request_state = &mut self.requests[request];
-        request_state.sends.record_end(end, now_ms);
+        let local_view = &mut self.daemons[request_state.daemon].local_view;
+        request_state.sends.record_end(end, &self.service, local_view, now_ms);
         request_state.phase = Phase::Waiting;
         self.select_endpoint(request);
     }
