Count the daemons of all groups as soon as a leader has taken over the first one

Cause: a new leader uses the count in the lease rows of the holders before it, but of the groups that it held at that moment alone. It takes over groups one after the other: one of three at first, so 3 of 9. It also wrote what it had counted so far into the rows, where the next leader read it.

Change: the numbers that the holders before counted are kept for each group, whether this leader holds it or another one does, and the sum is the least that is told to daemons until the own count has had 30 s. While a row has not been read, nothing is told for 2 s. A count that is not complete is not written.

The test covers the sum; it could not be compiled against the code before, since the count takes the numbers of the rows anew each time.

--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -79,6 +79,8 @@
     is_releasing: bool,
     /// Number of daemons that sync with this one; before it holds the lease, with the last holder.
     daemons: u32,
+    /// Number of daemons that synced with the last other holder.
+    daemons_before: u32,
 }
 
 /// The daemon that takes part in the lease.
@@ -136,6 +138,7 @@
             is_writing: false,
             is_releasing: false,
             daemons: 0,
+            daemons_before: 0,
         }
     }
 
@@ -163,6 +166,7 @@
         if !row.as_ref().is_some_and(|row| self.is_own(row)) {
             self.held_until_ms = 0;
             self.daemons = row.as_ref().map_or(0, |row| row.daemons);
+            self.daemons_before = self.daemons;
         }
         self.seen = Some(SeenRow { row, version, since_ms: now_ms, is_restored });
     }
@@ -325,6 +329,12 @@
         });
     }
 
+    /// Returns how many daemons synced with the last other holder; `None` while the row has not been
+    /// read.
+    pub fn daemons_before(&self) -> Option<u32> {
+        self.seen.as_ref().map(|_| self.daemons_before)
+    }
+
     /// Sets the number of daemons that sync with this one, for the next holder.
     pub fn set_daemons(&mut self, daemons: u32) {
         self.daemons = daemons;
--- a/crates/trestle-dispatch/tests/sharing.rs
+++ b/crates/trestle-dispatch/tests/sharing.rs
@@ -13,7 +13,7 @@
     endpoint::Endpoint,
     groups::Groups,
     loadable::Loadable,
-    member_count::MemberCount,
+    member_count::{DaemonCount, MemberCount},
     policy::Policy,
     retry_share::{RetryBounds, RetryShare},
     service_state::{ServiceState, StartedChange},
@@ -336,13 +336,33 @@
 
     new_leader_uses_the_previous_count_until_its_own_is_complete => {
         let mut count = MemberCount::default();
-        count.begin(0, 1_000);
+        let none = DaemonCount::default();
+        count.begin(1_000);
         count.report_received("a".into(), 1_500);
-        assert_eq!(count.count(1_600), 0, "the others have not reported yet");
-        assert_eq!(count.count(3_100), 1);
-        count.begin(59, 10_000);
+        assert_eq!(count.count(0, Some(none), 1_600), none, "the others have not reported yet");
+        assert_eq!(count.count(0, Some(none), 3_100), DaemonCount { members: 1, all: 1 });
+        let previous = DaemonCount { members: 59, all: 59 };
+        count.begin(10_000);
         (0..20).for_each(|number| count.report_received(format!("v{number}").into(), 10_100));
-        assert_eq!(count.count(10_200), 59);
-        assert_eq!(count.count(41_000), 0, "no daemon has reported lately");
+        assert_eq!(count.count(0, Some(previous), 10_200), previous);
+        assert_eq!(count.count(0, Some(previous), 41_000), none, "no daemon has reported lately");
+    }
+
+    // Nine daemons were killed at once. The next leader took over one group of three first, and told
+    // daemons that had just started to divide the budget by three.
+    leader_that_takes_over_groups_one_after_the_other_counts_the_daemons_of_all => {
+        let mut count = MemberCount::default();
+        count.begin(10_000);
+        count.report_received("a".into(), 10_010);
+        assert_eq!(count.count(0, None, 10_020).all, 0, "not all rows have been read");
+        for led in 1..=3 {
+            let previous = DaemonCount { members: 3 * led, all: 9 };
+            assert_eq!(count.count(0, Some(previous), 10_020).all, 9, "{led} groups taken over");
+        }
+        // Two other leaders hold the other groups; one of them is not known yet.
+        let previous = DaemonCount { members: 3, all: 9 };
+        assert_eq!(count.count(3, Some(previous), 10_020).all, 9);
+        assert_eq!(count.count(6, Some(previous), 10_020).all, 9);
+        assert_eq!(count.count(8, Some(previous), 10_020).all, 11, "more daemons than before");
     }
 }
--- a/crates/trestle-entry/src/control/group_lease.rs
+++ b/crates/trestle-entry/src/control/group_lease.rs
@@ -67,6 +67,12 @@
         self.lease.set_quiet_ms(quiet_ms);
     }
 
+    /// Returns how many daemons synced with the last other holder; `None` while the row has not been
+    /// read.
+    pub(crate) fn daemons_before(&self) -> Option<u32> {
+        self.lease.daemons_before()
+    }
+
     /// Sets the number of daemons that sync with this one, which the next holder reads from the
     /// row.
     pub(crate) fn set_daemons(&mut self, daemons: u32) {
--- a/crates/trestle-entry/src/control/leaders.rs
+++ b/crates/trestle-entry/src/control/leaders.rs
@@ -55,7 +55,7 @@
             vm: self.daemon.settings.vm.clone(),
             group: group.to_string(),
             is_leader: true,
-            members: self.members.count(now_ms) as u32,
+            members: self.count_daemons(now_ms).members as u32,
             digests,
             crashes: Vec::new(),
             have,
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -20,6 +20,7 @@
     groups::{self, Groups},
     lease::{LeaseRow, LeaseWrite, Resignation},
     local_view::LocalView,
+    member_count::DaemonCount,
     store::WriteOutcome,
     store_version::StoreVersion,
 };
@@ -100,6 +101,21 @@
         }
     }
 
+    /// Returns how many daemons synced with the holders before this daemon: of the groups that it
+    /// leads, and of all groups. Returns `None` while a row has not been read.
+    pub(crate) fn daemons_before(&self, now_ms: u64) -> Option<DaemonCount> {
+        let led = self.led(now_ms);
+        let mut before = DaemonCount::default();
+        for (group, lease) in &self.by_group {
+            let daemons = lease.daemons_before()? as usize;
+            before.all += daemons;
+            if led.contains(group) {
+                before.members += daemons;
+            }
+        }
+        Some(before)
+    }
+
     /// Returns how many daemons synced with the last holders of some groups, as counted by these
     /// holders.
     pub(crate) fn daemons_of<'a>(&self, groups: impl Iterator<Item = &'a DomainName>) -> usize {
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -164,8 +164,7 @@
                 self.held_answers.clear();
             }
             (false, true) => {
-                let led = self.leases.led(now_ms);
-                self.members.begin(self.leases.daemons_of(led.iter()), now_ms);
+                self.members.begin(now_ms);
             }
             _ => {}
         }
--- a/crates/trestle-entry/src/control/sync_requests.rs
+++ b/crates/trestle-entry/src/control/sync_requests.rs
@@ -8,6 +8,7 @@
 use async_channel::Sender;
 use std::collections::BTreeMap;
 use trestle_core::names::VmName;
+use trestle_dispatch::member_count::DaemonCount;
 use trestle_wire::replicas::{WireSyncRequest, WireSyncResponse};
 
 impl Control {
@@ -113,17 +114,22 @@
         }
     }
 
+    /// Counts the daemons that share budgets.
+    pub(super) fn count_daemons(&mut self, now_ms: u64) -> DaemonCount {
+        let others = self.others.members(|groups| self.leases.daemons_of(groups.iter()));
+        self.members.count(others, self.leases.daemons_before(now_ms), now_ms)
+    }
+
     fn answer(&mut self, held: &HeldAnswer, now_ms: u64) -> WireSyncResponse {
         if !self.leases.is_leading(now_ms) {
             return self.not_leading_answer(&held.group, held.knows_eras(), now_ms);
         }
         let led = self.leases.led(now_ms);
-        let members = self.members.count(now_ms);
-        let daemons = match members {
-            0 => 0,
-            _ => members + self.others.members(|groups| self.leases.daemons_of(groups.iter())),
-        };
-        self.leases.set_daemons(members, now_ms);
+        let DaemonCount { members, all: daemons } = self.count_daemons(now_ms);
+        // Until then, the next holder needs the counts of the holders before.
+        if self.members.is_complete(now_ms) {
+            self.leases.set_daemons(members, now_ms);
+        }
         let mut views = BTreeMap::new();
         for (service, state) in &self.services {
             let Some(service_view) = self.service_views.get(service) else { continue };
--- a/crates/trestle-lab/src/control/leases.rs
+++ b/crates/trestle-lab/src/control/leases.rs
@@ -95,7 +95,7 @@
         let vm = &mut self.vms[number];
         let is_leader = !vm.led_groups(now_ms).is_empty();
         if is_leader && !vm.was_leader {
-            vm.members.begin(0, now_ms);
+            vm.members.begin(now_ms);
         }
         vm.was_leader = is_leader;
         if is_leader {
