--- a/crates/trestle-dispatch/src/sends.rs
+++ b/crates/trestle-dispatch/src/sends.rs
@@ -33,6 +33,18 @@
     }
 }
 
+/// Whether a request may be sent once more.
+#[trestle_macros::plain]
+#[derive(Copy)]
+pub enum NextSend {
+    /// It may be sent.
+    Allowed,
+    /// It may have run, and has been sent as often as its route allows.
+    NoAttemptLeft,
+    /// The daemon's share of the retry budget is used up.
+    NoRetryLeft,
+}
+
 /// The sends of one request so far.
 #[derive(Debug, Default)]
 pub struct Sends {
@@ -142,7 +154,7 @@
         self.count < route.attempts
     }
 
-    /// Reserves a further send in the retry budget and returns whether it may be made.
+    /// Reserves the next send in the retry budget and returns whether it may be made.
     ///
     /// The first send of a request needs no budget.
     pub fn reserve_next(
@@ -151,9 +163,17 @@
         service: &ServiceName,
         local_view: &mut LocalView,
         now_ms: u64,
-    ) -> bool {
-        let is_exhausted = self.may_have_run && !self.has_attempt_left(route);
-        self.count == 0 || (!is_exhausted && local_view.spend_retry(service, now_ms))
+    ) -> NextSend {
+        if self.count == 0 {
+            return NextSend::Allowed;
+        }
+        if self.may_have_run && !self.has_attempt_left(route) {
+            return NextSend::NoAttemptLeft;
+        }
+        match local_view.spend_retry(service, now_ms) {
+            true => NextSend::Allowed,
+            false => NextSend::NoRetryLeft,
+        }
     }
 
     fn only(&self, route: &Route) -> Option<BTreeSet<EndpointName>> {
--- a/crates/trestle-dispatch/tests/backoff.rs
+++ b/crates/trestle-dispatch/tests/backoff.rs
@@ -13,7 +13,7 @@
     retry_share::RetryBounds,
     route::RouteKind,
     selection::{self, RequestContext, Selection},
-    sends::{SendEnd, Sends},
+    sends::{NextSend, SendEnd, Sends},
     signals::{EndpointSignals, HeaderField},
 };
 
@@ -150,7 +150,8 @@
         local_view.daemons = 1;
         let route = route("/", RouteKind::Idempotent);
         let mut sends = Sends::default();
-        assert!(sends.reserve_next(&route, &"s".into(), &mut local_view, NOW_MS));
+        let next = sends.reserve_next(&route, &"s".into(), &mut local_view, NOW_MS);
+        assert_eq!(next, NextSend::Allowed);
         sends.record_send(&"x".into());
         sends.record_end(SendEnd::NotSent, &"s".into(), &mut local_view, NOW_MS);
         assert_eq!((sends.count, sends.may_have_run), (0, false));
--- a/crates/trestle-dispatch/tests/retry_budget.rs
+++ b/crates/trestle-dispatch/tests/retry_budget.rs
@@ -16,7 +16,7 @@
     replicas::ReplicaView,
     retry_share::{RetryBounds, RetryShare},
     route::RouteKind,
-    sends::{SendEnd, Sends},
+    sends::{NextSend, SendEnd, Sends},
 };
 
 macro_rules! cases {
@@ -255,7 +255,7 @@
         local_view.daemons = 1;
         let (service, route) = ("s".into(), route("/", RouteKind::Stream { is_resumable: true }));
         let reserve = |sends: &mut Sends, local_view: &mut LocalView, now_ms| {
-            sends.reserve_next(&route, &service, local_view, now_ms)
+            sends.reserve_next(&route, &service, local_view, now_ms) == NextSend::Allowed
         };
         let mut waiting = Vec::new();
         for now_ms in (0..12_000).step_by(100) {
@@ -285,7 +285,8 @@
         sends.record_send(&"e1".into());
         sends.record_end(SendEnd::NotRun, &service, &mut local_view, 10_000);
         for _ in 0..100 {
-            assert!(sends.reserve_next(&route, &service, &mut local_view, 10_000));
+            let next = sends.reserve_next(&route, &service, &mut local_view, 10_000);
+            assert_eq!(next, NextSend::Allowed);
             sends.record_send(&"e2".into());
             sends.record_end(SendEnd::NotSent, &service, &mut local_view, 10_000);
         }
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -28,7 +28,7 @@
     retry_share::RetryUsage,
     route::Route,
     selection::RequestContext,
-    sends::{SendEnd, Sends},
+    sends::{NextSend, SendEnd, Sends},
     store_version::StoreVersion,
     waiting::order,
 };
@@ -129,14 +129,14 @@
     pub(crate) fn reserve_next_send(&self, sends: &mut Sends) -> bool {
         let shared_view = &self.daemon.shared_view;
         let now_ms = shared_view.now_ms();
-        let (is_reserved, usage) = shared_view.with(|local_view| {
-            let is_reserved = sends.reserve_next(&self.route, &self.service, local_view, now_ms);
-            (is_reserved, local_view.retry_usage(&self.service, now_ms))
+        let (next, usage) = shared_view.with(|local_view| {
+            let next = sends.reserve_next(&self.route, &self.service, local_view, now_ms);
+            (next, local_view.retry_usage(&self.service, now_ms))
         });
         if sends.count > 0 {
-            self.log_further_send(sends, is_reserved, usage, now_ms);
+            self.log_further_send(sends, next, usage, now_ms);
         }
-        is_reserved
+        next == NextSend::Allowed
     }
 
     /// Records that the last send of the request ended without an answer to pass on.
@@ -149,17 +149,12 @@
 
     /// Logs whether a request that was sent before is sent once more, and what remains of this
     /// daemon's share of the retry budget. `running_ms` is the time since the daemon started.
-    fn log_further_send(
-        &self,
-        sends: &Sends,
-        is_reserved: bool,
-        usage: RetryUsage,
-        running_ms: u64,
-    ) {
+    fn log_further_send(&self, sends: &Sends, next: NextSend, usage: RetryUsage, running_ms: u64) {
         let RetryUsage { sent, available, capacity, daemons } = usage;
-        let message = match is_reserved {
-            true => "budget: A request is sent again.",
-            false => "budget: A request is not sent again.",
+        let message = match next {
+            NextSend::Allowed => "budget: A request is sent again.",
+            NextSend::NoAttemptLeft => return,
+            NextSend::NoRetryLeft => "budget: A request is not sent again.",
         };
         tracing::info!(
             id = self.head.id, service = %self.service, sends = sends.count,
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -13,7 +13,7 @@
     loadable::Loadable,
     request::RequestHead,
     selection::{self, RequestContext, Selection},
-    sends::{SendEnd, Sends},
+    sends::{NextSend, SendEnd, Sends},
     wait_limit,
 };
 
@@ -247,7 +247,8 @@
         let request_state = &mut self.requests[request];
         let local_view = &mut self.daemons[request_state.daemon].local_view;
         let route = &self.routes[request_state.class];
-        if !request_state.sends.reserve_next(route, &self.service, local_view, now_ms) {
+        let next = request_state.sends.reserve_next(route, &self.service, local_view, now_ms);
+        if next != NextSend::Allowed {
             return self.reject(request, MAX_RECHECK_MS);
         }
         request_state.sends.record_send(&endpoint.name);
