--- a/crates/trestle-dispatch/src/retry_share.rs
+++ b/crates/trestle-dispatch/src/retry_share.rs
@@ -6,10 +6,10 @@
 //! has sent, and many may start at once, or one many times.
 //!
 //! So a share is a token bucket that starts empty. Each request of the daemon adds the ratio, and the
-//! daemon's part of the fixed number is split: one half may be saved up, the other accrues over the
-//! window. What the processes of one VM send again within a window was either earned in it or saved
-//! when it began, and only one process had saved anything then. The sum keeps the budget for any
-//! number of starts, at any time and in any order.
+//! daemon's part of the fixed number is split: most of it may be saved up, since failures come in
+//! bursts, and the rest accrues over the window. What the processes of one VM send again within a
+//! window was either earned in it or saved when it began, and only one process had saved anything
+//! then. The sum keeps the budget for any number of starts, at any time and in any order.
 
 use fastrand::Rng;
 
@@ -18,9 +18,9 @@
 const USED_RATIO: f64 = 0.85;
 /// Part of the fixed number that is distributed. The rest covers sends that arrive later than they
 /// are made, and daemons that are not counted yet.
-const DISTRIBUTED_PART: f64 = 0.8;
+const DISTRIBUTED_PART: f64 = 0.9;
 /// Part of a daemon's fixed number that may be saved up.
-const SAVED_PART: f64 = 0.5;
+const SAVED_PART: f64 = 0.75;
 /// Further sends that may be saved up while the number of daemons is not known. One must be, or no
 /// request would ever be sent again.
 const SAVED_WHILE_UNCOUNTED: f64 = 1.0;
