Do not let a request that is recorded late add time to the retry budget

Found when the code was read again, before any run showed it. A request is recorded with the time of its arrival, which for a long body lies before the last time that the share was credited. The share then went back to that time and credited the time since once more: 473 further sends of 158 in a scenario of requests that are read for as long as they are away (a_request_that_is_recorded_late_adds_no_time, red before). The time of a share never goes back now.

--- a/crates/trestle-dispatch/src/retry_share.rs
+++ b/crates/trestle-dispatch/src/retry_share.rs
@@ -126,7 +126,7 @@
     fn credit(&mut self, earned: f64, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> f64 {
         let fixed = FixedPart::new(bounds, daemons);
         let passed_ms = now_ms.saturating_sub(self.credited_ms) as f64;
-        self.credited_ms = now_ms;
+        self.credited_ms = self.credited_ms.max(now_ms);
         self.saved = (self.saved + earned + passed_ms * fixed.per_ms).min(fixed.capacity);
         fixed.capacity
     }
--- a/crates/trestle-dispatch/tests/retry_budget.rs
+++ b/crates/trestle-dispatch/tests/retry_budget.rs
@@ -321,4 +321,17 @@
             assert!(count <= BOUNDS.fixed as usize, "{count} further sends from {from_ms} ms on");
         }
     }
+
+    /// A request that took long to be read is recorded with the time of its arrival.
+    a_request_that_is_recorded_late_adds_no_time => {
+        let mut share = RetryShare::default();
+        let mut spent = 0;
+        for now_ms in (0..10_000).step_by(20) {
+            share.record_request(now_ms / 2, &BOUNDS, 1);
+            spent += usize::from(share.spend(now_ms, &BOUNDS, 1));
+        }
+        let requests = 10_000 / 20;
+        let allowed = BOUNDS.ratio * f64::from(requests) + f64::from(BOUNDS.fixed);
+        assert!(spent as f64 <= allowed, "{spent} of {allowed}");
+    }
 }
