Use the ratio of the retry budget also where the fixed number is zero or very small

What one request earns may always be saved now.

Deployments whose daemons have a whole send each are not affected. The usage of a share is computed only for requests that are sent again.

--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -20,9 +20,9 @@
 //! - Traffic: [`selection`] decides what happens to a request now. It uses [`choice`] to choose
 //!   an endpoint and [`admission`] to decide whether the request waits or is rejected; [`sends`]
 //!   decides where the next attempt may go, and [`retry_budgets`] bounds the number of attempts by a
-//!   [`retry_share`] of each daemon. With [`trials`] a leader admits one attempt at a time of a request under which endpoints crashed.
-//!   Where prompts are large, the leader decides by [`load`] which engine reads one, and when;
-//!   [`waiting`] orders the requests that wait for that.
+//!   [`retry_share`] of each daemon. With [`trials`] a leader admits one attempt at a time of a
+//!   request under which endpoints crashed. Where prompts are large, the leader decides by [`load`]
+//!   which engine reads one, and when; [`waiting`] orders the requests that wait for that.
 //! - Replicas: [`lease`] decides which daemon may give orders, [`groups`] to which engines, and
 //!   [`candidate`] which daemon is preferred as leader. [`member_count`] counts the daemons that
 //!   share budgets, [`demand`] adds up the demand of all daemons, and [`service_state`] is what the
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -41,6 +41,7 @@
 const LEADERLESS_MS: u64 = 5_600;
 /// Time in which a new leader loads a requested model from a copy on a disk.
 const FIRST_LOAD_MS: u64 = 1_000;
+
 /// Attempts of a caller, each as long as its route allows, for which a stream can be continued.
 const ATTEMPTS_IN_LIFETIME: u64 = 2;
 /// Longest time of an attempt while there is no configuration.
--- a/crates/trestle-dispatch/src/member_count.rs
+++ b/crates/trestle-dispatch/src/member_count.rs
@@ -4,8 +4,8 @@
 //! allows too many. The load that this answers: half of 295 daemons restart at once, and their
 //! leader with them. It has received reports of few of them yet, and if each of these took a part
 //! by that count, they would spend the budget several times over. So a leader uses the counts in the
-//! lease rows of the holders before it until its own count has had the time to be complete. It takes over
-//! groups one after the other, and may not have heard of other leaders yet, so the rows of all
+//! lease rows of the holders before it until its own count has had the time to be complete. It takes
+//! over groups one after the other, and may not have heard of other leaders yet, so the rows of all
 //! groups count from the first one on.
 
 use std::collections::BTreeMap;
--- a/crates/trestle-dispatch/src/retry_share.rs
+++ b/crates/trestle-dispatch/src/retry_share.rs
@@ -67,15 +67,18 @@
 impl FixedPart {
     /// Returns the part of one of `daemons`. While their number is not known (0), none is used: 295
     /// daemons that had started at once and assumed 12 would have used 24 times the fixed number.
+    ///
+    /// What a single request earns may always be saved, so that the ratio is used where the fixed
+    /// number is small or zero.
     fn new(bounds: &RetryBounds, daemons: usize) -> Self {
         if daemons == 0 {
             return Self { capacity: SAVED_WHILE_UNCOUNTED, per_ms: 0.0 };
         }
         let sends = f64::from(bounds.fixed) * DISTRIBUTED_PART / daemons as f64;
-        let saved = sends * SAVED_PART;
-        // A whole send, if the part has one.
-        let capacity = if sends < 1.0 { saved } else { saved.max(1.0) };
-        Self { capacity, per_ms: (sends - capacity) / bounds.window_ms as f64 }
+        let least_saved = if sends < 1.0 { bounds.ratio * USED_RATIO } else { 1.0 };
+        let capacity = (sends * SAVED_PART).max(least_saved);
+        let accruing = (sends - capacity).max(0.0);
+        Self { capacity, per_ms: accruing / bounds.window_ms as f64 }
     }
 }
 
@@ -91,20 +94,25 @@
     }
 
     /// Reserves one further send and returns whether the share allows it.
-    ///
-    /// Where so many daemons share the fixed number that none can save up a whole send, what is saved
-    /// is the probability that the send is allowed, and is used up either way.
     pub fn spend(&mut self, now_ms: u64, bounds: &RetryBounds, daemons: usize) -> bool {
         let capacity = self.credit(0.0, now_ms, bounds, daemons);
-        let cost = self.saved.min(1.0);
-        let is_allowed = cost >= 1.0 || (capacity < 1.0 && self.rng.f64() < cost);
-        if is_allowed || capacity < 1.0 {
-            self.saved -= cost;
-        }
+        let is_allowed = self.take_saved(capacity);
         self.sent += u64::from(is_allowed);
         is_allowed
     }
 
+    /// Takes one send from what is saved, and returns whether it is allowed.
+    ///
+    /// Where so many daemons share the fixed number that none can save up a whole send, what is saved
+    /// is the probability that the send is allowed, and is used up either way.
+    fn take_saved(&mut self, capacity: f64) -> bool {
+        if self.saved >= 1.0 {
+            self.saved -= 1.0;
+            return true;
+        }
+        capacity < 1.0 && self.rng.f64() < std::mem::take(&mut self.saved)
+    }
+
     /// Returns a further send that was reserved and not made.
     pub fn return_unused(&mut self) {
         self.saved += 1.0;
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -129,12 +129,10 @@
     pub(crate) fn reserve_next_send(&self, sends: &mut Sends) -> bool {
         let shared_view = &self.daemon.shared_view;
         let now_ms = shared_view.now_ms();
-        let (next, usage) = shared_view.with(|local_view| {
-            let next = sends.reserve_next(&self.route, &self.service, local_view, now_ms);
-            (next, local_view.retry_budgets.usage(&self.service, now_ms))
-        });
+        let next = shared_view
+            .with(|local_view| sends.reserve_next(&self.route, &self.service, local_view, now_ms));
         if sends.count > 0 {
-            self.log_further_send(sends, next, usage, now_ms);
+            self.log_further_send(sends, next, now_ms);
         }
         next == NextSend::Allowed
     }
@@ -149,8 +147,10 @@
 
     /// Logs whether a request that was sent before is sent once more, and what remains of this
     /// daemon's share of the retry budget. `running_ms` is the time since the daemon started.
-    fn log_further_send(&self, sends: &Sends, next: NextSend, usage: RetryUsage, running_ms: u64) {
-        let RetryUsage { sent, available, capacity, daemons } = usage;
+    fn log_further_send(&self, sends: &Sends, next: NextSend, running_ms: u64) {
+        let usage =
+            |local_view: &mut LocalView| local_view.retry_budgets.usage(&self.service, running_ms);
+        let RetryUsage { sent, available, capacity, daemons } = self.daemon.shared_view.with(usage);
         let message = match next {
             NextSend::Allowed => "budget: A request is sent again.",
             NextSend::NoAttemptLeft => return,
