Review case: a row of another writer ends the daemon that leads

An order by a row whose key is no valid header value aborts the process. The requests that it passed on at that moment get no answer.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+here=$(cd "$(dirname "$0")" && pwd)
+exec "$here/../run-case.sh" review-3 "$here"
--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -8,7 +8,7 @@
     env, fs,
     net::{IpAddr, SocketAddr},
     path::PathBuf,
-    process::{self, Child, Command, Stdio},
+    process::{self, Child, Command, ExitStatus, Stdio},
     sync::{Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
@@ -98,6 +98,8 @@
     settings_path: PathBuf,
     log_path: PathBuf,
     child: Child,
+    /// When the process is started again; `None` unless it ended by itself.
+    restart_at: Option<Instant>,
 }
 
 impl Daemon {
@@ -122,7 +124,7 @@
         let child = start_process(&settings_path, &log_path);
         let vm = settings["vm"].as_str().unwrap_or_default().to_owned();
         let [callers, readiness, ..] = ports;
-        Self { vm, callers, readiness, settings_path, log_path, child }
+        Self { vm, callers, readiness, settings_path, log_path, child, restart_at: None }
     }
 
     /// Returns whether the daemon says that it is ready.
@@ -147,6 +149,26 @@
         self.child.wait().expect("the process could not be waited for");
     }
 
+    /// Returns how the process ended by itself, once; `None` while it runs.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        if self.restart_at.is_some() {
+            return None;
+        }
+        self.child.try_wait().expect("the state of the process could not be read")
+    }
+
+    /// Has the ended process started again after a time, by [`Self::restart_if_due`].
+    pub fn restart_after(&mut self, time: Duration) {
+        self.restart_at = Some(Instant::now() + time);
+    }
+
+    /// Starts the process again if that is due.
+    pub fn restart_if_due(&mut self) {
+        if self.restart_at.take_if(|at| Instant::now() >= *at).is_some() {
+            self.start_again();
+        }
+    }
+
     /// Starts the process again after its end, with the same settings.
     pub fn start_again(&mut self) {
         self.child = start_process(&self.settings_path, &self.log_path);
