--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Builds the stand-ins that the scripts of the review start. The daemon itself comes from the build
-# of the deploy file.
+# of the deploy file. The packages are those of the workspace, at the same versions.
 set -e
 cd "$(dirname "$0")/.."
-cargo build --offline --release --locked --manifest-path review/harness/Cargo.toml --target-dir target/review
+cp Cargo.lock review/harness/Cargo.lock
+cargo build --offline --release --manifest-path review/harness/Cargo.toml --target-dir target/review
