Do nothing by a lease once its release has begun

What callers saw: a leader that was stopped went on giving orders for up to 1.5 s after the store had carried out the release of its lease, if the answer of that write was lost.

Cause: the window of orders, and whether a daemon holds the lease, were read from the time until which the last renewal holds. A release changed neither; only its answer did. A second function that heeds the release (may_order) was used by tests alone. Besides, the release was written while orders of 500 ms could be in flight, and the successor counts its quiet time from it.

Ruled out: a successor that begins too soon (it keeps 3.3 s from the moment at which it sees the release); orders that arrive late (the engine has them within 1 ms of the log line).

Change: one function says until when a daemon may act by the lease; permits of orders, planning, what is lent and what others are told follow it, and are closed when the release begins. The release is written once no order is in flight: a task records its order under the same lock under which it checks the permit, and permits are closed before the log is looked at. A group that is listed while a daemon stops is not acquired by it, and a write in flight that may acquire a lease is awaited.

--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -10,6 +10,10 @@
 //! order under that token, so the others need to keep the quiet time only at engines that it has
 //! ordered lately.
 //!
+//! A daemon that is about to terminate releases its leases. From then on it holds none, whether or
+//! not the store's answer arrives. Its successor counts the quiet time from the release, so the row
+//! is written only when no order is in flight any more.
+//!
 //! No clocks are compared, and no daemon takes over without the store.
 //!
 //! A store that is restored from a copy has an earlier row, or none. Another daemon may have acquired
@@ -18,11 +22,13 @@
 //! it says. Only a holder whose lease has not expired goes on: nobody else can have acquired it.
 //! Each era has fencing numbers of its own, which also tell in which era a row was written.
 
+mod order_window;
 mod resignation;
 mod row;
 mod token;
 
 pub use self::{
+    order_window::OrderWindow,
     resignation::Resignation,
     row::{LeaseRow, LeaseWrite},
 };
@@ -77,6 +83,8 @@
     next_write_ms: u64,
     is_writing: bool,
     is_releasing: bool,
+    /// Whether orders of this daemon may still arrive.
+    has_orders_in_flight: bool,
     /// Number of daemons that sync with this one; before it holds the lease, with the last holder.
     daemons: u32,
     /// Number of daemons that synced with the last other holder.
@@ -137,6 +145,7 @@
             next_write_ms: 0,
             is_writing: false,
             is_releasing: false,
+            has_orders_in_flight: false,
             daemons: 0,
             daemons_before: 0,
         }
@@ -174,7 +183,8 @@
     /// Returns the write that is due now, if any. Its outcome must be passed to
     /// [`Self::write_finished`].
     pub fn due_write(&mut self, now_ms: u64) -> Option<LeaseWrite> {
-        if self.is_writing || now_ms < self.next_write_ms {
+        let must_wait = self.is_releasing && self.has_orders_in_flight;
+        if self.is_writing || must_wait || now_ms < self.next_write_ms {
             return None;
         }
         let seen = self.seen.clone()?;
@@ -227,7 +237,10 @@
             self.next_write_ms = now_ms + RETRY_MS;
             return;
         };
-        self.next_write_ms = sent_ms + self.timing.renew_ms;
+        self.next_write_ms = match self.is_releasing {
+            true => now_ms,
+            false => sent_ms + self.timing.renew_ms,
+        };
         self.held_until_ms = sent_ms + self.timing.hold_ms;
         self.held_token = write.row.token;
         if write.row.is_released || self.has_resigned(&write.row) {
@@ -237,22 +250,37 @@
         self.seen = Some(SeenRow { row, version, since_ms: now_ms, is_restored: false });
     }
 
-    /// Returns the fencing number under which an order may be sent now; `None` if none may.
+    /// Returns the fencing number under which an order that takes no time may be sent now; `None` if
+    /// none may.
     pub fn may_order(&self, now_ms: u64) -> Option<u64> {
-        let row = self.seen.as_ref()?.row.as_ref()?;
-        let is_in_window = now_ms >= self.quiet_until_ms && now_ms < self.held_until_ms;
-        (is_in_window && self.is_own(row) && !row.is_released).then_some(self.held_token)
+        let window = self.order_window();
+        (window.from_ms <= now_ms && window.is_held(now_ms)).then_some(window.token)
     }
 
-    /// Returns the time in which orders may be sent: its start and its end.
-    pub fn order_window(&self) -> (u64, u64) {
-        (self.quiet_until_ms, self.held_until_ms)
+    /// Returns the time in which orders may be sent. It is empty unless this daemon holds the lease.
+    pub fn order_window(&self) -> OrderWindow {
+        let held_until_ms = self.entitled_until_ms();
+        OrderWindow {
+            token: self.held_token,
+            from_ms: self.quiet_until_ms,
+            until_ms: held_until_ms.saturating_sub(self.timing.in_flight_ms),
+            held_until_ms,
+        }
     }
 
     /// Returns whether this daemon holds the lease, even if it must still keep quiet.
     pub fn is_holder(&self, now_ms: u64) -> bool {
-        let row = self.seen.as_ref().and_then(|seen| seen.row.as_ref());
-        now_ms < self.held_until_ms && row.is_some_and(|row| self.is_own(row))
+        now_ms < self.entitled_until_ms()
+    }
+
+    /// Returns the time until which this daemon may do what only the holder may; 0 if it has stepped
+    /// down, releases the lease, or does not hold it by the row as last seen.
+    fn entitled_until_ms(&self) -> u64 {
+        let is_held = self.seen().is_some_and(|(row, _)| self.is_own(row) && !row.is_released);
+        match is_held && !self.is_releasing {
+            true => self.held_until_ms,
+            false => 0,
+        }
     }
 
     /// Returns the fencing number under which this daemon last held the lease.
@@ -293,8 +321,8 @@
     ///
     /// It does not step down sooner: while the store is slow a renewal may still succeed in time.
     pub fn has_run_out(&self, now_ms: u64) -> bool {
-        let is_own = self.seen().is_some_and(|(row, _)| self.is_own(row));
-        is_own && self.held_until_ms > 0 && now_ms >= self.held_until_ms
+        let until_ms = self.entitled_until_ms();
+        until_ms > 0 && now_ms >= until_ms
     }
 
     /// Steps down: this daemon gives no further order under the present token.
@@ -340,16 +368,31 @@
         self.daemons = daemons;
     }
 
-    /// Releases the lease with the next write and does not acquire it again.
+    /// Releases the lease: this daemon holds it no longer, writes so when none of its orders is in
+    /// flight, and does not acquire it again.
     pub fn release(&mut self) {
         self.is_releasing = true;
         self.next_write_ms = 0;
     }
 
+    /// Returns whether this daemon has released the lease, even if that is not written yet.
+    pub fn is_releasing(&self) -> bool {
+        self.is_releasing
+    }
+
+    /// Sets whether orders of this daemon may still arrive. While they may, a release is not written.
+    pub fn set_orders_in_flight(&mut self, has_orders_in_flight: bool) {
+        self.has_orders_in_flight = has_orders_in_flight;
+    }
+
     /// Returns whether the daemon may stop because no write of the lease is left to do.
     pub fn is_release_done(&self) -> bool {
-        let row = self.seen.as_ref().and_then(|seen| seen.row.as_ref());
-        self.is_releasing && !row.is_some_and(|row| self.is_own(row) && !row.is_released)
+        let is_written = match self.seen() {
+            Some((row, _)) if self.is_own(row) => row.is_released,
+            // The write in flight may acquire the lease.
+            _ => !self.is_writing,
+        };
+        self.is_releasing && is_written
     }
 
     /// Returns whether this daemon may write the row again as its holder, or to release it.
--- a/crates/trestle-dispatch/src/order_log.rs
+++ b/crates/trestle-dispatch/src/order_log.rs
@@ -29,6 +29,11 @@
         self.own_ms.insert(endpoint.clone(), now_ms);
     }
 
+    /// Returns whether any order of this VM may still arrive.
+    pub fn has_in_flight(&self, now_ms: u64) -> bool {
+        self.own_ms.values().any(|arrives_by_ms| now_ms < *arrives_by_ms)
+    }
+
     /// Records for how long each engine must be left alone, as reported by a leader that stepped
     /// down.
     pub fn quiet_times_received(
--- a/crates/trestle-dispatch/tests/lease.rs
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -84,6 +84,8 @@
     two_holders_ms: Option<u64>,
     /// Whether the clocks of suspended VMs continue.
     clock: Clock,
+    /// Whether daemons are stopped and started again.
+    has_stops: bool,
 }
 
 /// Behaviour of a daemon's clock while its VM is suspended.
@@ -112,6 +114,8 @@
     incarnation: u64,
     /// Time by which its clock is behind.
     behind_ms: u64,
+    /// When the daemon that is being stopped terminates.
+    terminates_ms: Option<u64>,
 }
 
 impl Simulation {
@@ -124,6 +128,7 @@
             next_read_ms: 0,
             incarnation: 1,
             behind_ms: 0,
+            terminates_ms: None,
         });
         Self {
             rng: fastrand::Rng::with_seed(seed),
@@ -138,6 +143,7 @@
             restores: 0,
             two_holders_ms: None,
             clock: Clock::Continues,
+            has_stops: false,
         }
     }
 
@@ -257,17 +263,29 @@
             0 => self.daemons[number].frozen_until_ms = until_ms,
             1 => self.daemons[number].cut_off_until_ms = until_ms,
             2 => self.store_down_until_ms = until_ms,
-            3 => {
-                let daemon = &mut self.daemons[number];
-                daemon.incarnation += 1;
-                daemon.lease = lease(&format!("vm-{number}"), daemon.incarnation);
-                daemon.log = OrderLog::default();
-                daemon.next_read_ms = 0;
-            }
+            3 => self.start_again(number),
+            4..8 if self.has_stops => self.stop(number),
             _ => {}
         }
     }
 
+    fn start_again(&mut self, number: usize) {
+        let daemon = &mut self.daemons[number];
+        daemon.incarnation += 1;
+        daemon.lease = lease(&format!("vm-{number}"), daemon.incarnation);
+        daemon.log = OrderLog::default();
+        daemon.next_read_ms = 0;
+        daemon.terminates_ms = None;
+    }
+
+    /// Has a daemon release its lease. Open streams keep it alive for a time after that.
+    fn stop(&mut self, number: usize) {
+        let terminates_ms = self.now_ms + self.rng.u64(1_500..3_000);
+        let daemon = &mut self.daemons[number];
+        daemon.lease.release();
+        daemon.terminates_ms.get_or_insert(terminates_ms);
+    }
+
     /// Delivers the resignations that are due, except to frozen daemons.
     fn deliver(&mut self) {
         let now_ms = self.now_ms;
@@ -326,12 +344,16 @@
         if now_ms < daemon.frozen_until_ms {
             return;
         }
+        if daemon.terminates_ms.is_some_and(|at_ms| now_ms >= at_ms) {
+            return self.start_again(number);
+        }
         let own_ms = now_ms - daemon.behind_ms;
         let reaches_store = now_ms >= daemon.cut_off_until_ms && now_ms >= self.store_down_until_ms;
         if reaches_store && now_ms >= daemon.next_read_ms {
             daemon.next_read_ms = now_ms + self.rng.u64(300..1_500);
             daemon.lease.observed(self.store.row.clone(), self.store.version, own_ms);
         }
+        daemon.lease.set_orders_in_flight(daemon.log.has_in_flight(own_ms));
         if let Some(write) = daemon.lease.due_write(own_ms) {
             let sent_ms = own_ms;
             let version = match self.rng.u32(0..20) {
@@ -355,14 +377,21 @@
             self.orders.push((now_ms, number, token));
         }
         // No order is sent shortly before the lease expires.
-        let is_in_time = own_ms + FLIGHT_MS < daemon.lease.order_window().1;
-        if may_order.is_some() && is_in_time {
+        if daemon.lease.order_window().contains(own_ms) {
             self.order(number);
         }
         self.step_down(number);
     }
 }
 
+/// Has a daemon read the store's row and acquire the free lease.
+fn acquire(lease: &mut Lease, store: &mut Store, now_ms: u64) {
+    lease.observed(store.row.clone(), store.version, now_ms);
+    let write = lease.due_write(now_ms).expect("the lease is free");
+    let version = store.write(&write);
+    lease.write_finished(write, version, now_ms, now_ms);
+}
+
 macro_rules! cases {
     ($($name:ident => $body:block)+) => { $(#[test] fn $name() $body)+ };
 }
@@ -503,6 +532,66 @@
         }
     }
 
+    // A stopped leader went on giving orders until the store had answered the write that releases its
+    // lease. If that answer was lost, its successor ordered the same engine 2.4 s later.
+    orders_of_two_vms_keep_the_quiet_time_when_leases_are_released => {
+        let mut handovers = 0;
+        for seed in 0..400 {
+            let mut simulation = Simulation { has_stops: true, ..Simulation::new(seed) };
+            simulation.run(60_000, true);
+            handovers += simulation.orders.windows(2).filter(|pair| pair[0].1 != pair[1].1).count();
+            simulation.check_orders(seed);
+        }
+        assert!(handovers > 1_000, "{handovers}");
+    }
+
+    daemon_that_releases_its_lease_does_nothing_more_by_it => {
+        let mut holder = lease("vm-0", 1);
+        let mut store = Store::default();
+        acquire(&mut holder, &mut store, 1_000);
+        assert!(holder.is_holder(1_100) && holder.order_window().contains(1_100));
+        holder.release();
+        assert!(!holder.is_holder(1_100));
+        assert_eq!(holder.order_window().held_until_ms, 0);
+        assert_eq!(holder.may_order(1_100), None);
+        // The release is written and its answer lost; the row is read back.
+        let release = holder.due_write(1_100).expect("the release is written");
+        let version = store.write(&release).expect("the row is as expected");
+        holder.write_finished(release.clone(), None, 1_100, 1_150);
+        assert!(!holder.is_release_done());
+        holder.observed(Some(release.row), version, 1_200);
+        assert!(holder.is_release_done() && !holder.is_holder(1_200));
+        assert_eq!(holder.due_write(9_000), None);
+    }
+
+    release_is_written_once_no_order_is_in_flight => {
+        let mut holder = lease("vm-0", 1);
+        acquire(&mut holder, &mut Store::default(), 1_000);
+        holder.release();
+        holder.set_orders_in_flight(true);
+        assert_eq!(holder.due_write(1_100), None);
+        holder.set_orders_in_flight(false);
+        assert!(holder.due_write(1_200).is_some_and(|write| write.row.is_released));
+    }
+
+    // The daemon terminated while the write that acquires the lease was in flight, and nobody led the
+    // group until that lease had expired.
+    release_waits_for_a_write_that_may_acquire_the_lease => {
+        let mut holder = lease("vm-0", 1);
+        let mut store = Store::default();
+        holder.observed(None, store.version, 1_000);
+        let acquisition = holder.due_write(1_000).expect("the lease is free");
+        holder.release();
+        assert!(!holder.is_release_done());
+        let version = store.write(&acquisition);
+        holder.write_finished(acquisition, version, 1_000, 1_020);
+        assert!(!holder.is_holder(1_020) && !holder.is_release_done());
+        let release = holder.due_write(1_020).expect("the release is written at once");
+        let version = store.write(&release);
+        holder.write_finished(release, version, 1_020, 1_040);
+        assert!(holder.is_release_done());
+    }
+
     orders_resume_after_faults => {
         for seed in 0..100 {
             let mut simulation = Simulation::new(seed);
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -146,12 +146,7 @@
     count: u64,
 ) -> Option<OrderAnswer> {
     let leader = &daemon.settings.vm;
-    let now_ms = daemon.shared_view.now_ms();
-    let token = daemon.order_permits.token(&endpoint.domain, now_ms)?;
-    if !daemon.with_order_log(|log| log.may_order(&endpoint.name, now_ms)) {
-        return None;
-    }
-    daemon.with_order_log(|log| log.record_send(&endpoint.name, now_ms + CALL_MS));
+    let token = begin_order(daemon, endpoint)?;
     let call = (daemon.wire.endpoint.order_call)(&endpoint.name, order, count, leader, token);
     let answer = match client.exchange(call, CALL_MS).await {
         Ok(answer) => {
@@ -168,3 +163,18 @@
     tracing::debug!(endpoint = %endpoint.name, ?order, count, token, ?answer, "order: An order was sent.");
     Some(answer)
 }
+
+/// Records in the order log that an order is sent now, and returns its fencing number; `None` if none
+/// may be sent. The log is locked while the permit is checked: the control thread closes permits before
+/// it looks for orders in flight.
+fn begin_order(daemon: &Daemon, endpoint: &Endpoint) -> Option<u64> {
+    daemon.with_order_log(|log| {
+        let now_ms = daemon.shared_view.now_ms();
+        let token = daemon.order_permits.token(&endpoint.domain, now_ms)?;
+        if !log.may_order(&endpoint.name, now_ms) {
+            return None;
+        }
+        log.record_send(&endpoint.name, now_ms + CALL_MS);
+        Some(token)
+    })
+}
--- a/crates/trestle-entry/src/control/group_lease.rs
+++ b/crates/trestle-entry/src/control/group_lease.rs
@@ -39,7 +39,6 @@
     is_acting: bool,
     /// When this daemon last stepped down because it was cut off from the engines.
     stepped_down_ms: Option<u64>,
-    is_releasing: bool,
 }
 
 impl GroupLease {
@@ -59,7 +58,7 @@
             in_flight_ms: IN_FLIGHT_MS,
         };
         let lease = Lease::new(identity, timing);
-        Self { daemon, group, lease, is_acting: false, stepped_down_ms: None, is_releasing: false }
+        Self { daemon, group, lease, is_acting: false, stepped_down_ms: None }
     }
 
     /// Sets the quiet time that the next takeover observes.
@@ -128,7 +127,7 @@
     /// their next sync and can lead at once.
     pub(crate) fn step_down_if_cut_off(&mut self, is_cut_off: bool, now_ms: u64) {
         let is_due = candidate::should_step_down(is_cut_off, self.stepped_down_ms, now_ms);
-        if is_due && self.lease.is_holder(now_ms) && !self.is_releasing {
+        if is_due && self.lease.is_holder(now_ms) {
             self.lease.resign(now_ms);
             self.stepped_down_ms = Some(now_ms);
             tracing::warn!(group = %self.group, "lease: This daemon is cut off from engines that others reach; it steps down.");
@@ -142,11 +141,12 @@
         may_acquire: impl Fn(u64, Option<&LeaseRow>) -> bool,
         now_ms: u64,
     ) {
-        if self.lease.has_run_out(now_ms) && !self.is_releasing {
+        if self.lease.has_run_out(now_ms) {
             self.lease.resign(now_ms);
             tracing::info!(group = %self.group, "lease: The lease has expired; this daemon steps down.");
         }
-        let may_write = self.lease.is_holder(now_ms) || self.is_releasing;
+        self.update_orders(now_ms);
+        let may_write = self.lease.is_holder(now_ms) || self.lease.is_releasing();
         let last = self.lease.seen().map(|(row, _)| row);
         let may_acquire =
             || self.lease.free_from_ms().is_some_and(|free_ms| may_acquire(free_ms, last));
@@ -158,13 +158,17 @@
             let (daemon, group) = (Arc::clone(&self.daemon), self.group.clone());
             smol::spawn(send(daemon, group, write, now_ms)).detach();
         }
-        let (from_ms, held_until_ms) = self.lease.order_window();
-        let token = self.lease.held_token();
-        let window = (from_ms, held_until_ms.saturating_sub(IN_FLIGHT_MS));
-        self.daemon.order_permits.set(&self.group, token, window, held_until_ms);
         self.log_role_change(now_ms);
     }
 
+    /// Permits orders as the lease now stands, and then checks whether any is in flight; a task
+    /// records its order before it checks the permit.
+    fn update_orders(&mut self, now_ms: u64) {
+        self.daemon.order_permits.set(&self.group, self.lease.order_window());
+        let has_orders_in_flight = self.daemon.with_order_log(|log| log.has_in_flight(now_ms));
+        self.lease.set_orders_in_flight(has_orders_in_flight);
+    }
+
     /// Returns the report to other daemons after this daemon has stepped down.
     pub(crate) fn resignation(&self, now_ms: u64) -> Option<WireResignation> {
         let quiet_ms = self.lease.quiet_ms();
@@ -181,7 +185,6 @@
 
     /// Releases the lease, and never acquires it again.
     pub(crate) fn release(&mut self) {
-        self.is_releasing = true;
         self.lease.release();
     }
 
@@ -225,9 +228,12 @@
         let group = self.group.clone();
         match self.lease.seen() {
             Some((row, _)) if row.is_released => Leader::Nobody,
-            // An earlier process of this daemon may have held it; others ask this one.
             Some((row, _)) if row.address == self.daemon.peers_address() => {
-                Leader::Here { group, token: row.token }
+                match self.lease.is_releasing() {
+                    true => Leader::Nobody,
+                    // An earlier process of this daemon may have held it; others ask this one.
+                    false => Leader::Here { group, token: row.token },
+                }
             }
             Some((row, _)) => Leader::At { address: row.address, group, token: row.token },
             None => Leader::Nobody,
@@ -253,7 +259,7 @@
         let (token, StoreVersion { era, number: version }) =
             self.lease.seen().map_or_else(Default::default, |(row, version)| (row.token, version));
         if is_holder {
-            let quiet_ms = self.lease.order_window().0.saturating_sub(now_ms);
+            let quiet_ms = self.lease.order_window().from_ms.saturating_sub(now_ms);
             let group = &self.group;
             tracing::info!(%group, token, version, era, quiet_ms, "lease: This daemon leads.");
         } else {
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -57,6 +57,7 @@
     /// Since when this daemon has been ready to lead; `None` while it is not.
     ready_since_ms: Option<u64>,
     is_acting: bool,
+    is_releasing: bool,
     released: Option<Sender<()>>,
 }
 
@@ -79,6 +80,7 @@
             others_read_ms: None,
             ready_since_ms: None,
             is_acting: false,
+            is_releasing: false,
             released: None,
             daemon,
         }
@@ -212,6 +214,9 @@
             let mut lease =
                 GroupLease::new(Arc::clone(&self.daemon), group.clone(), self.incarnation);
             lease.set_quiet_ms(self.quiet_ms);
+            if self.is_releasing {
+                lease.release();
+            }
             lease
         };
         self.by_group.entry(group.clone()).or_insert_with(make)
@@ -326,10 +331,16 @@
 
     /// Releases all leases, and sends a reply once that is done.
     pub(crate) fn release(&mut self, reply: Sender<()>) {
+        self.is_releasing = true;
         self.by_group.values_mut().for_each(GroupLease::release);
         self.released = Some(reply);
     }
 
+    /// Returns whether leases are still to be released.
+    pub(crate) fn is_release_pending(&self) -> bool {
+        self.released.is_some()
+    }
+
     /// Returns whether this daemon holds any lease.
     pub(crate) fn is_leading(&self, now_ms: u64) -> bool {
         self.by_group.values().any(|lease| lease.is_holder(now_ms))
--- a/crates/trestle-entry/src/control/mod.rs
+++ b/crates/trestle-entry/src/control/mod.rs
@@ -36,7 +36,7 @@
     service_state::ServiceState,
 };
 
-/// Longest time between two checks for due work while this daemon holds a lease.
+/// Longest time between two checks for due work while this daemon holds or releases a lease.
 const HOLDER_TICK_MS: u64 = 100;
 /// Longest time between two checks for due work while other daemons hold all leases.
 const STANDBY_TICK_MS: u64 = 250;
@@ -99,7 +99,7 @@
 
     fn until_next_tick_ms(&self) -> u64 {
         let now_ms = self.now_ms();
-        let tick_ms = match self.leases.is_leading(now_ms) {
+        let tick_ms = match self.leases.is_leading(now_ms) || self.leases.is_release_pending() {
             true => HOLDER_TICK_MS,
             false => STANDBY_TICK_MS,
         };
