Let no late answer of a write make a daemon holder again

What callers could see: orders of two VMs within the quiet time.

Cause: the answer to a write of the lease row was taken as if nothing had happened since it was sent. (1) If the row had been read back as another daemon's by then, the older answer replaced that row and the time of the renewal held again. (2) If the daemon had stepped down by then, and the write bore a new token (the first renewal after a restore of the store), it did not count as the one stepped down from.

Change: an answer older than the row that was read back changes nothing; a daemon that steps down while a write is in flight steps down under the token of that write, too, and leaves the lease to others for the full pause.

Evidence: two tests in tests/lease.rs, both red without the change of lease.rs, green with it; the sixteen others, of random histories, unchanged and green.

--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -82,6 +82,8 @@
     received: Option<ReceivedResignation>,
     next_write_ms: u64,
     is_writing: bool,
+    /// Whether this daemon stepped down while a write was in flight.
+    has_resigned_while_writing: bool,
     is_releasing: bool,
     /// Whether orders of this daemon may still arrive.
     has_orders_in_flight: bool,
@@ -144,6 +146,7 @@
             received: None,
             next_write_ms: 0,
             is_writing: false,
+            has_resigned_while_writing: false,
             is_releasing: false,
             has_orders_in_flight: false,
             daemons: 0,
@@ -233,13 +236,21 @@
         now_ms: u64,
     ) {
         self.is_writing = false;
+        let has_resigned = std::mem::take(&mut self.has_resigned_while_writing);
         let Some(version) = version.filter(|version| write.is_confirmed_by(*version)) else {
-            self.next_write_ms = now_ms + RETRY_MS;
+            self.next_write_ms = self.next_write_ms.max(now_ms + RETRY_MS);
             return;
         };
+        if self.seen.as_ref().is_some_and(|seen| seen.version > version) {
+            // The row has been written again and read back in the meantime.
+            return;
+        }
+        if has_resigned {
+            self.resigned_token = Some(write.row.token);
+        }
         self.next_write_ms = match self.is_releasing {
             true => now_ms,
-            false => sent_ms + self.timing.renew_ms,
+            false => self.next_write_ms.max(sent_ms + self.timing.renew_ms),
         };
         self.held_until_ms = sent_ms + self.timing.hold_ms;
         self.held_token = write.row.token;
@@ -328,6 +339,7 @@
     /// Steps down: this daemon gives no further order under the present token.
     pub fn resign(&mut self, now_ms: u64) {
         self.resigned_token = self.seen().map(|(row, _)| row.token);
+        self.has_resigned_while_writing = self.is_writing;
         self.held_until_ms = 0;
         self.next_write_ms = now_ms + STEPPED_DOWN_MS;
     }
--- a/crates/trestle-dispatch/tests/lease.rs
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -384,6 +384,11 @@
     }
 }
 
+/// Returns the row with which another daemon acquires the lease that a row holds.
+fn other_row(row: &LeaseRow) -> LeaseRow {
+    LeaseRow { holder: "vm-1".to_owned(), incarnation: 2, token: row.token + 1, ..row.clone() }
+}
+
 /// Has a daemon read the store's row and acquire the free lease.
 fn acquire(lease: &mut Lease, store: &mut Store, now_ms: u64) {
     lease.observed(store.row.clone(), store.version, now_ms);
@@ -592,6 +597,44 @@
         assert!(holder.is_release_done());
     }
 
+    // The answer of an earlier write made a daemon the holder again whose lease another daemon had
+    // acquired by then.
+    holder_whose_row_was_read_back_as_another_daemons_is_not_made_holder_by_a_late_answer => {
+        let mut store = Store::default();
+        let mut holder = lease("vm-0", 1);
+        acquire(&mut holder, &mut store, 1_000);
+        let renewal = holder.due_write(1_600).expect("the renewal is due");
+        let version = store.write(&renewal);
+        let other = LeaseWrite { expected: store.version, row: other_row(&renewal.row) };
+        store.write(&other).expect("the row is as expected");
+        holder.observed(store.row.clone(), store.version, 1_700);
+        assert!(!holder.is_holder(1_700));
+        holder.write_finished(renewal, version, 1_600, 1_800);
+        assert!(!holder.is_holder(1_800));
+        assert_eq!(holder.seen().map(|(row, _)| row.holder.as_str()), Some("vm-1"));
+    }
+
+    // After a restore of the store a renewal has a new token; its answer made a daemon the holder
+    // again that had stepped down meanwhile.
+    holder_that_steps_down_while_it_renews_is_not_made_holder_by_the_answer => {
+        for is_restored in [false, true] {
+            let mut store = Store::default();
+            let mut holder = lease("vm-0", 1);
+            acquire(&mut holder, &mut store, 1_000);
+            if is_restored {
+                store.version.era += 1;
+                holder.observed(store.row.clone(), store.version, 1_500);
+            }
+            let renewal = holder.due_write(1_600).expect("the renewal is due");
+            holder.resign(1_650);
+            let version = store.write(&renewal);
+            holder.write_finished(renewal.clone(), version, 1_600, 1_700);
+            assert!(!holder.is_holder(1_700), "restored: {is_restored}");
+            let resignation = holder.resignation(0, 1_700).expect("it has stepped down");
+            assert_eq!(resignation.token, renewal.row.token);
+        }
+    }
+
     orders_resume_after_faults => {
         for seed in 0..100 {
             let mut simulation = Simulation::new(seed);
