Count a lease row that is not understood as held

What callers could see: orders of two VMs to one engine within the quiet time, when the row of a group's lease is of a later release, or another writer has written there.

Cause: the log said that such a row counts as held, but the lease took it for a row that does not exist: free at once, no quiet time, and fencing numbers from 1 again. A row with a number that no leader can have was taken as it is; the next number did not fit (a panic where overflow is checked, else fencing numbers from 0).

Change: such a row counts as renewed by an unknown VM when it was first seen, as a restored one does. Fencing numbers go on from the highest one that was seen.

Evidence: two tests in tests/lease.rs, red without the change of lease.rs (the row is acquired at once; panic in token.rs), green with it; seventeen others unchanged and green.

--- a/crates/trestle-dispatch/src/lease.rs
+++ b/crates/trestle-dispatch/src/lease.rs
@@ -21,6 +21,9 @@
 //! last written before the restore counts as renewed by an unknown VM when it is first seen, whatever
 //! it says. Only a holder whose lease has not expired goes on: nobody else can have acquired it.
 //! Each era has fencing numbers of its own, which also tell in which era a row was written.
+//!
+//! A row that is not understood, such as one of a later release or of another writer, counts in the
+//! same way as renewed by an unknown VM when it is first seen.
 
 mod order_window;
 mod resignation;
@@ -35,7 +38,7 @@
 
 use self::{
     resignation::ReceivedResignation,
-    token::{era_of, next_token},
+    token::{era_of, is_valid, next_token},
 };
 use crate::store_version::StoreVersion;
 use std::net::SocketAddr;
@@ -70,6 +73,8 @@
     held_until_ms: u64,
     /// Fencing number under which the lease is held until then.
     held_token: u64,
+    /// Highest fencing number of all rows that were seen.
+    highest_token: Option<u64>,
     /// Time from which on orders may be given.
     quiet_until_ms: u64,
     /// Time from which on orders of earlier holders can no longer take effect.
@@ -117,6 +122,12 @@
 }
 
 impl SeenRow {
+    /// Returns whether an unknown VM may have renewed the lease until the row was first seen.
+    fn has_unknown_holder(&self) -> bool {
+        let is_unreadable = self.row.is_none() && self.version.is_of_existing_row();
+        self.is_restored || is_unreadable
+    }
+
     /// Returns whether a row with this version is newer than this one.
     fn is_replaced_by(&self, version: StoreVersion) -> bool {
         match version.is_of_existing_row() {
@@ -139,6 +150,7 @@
             seen: None,
             held_until_ms: 0,
             held_token: 0,
+            highest_token: None,
             quiet_until_ms: 0,
             settled_ms: 0,
             unknown_until_ms: 0,
@@ -165,11 +177,14 @@
     }
 
     /// Updates the view with the row as read from the store or reported by its holder; the number of
-    /// the version is 0 if there is no row. A row that is not newer than the known one is ignored.
+    /// the version is 0 if there is no row, and the row is `None` if it is not understood. A row that
+    /// is not newer than the known one is ignored.
     pub fn observed(&mut self, row: Option<LeaseRow>, version: StoreVersion, now_ms: u64) {
         if self.seen.as_ref().is_some_and(|seen| !seen.is_replaced_by(version)) {
             return;
         }
+        let row = row.filter(|row| is_valid(row.token));
+        self.highest_token = self.highest_token.max(row.as_ref().map(|row| row.token));
         let is_restored = match &row {
             Some(row) => era_of(row.token) < version.era,
             // A daemon that has just started cannot know of an earlier era.
@@ -216,8 +231,7 @@
                     self.unknown_until_ms = now_ms + quiet_ms;
                 }
                 let has_begun = self.settled_ms <= now_ms;
-                let last = other.as_ref().map(|row| row.token);
-                self.first_row(next_token(last, seen.version.era), has_begun)
+                self.first_row(next_token(self.highest_token, seen.version.era), has_begun)
             }
         };
         self.is_writing = true;
@@ -254,6 +268,7 @@
         };
         self.held_until_ms = sent_ms + self.timing.hold_ms;
         self.held_token = write.row.token;
+        self.highest_token = self.highest_token.max(Some(write.row.token));
         if write.row.is_released || self.has_resigned(&write.row) {
             self.held_until_ms = 0;
         }
@@ -314,7 +329,7 @@
     /// `None` before the row has been read.
     pub fn free_from_ms(&self) -> Option<u64> {
         let seen = self.seen.as_ref()?;
-        if seen.is_restored {
+        if seen.has_unknown_holder() {
             return Some(seen.since_ms + self.timing.hold_ms + MARGIN_MS);
         }
         if let Some(received) = self.received_for(seen) {
@@ -450,7 +465,7 @@
     /// Returns when the first order may be given under a lease that is acquired now.
     fn quiet_end_ms(&self, now_ms: u64) -> u64 {
         let Some(seen) = &self.seen else { return now_ms };
-        if seen.is_restored {
+        if seen.has_unknown_holder() {
             return seen.since_ms + self.timing.hold_ms + self.timing.quiet_ms + MARGIN_MS;
         }
         let Some(row) = &seen.row else { return now_ms };
--- a/crates/trestle-dispatch/tests/lease.rs
+++ b/crates/trestle-dispatch/tests/lease.rs
@@ -614,6 +614,36 @@
         assert_eq!(holder.seen().map(|(row, _)| row.holder.as_str()), Some("vm-1"));
     }
 
+    // A row that was not understood counted as free: its holder and the next one gave orders at once.
+    row_that_is_not_understood_counts_as_held => {
+        let mut store = Store::default();
+        let (mut holder, mut other) = (lease("vm-0", 1), lease("vm-1", 1));
+        acquire(&mut holder, &mut store, 1_000);
+        other.observed(store.row.clone(), store.version, 1_000);
+        let unreadable = StoreVersion { number: store.version.number + 1, ..store.version };
+        for lease in [&mut holder, &mut other] {
+            lease.observed(None, unreadable, 1_500);
+            assert!(!lease.is_holder(1_500));
+            assert_eq!(lease.due_write(1_500 + TIMING.hold_ms), None);
+        }
+        let due_ms = 1_500 + TIMING.hold_ms + 300;
+        let write = other.due_write(due_ms).expect("the lease has expired");
+        assert_eq!(write.row.token, 2);
+        other.write_finished(write, Some(StoreVersion { number: 9, ..unreadable }), due_ms, due_ms);
+        assert!(other.order_window().from_ms >= 1_500 + TIMING.hold_ms + TIMING.quiet_ms);
+    }
+
+    row_with_a_token_that_no_leader_can_have_counts_as_held => {
+        let mut store = Store::default();
+        let (mut holder, mut other) = (lease("vm-0", 1), lease("vm-1", 1));
+        acquire(&mut holder, &mut store, 1_000);
+        let (row, version) = holder.seen().expect("the row was written");
+        let row = LeaseRow { token: u64::MAX, is_released: true, ..row.clone() };
+        other.observed(Some(row), version, 1_500);
+        assert_eq!(other.due_write(1_500 + TIMING.hold_ms), None);
+        assert!(other.due_write(1_500 + TIMING.hold_ms + 300).is_some());
+    }
+
     // After a restore of the store a renewal has a new token; its answer made a daemon the holder
     // again that had stepped down meanwhile.
     holder_that_steps_down_while_it_renews_is_not_made_holder_by_the_answer => {
