Assign no prompt by a lease that was lost while its team's units were allocated

What callers could see: a prompt that two leaders count at two engines. Found by reading on the paths of the released leases, not played; no test of its own (the wait is one call of some ms).

Cause: whether this daemon leads an engine's group was read before the wait for the team's units, and the prompt was assigned after it.

Change: it is read again after the wait; without the lease the answer is that this daemon schedules no prompts, as to any other request, and the asking daemon decides by itself.

--- a/crates/trestle-entry/src/schedule.rs
+++ b/crates/trestle-entry/src/schedule.rs
@@ -29,7 +29,9 @@
         prompt_scheduler::{EngineBounds, ObservedStart, Prompt, Schedule},
         request_size::{PromptPart, RequestSize},
     },
+    local_view::LocalView,
     policy::{Mechanism, Policy},
+    quota_allocator::HeldLease,
     waiting::line::WaitingRequest,
 };
 use trestle_wire::{
@@ -402,6 +404,10 @@
     if let WireAllocation::Refused { in_ms } = allocation {
         return WireSchedule::OverLimit { in_ms };
     }
+    // The lease may have been released or lost while the units were allocated.
+    if !leads(daemon, engine) {
+        return WireSchedule::NotScheduling;
+    }
     question.commit(daemon, engine);
     let has_units = matches!(allocation, WireAllocation::Lent { .. });
     match WireSchedule::from(schedule) {
@@ -412,6 +418,21 @@
     }
 }
 
+/// Returns whether this daemon holds the lease of an engine's group at this moment.
+fn leads(daemon: &Daemon, engine: &Incarnation) -> bool {
+    let led = daemon.order_permits.held(daemon.shared_view.now_ms());
+    daemon.shared_view.with(|local_view| is_led(local_view, &led, engine))
+}
+
+fn is_led(
+    local_view: &LocalView,
+    led: &BTreeMap<DomainName, HeldLease>,
+    engine: &Incarnation,
+) -> bool {
+    let endpoint = local_view.directory.get(&engine.name);
+    endpoint.is_some_and(|endpoint| led.contains_key(&endpoint.domain))
+}
+
 /// Allocates units from what leaders hold; without an answer in time the daemon reserves them itself.
 async fn allocate(daemon: &Daemon, request: WireAllocationRequest) -> WireAllocation {
     let timed_out = async {
@@ -444,13 +465,10 @@
         let engines = request.engines.iter().take(MAX_ENGINES).cloned().map(Incarnation::from);
         let engines: BTreeSet<Incarnation> = engines.collect();
         let (bounds, engines, policy) = daemon.shared_view.with(|local_view| {
-            let is_led = |engine: &Incarnation| {
-                let endpoint = local_view.directory.get(&engine.name);
-                endpoint.is_some_and(|endpoint| led.contains_key(&endpoint.domain))
-            };
             let catalog = local_view.catalog.as_ref();
             let bounds = catalog.and_then(|catalog| EngineBounds::of(catalog, &service));
-            let engines: Vec<Incarnation> = engines.into_iter().filter(is_led).collect();
+            let engines: Vec<Incarnation> =
+                engines.into_iter().filter(|engine| is_led(local_view, &led, engine)).collect();
             (bounds, engines, local_view.policy.clone())
         });
         let bounds = bounds.filter(|_| !engines.is_empty())?;
