Use no entry of the list whose texts or address cannot be used

A row of another writer with a line end in its key was used as an engine. The order to it could not be built, and the leader's process ended, again after each restart.

Cause: the name of an endpoint is the key of its row, taken as it is; the call of an order expected it to be a valid header value. Rows with other keys that are no names, with a failure domain that no key can hold, or with an address where nothing can listen, were used as well; the unspecified address reaches the VM itself.

Ruled out: the list's reader (it understood the row), the lease (orders were permitted).

Change: entries are checked where they enter a daemon, from the store and from other daemons, so that a leader of an earlier release that relays such a row does no harm either. A rejected entry counts as removed, the others hold, and one log line and the counter of entries that are not understood say why, once for each time that it is written; quoted texts are cut off. The call of an order can fail: the change then fails with its reason.

--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! - The knowledge of one daemon: [`local_view`] combines [`catalog`] (the operators'
 //!   configuration), [`listing`] (the store's list of endpoints, ordered by version whichever
-//!   source it comes from), [`directory`] (the endpoints that may be used), [`replicas`] (where
+//!   source it comes from, without what [`entry_check`] rejects), [`directory`] (the endpoints that may be used), [`replicas`] (where
 //!   models can be reached, as leaders report it), [`record`] (outcomes of requests at endpoints),
 //!   [`reachability`] (which endpoints accept connections of this daemon, and which way these
 //!   take), [`helpers`] (the daemons through which connections make a detour),
@@ -48,6 +48,7 @@
 pub mod directory;
 pub mod endpoint;
 pub mod endpoint_limits;
+pub mod entry_check;
 pub mod fingerprint;
 pub mod groups;
 pub mod helpers;
--- a/crates/trestle-dispatch/src/listing.rs
+++ b/crates/trestle-dispatch/src/listing.rs
@@ -8,7 +8,11 @@
 //! leader restored removed endpoints, and the daemon then sent half of its requests there for as
 //! long as it followed that leader.
 
-use crate::{endpoint::Endpoint, store_version::StoreVersion};
+use crate::{
+    endpoint::Endpoint,
+    entry_check::{self, EntryError},
+    store_version::StoreVersion,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The source of an update.
@@ -65,6 +69,21 @@
     identity_at: StoreVersion,
 }
 
+impl ListUpdate {
+    /// Turns entries that name no usable endpoint into removals. Returns them with the reasons.
+    pub fn reject_unusable(&mut self) -> Vec<(ListedEntry, EntryError)> {
+        let is_unusable = |entry: &mut ListedEntry| entry_check::check(&entry.endpoint).is_err();
+        let unusable = self.written.extract_if(.., is_unusable);
+        let rejected = unusable.filter_map(|entry| {
+            let error = entry_check::check(&entry.endpoint).err()?;
+            Some((entry, error))
+        });
+        let rejected: Vec<(ListedEntry, EntryError)> = rejected.collect();
+        self.removed.extend(rejected.iter().map(|(entry, _)| (entry.key.clone(), entry.version)));
+        rejected
+    }
+}
+
 impl Listing {
     /// Returns the version that the list reflects; the default if nothing was received yet.
     pub fn version(&self) -> StoreVersion {
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -9,6 +9,7 @@
     departures::Departure,
     directory::Directory,
     endpoint::{Endpoint, Incarnation},
+    entry_check::RejectedEntries,
     fingerprint::Fingerprint,
     listing::{ListUpdate, ListedEntry, Listing, Source},
     load::{prompt_profile::PromptProfile, request_size::RequestSize},
@@ -125,6 +126,8 @@
     pub are_leases_read: bool,
     /// Source and age of the endpoint list.
     pub list_origin: ListOrigin,
+    /// Entries that were rejected, so that each is logged once.
+    pub rejected_entries: RejectedEntries,
     /// Replicas as the leader reports them, by service.
     pub replicas: BTreeMap<ServiceName, ReplicaView>,
     /// When the leader last reported replicas, in milliseconds on the daemon's clock.
@@ -179,6 +182,7 @@
             is_list_read: false,
             are_leases_read: false,
             list_origin: ListOrigin::default(),
+            rejected_entries: RejectedEntries::default(),
             replicas: BTreeMap::new(),
             received_ms: 0,
             has_leader: false,
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -31,6 +31,12 @@
 /// Failure of a change at an engine whose requested backoff ends after the change's time limit.
 const BACKOFF: &str = "the engine asks for rest";
 
+/// Failure of a change whose orders may no longer be sent.
+const NO_LEASE: &str = "the lease has run out";
+
+/// Failure of a change at an engine whose name cannot be sent.
+const INVALID_NAME: &str = "the engine's name is not valid in a call";
+
 /// Starts a task that carries out a change.
 pub(crate) fn start(
     daemon: &Arc<Daemon>,
@@ -91,11 +97,10 @@
                 chain.apply_report(report.as_ref(), daemon.shared_view.now_ms());
             }
             NextStep::Send(order, count) => {
-                let Some(answer) = send_order(&daemon, &client, &endpoint, &order, count).await
-                else {
-                    break Some("the lease has run out".to_owned());
-                };
-                chain.apply_answer(answer, daemon.shared_view.now_ms());
+                match send_order(&daemon, &client, &endpoint, &order, count).await {
+                    Ok(answer) => chain.apply_answer(answer, daemon.shared_view.now_ms()),
+                    Err(reason) => break Some(reason.to_owned()),
+                }
             }
         }
     };
@@ -137,17 +142,25 @@
     }
 }
 
-/// Sends an order. Returns `None` if no order may be sent now.
+/// Sends an order.
+///
+/// # Errors
+///
+/// Fails with a reason if no order can be sent now.
 async fn send_order(
     daemon: &Daemon,
     client: &CallClient,
     endpoint: &Endpoint,
     order: &Order,
     count: u64,
-) -> Option<OrderAnswer> {
+) -> Result<OrderAnswer, &'static str> {
     let leader = &daemon.settings.vm;
-    let token = begin_order(daemon, endpoint)?;
+    let token = begin_order(daemon, endpoint).ok_or(NO_LEASE)?;
     let call = (daemon.wire.endpoint.order_call)(&endpoint.name, order, count, leader, token);
+    let Some(call) = call else {
+        daemon.with_order_log(|log| log.record_end(&endpoint.name, daemon.shared_view.now_ms()));
+        return Err(INVALID_NAME);
+    };
     let answer = match client.exchange(call, CALL_MS).await {
         Ok(answer) => {
             signals::process_call(daemon, endpoint, &answer);
@@ -161,7 +174,7 @@
     let now_ms = daemon.shared_view.now_ms();
     daemon.with_order_log(|log| log.record_end(&endpoint.name, now_ms));
     tracing::debug!(endpoint = %endpoint.name, ?order, count, token, ?answer, "order: An order was sent.");
-    Some(answer)
+    Ok(answer)
 }
 
 /// Records in the order log that an order is sent now, and returns its fencing number; `None` if none
--- a/crates/trestle-entry/src/logs.rs
+++ b/crates/trestle-entry/src/logs.rs
@@ -7,6 +7,7 @@
 use governor::{DefaultDirectRateLimiter, Quota, RateLimiter};
 use snafu::{ResultExt, Snafu};
 use std::{
+    fmt::Display,
     num::NonZeroU32,
     sync::{
         Arc,
@@ -30,6 +31,19 @@
 /// starts, or of many endpoints that change together.
 const BURST_S: u32 = 2;
 
+/// Longest text of an error that quotes data from outside.
+const MAX_ERROR_BYTES: usize = 300;
+
+/// Returns the text of an error that may quote data of any length, cut off at a length.
+pub(crate) fn shortened(error: &impl Display) -> String {
+    let mut text = error.to_string();
+    if text.len() > MAX_ERROR_BYTES {
+        text.truncate(text.floor_char_boundary(MAX_ERROR_BYTES));
+        text.push_str("...");
+    }
+    text
+}
+
 /// The log filter of the settings cannot be parsed.
 #[derive(Debug, Snafu)]
 #[snafu(display("log filter `{filter}` is not understood: {source}"))]
--- a/crates/trestle-entry/src/store/endpoints.rs
+++ b/crates/trestle-entry/src/store/endpoints.rs
@@ -3,10 +3,10 @@
 use crate::{
     connection_loss,
     daemon::Daemon,
-    departures,
+    departures, logs,
     store::follow::{self, FollowedTable},
 };
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, fmt::Display, sync::Arc};
 use trestle_core::names::EndpointName;
 use trestle_dispatch::{
     endpoint::Endpoint,
@@ -103,8 +103,16 @@
 
 /// Applies an update of the list, records its source, and detects endpoints that crashed or were
 /// replaced. Returns whether it is a whole list.
-fn apply_update(daemon: &Daemon, update: ListUpdate, source: Source, origin: ListOrigin) -> bool {
+fn apply_update(
+    daemon: &Daemon,
+    mut update: ListUpdate,
+    source: Source,
+    origin: ListOrigin,
+) -> bool {
     let now_ms = daemon.shared_view.now_ms();
+    for (entry, error) in update.reject_unusable() {
+        report_rejected(daemon, &entry.key, entry.version, &error);
+    }
     let mut added = Vec::new();
     let (is_whole, has_changes) = daemon.shared_view.with(|local_view| {
         local_view.directory.record_read(true, now_ms);
@@ -277,14 +285,23 @@
     match (daemon.wire.store.read_endpoint)(&row.key.key, &row.value) {
         Ok(endpoint) => Some(endpoint),
         Err(error) => {
-            daemon.metrics.record_unreadable_entry();
-            let (key, version) = (&row.key.key, row.version.number);
-            tracing::error!(%error, key, version, "endpoint: An entry is not understood.");
+            report_rejected(daemon, &row.key.key, row.version, &error);
             None
         }
     }
 }
 
+/// Logs and counts an entry that names no usable endpoint, once for each time that it is written.
+fn report_rejected(daemon: &Daemon, key: &str, version: StoreVersion, error: &impl Display) {
+    let is_new =
+        daemon.shared_view.with(|local_view| local_view.rejected_entries.record(key, version));
+    if is_new {
+        daemon.metrics.record_unreadable_entry();
+        let (error, version) = (logs::shortened(error), version.number);
+        tracing::error!(error, key, version, "endpoint: An entry is not understood.");
+    }
+}
+
 /// Logs what a new entry changes: that its endpoint is listed, is draining, has started again, or
 /// holds other models.
 fn log_change(known: Option<&Endpoint>, new: &Endpoint, version: StoreVersion) {
--- a/crates/trestle-entry/src/wire.rs
+++ b/crates/trestle-entry/src/wire.rs
@@ -75,8 +75,9 @@
     pub identity_call: fn(&EndpointName, &str) -> Option<Call>,
     /// Parses the answer to `identity_call`; `None` if it names no endpoint.
     pub identity_answer: fn(&HeaderMap) -> Option<EndpointName>,
-    /// Builds an order, from endpoint, order, expected count, leader and fencing number.
-    pub order_call: fn(&EndpointName, &Order, u64, &str, u64) -> Call,
+    /// Builds an order, from endpoint, order, expected count, leader and fencing number; `None` if
+    /// the endpoint's name cannot be sent.
+    pub order_call: fn(&EndpointName, &Order, u64, &str, u64) -> Option<Call>,
     /// Parses the answer to `order_call`.
     pub order_answer: fn(u16) -> OrderAnswer,
 }
