End no process where a bound is below the first pause of an outage

What callers saw: all daemons end when the store first fails to answer, if the settings bound the age of the configuration or the use of draining endpoints by less than 750 ms (exit 134; the review ran it once with 600).

Cause: the pause between two tries was clamped between 250 ms and a third of the bound; with the second below the first this panics, and a panic ends the process.

Change: the first pause is never longer than the longest. By reading along the same inputs: a stop time of 1 s or a very long one, and an endless idle time that an endpoint states, no longer overflow.

Evidence: a_longest_pause_below_the_first_one_holds panics without the change of outage.rs, passes with it.

--- a/crates/trestle-dispatch/src/outage.rs
+++ b/crates/trestle-dispatch/src/outage.rs
@@ -56,7 +56,8 @@
             return;
         }
         self.is_attempting = false;
-        self.pause_ms = (self.pause_ms * 2).clamp(FIRST_PAUSE_MS, self.longest_pause_ms.max(1));
+        let first_ms = FIRST_PAUSE_MS.min(self.longest_pause_ms);
+        self.pause_ms = (self.pause_ms * 2).clamp(first_ms.max(1), self.longest_pause_ms.max(1));
         self.next_attempt_ms = now_ms + self.pause_ms;
     }
 
--- a/crates/trestle-dispatch/tests/outage.rs
+++ b/crates/trestle-dispatch/tests/outage.rs
@@ -70,6 +70,18 @@
         assert_eq!(outage.try_now(5_000), Err(250));
     }
 
+    // Where a bound is below 750 ms, the longest pause is below the first one; the process ended.
+    a_longest_pause_below_the_first_one_holds => {
+        for longest_ms in [0, 1, 100, 249] {
+            let mut outage = Outage::new(longest_ms);
+            outage.failed(0);
+            assert_eq!(outage.try_now(0), Err(longest_ms.max(1)));
+            assert_eq!(outage.try_now(longest_ms.max(1)), Ok(()));
+            outage.failed(300);
+            assert_eq!(outage.try_now(300), Err(longest_ms.max(1)));
+        }
+    }
+
     concurrent_failures_count_once => {
         let mut outage = Outage::new(1_000);
         (0..3).for_each(|_| outage.failed(0));
--- a/crates/trestle-entry/src/net/pool.rs
+++ b/crates/trestle-entry/src/net/pool.rs
@@ -122,7 +122,7 @@
             return;
         }
         let idle_ms = idle_ms.map_or(DEFAULT_IDLE_MS, |ms| (ms as f64 * IDLE_FRACTION) as u64);
-        let expires_ms = self.clock.now_ms() + idle_ms;
+        let expires_ms = self.clock.now_ms().saturating_add(idle_ms);
         let mut idle = self.lock();
         let connections = idle.entry(endpoint.incarnation()).or_default();
         if connections.len() < MAX_IDLE_PER_ENDPOINT {
--- a/crates/trestle-entry/src/stop.rs
+++ b/crates/trestle-entry/src/stop.rs
@@ -48,7 +48,7 @@
     shutdown.begin();
     // Orders continue meanwhile, since for a while after the release of the leases no daemon may
     // give any, and this daemon's own requests still wait for models.
-    let drained_by_ms = daemon.stopping.limit_ms() - RELEASE_MS;
+    let drained_by_ms = daemon.stopping.limit_ms().saturating_sub(RELEASE_MS);
     let drained = async {
         while shutdown.open_connections() > 0 && elapsed_ms() < drained_by_ms {
             Timer::after(Duration::from_millis(CHECK_MS)).await;
--- a/crates/trestle-entry/src/stopping.rs
+++ b/crates/trestle-entry/src/stopping.rs
@@ -67,5 +67,5 @@
 }
 
 fn limit_ms(bounds: &Bounds) -> u64 {
-    (bounds.stop_s * 1_000).saturating_sub(RESERVE_MS)
+    bounds.stop_s.saturating_mul(1_000).saturating_sub(RESERVE_MS)
 }
