Pause after a connection of another daemon that could not be accepted

What callers could see: a daemon without free descriptors spends its processor time on accepting, so that no request goes on. The review saw it in the source; not played, and no test of its own (a process limit would have to be lowered).

Cause: the loop that accepts other daemons neither paused nor yielded after an error.

Change: it pauses for 50 ms, as the listener for callers does.

--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -15,8 +15,11 @@
 use bytes::Bytes;
 use futures_lite::AsyncReadExt;
 use futures_util::StreamExt;
-use smol::net::{TcpListener, TcpStream};
-use std::sync::Arc;
+use smol::{
+    Timer,
+    net::{TcpListener, TcpStream},
+};
+use std::{sync::Arc, time::Duration};
 use tarpc::{
     context::Context,
     serde_transport,
@@ -41,12 +44,20 @@
 /// Most requests of one connection that are handled at the same time.
 const MAX_CONCURRENT: usize = 16;
 
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
 /// Serves other daemons until the process terminates.
 pub(crate) async fn run(daemon: Arc<Daemon>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => smol::spawn(serve(Arc::clone(&daemon), stream)).detach(),
-            Err(error) => tracing::warn!(%error, "peer: A connection was not accepted."),
+            Err(error) => {
+                // The process is most likely out of file descriptors; a connection will be closed
+                // soon.
+                tracing::warn!(%error, "peer: A connection was not accepted.");
+                Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
         }
     }
 }
