Let the calls that read the store fail where a key is too long

What callers could see: all daemons end when a page of a list ends with a key beyond the length of a URI. Found by reading what texts of rows enter; the store's own bound on keys (200 bytes) is below it, so nothing but a store at fault brings one.

Cause: the call for the next page was expected to be valid.

Change: it is an error of that read, which is logged and tried again.

--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -217,7 +217,7 @@
         while all.has_more {
             self.call_count.fetch_add(1, Ordering::Relaxed);
             let last = all.rows.last().map(|row| row.key.key.as_str());
-            let call = (self.wire.read_call)(table, partition, last);
+            let call = (self.wire.read_call)(table, partition, last).context(UnreadableSnafu)?;
             let answer = client.exchange(call, CALL_TIMEOUT_MS).await.context(ExchangeSnafu)?;
             let era = self.record_era(&answer).context(UnreadableSnafu)?;
             let page = (self.wire.read_answer)(era, answer.status, &answer.body);
@@ -259,6 +259,7 @@
     async fn wait_for_changes(&self, after: StoreVersion, wait_ms: u64) -> Result<Feed, Error> {
         self.store.call_count.fetch_add(1, Ordering::Relaxed);
         let call = (self.store.wire.follow_call)(self.table, after.number, wait_ms);
+        let call = call.context(UnreadableSnafu)?;
         let answer = self.client.exchange(call, wait_ms + FOLLOW_GRACE_MS).await;
         let answer = answer.context(ExchangeSnafu)?;
         let era = self.store.record_era(&answer).context(UnreadableSnafu)?;
--- a/crates/trestle-entry/src/wire.rs
+++ b/crates/trestle-entry/src/wire.rs
@@ -46,11 +46,11 @@
     pub read_era: fn(&HeaderMap) -> Result<u64, ParseError>,
     /// Builds the call that reads a partition of a table; a key limits the read to the rows after
     /// it.
-    pub read_call: fn(&str, &str, Option<&str>) -> Call,
+    pub read_call: fn(&str, &str, Option<&str>) -> Result<Call, ParseError>,
     /// Parses the answer to `read_call`, from the store's era, the status and the body.
     pub read_answer: fn(u64, u16, &[u8]) -> Result<RowPage, ParseError>,
     /// Builds the call that waits for changes of a table after a transaction, for a time in ms.
-    pub follow_call: fn(&str, u64, u64) -> Call,
+    pub follow_call: fn(&str, u64, u64) -> Result<Call, ParseError>,
     /// Parses the answer to `follow_call`, from the store's era, the status and the body.
     pub follow_answer: fn(u64, u16, &[u8]) -> Result<Feed, ParseError>,
     /// Builds the call for a conditional write.
