Bound and pace the bytes that are read from a connection

What callers saw: all daemons stop, 96 of 96 calls without an answer within 10 s, also those that sound servers could serve, when servers write a chunk's size line of zeros without end.

Cause: the HTTP library's decoder takes such bytes in a loop that returns nothing and has no limit, as long as the socket has more. The one thread that polls connections never returns from it, and no timer fires. Three forms do this here: zeros and spaces in a chunk's size line, and interim answers. Callers (the same decoder reads request bodies) and the store can do it, too.

Ruled out: a limit on what comes out of the decoder (nothing does), and on single forms.

Change: a stream beneath the decoder counts the bytes that go in between two signs of progress (a whole head, a part of a body) and fails after 256 KiB; it pauses every 8 KiB, so that other tasks go first. All connections have it: to endpoints, directly or by detours, health checks, reports, orders, the store, callers; those between daemons pause only, since their frames are bounded, and so do the copies of detours. An answer of an endpoint to a call of the daemon's own is bounded by 512 KiB in place of 8 MiB. A passed bound (also of heads and of answers) is logged and counted by endpoint, counts as a failure of the endpoint, and no longer as a lost connection, which is taken for a possible crash.

--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod quota_allocator;
 pub mod rates;
 pub mod reachability;
+pub mod read_budget;
 pub mod record;
 pub mod replicas;
 pub mod request;
--- a/crates/trestle-entry/src/connection_loss.rs
+++ b/crates/trestle-entry/src/connection_loss.rs
@@ -7,7 +7,7 @@
 //! answer may have crashed; the requests that were open there are suspected until it answers.
 
 use crate::{
-    crashes,
+    answer_bounds, crashes,
     daemon::Daemon,
     net::exchange::{Answer, Error},
     paths::{self, Ways},
@@ -206,7 +206,11 @@
         _ => None,
     };
     match call {
-        Some(call) => client.exchange(call, ANSWER_MS).await.is_ok(),
+        // A process that sends bytes which are no answer is there.
+        Some(call) => matches!(
+            answer_bounds::exchange(daemon, endpoint, &client, call, ANSWER_MS).await,
+            Ok(_) | Err(Error::PassedBound { .. })
+        ),
         None => matches!(check_port(daemon, endpoint).await, CheckResult::Accepts),
     }
 }
@@ -237,7 +241,9 @@
         if service.engine.is_none() {
             return check_port(daemon, endpoint).await;
         }
-        return evaluate(client.exchange((wire.report_call)(), ANSWER_MS).await, |answer| {
+        let call = (wire.report_call)();
+        let answer = answer_bounds::exchange(daemon, endpoint, &client, call, ANSWER_MS).await;
+        return evaluate(answer, |answer| {
             let report = (wire.report_answer)(answer.status, &answer.body).ok()?;
             let is_known = report.started_unix_ms != 0;
             is_known.then_some((report.is_from(endpoint), Evidence::StartedAgain))
@@ -249,7 +255,8 @@
     };
     // An engine without a free slot does not say who it is in time, but it reports its state.
     let reports = async { service.engine.is_some() && answers(daemon, endpoint).await };
-    let (answer, has_reported) = future::zip(client.exchange(call, ANSWER_MS), reports).await;
+    let answer = answer_bounds::exchange(daemon, endpoint, &client, call, ANSWER_MS);
+    let (answer, has_reported) = future::zip(answer, reports).await;
     let result = evaluate(answer, |answer| {
         let is_another = answer.status == StatusCode::MISDIRECTED_REQUEST.as_u16();
         let named = (wire.identity_answer)(&answer.headers);
@@ -277,6 +284,7 @@
             None => CheckResult::Accepts,
         },
         Err(error) if error.is_refused() => CheckResult::Terminated(Evidence::Refused),
+        Err(Error::PassedBound { .. }) => CheckResult::Accepts,
         Err(_) => CheckResult::NoSign,
     }
 }
--- a/crates/trestle-entry/src/control/change.rs
+++ b/crates/trestle-entry/src/control/change.rs
@@ -1,6 +1,7 @@
 //! Carries out one change at one engine, one order after another.
 
 use crate::{
+    answer_bounds,
     control::message::Message,
     daemon::Daemon,
     net::exchange::CallClient,
@@ -125,7 +126,7 @@
     endpoint: &Endpoint,
 ) -> Option<EngineReport> {
     let call = (daemon.wire.endpoint.report_call)();
-    let answer = match client.exchange(call, CALL_MS).await {
+    let answer = match answer_bounds::exchange(daemon, endpoint, client, call, CALL_MS).await {
         Ok(answer) => answer,
         Err(error) => {
             tracing::warn!(endpoint = %endpoint.name, %error, "order: The engine sent no usable report.");
@@ -161,7 +162,7 @@
         daemon.with_order_log(|log| log.record_end(&endpoint.name, daemon.shared_view.now_ms()));
         return Err(INVALID_NAME);
     };
-    let answer = match client.exchange(call, CALL_MS).await {
+    let answer = match answer_bounds::exchange(daemon, endpoint, client, call, CALL_MS).await {
         Ok(answer) => {
             signals::process_call(daemon, endpoint, &answer);
             (daemon.wire.endpoint.order_answer)(answer.status)
--- a/crates/trestle-entry/src/detour/server.rs
+++ b/crates/trestle-entry/src/detour/server.rs
@@ -1,6 +1,6 @@
 //! Serves detours: connects other daemons to endpoints.
 
-use crate::{daemon::Daemon, paths};
+use crate::{daemon::Daemon, net::bounded_stream::BoundedStream, paths};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, io as async_io};
 use smol::{Timer, net::TcpStream};
 use socket2::SockRef;
@@ -105,10 +105,13 @@
 async fn forward(stream: TcpStream, upstream: TcpStream) {
     let up = async {
         // The requesting daemon has closed the connection; dropping the other one aborts the request.
-        let _ = async_io::copy(stream.clone(), upstream.clone()).await;
+        let _ = async_io::copy(BoundedStream::pausing(stream.clone()), upstream.clone()).await;
         Ok(())
     };
-    let down = async { async_io::copy(upstream.clone(), stream.clone()).await.map(|_| ()) };
+    let down = async {
+        let upstream = BoundedStream::pausing(upstream.clone());
+        async_io::copy(upstream, stream.clone()).await.map(|_| ())
+    };
     if up.or(down).await.is_err()
         && let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO))
     {
--- a/crates/trestle-entry/src/lib.rs
+++ b/crates/trestle-entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! `shared_view`, `connection_loss` and `net`, and from there to the decisions.
 
 mod allocation;
+mod answer_bounds;
 mod cleanup;
 mod clock;
 mod connection_loss;
--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -29,6 +29,7 @@
     store_calls: Gauge<u64>,
     store_era: Gauge<u64>,
     outdated_entries: Counter<u64>,
+    passed_bounds: Counter<u64>,
     log_drops: Gauge<u64>,
     asking_endpoints: Gauge<u64>,
     unreached_endpoints: Gauge<u64>,
@@ -111,6 +112,10 @@
                 "trestle_store_era",
                 "Era of the store, which rises when it is restored",
             ),
+            passed_bounds: meter
+                .u64_counter("trestle_passed_bounds")
+                .with_description("Answers of endpoints that passed a bound, by endpoint and bound")
+                .build(),
             outdated_entries: meter
                 .u64_counter("trestle_outdated_entries")
                 .with_description("Entries of endpoints that were older than the known ones")
@@ -181,6 +186,13 @@
         self.outdated_entries.add(count as u64, &[]);
     }
 
+    /// Records an answer of an endpoint that passed a bound.
+    pub(crate) fn record_passed_bound(&self, endpoint: &str, bound: &'static str) {
+        let attributes =
+            [KeyValue::new("endpoint", endpoint.to_owned()), KeyValue::new("bound", bound)];
+        self.passed_bounds.add(1, &attributes);
+    }
+
     /// Records a change at an engine.
     pub(crate) fn record_change(&self, is_done: bool, is_remote: bool, time_ms: u64) {
         let labels = [KeyValue::new("done", is_done), KeyValue::new("remote", is_remote)];
--- a/crates/trestle-entry/src/net/exchange.rs
+++ b/crates/trestle-entry/src/net/exchange.rs
@@ -1,10 +1,17 @@
 //! Exchanges small messages over a connection that is reused: one request, one complete answer.
 
-use crate::{net::connect, wire::Call};
+use crate::{
+    net::{
+        bounded_stream::{BoundedStream, ReadProgress},
+        connect,
+        pool::READ_BUFFER_BYTES,
+    },
+    wire::Call,
+};
 use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -18,9 +25,13 @@
     pin::Pin,
     time::{Duration, Instant},
 };
+use trestle_dispatch::read_budget::AnswerBound;
 
-/// Largest answer body that is accepted.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Largest answer of the store that is accepted.
+const MAX_STORE_ANSWER_BYTES: usize = 8 << 20;
+/// Largest answer of an endpoint to a call of the daemon that is accepted. Many endpoints may be
+/// asked at the same time.
+const MAX_ENDPOINT_ANSWER_BYTES: usize = 512 << 10;
 /// Longest pause while a body arrives. A connection that has gone silent must be detected.
 const MAX_PAUSE_MS: u64 = 700;
 /// Longest time for reading a body that keeps arriving.
@@ -37,6 +48,8 @@
     Http { address: SocketAddr, source: hyper::Error },
     #[snafu(display("the answer of {address} is not whole: {source}"))]
     Body { address: SocketAddr, source: Box<dyn std::error::Error + Send + Sync> },
+    #[snafu(display("the bytes of {address} pass the bound on {bound}"))]
+    PassedBound { address: SocketAddr, bound: AnswerBound },
     #[snafu(display("{address} did not answer within {timeout_ms} ms"))]
     TimedOut { address: SocketAddr, timeout_ms: u64 },
 }
@@ -75,7 +88,15 @@
 pub(crate) struct CallClient {
     address: SocketAddr,
     connector: Connector,
-    idle: Mutex<Option<SendRequest<Full<Bytes>>>>,
+    max_answer_bytes: usize,
+    idle: Mutex<Option<Open>>,
+}
+
+/// An open connection.
+#[derive(Debug)]
+struct Open {
+    sender: SendRequest<Full<Bytes>>,
+    progress: ReadProgress,
 }
 
 /// A complete answer.
@@ -87,15 +108,17 @@
 }
 
 impl CallClient {
-    /// Creates a client that connects with its first exchange.
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    /// Creates a client of the store. It connects with its first exchange.
+    pub(crate) fn of_store(address: SocketAddr) -> Self {
         let connect = move || connect::open(address, CONNECT_TIMEOUT_MS);
-        Self::with_connector(address, Connector::new(connect))
+        let (connector, max_answer_bytes) = (Connector::new(connect), MAX_STORE_ANSWER_BYTES);
+        Self { address, connector, max_answer_bytes, idle: Mutex::new(None) }
     }
 
-    /// Creates a client whose connections are opened by a connector.
-    pub(crate) fn with_connector(address: SocketAddr, connector: Connector) -> Self {
-        Self { address, connector, idle: Mutex::new(None) }
+    /// Creates a client of an endpoint, whose connections are opened by a connector.
+    pub(crate) fn of_endpoint(address: SocketAddr, connector: Connector) -> Self {
+        let max_answer_bytes = MAX_ENDPOINT_ANSWER_BYTES;
+        Self { address, connector, max_answer_bytes, idle: Mutex::new(None) }
     }
 
     /// Drops the connection, so that the next exchange opens a new one.
@@ -112,11 +135,11 @@
     pub(crate) async fn exchange(&self, call: Call, timeout_ms: u64) -> Result<Answer, Error> {
         let mut idle = self.idle.lock().await;
         let address = self.address;
-        let sender = idle.take();
-        let (response, sender) = with_timeout(timeout_ms, address, self.send(sender, call)).await?;
+        let open = idle.take();
+        let (response, open) = with_timeout(timeout_ms, address, self.send(open, call)).await?;
         let (head, body) = response.into_parts();
-        let body = read_body(body, address, timeout_ms).await?;
-        *idle = Some(sender);
+        let body = self.read_body(body, &open.progress, timeout_ms).await?;
+        *idle = Some(open);
         Ok(Answer { status: head.status.as_u16(), headers: head.headers, body })
     }
 
@@ -124,50 +147,78 @@
     /// of the answer, and the connection for the next call.
     async fn send(
         &self,
-        idle: Option<SendRequest<Full<Bytes>>>,
+        idle: Option<Open>,
         call: Call,
-    ) -> Result<(Response<Incoming>, SendRequest<Full<Bytes>>), Error> {
+    ) -> Result<(Response<Incoming>, Open), Error> {
         let address = self.address;
-        let mut sender = match idle {
-            Some(sender) if sender.is_ready() => sender,
+        let mut open = match idle {
+            Some(open) if open.sender.is_ready() => open,
             _ => self.handshake().await?,
         };
-        let request = to_request(call, address);
-        let response = sender.send_request(request).await.context(HttpSnafu { address })?;
-        Ok((response, sender))
+        let sent = open.sender.send_request(to_request(call, address)).await;
+        if open.progress.is_exceeded() {
+            return PassedBoundSnafu { address, bound: AnswerBound::BytesWithoutProgress }.fail();
+        }
+        if sent.as_ref().is_err_and(hyper::Error::is_parse_too_large) {
+            return PassedBoundSnafu { address, bound: AnswerBound::HeadBytes }.fail();
+        }
+        let response = sent.context(HttpSnafu { address })?;
+        open.progress.record();
+        Ok((response, open))
     }
 
     /// Opens a connection, and drives it in a task of its own.
-    async fn handshake(&self) -> Result<SendRequest<Full<Bytes>>, Error> {
+    async fn handshake(&self) -> Result<Open, Error> {
         let address = self.address;
         let stream = (self.connector.0)().await.context(ConnectSnafu { address })?;
-        let (sender, connection) =
-            http1::handshake(FuturesIo::new(stream)).await.context(HttpSnafu { address })?;
+        let stream = BoundedStream::new(stream);
+        let progress = stream.progress();
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let handshake = builder.handshake(FuturesIo::new(stream)).await;
+        let (sender, connection) = handshake.context(HttpSnafu { address })?;
         smol::spawn(async move {
             // The exchange fails with an error on its connection, and reports it.
             let _ = connection.await;
         })
         .detach();
-        Ok(sender)
+        Ok(Open { sender, progress })
     }
-}
 
-/// Reads a body for as long as it keeps arriving, even beyond the timeout of the call. A large body
-/// takes some seconds over the link of a small VM, and a retry would take as long again.
-async fn read_body(body: Incoming, address: SocketAddr, timeout_ms: u64) -> Result<Bytes, Error> {
-    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
-    let mut content = BytesMut::new();
-    let started = Instant::now();
-    while started.elapsed() < MAX_READ_TIME {
-        let frame = async { Ok(body.frame().await) };
-        let Some(frame) = with_timeout(timeout_ms.min(MAX_PAUSE_MS), address, frame).await? else {
-            return Ok(content.freeze());
-        };
-        if let Ok(data) = frame.context(BodySnafu { address })?.into_data() {
-            content.extend_from_slice(&data);
+    /// Reads a body for as long as it keeps arriving, even beyond the timeout of the call. A large
+    /// body takes some seconds over the link of a small VM, and a retry would take as long again.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        progress: &ReadProgress,
+        timeout_ms: u64,
+    ) -> Result<Bytes, Error> {
+        let address = self.address;
+        let passed = |bound| PassedBoundSnafu { address, bound }.fail();
+        let mut body = Limited::new(body, self.max_answer_bytes);
+        let mut content = BytesMut::new();
+        let started = Instant::now();
+        while started.elapsed() < MAX_READ_TIME {
+            let frame = async { Ok(body.frame().await) };
+            let frame = with_timeout(timeout_ms.min(MAX_PAUSE_MS), address, frame).await?;
+            if progress.is_exceeded() {
+                return passed(AnswerBound::BytesWithoutProgress);
+            }
+            let Some(frame) = frame else { return Ok(content.freeze()) };
+            match frame {
+                Err(error) if error.is::<LengthLimitError>() => {
+                    return passed(AnswerBound::AnswerBytes);
+                }
+                frame => {
+                    if let Ok(data) = frame.context(BodySnafu { address })?.into_data() {
+                        content.extend_from_slice(&data);
+                    }
+                }
+            }
+            progress.record();
         }
+        TimedOutSnafu { address, timeout_ms: MAX_READ_TIME.as_millis() as u64 }.fail()
     }
-    TimedOutSnafu { address, timeout_ms: MAX_READ_TIME.as_millis() as u64 }.fail()
 }
 
 /// Awaits a future.
--- a/crates/trestle-entry/src/net/pool.rs
+++ b/crates/trestle-entry/src/net/pool.rs
@@ -4,7 +4,10 @@
 //! The pool closes it before the endpoint would, because a request that is sent while the endpoint
 //! closes the connection may be lost.
 
-use crate::clock::Clock;
+use crate::{
+    clock::Clock,
+    net::bounded_stream::{BoundedStream, ReadProgress},
+};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -20,7 +23,10 @@
     net::SocketAddr,
     sync::{Mutex, PoisonError},
 };
-use trestle_dispatch::endpoint::{Endpoint, Incarnation};
+use trestle_dispatch::{
+    endpoint::{Endpoint, Incarnation},
+    read_budget::AnswerBound,
+};
 
 /// Longest time for opening a connection. A round trip within a region takes a few milliseconds.
 pub(crate) const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -29,7 +35,7 @@
 const DEFAULT_IDLE_MS: u64 = 900;
 /// Largest read buffer of a connection to an endpoint. It may fill up while a caller reads slowly,
 /// and it must take the head of an answer. The library's default is 400 KiB.
-const READ_BUFFER_BYTES: usize = 64 << 10;
+pub(crate) const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Fraction of the endpoint's own idle timeout for which a connection is kept.
 const IDLE_FRACTION: f64 = 0.6;
 /// Most idle connections that are kept to one endpoint.
@@ -54,6 +60,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    progress: ReadProgress,
     /// Until when the connection may be used, on the daemon's clock.
     expires_ms: u64,
     opened_ms: u64,
@@ -64,6 +71,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    progress: ReadProgress,
     is_fresh: bool,
     opened_ms: u64,
     /// The daemon through which the connection passes; `None` if it is direct.
@@ -77,6 +85,8 @@
     NotSent(String),
     /// The request may have been received and run.
     Unknown(String),
+    /// The answer passed a bound. The request may have run.
+    PassedBound(AnswerBound),
 }
 
 impl Pool {
@@ -95,10 +105,10 @@
         let now_ms = self.clock.now_ms();
         let mut idle = self.lock();
         let connections = idle.get_mut(endpoint)?;
-        while let Some(IdleConnection { sender, expires_ms, opened_ms, helper }) = connections.pop()
-        {
+        while let Some(idle) = connections.pop() {
+            let IdleConnection { sender, progress, expires_ms, opened_ms, helper } = idle;
             if now_ms < expires_ms && sender.is_ready() && may_use(helper.is_some()) {
-                return Some(Connection { sender, is_fresh: false, opened_ms, helper });
+                return Some(Connection { sender, progress, is_fresh: false, opened_ms, helper });
             }
         }
         None
@@ -111,8 +121,9 @@
     /// Fails if the stream is closed.
     pub(crate) async fn connection_over(&self, opened: OpenStream) -> io::Result<Connection> {
         let OpenStream { stream, helper } = opened;
-        let sender = handshake(stream).await?;
-        Ok(Connection { sender, is_fresh: true, opened_ms: self.clock.now_ms(), helper })
+        let (sender, progress) = handshake(stream).await?;
+        let opened_ms = self.clock.now_ms();
+        Ok(Connection { sender, progress, is_fresh: true, opened_ms, helper })
     }
 
     /// Returns a connection to the pool. `idle_ms` is the endpoint's own idle timeout, if it
@@ -126,8 +137,8 @@
         let mut idle = self.lock();
         let connections = idle.entry(endpoint.incarnation()).or_default();
         if connections.len() < MAX_IDLE_PER_ENDPOINT {
-            let Connection { sender, opened_ms, helper, .. } = connection;
-            connections.push(IdleConnection { sender, expires_ms, opened_ms, helper });
+            let Connection { sender, progress, opened_ms, helper, .. } = connection;
+            connections.push(IdleConnection { sender, progress, expires_ms, opened_ms, helper });
         }
     }
 
@@ -157,6 +168,11 @@
         self.helper
     }
 
+    /// Returns the record of progress, for the body of an answer.
+    pub(crate) fn progress(&self) -> &ReadProgress {
+        &self.progress
+    }
+
     /// Returns when the connection was opened, in milliseconds on the daemon's clock.
     pub(crate) fn opened_ms(&self) -> u64 {
         self.opened_ms
@@ -172,7 +188,16 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.progress.record();
+                Ok(response)
+            }
+            Err(_) if self.progress.is_exceeded() => {
+                Err(SendError::PassedBound(AnswerBound::BytesWithoutProgress))
+            }
+            Err(error) if error.error().is_parse_too_large() => {
+                Err(SendError::PassedBound(AnswerBound::HeadBytes))
+            }
             Err(mut error) => {
                 let was_not_sent = error.take_message().is_some();
                 let text = error.into_error().to_string();
@@ -183,9 +208,11 @@
 }
 
 /// Begins HTTP over a stream, and drives the connection in a task of its own.
-async fn handshake(stream: TcpStream) -> io::Result<SendRequest<Full<Bytes>>> {
+async fn handshake(stream: TcpStream) -> io::Result<(SendRequest<Full<Bytes>>, ReadProgress)> {
     let mut builder = http1::Builder::new();
     builder.max_buf_size(READ_BUFFER_BYTES);
+    let stream = BoundedStream::new(stream);
+    let progress = stream.progress();
     let (sender, connection) =
         builder.handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
     smol::spawn(async move {
@@ -193,5 +220,5 @@
         let _ = connection.await;
     })
     .detach();
-    Ok(sender)
+    Ok((sender, progress))
 }
--- a/crates/trestle-entry/src/paths.rs
+++ b/crates/trestle-entry/src/paths.rs
@@ -81,7 +81,7 @@
             }
         }
     };
-    CallClient::with_connector(address, Connector::new(connect))
+    CallClient::of_endpoint(address, Connector::new(connect))
 }
 
 /// Opens a connection to an endpoint.
--- a/crates/trestle-entry/src/peer/client.rs
+++ b/crates/trestle-entry/src/peer/client.rs
@@ -1,6 +1,6 @@
 //! The connection to a leader.
 
-use crate::net::connect;
+use crate::net::{bounded_stream::BoundedStream, connect};
 use async_compat::{Compat, CompatExt};
 use snafu::{ResultExt, Snafu};
 use std::{
@@ -70,7 +70,7 @@
 
 /// Opens a connection to another daemon.
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<ReplicasClient> {
-    let stream = connect::open(address, CONNECT_MS).await?;
+    let stream = BoundedStream::pausing(connect::open(address, CONNECT_MS).await?);
     let framed = LengthDelimitedCodec::builder().new_framed(stream.compat());
     let transport = serde_transport::new(framed, Bincode::default());
     let client::NewClient { client, dispatch } =
--- a/crates/trestle-entry/src/peer/server.rs
+++ b/crates/trestle-entry/src/peer/server.rs
@@ -7,6 +7,7 @@
     daemon::Daemon,
     departures,
     detour::{reports, server},
+    net::bounded_stream::BoundedStream,
     schedule, send_permits, slots,
     streams::{keepers, lookup, versions},
     trial_leader,
@@ -75,7 +76,8 @@
     if first == detours::MAGIC {
         return server::serve(daemon, stream).await;
     }
-    let mut parts = FramedParts::new::<Bytes>(stream.compat(), LengthDelimitedCodec::new());
+    let stream = BoundedStream::pausing(stream).compat();
+    let mut parts = FramedParts::new::<Bytes>(stream, LengthDelimitedCodec::new());
     parts.read_buf.extend_from_slice(&first);
     let framed = Framed::from_parts(parts);
     let transport = serde_transport::new(framed, Bincode::default());
--- a/crates/trestle-entry/src/store/client.rs
+++ b/crates/trestle-entry/src/store/client.rs
@@ -76,7 +76,7 @@
         Self {
             wire,
             address,
-            calls: CallClient::new(address),
+            calls: CallClient::of_store(address),
             call_count: AtomicU64::new(0),
             era: Mutex::new(None),
             clock: Clock::start(),
@@ -198,7 +198,7 @@
 
     /// Creates a client for following a table.
     pub(crate) fn follower(&self, table: &'static str) -> Follower<'_> {
-        Follower { store: self, client: CallClient::new(self.address), table }
+        Follower { store: self, client: CallClient::of_store(self.address), table }
     }
 
     /// Returns the number of calls since the start of the daemon.
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -1,10 +1,13 @@
 //! Sends a request to one endpoint once, and reads the answer.
 
 use crate::{
-    connection_loss,
+    answer_bounds, connection_loss,
     detour::client,
     held_bytes::{Content, HeldGuard},
-    net::pool::{Connection, SendError},
+    net::{
+        bounded_stream::ReadProgress,
+        pool::{Connection, SendError},
+    },
     paths, schedule, signals,
     traffic::{
         outcome::{AttemptError, CompleteAnswer},
@@ -21,7 +24,8 @@
 use smol::Timer;
 use std::{io::ErrorKind, sync::Arc, time::Duration};
 use trestle_dispatch::{
-    endpoint::Endpoint, loadable::Loadable, request::AnswerHead, unresolved_requests::Evidence,
+    endpoint::Endpoint, loadable::Loadable, read_budget::AnswerBound, request::AnswerHead,
+    unresolved_requests::Evidence,
 };
 
 /// A send that was answered: the head of the answer, whose body is not read yet.
@@ -88,10 +92,14 @@
                 AttemptError::Unreachable(_) => local_view.records.unreachable(name, now_ms),
                 AttemptError::ConnectionLost(_)
                 | AttemptError::InvalidAnswer(_)
+                | AttemptError::PassedBound(_)
                 | AttemptError::TimedOut(_) => {
                     local_view.records.failed(name, now_ms);
                 }
             });
+            if let AttemptError::PassedBound(bound) = error {
+                answer_bounds::record_passed(&task.daemon, &selected.endpoint, bound);
+            }
             if matches!(error, AttemptError::ConnectionLost(_)) {
                 selected.record_connection_lost();
             }
@@ -157,6 +165,7 @@
             // The idle connection was closed before the request was sent; take another one.
             Err(SendError::NotSent(_)) if !connection.is_fresh() => selected.resolve(),
             Err(SendError::NotSent(reason)) => return Err(AttemptError::Unreachable(reason)),
+            Err(SendError::PassedBound(bound)) => return Err(AttemptError::PassedBound(bound)),
             Err(SendError::Unknown(reason)) => {
                 paths::record_lost(daemon, &selected.endpoint, &connection);
                 return Err(AttemptError::ConnectionLost(reason));
@@ -218,13 +227,21 @@
 }
 
 /// Reads a body completely. While too many bytes are held, nothing further is read.
-async fn read_held(mut body: Incoming, held: &mut HeldGuard) -> Result<Bytes, AttemptError> {
+async fn read_held(
+    mut body: Incoming,
+    progress: &ReadProgress,
+    held: &mut HeldGuard,
+) -> Result<Bytes, AttemptError> {
     let mut content = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| AttemptError::ConnectionLost(error.to_string()))?;
+        let frame = frame.map_err(|error| match progress.is_exceeded() {
+            true => AttemptError::PassedBound(AnswerBound::BytesWithoutProgress),
+            false => AttemptError::ConnectionLost(error.to_string()),
+        })?;
+        progress.record();
         if let Ok(data) = frame.into_data() {
-            let too_large = || AttemptError::ConnectionLost("the answer is too large".to_owned());
-            held.grow(data.len()).await.map_err(|_| too_large())?;
+            let too_large = |_| AttemptError::PassedBound(AnswerBound::AnswerBytes);
+            held.grow(data.len()).await.map_err(too_large)?;
             content.extend_from_slice(&data);
         }
     }
@@ -246,7 +263,7 @@
         let (mut parts, body) = response.into_parts();
         let has_explicit_end = has_explicit_end(&parts.headers);
         let mut held = task.daemon.held_bytes.guard(Content::Answer);
-        let read = read_held(body, &mut held);
+        let read = read_held(body, connection.progress(), &mut held);
         let timed_out = async {
             Timer::after(Duration::from_millis(timeout_ms)).await;
             Err(AttemptError::TimedOut(timeout_ms))
@@ -288,6 +305,9 @@
                 if matches!(error, AttemptError::ConnectionLost(_)) {
                     selected.record_connection_lost();
                 }
+                if let AttemptError::PassedBound(bound) = error {
+                    answer_bounds::record_passed(&task.daemon, &selected.endpoint, bound);
+                }
                 Err(error)
             }
         }
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -3,6 +3,7 @@
 use crate::{
     daemon::Daemon,
     held_bytes::{Content, NotHeld},
+    net::bounded_stream::ReadProgress,
     traffic::{
         answer::{Body, Failure},
         held_permit::HeldPermit,
@@ -84,7 +85,8 @@
     request: Request<Incoming>,
 ) -> Result<Arc<Task>, (Failure, Option<String>)> {
     let arrived_ms = daemon.shared_view.now_ms();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    let progress = parts.extensions.remove::<ReadProgress>();
     let Some(head) = (daemon.wire.head.read_request)(&parts.headers) else {
         return Err((Failure::BadRequest, None));
     };
@@ -101,7 +103,7 @@
     if both_lengths {
         return Err(reject(Failure::BadRequest));
     }
-    let body = read_body(daemon, body, &catalog).await.map_err(reject)?;
+    let body = read_body(daemon, body, progress, &catalog).await.map_err(reject)?;
     let task = build_task(daemon, &catalog, ReceivedRequest { parts, head, body, arrived_ms })
         .map_err(reject)?;
     Ok(Arc::new(task))
@@ -208,8 +210,14 @@
 }
 
 /// Reads a request body, within the limits that the configuration sets on its size and on the time
-/// that reading it may take, and within the bound on held bytes.
-async fn read_body(daemon: &Daemon, body: Incoming, catalog: &Catalog) -> Result<Bytes, Failure> {
+/// that reading it may take, and within the bound on held bytes. Each part is progress of the caller's
+/// connection.
+async fn read_body(
+    daemon: &Daemon,
+    body: Incoming,
+    progress: Option<ReadProgress>,
+    catalog: &Catalog,
+) -> Result<Bytes, Failure> {
     let mut held = daemon.held_bytes.guard(Content::RequestBody);
     let max_bytes = catalog.limits.body_bytes;
     let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
@@ -224,6 +232,7 @@
                 true => Failure::TooLarge,
                 false => Failure::BadRequest,
             })?;
+            progress.iter().for_each(ReadProgress::record);
             if let Ok(data) = frame.into_data() {
                 held.try_grow(data.len()).map_err(not_held_failure)?;
                 content.extend_from_slice(&data);
@@ -237,7 +246,7 @@
     };
     let result = collected.or(timed_out).await;
     if matches!(result, Err(Failure::NotRun { .. })) {
-        smol::spawn(discard(body, catalog.limits.idle_ms)).detach();
+        smol::spawn(discard(body, progress, catalog.limits.idle_ms)).detach();
     }
     result
 }
@@ -252,8 +261,12 @@
 
 /// Reads and discards the rest of a refused body. A connection that is closed with unread bytes is
 /// reset by the system, and its caller may not get the answer and the retry time.
-async fn discard(mut body: Limited<Incoming>, timeout_ms: u64) {
-    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+async fn discard(mut body: Limited<Incoming>, progress: Option<ReadProgress>, timeout_ms: u64) {
+    let read = async {
+        while let Some(Ok(_)) = body.frame().await {
+            progress.iter().for_each(ReadProgress::record);
+        }
+    };
     let timed_out = async {
         Timer::after(Duration::from_millis(timeout_ms)).await;
     };
--- a/crates/trestle-entry/src/traffic/outcome.rs
+++ b/crates/trestle-entry/src/traffic/outcome.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use trestle_dispatch::sends::SendEnd;
+use trestle_dispatch::{read_budget::AnswerBound, sends::SendEnd};
 
 /// An answer of an endpoint whose body was read completely.
 #[derive(Debug)]
@@ -25,6 +25,8 @@
     ConnectionLost(String),
     /// The answer cannot be passed on, for this reason. The request may have run.
     InvalidAnswer(String),
+    /// The answer passed a bound. The request may have run.
+    PassedBound(AnswerBound),
     /// No answer arrived within this time, in milliseconds. The request may have run.
     TimedOut(u64),
 }
@@ -36,7 +38,9 @@
             Self::Unreachable(_) => SendEnd::Unreachable,
             Self::NotSent | Self::Restricted => SendEnd::NotSent,
             Self::NotRun(_) => SendEnd::NotRun,
-            Self::ConnectionLost(_) | Self::InvalidAnswer(_) => SendEnd::MayHaveRun,
+            Self::ConnectionLost(_) | Self::InvalidAnswer(_) | Self::PassedBound(_) => {
+                SendEnd::MayHaveRun
+            }
             Self::TimedOut(_) => SendEnd::TimedOut,
         }
     }
@@ -49,6 +53,7 @@
             Self::Unreachable(_)
             | Self::ConnectionLost(_)
             | Self::InvalidAnswer(_)
+            | Self::PassedBound(_)
             | Self::TimedOut(_) => true,
         }
     }
@@ -61,6 +66,7 @@
             Self::Restricted => "endpoints crash under the request".to_owned(),
             Self::NotRun(status) => format!("refused with {status}"),
             Self::ConnectionLost(reason) | Self::InvalidAnswer(reason) => reason.clone(),
+            Self::PassedBound(bound) => format!("the answer passes the bound on {bound}"),
             Self::TimedOut(timeout_ms) => format!("no answer within {timeout_ms} ms"),
         }
     }
--- a/crates/trestle-entry/src/traffic/serve.rs
+++ b/crates/trestle-entry/src/traffic/serve.rs
@@ -1,6 +1,6 @@
 //! Accepts connections and serves HTTP requests on them.
 
-use crate::traffic::caller_stream::CallerStream;
+use crate::{net::bounded_stream::BoundedStream, traffic::caller_stream::CallerStream};
 use event_listener::Event;
 use futures_lite::{FutureExt, pin};
 use http::{Request, Response};
@@ -108,7 +108,11 @@
         tracing::debug!(%error, "serve: Could not set the options of a connection; it keeps the system's defaults.");
     }
     shutdown.open.fetch_add(1, Ordering::SeqCst);
-    let service = service_fn(move |request| {
+    let stream = BoundedStream::for_heads(CallerStream::new(stream), limits.header_bytes);
+    let (progress, caller_progress) = (stream.progress(), stream.progress());
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        progress.record();
+        request.extensions_mut().insert(progress.clone());
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -118,7 +122,7 @@
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         // Otherwise the library copies answers, and the copies are not counted as held bytes.
         .writev(true)
-        .serve_connection(FuturesIo::new(CallerStream::new(stream)), service);
+        .serve_connection(FuturesIo::new(stream), service);
     pin!(connection);
     let shutdown_requested = async {
         shutdown.wait().await;
@@ -132,7 +136,11 @@
             connection.await
         }
     };
-    if let Err(error) = result {
+    if caller_progress.is_exceeded() {
+        tracing::info!(
+            "serve: A caller sent too many bytes without a part of a request; its connection is closed."
+        );
+    } else if let Err(error) = result {
         tracing::debug!(%error, "serve: A connection ended early.");
     }
     shutdown.open.fetch_sub(1, Ordering::SeqCst);
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -6,6 +6,7 @@
 //! closed without the end of the stream.
 
 use crate::{
+    answer_bounds,
     held_bytes::{Content, HeldGuard},
     schedule,
     streams::lookup,
@@ -30,6 +31,7 @@
 use smol::Timer;
 use std::{sync::Arc, time::Duration};
 use trestle_dispatch::{
+    read_budget::AnswerBound,
     sends::{SendEnd, Sends},
     wait_limit,
 };
@@ -90,8 +92,8 @@
     Connection(String),
     /// No event arrived within the wait limit.
     Stalled,
-    /// An event is larger than any may be.
-    TooLarge,
+    /// The bytes of the answer, or of an event, passed a bound.
+    PassedBound(AnswerBound),
     /// Others held too many bytes until the time of the request was used up.
     NoRoom,
     /// There is no endpoint to read from.
@@ -103,7 +105,8 @@
         match self {
             Self::Connection(reason) => reason,
             Self::Stalled => "no event came for too long",
-            Self::TooLarge => "an event is too large",
+            Self::PassedBound(AnswerBound::AnswerBytes) => "an event is too large",
+            Self::PassedBound(_) => "too many bytes came without a part of an answer",
             Self::NoRoom => "too many bytes were held for others",
             Self::NoSource => "there is no source",
         }
@@ -283,6 +286,7 @@
             };
             match frame {
                 Some(Ok(frame)) => {
+                    source.connection.progress().record();
                     if let Ok(data) = frame.into_data() {
                         if let Err(error) = self.hold(data.len()).await {
                             return Step::Error(error);
@@ -290,6 +294,10 @@
                         self.buffer.push(&data);
                     }
                 }
+                Some(Err(_)) if source.connection.progress().is_exceeded() => {
+                    let bound = AnswerBound::BytesWithoutProgress;
+                    return Step::Error(StreamError::PassedBound(bound));
+                }
                 Some(Err(error)) => return Step::Error(StreamError::Connection(error.to_string())),
                 None if self.buffer.has_partial_event() => {
                     let reason = "it ended in the middle of an event".to_owned();
@@ -308,7 +316,8 @@
     /// not count as a pause of the endpoint.
     async fn hold(&mut self, more_bytes: usize) -> Result<(), StreamError> {
         let remaining_ms = self.task.remaining_ms();
-        let grown = async { self.held.grow(more_bytes).await.map_err(|_| StreamError::TooLarge) };
+        let too_large = StreamError::PassedBound(AnswerBound::AnswerBytes);
+        let grown = async { self.held.grow(more_bytes).await.map_err(|_| too_large) };
         let timed_out = async {
             Timer::after(Duration::from_millis(remaining_ms)).await;
             Err(StreamError::NoRoom)
@@ -362,7 +371,8 @@
         let Some(mut source) = self.source.take() else { return };
         let name = &source.selected.endpoint.name;
         let daemon = &self.task.daemon;
-        if !source.has_begun && !matches!(error, StreamError::NoRoom | StreamError::TooLarge) {
+        let has_no_start = matches!(error, StreamError::NoRoom | StreamError::PassedBound(_));
+        if !source.has_begun && !has_no_start {
             schedule::record_start(&self.task, &source.selected.endpoint, None);
         }
         let now_ms = daemon.shared_view.now_ms();
@@ -373,7 +383,10 @@
             id = self.task.head.id, request = self.task.fingerprint(), endpoint = %name,
             software = source.selected.software(), parts = self.task.parts(), reason = error.reason(), last_id = self.buffer.last_id(), elapsed_ms = self.task.elapsed_ms(), "request: A stream failed at its endpoint."
         );
-        if matches!(error, StreamError::Connection(_) | StreamError::TooLarge) {
+        if let StreamError::PassedBound(bound) = error {
+            answer_bounds::record_passed(daemon, &source.selected.endpoint, *bound);
+        }
+        if matches!(error, StreamError::Connection(_)) {
             source.selected.record_connection_lost();
         }
     }
