--- a/crates/trestle-entry/src/control/group_lease.rs
+++ b/crates/trestle-entry/src/control/group_lease.rs
@@ -161,8 +161,8 @@
         self.log_role_change(now_ms);
     }
 
-    /// Permits orders as the lease now stands, and then checks whether any is in flight; a task
-    /// records its order before it checks the permit.
+    /// Permits orders as the lease now stands, and then checks whether any is in flight. A task checks
+    /// the permit and records its order under the lock of the order log, so none is missed.
     fn update_orders(&mut self, now_ms: u64) {
         self.daemon.order_permits.set(&self.group, self.lease.order_window());
         let has_orders_in_flight = self.daemon.with_order_log(|log| log.has_in_flight(now_ms));
