--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -13,7 +13,7 @@
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
-use trestle_core::names::{EndpointName, ServiceName, SoftwareVersion};
+use trestle_core::names::{DomainName, EndpointName, ServiceName, SoftwareVersion};
 
 /// Time after the store's return in which live endpoints write their lapsed entries again.
 /// Endpoints are specified to do so within about two seconds.
@@ -315,6 +315,18 @@
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values().map(AsRef::as_ref)
     }
+
+    /// Returns the failure domains that have endpoints.
+    pub fn domains(&self) -> BTreeSet<DomainName> {
+        let mut domains = BTreeSet::new();
+        for endpoint in self.iter() {
+            if !domains.contains(&endpoint.domain) {
+                domains.insert(endpoint.domain.clone());
+            }
+        }
+        domains
+    }
+
     /// Iterates over the same endpoints as [`Self::usable`], as shared pointers that can be kept.
     pub fn usable_shared<'a>(
         &'a self,
--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -206,26 +206,6 @@
         }
     }
 
-    /// Returns the listed endpoints of configured services. Another writer's entry may name any
-    /// service.
-    pub fn configured_endpoints(&self) -> impl Iterator<Item = &Endpoint> {
-        let catalog = self.catalog.as_ref();
-        self.directory.iter().filter(move |endpoint| {
-            catalog.is_none_or(|catalog| catalog.services.contains_key(&endpoint.service))
-        })
-    }
-
-    /// Returns the failure domains of the endpoints of configured services.
-    pub fn domains(&self) -> BTreeSet<DomainName> {
-        let mut domains = BTreeSet::new();
-        for endpoint in self.configured_endpoints() {
-            if !domains.contains(&endpoint.domain) {
-                domains.insert(endpoint.domain.clone());
-            }
-        }
-        domains
-    }
-
     /// Returns whether an endpoint is an engine, to which leaders give orders.
     pub fn is_engine(&self, endpoint: &Endpoint) -> bool {
         let service =
--- a/crates/trestle-entry/src/control/leases.rs
+++ b/crates/trestle-entry/src/control/leases.rs
@@ -283,10 +283,9 @@
     }
 
     fn update_groups(&mut self, now_ms: u64) {
-        let (domains, engines) = self
-            .daemon
-            .shared_view
-            .with(|local_view| (local_view.domains(), local_view.configured_endpoints().count()));
+        let (domains, engines) = self.daemon.shared_view.with(|local_view| {
+            (local_view.directory.domains(), local_view.directory.iter().count())
+        });
         self.groups.update(domains, engines, now_ms);
         let home_group = self.groups.home_group(&self.domain).clone();
         if self.home_group.as_ref().is_none_or(|(known, _)| *known != home_group) {
@@ -475,7 +474,7 @@
                 .filter(|endpoint| endpoint.domain == *group && local_view.is_engine(endpoint));
             reachability.is_cut_off_from(engines, now_ms)
         };
-        local_view.domains().into_iter().filter(is_cut_off).collect()
+        local_view.directory.domains().into_iter().filter(is_cut_off).collect()
     })
 }
 
--- a/crates/trestle-entry/src/streams/versions.rs
+++ b/crates/trestle-entry/src/streams/versions.rs
@@ -164,7 +164,7 @@
 /// Returns whether this daemon leads the group that comes first by name.
 fn leads_first_group(daemon: &Daemon) -> bool {
     let now_ms = daemon.shared_view.now_ms();
-    let domains = daemon.shared_view.with(|local_view| local_view.domains());
+    let domains = daemon.shared_view.with(|local_view| local_view.directory.domains());
     let held = daemon.order_permits.held(now_ms);
     domains.first().is_some_and(|first| held.contains_key(first))
 }
