Log and count why a stream ended early and was not resumed

The line of its end has both now (broken_by, not_resumed), and trestle_broken_streams counts them. No decision changes.

--- a/crates/trestle-entry/src/metrics.rs
+++ b/crates/trestle-entry/src/metrics.rs
@@ -30,6 +30,7 @@
     store_era: Gauge<u64>,
     outdated_entries: Counter<u64>,
     passed_bounds: Counter<u64>,
+    broken_streams: Counter<u64>,
     log_drops: Gauge<u64>,
     asking_endpoints: Gauge<u64>,
     unreached_endpoints: Gauge<u64>,
@@ -116,6 +117,12 @@
                 .u64_counter("trestle_passed_bounds")
                 .with_description("Answers of endpoints that passed a bound, by endpoint and bound")
                 .build(),
+            broken_streams: meter
+                .u64_counter("trestle_broken_streams")
+                .with_description(
+                    "Streams that ended early, by what ended them and why they were not resumed",
+                )
+                .build(),
             outdated_entries: meter
                 .u64_counter("trestle_outdated_entries")
                 .with_description("Entries of endpoints that were older than the known ones")
@@ -193,6 +200,13 @@
         self.passed_bounds.add(1, &attributes);
     }
 
+    /// Records a stream that ended early.
+    pub(crate) fn record_broken_stream(&self, broken_by: &'static str, not_resumed: &'static str) {
+        let labels =
+            [KeyValue::new("broken_by", broken_by), KeyValue::new("not_resumed", not_resumed)];
+        self.broken_streams.add(1, &labels);
+    }
+
     /// Records a change at an engine.
     pub(crate) fn record_change(&self, is_done: bool, is_remote: bool, time_ms: u64) {
         let labels = [KeyValue::new("done", is_done), KeyValue::new("remote", is_remote)];
--- a/crates/trestle-entry/src/traffic/handle.rs
+++ b/crates/trestle-entry/src/traffic/handle.rs
@@ -10,7 +10,7 @@
         plain,
         prompt_schedule::PromptSchedule,
         quota_reservation::QuotaReservation,
-        report::{self, RequestEnd, StreamStats},
+        report::{self, Progress, RequestEnd, StreamStats},
         stream,
         task::{NOT_SENT, Task},
     },
@@ -281,23 +281,21 @@
         true => stream::run(&task).await,
         false => plain::run(&task).await,
     };
-    let endpoint = outcome.endpoint.as_deref();
+    let progress = Progress {
+        endpoint: outcome.endpoint.as_deref(),
+        sends: outcome.sends,
+        stats: StreamStats::default(),
+    };
     match outcome.response {
         Ok(response) => {
             if !outcome.is_stream {
-                report::record_end(
-                    &task,
-                    RequestEnd::Complete,
-                    endpoint,
-                    outcome.sends,
-                    StreamStats::default(),
-                );
+                report::record_end(&task, RequestEnd::Complete, progress, None);
             }
             response
         }
         Err(failure) => {
             let end = RequestEnd::Failed(failure);
-            report::record_end(&task, end, endpoint, outcome.sends, StreamStats::default());
+            report::record_end(&task, end, progress, None);
             failure.answer(&task.daemon.wire.head, Some(&task.head.id))
         }
     }
--- a/crates/trestle-entry/src/traffic/mod.rs
+++ b/crates/trestle-entry/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 
 pub(crate) mod answer;
 pub(crate) mod attempt;
+pub(crate) mod broken_stream;
 mod caller_stream;
 pub(crate) mod events;
 pub(crate) mod handle;
--- a/crates/trestle-entry/src/traffic/plain.rs
+++ b/crates/trestle-entry/src/traffic/plain.rs
@@ -12,7 +12,7 @@
 use http::Response;
 use std::sync::Arc;
 use trestle_dispatch::{
-    sends::{SendEnd, Sends},
+    sends::{NextSend, SendEnd, Sends},
     wait_limit,
 };
 
@@ -36,7 +36,7 @@
             Ok(selected) => selected,
             Err(failure) => break Err(failure),
         };
-        if !task.reserve_next_send(&mut sends) {
+        if task.reserve_next_send(&mut sends) != NextSend::Allowed {
             break Err(Failure::NotRun { retry_after_ms: RETRY_SOON_MS, why: "retries_spent" });
         }
         match send(task, selected, &mut sends).await {
--- a/crates/trestle-entry/src/traffic/report.rs
+++ b/crates/trestle-entry/src/traffic/report.rs
@@ -1,6 +1,6 @@
 //! Logs the end of each request and records its metrics.
 
-use crate::traffic::{answer::Failure, task::Task};
+use crate::traffic::{answer::Failure, broken_stream::BrokenStream, task::Task};
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,14 +40,25 @@
     pub(crate) longest_pause_ms: u64,
 }
 
-/// Logs the end of a request and records its metrics.
+/// How far a request came.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Progress<'a> {
+    /// The endpoint of the last send; `None` if there was none.
+    pub(crate) endpoint: Option<&'a str>,
+    /// Number of sends.
+    pub(crate) sends: u32,
+    /// Measurements of the stream.
+    pub(crate) stats: StreamStats,
+}
+
+/// Logs the end of a request and records its metrics. `broken` says what ended a stream early.
 pub(crate) fn record_end(
     task: &Task,
     end: RequestEnd,
-    endpoint: Option<&str>,
-    sends: u32,
-    stats: StreamStats,
+    progress: Progress<'_>,
+    broken: Option<BrokenStream>,
 ) {
+    let Progress { endpoint, sends, stats } = progress;
     let took_ms = task.elapsed_ms();
     let (retry_after_ms, why) = match end {
         RequestEnd::Failed(Failure::NotRun { retry_after_ms, why }) => {
@@ -77,6 +88,8 @@
         objective_ms = task.route.objective_ms,
         end = end.name(),
         why,
+        broken_by = broken.map(|broken| broken.broken_by),
+        not_resumed = broken.map(|broken| broken.not_resumed.name()),
         endpoint,
         detour_by = task.helper().map(tracing::field::display),
         held_back_by = throttle.map(|info| info.endpoint.as_str()),
@@ -99,5 +112,8 @@
         allowed_ms = task.allowed_ms,
         "request: Ended."
     );
+    if let Some(broken) = broken {
+        task.daemon.metrics.record_broken_stream(broken.broken_by, broken.not_resumed.name());
+    }
     task.daemon.metrics.record_request(&task.route.name, end.name(), took_ms);
 }
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -13,10 +13,11 @@
     traffic::{
         answer::{BodyError, Failure, RETRY_SOON_MS, full_body},
         attempt::{self, Attempt},
+        broken_stream::{BrokenStream, NotResumed, StreamError},
         events::EventBuffer,
         outcome::CompleteAnswer,
         plain::ForwardOutcome,
-        report::{self, RequestEnd, StreamStats},
+        report::{self, Progress, RequestEnd, StreamStats},
         select::{self, SelectedEndpoint},
         task::Task,
         wait_limit::WaitLimit,
@@ -57,6 +58,7 @@
                 transfer,
                 first_events: Some(first),
                 end: None,
+                broken: None,
                 stats,
                 last_event_ms,
             };
@@ -85,30 +87,25 @@
     Error(StreamError),
 }
 
-/// Why a stream failed at an endpoint.
-#[derive(Debug)]
-enum StreamError {
-    /// The connection was lost, for this reason.
-    Connection(String),
-    /// No event arrived within the wait limit.
-    Stalled,
-    /// The bytes of the answer, or of an event, passed a bound.
-    PassedBound(AnswerBound),
-    /// Others held too many bytes until the time of the request was used up.
-    NoRoom,
-    /// There is no endpoint to read from.
-    NoSource,
+/// Why a request is not being answered by the endpoint that was tried last.
+enum Unsent {
+    /// The send failed, and another may follow.
+    Failed,
+    /// No further send is made, for this reason.
+    Final(NotResumed),
 }
 
-impl StreamError {
-    fn reason(&self) -> &str {
-        match self {
-            Self::Connection(reason) => reason,
-            Self::Stalled => "no event came for too long",
-            Self::PassedBound(AnswerBound::AnswerBytes) => "an event is too large",
-            Self::PassedBound(_) => "too many bytes came without a part of an answer",
-            Self::NoRoom => "too many bytes were held for others",
-            Self::NoSource => "there is no source",
+impl From<NotResumed> for Failure {
+    fn from(not_sent: NotResumed) -> Self {
+        match not_sent {
+            NotResumed::NotSelected(failure) => failure,
+            NotResumed::OutOfTime => Self::OutOfTime,
+            NotResumed::NoAttemptLeft | NotResumed::NoRetryLeft => {
+                Self::NotRun { retry_after_ms: RETRY_SOON_MS, why: "retries_spent" }
+            }
+            NotResumed::NotIdempotent | NotResumed::VersionUnknown | NotResumed::Answered(_) => {
+                Self::MayHaveRun
+            }
         }
     }
 }
@@ -166,8 +163,8 @@
         loop {
             let attempt = match self.send().await {
                 Ok(attempt) => attempt,
-                Err(Some(failure)) => return self.final_result(failure),
-                Err(None) => continue,
+                Err(Unsent::Final(not_sent)) => return self.final_result(not_sent.into()),
+                Err(Unsent::Failed) => continue,
             };
             if attempt.response.status() != StatusCode::OK {
                 match attempt.read_complete(&self.task, self.task.remaining_ms()).await {
@@ -204,11 +201,20 @@
         }
     }
 
-    /// Resumes the stream at another endpoint, which must run the version that began it. Returns
-    /// whether one accepted it.
-    async fn resume(&mut self) -> bool {
+    /// Resumes the stream at another endpoint, which must run the version that began it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason if no endpoint accepts the stream.
+    async fn resume(&mut self) -> Result<(), NotResumed> {
+        if !self.is_resumable() {
+            return Err(NotResumed::NotIdempotent);
+        }
+        if self.task.is_expired() {
+            return Err(NotResumed::OutOfTime);
+        }
         if self.task.version.get().is_none() {
-            return false;
+            return Err(NotResumed::VersionUnknown);
         }
         loop {
             match self.send().await {
@@ -219,23 +225,26 @@
                         "request: A stream continues at another endpoint."
                     );
                     self.set_source(attempt);
-                    return true;
+                    return Ok(());
                 }
-                Ok(_) | Err(Some(_)) => return false,
-                Err(None) => {}
+                Ok(attempt) => return Err(NotResumed::Answered(attempt.response.status())),
+                Err(Unsent::Final(not_resumed)) => return Err(not_resumed),
+                Err(Unsent::Failed) => {}
             }
         }
     }
 
-    /// Sends the request once. `Err(None)` means that the send failed and another may follow.
-    async fn send(&mut self) -> Result<Attempt, Option<Failure>> {
+    /// Sends the request once.
+    async fn send(&mut self) -> Result<Attempt, Unsent> {
         if self.task.is_expired() {
-            return Err(Some(Failure::OutOfTime));
+            return Err(Unsent::Final(NotResumed::OutOfTime));
         }
-        let selected = select::select(&self.task, &self.sends).await.map_err(Some)?;
-        if !self.task.reserve_next_send(&mut self.sends) {
-            let why = "retries_spent";
-            return Err(Some(Failure::NotRun { retry_after_ms: RETRY_SOON_MS, why }));
+        let selected = select::select(&self.task, &self.sends).await;
+        let selected =
+            selected.map_err(|failure| Unsent::Final(NotResumed::NotSelected(failure)))?;
+        let next = self.task.reserve_next_send(&mut self.sends);
+        if let Some(not_resumed) = NotResumed::from_next_send(next) {
+            return Err(Unsent::Final(not_resumed));
         }
         self.task.daemon.metrics.record_send(self.sends.count == 0);
         self.sends.record_send(&selected.endpoint.name);
@@ -245,8 +254,10 @@
             Ok(attempt) => Ok(attempt),
             Err(error) => {
                 self.task.record_send_end(&mut self.sends, error.send_end());
-                let is_final = error.send_end().may_have_run() && !self.is_resumable();
-                Err(is_final.then_some(Failure::MayHaveRun))
+                match error.send_end().may_have_run() && !self.is_resumable() {
+                    true => Err(Unsent::Final(NotResumed::NotIdempotent)),
+                    false => Err(Unsent::Failed),
+                }
             }
         }
     }
@@ -419,6 +430,8 @@
     transfer: StreamTransfer,
     first_events: Option<Bytes>,
     end: Option<RequestEnd>,
+    /// What ended the stream early.
+    broken: Option<BrokenStream>,
     stats: StreamStats,
     /// Time from the request's arrival to the last events.
     last_event_ms: u64,
@@ -449,9 +462,8 @@
                 }
                 Step::Error(error) => {
                     self.transfer.record_stream_error(&error);
-                    let may_resume =
-                        self.transfer.is_resumable() && !self.transfer.task.is_expired();
-                    if !(may_resume && self.transfer.resume().await) {
+                    if let Err(not_resumed) = self.transfer.resume().await {
+                        self.broken = Some(BrokenStream { broken_by: error.name(), not_resumed });
                         let is_expired = self.transfer.task.is_expired();
                         self.end = Some(if is_expired {
                             RequestEnd::OutOfTime
@@ -482,6 +494,7 @@
         let end = self.end.unwrap_or(RequestEnd::CallerDisconnected);
         let stats = StreamStats { last_id: transfer.buffer.last_id(), ..self.stats };
         let endpoint = transfer.sends.last.as_ref().map(AsRef::as_ref);
-        report::record_end(&transfer.task, end, endpoint, transfer.sends.count, stats);
+        let progress = Progress { endpoint, sends: transfer.sends.count, stats };
+        report::record_end(&transfer.task, end, progress, self.broken);
     }
 }
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -126,7 +126,7 @@
     }
 
     /// Reserves one more send from the retry budget. Returns whether the request may be sent.
-    pub(crate) fn reserve_next_send(&self, sends: &mut Sends) -> bool {
+    pub(crate) fn reserve_next_send(&self, sends: &mut Sends) -> NextSend {
         let shared_view = &self.daemon.shared_view;
         let now_ms = shared_view.now_ms();
         let next = shared_view
@@ -134,7 +134,7 @@
         if sends.count > 0 {
             self.log_further_send(sends, next, now_ms);
         }
-        next == NextSend::Allowed
+        next
     }
 
     /// Records that the last send of the request ended without an answer to pass on.
