--- a/crates/trestle-dispatch/src/local_view.rs
+++ b/crates/trestle-dispatch/src/local_view.rs
@@ -473,6 +473,18 @@
         })
     }
 
+    /// Records that an endpoint is silent on a request that runs there and is sent to another endpoint
+    /// besides.
+    pub fn endpoint_is_silent(&mut self, endpoint: &Endpoint, head: &RequestHead, now_ms: u64) {
+        let incarnation = endpoint.incarnation();
+        if self.is_expected_to_end(&incarnation) {
+            return;
+        }
+        for suspect in self.suspects(head, now_ms) {
+            self.unresolved_requests.silent(&incarnation, suspect, now_ms);
+        }
+    }
+
     /// Records that a request at an endpoint was abandoned, because no caller waits for it.
     /// Returns whether that incarnation is known to have terminated without having announced it.
     pub fn request_abandoned(
--- a/crates/trestle-dispatch/src/selection.rs
+++ b/crates/trestle-dispatch/src/selection.rs
@@ -224,9 +224,8 @@
     }
 }
 
-/// Returns whether an endpoint other than the last could run the request now and the retry budget
-/// allows the send. Without the check of the budget, 400 of 20,000 streams that waited in an
-/// engine's queue were aborted and then sent nowhere.
+/// Returns whether an endpoint other than those at which the request runs looks able to run it now, and
+/// the retry budget allows the send. The endpoint may still reject the request.
 pub fn has_alternative(
     local_view: &mut LocalView,
     request: RequestContext<'_>,
@@ -236,7 +235,7 @@
     if !local_view.retry_budgets.has_room(request.service, now_ms) {
         return false;
     }
-    let allowed = sends.allowed_elsewhere(request.route, now_ms);
+    let allowed = sends.allowed(request.route, now_ms);
     query(local_view, request, &allowed, now_ms, choice::has_healthy)
 }
 
--- a/crates/trestle-dispatch/src/sends.rs
+++ b/crates/trestle-dispatch/src/sends.rs
@@ -45,21 +45,23 @@
     NoRetryLeft,
 }
 
-/// The sends of one request so far.
+/// The sends of one request so far. Two may run at the same time: one at an endpoint that has become
+/// silent, and one beside it.
 #[derive(Debug, Default)]
 pub struct Sends {
     /// Number of sends.
     pub count: u32,
-    /// Whether the request may have run in one of them.
+    /// Whether the request may have run in one of those that ended.
     pub may_have_run: bool,
-    /// The endpoint of the last send.
+    /// The endpoint of the last send, or of the one that still runs.
     pub last: Option<EndpointName>,
-    sent_to: BTreeSet<EndpointName>,
+    /// Number of sends by endpoint.
+    sent_to: BTreeMap<EndpointName, u32>,
+    /// Endpoints at which a send runs.
+    running_at: BTreeSet<EndpointName>,
     /// Endpoints that get no further send before a time; with `u64::MAX`, they get one only if
     /// there is no other endpoint.
     paused_until_ms: BTreeMap<EndpointName, u64>,
-    /// Whether the last send was the first to its endpoint.
-    is_last_new: bool,
     /// Endpoints that took too long; another send would only add to their load.
     too_slow: BTreeSet<EndpointName>,
 }
@@ -84,54 +86,77 @@
     /// Records a send.
     pub fn record_send(&mut self, endpoint: &EndpointName) {
         self.count += 1;
-        self.is_last_new = self.sent_to.insert(endpoint.clone());
+        *self.sent_to.entry(endpoint.clone()).or_default() += 1;
+        self.running_at.insert(endpoint.clone());
         self.last = Some(endpoint.clone());
     }
 
-    /// Records that the last send ended without an answer to pass on. A further send that was not
-    /// made is returned to the retry budget of the service at once: the request may wait for longer
+    /// Records that a send to an endpoint ended without an answer to pass on. A further send that was
+    /// not made is returned to the retry budget of the service at once: the request may wait for longer
     /// than the budget's window before the next one.
     pub fn record_end(
         &mut self,
+        endpoint: &EndpointName,
         end: SendEnd,
         service: &ServiceName,
         local_view: &mut LocalView,
         now_ms: u64,
     ) {
-        self.may_have_run |= end.may_have_run();
+        if !self.running_at.remove(endpoint) {
+            return;
+        }
+        if let Some(running) = self.running_at.first() {
+            self.last = Some(running.clone());
+        }
         if end == SendEnd::NotSent {
-            self.revert_last();
+            self.revert(endpoint);
             if self.count > 0 {
                 local_view.retry_budgets.return_unused(service);
             }
             return;
         }
-        let Some(last) = &self.last else { return };
+        self.may_have_run |= end.may_have_run();
         let until_ms = if end == SendEnd::NotRun { now_ms + REFUSED_PAUSE_MS } else { u64::MAX };
-        self.paused_until_ms.insert(last.clone(), until_ms);
+        self.paused_until_ms.insert(endpoint.clone(), until_ms);
         if end == SendEnd::TimedOut {
-            self.too_slow.insert(last.clone());
+            self.too_slow.insert(endpoint.clone());
         }
     }
 
-    /// Reverts a send that was not made.
-    fn revert_last(&mut self) {
-        let Some(last) = &self.last else { return };
-        if self.is_last_new {
-            self.sent_to.remove(last);
+    /// Records that all sends were aborted but the one to this endpoint.
+    pub fn record_others_aborted(&mut self, endpoint: &EndpointName) {
+        let aborted: Vec<EndpointName> =
+            self.running_at.iter().filter(|name| *name != endpoint).cloned().collect();
+        for name in aborted {
+            self.running_at.remove(&name);
+            self.paused_until_ms.insert(name, u64::MAX);
+            self.may_have_run = true;
         }
+        self.last = Some(endpoint.clone());
+    }
+
+    /// Reverts a send that was not made.
+    fn revert(&mut self, endpoint: &EndpointName) {
         self.count = self.count.saturating_sub(1);
+        let Some(sent) = self.sent_to.get_mut(endpoint) else { return };
+        *sent -= 1;
+        if *sent == 0 {
+            self.sent_to.remove(endpoint);
+        }
     }
 
     /// Returns where a send may go now or later.
     pub fn allowed_at_all(&self, route: &Route) -> Allowed {
-        Allowed { excluded: self.too_slow.clone(), only: self.only(route) }
+        let excluded = self.too_slow.union(&self.running_at).cloned().collect();
+        Allowed { excluded, only: self.only(route) }
     }
 
     /// Returns where the next send may go.
     pub fn allowed(&self, route: &Route, now_ms: u64) -> Allowed {
         let paused = self.paused_until_ms.iter().filter(|(_, until_ms)| now_ms < **until_ms);
-        Allowed { excluded: paused.map(|(name, _)| name.clone()).collect(), only: self.only(route) }
+        let paused = paused.map(|(name, _)| name);
+        let excluded = paused.chain(&self.running_at).cloned().collect();
+        Allowed { excluded, only: self.only(route) }
     }
 
     /// Returns where the request may be repeated if all other endpoints are excluded; `None` if it
@@ -142,14 +167,7 @@
         may_repeat.then(|| self.allowed_at_all(route))
     }
 
-    /// Returns where the next send may go other than to the last endpoint.
-    pub fn allowed_elsewhere(&self, route: &Route, now_ms: u64) -> Allowed {
-        let mut allowed = self.allowed(route, now_ms);
-        allowed.excluded.extend(self.last.clone());
-        allowed
-    }
-
-    /// Returns whether the route allows another send after one that may have run.
+    /// Returns whether the route allows another send after one that runs or may have run.
     pub fn has_attempt_left(&self, route: &Route) -> bool {
         self.count < route.attempts
     }
@@ -167,7 +185,7 @@
         if self.count == 0 {
             return NextSend::Allowed;
         }
-        if self.may_have_run && !self.has_attempt_left(route) {
+        if self.runs_or_may_have_run() && !self.has_attempt_left(route) {
             return NextSend::NoAttemptLeft;
         }
         match local_view.retry_budgets.spend(service, now_ms) {
@@ -178,6 +196,10 @@
 
     fn only(&self, route: &Route) -> Option<BTreeSet<EndpointName>> {
         let is_full = self.sent_to.len() as u64 >= u64::from(route.attempts);
-        is_full.then(|| self.sent_to.clone())
+        is_full.then(|| self.sent_to.keys().cloned().collect())
+    }
+
+    fn runs_or_may_have_run(&self) -> bool {
+        self.may_have_run || !self.running_at.is_empty()
     }
 }
--- a/crates/trestle-dispatch/src/unresolved_requests.rs
+++ b/crates/trestle-dispatch/src/unresolved_requests.rs
@@ -167,6 +167,15 @@
         is_terminated
     }
 
+    /// Records that an endpoint is silent on a request that runs there and is sent to another endpoint
+    /// besides: until it is known whether the endpoint has crashed, the request counts as aborted, too.
+    pub fn silent(&mut self, incarnation: &Incarnation, request: Fingerprint, now_ms: u64) {
+        let Some(requests) = self.incarnations.get_mut(incarnation) else { return };
+        if requests.terminated_ms.is_none() && requests.running.contains_key(&request) {
+            requests.abort(request, now_ms);
+        }
+    }
+
     /// Records that the connection of a request to an endpoint was lost.
     pub fn connection_lost(
         &mut self,
--- a/crates/trestle-dispatch/tests/backoff.rs
+++ b/crates/trestle-dispatch/tests/backoff.rs
@@ -101,7 +101,7 @@
         // A request that was just rejected by a server does not change the delay.
         let mut sends = Sends::default();
         sends.record_send(&"y".into());
-        sends.record_end(SendEnd::NotRun, &"s".into(), &mut local_view, NOW_MS);
+        sends.record_end(&"y".into(), SendEnd::NotRun, &"s".into(), &mut local_view, NOW_MS);
         let first = Selection::Throttled(Throttled { incarnation: incarnation("y"), for_ms: 900, is_limited: false, is_brittle: false });
         assert_eq!(select(&mut local_view, &sends, 1, NOW_MS + 100), first);
     }
@@ -153,7 +153,7 @@
         let next = sends.reserve_next(&route, &"s".into(), &mut local_view, NOW_MS);
         assert_eq!(next, NextSend::Allowed);
         sends.record_send(&"x".into());
-        sends.record_end(SendEnd::NotSent, &"s".into(), &mut local_view, NOW_MS);
+        sends.record_end(&"x".into(), SendEnd::NotSent, &"s".into(), &mut local_view, NOW_MS);
         assert_eq!((sends.count, sends.may_have_run), (0, false));
         // The endpoint is not excluded by it either.
         assert!(sends.allowed(&route, NOW_MS).excluded.is_empty());
--- a/crates/trestle-dispatch/tests/retry_budget.rs
+++ b/crates/trestle-dispatch/tests/retry_budget.rs
@@ -281,10 +281,10 @@
             local_view.retry_budgets.request_arrived(&service, now_ms);
             let mut sends = Sends::default();
             sends.record_send(&"e1".into());
-            sends.record_end(SendEnd::NotRun, &service, &mut local_view, now_ms);
+            sends.record_end(&"e1".into(), SendEnd::NotRun, &service, &mut local_view, now_ms);
             if reserve(&mut sends, &mut local_view, now_ms) {
                 sends.record_send(&"e2".into());
-                sends.record_end(SendEnd::NotSent, &service, &mut local_view, now_ms);
+                sends.record_end(&"e2".into(), SendEnd::NotSent, &service, &mut local_view, now_ms);
                 waiting.push(sends);
             }
         }
@@ -302,12 +302,12 @@
         let before = local_view.retry_budgets.usage(&service, 10_000);
         let mut sends = Sends::default();
         sends.record_send(&"e1".into());
-        sends.record_end(SendEnd::NotRun, &service, &mut local_view, 10_000);
+        sends.record_end(&"e1".into(), SendEnd::NotRun, &service, &mut local_view, 10_000);
         for _ in 0..100 {
             let next = sends.reserve_next(&route, &service, &mut local_view, 10_000);
             assert_eq!(next, NextSend::Allowed);
             sends.record_send(&"e2".into());
-            sends.record_end(SendEnd::NotSent, &service, &mut local_view, 10_000);
+            sends.record_end(&"e2".into(), SendEnd::NotSent, &service, &mut local_view, 10_000);
         }
         assert_eq!(local_view.retry_budgets.usage(&service, 10_000), before);
     }
--- a/crates/trestle-dispatch/tests/selection.rs
+++ b/crates/trestle-dispatch/tests/selection.rs
@@ -181,7 +181,7 @@
         let mut fixture = Fixture::new(vec![endpoint("x", "z", &["a"])], "a");
         fixture.local_view.record_leader(false, NOW_MS);
         fixture.sends.record_send(&"x".into());
-        fixture.sends.record_end(SendEnd::NotRun, &"s".into(), &mut fixture.local_view, NOW_MS);
+        fixture.sends.record_end(&"x".into(), SendEnd::NotRun, &"s".into(), &mut fixture.local_view, NOW_MS);
         assert!(matches!(fixture.select(10), Selection::Wait { .. }));
         assert!(matches!(fixture.select(400), Selection::Send(_)));
     }
--- a/crates/trestle-entry/src/connection_loss.rs
+++ b/crates/trestle-entry/src/connection_loss.rs
@@ -19,6 +19,7 @@
 use trestle_dispatch::{
     endpoint::{Endpoint, Incarnation},
     fingerprint::Fingerprint,
+    request::RequestHead,
     unresolved_requests::{ConnectionLoss, Evidence, MAX_CRASH_DELAY_MS},
 };
 
@@ -88,6 +89,21 @@
     }
 }
 
+/// Records that an endpoint is silent on a request that runs there and is sent to another endpoint
+/// besides. If the endpoint has sent nothing of an answer, it is checked.
+pub(crate) fn record_silent(
+    daemon: &Arc<Daemon>,
+    endpoint: &Endpoint,
+    head: &RequestHead,
+    has_answered: bool,
+) {
+    let now_ms = daemon.shared_view.now_ms();
+    daemon.shared_view.with(|local_view| local_view.endpoint_is_silent(endpoint, head, now_ms));
+    if !has_answered {
+        ensure_check(daemon, endpoint);
+    }
+}
+
 /// Starts a check of an endpoint at which a request was aborted, unless one is running.
 pub(crate) fn ensure_check(daemon: &Arc<Daemon>, endpoint: &Endpoint) {
     let incarnation = endpoint.incarnation();
--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -11,19 +11,26 @@
     paths, schedule, signals,
     traffic::{
         outcome::{AttemptError, CompleteAnswer},
-        select::SelectedEndpoint,
+        selected_endpoint::SelectedEndpoint,
         task::Task,
-        wait_limit::WaitLimit,
     },
 };
 use bytes::{Bytes, BytesMut};
+use event_listener::Event;
 use futures_lite::FutureExt;
 use http::{HeaderMap, Response, StatusCode, header};
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use smol::Timer;
-use std::{io::ErrorKind, sync::Arc, time::Duration};
+use std::{
+    io::ErrorKind,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 use trestle_dispatch::{
     endpoint::Endpoint, loadable::Loadable, read_budget::AnswerBound, request::AnswerHead,
     unresolved_requests::Evidence,
@@ -38,27 +45,51 @@
     pub(crate) head: AnswerHead,
 }
 
+/// Tells a send that it is given up.
+#[derive(Debug, Default)]
+pub(crate) struct GiveUp {
+    is_given_up: AtomicBool,
+    given_up: Event,
+}
+
+impl GiveUp {
+    /// Gives up the send, which then fails as [`AttemptError::TimedOut`].
+    pub(crate) fn notify(&self) {
+        self.is_given_up.store(true, Ordering::SeqCst);
+        self.given_up.notify(usize::MAX);
+    }
+
+    async fn wait(&self) {
+        let given_up = self.given_up.listen();
+        if !self.is_given_up.load(Ordering::SeqCst) {
+            given_up.await;
+        }
+    }
+}
+
 /// Sends a request to the endpoint that was selected, and waits for the head of the answer.
 ///
 /// # Errors
 ///
-/// Fails if no answer that can be passed on to the caller arrives within the wait limit. The error
-/// says whether the request may have run.
+/// Fails if no answer that can be passed on to the caller arrives before the send is given up. The
+/// error says whether the request may have run.
 pub(crate) async fn send(
     task: &Arc<Task>,
     mut selected: SelectedEndpoint,
     last_event_id: Option<u64>,
-    wait_limit: WaitLimit<'_>,
+    give_up: &GiveUp,
 ) -> Result<Attempt, AttemptError> {
     let sent_after_ms = task.elapsed_ms();
     task.record_sent();
-    let result = wait_limit.wait(exchange(task, &mut selected, last_event_id)).await;
-    let answered =
-        result.unwrap_or_else(|| Err(AttemptError::TimedOut(task.elapsed_ms() - sent_after_ms)));
+    let given_up = async {
+        give_up.wait().await;
+        Err(AttemptError::TimedOut(task.elapsed_ms() - sent_after_ms))
+    };
+    let answered = exchange(task, &mut selected, last_event_id).or(given_up).await;
     let now_ms = task.daemon.shared_view.now_ms();
     let may_have_run =
         answered.as_ref().map_or_else(|error| error.send_end().may_have_run(), |_| true);
-    task.quota_reservation.record_end(may_have_run);
+    task.quota_reservation.record_end(&selected.endpoint.name, may_have_run);
     if !matches!(
         answered,
         Err(AttemptError::Unreachable(_) | AttemptError::NotSent | AttemptError::Restricted)
--- a/crates/trestle-entry/src/traffic/broken_stream.rs
+++ b/crates/trestle-entry/src/traffic/broken_stream.rs
@@ -9,8 +9,10 @@
 pub(crate) enum StreamError {
     /// The connection was lost, for this reason.
     Connection(String),
-    /// No event arrived within the wait limit.
-    Stalled,
+    /// No event came, and another endpoint has accepted the stream.
+    Silent,
+    /// No event came until the time of the request was used up.
+    OutOfTime,
     /// The bytes of the answer, or of an event, passed a bound.
     PassedBound(AnswerBound),
     /// Others held too many bytes until the time of the request was used up.
@@ -24,7 +26,8 @@
     pub(crate) fn reason(&self) -> &str {
         match self {
             Self::Connection(reason) => reason,
-            Self::Stalled => "no event came for too long",
+            Self::Silent => "no event came for too long",
+            Self::OutOfTime => "the time was used up",
             Self::PassedBound(AnswerBound::AnswerBytes) => "an event is too large",
             Self::PassedBound(_) => "too many bytes came without a part of an answer",
             Self::NoRoom => "too many bytes were held for others",
@@ -32,12 +35,12 @@
         }
     }
 
-    /// Returns a short name, for logs and metrics. Only `connection_lost` is an end by the endpoint or
-    /// the network; this daemon chose the others.
+    /// Returns a short name, for logs and metrics.
     pub(crate) fn name(&self) -> &'static str {
         match self {
             Self::Connection(_) => "connection_lost",
-            Self::Stalled => "silence",
+            Self::Silent => "silence",
+            Self::OutOfTime => "out_of_time",
             Self::PassedBound(_) => "bound",
             Self::NoRoom => "memory_full",
             Self::NoSource => "no_source",
--- a/crates/trestle-entry/src/traffic/plain.rs
+++ b/crates/trestle-entry/src/traffic/plain.rs
@@ -3,13 +3,13 @@
 
 use crate::traffic::{
     answer::{Body, Failure, RETRY_SOON_MS, full_body},
-    attempt,
+    hedge::Hedge,
     outcome::{AttemptError, CompleteAnswer},
-    select::{self, SelectedEndpoint},
+    select,
+    selected_endpoint::SelectedEndpoint,
     task::Task,
-    wait_limit::WaitLimit,
 };
-use http::Response;
+use http::{Response, StatusCode};
 use std::sync::Arc;
 use trestle_dispatch::{
     sends::{NextSend, SendEnd, Sends},
@@ -39,13 +39,12 @@
         if task.reserve_next_send(&mut sends) != NextSend::Allowed {
             break Err(Failure::NotRun { retry_after_ms: RETRY_SOON_MS, why: "retries_spent" });
         }
-        match send(task, selected, &mut sends).await {
+        match send(task, selected, &mut sends, &mut failed_answer).await {
             Ok(answer) if answer.response.status().is_server_error() && is_idempotent => {
-                task.record_send_end(&mut sends, SendEnd::Failed);
                 failed_answer = Some(answer);
             }
             Ok(answer) => break Ok(answer),
-            Err(error) => task.record_send_end(&mut sends, error.send_end()),
+            Err(_) => {}
         }
         if task.is_expired() || (sends.may_have_run && !is_idempotent) {
             break Err(Failure::MayHaveRun);
@@ -65,16 +64,32 @@
     ForwardOutcome { response, endpoint, sends: sends.count, is_stream: false }
 }
 
-/// Sends the request once and reads the complete answer.
+/// Sends the request, and reads the complete answer of the first endpoint that sends the head of one.
+/// While an endpoint is too late for the route's objective, the request is also sent to another one.
 async fn send(
     task: &Arc<Task>,
     selected: SelectedEndpoint,
     sends: &mut Sends,
+    failed_answer: &mut Option<CompleteAnswer>,
 ) -> Result<CompleteAnswer, AttemptError> {
-    task.daemon.metrics.record_send(sends.count == 0);
-    sends.record_send(&selected.endpoint.name);
-    // A send that misses the route's objective is given up if another send is possible.
-    let wait_limit = WaitLimit { task, sends, limit_ms: wait_limit::answer_ms(&task.route) };
-    let attempt = attempt::send(task, selected, None, wait_limit).await?;
-    attempt.read_complete(task, task.remaining_ms()).await
+    let mut hedge = Hedge {
+        task,
+        sends,
+        failed_answer,
+        last_event_id: None,
+        limit_ms: wait_limit::answer_ms(&task.route),
+        accepts: |status: StatusCode| !status.is_server_error(),
+    };
+    let attempt = hedge.send(selected).await?;
+    let endpoint = attempt.selected.endpoint.name.clone();
+    let result = attempt.read_complete(task, task.remaining_ms()).await;
+    let end = match &result {
+        Ok(answer) if answer.response.status().is_server_error() => Some(SendEnd::Failed),
+        Ok(_) => None,
+        Err(error) => Some(error.send_end()),
+    };
+    if let Some(end) = end {
+        task.record_send_end(sends, &endpoint, end);
+    }
+    result
 }
--- a/crates/trestle-entry/src/traffic/quota_reservation.rs
+++ b/crates/trestle-entry/src/traffic/quota_reservation.rs
@@ -9,7 +9,7 @@
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use trestle_core::names::TeamName;
+use trestle_core::names::{EndpointName, TeamName};
 use trestle_dispatch::team::TeamLimit;
 
 /// Divisor of a route's objective: a request waits at most for this part of the objective until its
@@ -29,48 +29,53 @@
     state: Mutex<ReservationState>,
 }
 
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
 enum ReservationState {
     /// Nothing is reserved, or the units were used by a send that may have run.
     #[default]
     Unreserved,
     /// The units are reserved, and the request may be sent until this time.
     Reserved { until_ms: u64 },
-    /// The request was sent, and how the send ends is not known yet.
-    Sent { until_ms: u64 },
+    /// The request was sent to this endpoint, and how the send ends is not known yet.
+    Sent { until_ms: u64, to: EndpointName },
 }
 
 impl QuotaReservation {
     /// Returns whether the team's limit allows the request to be sent: units are reserved, or the
     /// team has no limit.
     pub(crate) fn allows_send(&self, task: &Task, now_ms: u64) -> bool {
-        let state = *self.state();
         cost(task).is_none()
-            || matches!(state, ReservationState::Reserved { until_ms } if now_ms < until_ms)
+            || matches!(*self.state(), ReservationState::Reserved { until_ms } if now_ms < until_ms)
     }
 
-    /// Records that the request is sent. Returns whether its units could still be used.
-    pub(crate) fn record_sent(&self, task: &Task, now_ms: u64) -> bool {
+    /// Records that the request is sent to an endpoint. Returns whether its units could still be used.
+    pub(crate) fn record_sent(&self, task: &Task, endpoint: &EndpointName, now_ms: u64) -> bool {
         if cost(task).is_none() {
             return true;
         }
         let mut state = self.state();
-        match *state {
-            ReservationState::Reserved { until_ms } | ReservationState::Sent { until_ms }
-                if now_ms < until_ms + SEND_GRACE_MS =>
-            {
-                *state = ReservationState::Sent { until_ms };
-                true
-            }
-            _ => false,
+        let until_ms = match &*state {
+            ReservationState::Reserved { until_ms } => *until_ms,
+            // A connection that was idle was closed, and the request is sent over another one.
+            ReservationState::Sent { until_ms, to } if to == endpoint => *until_ms,
+            _ => return false,
+        };
+        let is_valid = now_ms < until_ms + SEND_GRACE_MS;
+        if is_valid {
+            *state = ReservationState::Sent { until_ms, to: endpoint.clone() };
         }
+        is_valid
     }
 
-    /// Records that the last send has ended. A send that may have run has used the units; otherwise
-    /// they stay reserved for the next send.
-    pub(crate) fn record_end(&self, may_have_run: bool) {
+    /// Records that a send to an endpoint has ended. A send that may have run has used the units;
+    /// otherwise they stay reserved for the next send, unless the request was sent to another endpoint
+    /// meanwhile.
+    pub(crate) fn record_end(&self, endpoint: &EndpointName, may_have_run: bool) {
         let mut state = self.state();
-        if let ReservationState::Sent { until_ms } = *state {
+        if let ReservationState::Sent { until_ms, to } = &*state
+            && to == endpoint
+        {
+            let until_ms = *until_ms;
             *state = if may_have_run {
                 ReservationState::Unreserved
             } else {
@@ -169,7 +174,7 @@
 /// Makes the units that a request reserved and did not use available to other requests again.
 pub(crate) fn release(task: &Task) {
     let Some(Cost { team, units, .. }) = cost(task) else { return };
-    let state = *task.quota_reservation.state();
+    let state = task.quota_reservation.state().clone();
     if let ReservationState::Reserved { until_ms } = state {
         task.daemon.with_allowances(|allowances| allowances.add(team, units, until_ms));
     }
@@ -225,7 +230,7 @@
 /// Makes the reserved units available to other requests if they lapse while this one waits until
 /// `until_ms`. It must reserve units again then.
 pub(crate) fn give_back_lapsing(task: &Task, until_ms: u64) {
-    let state = *task.quota_reservation.state();
+    let state = task.quota_reservation.state().clone();
     if matches!(state, ReservationState::Reserved { until_ms: lapses_ms } if lapses_ms <= until_ms)
     {
         release(task);
--- a/crates/trestle-entry/src/traffic/select.rs
+++ b/crates/trestle-entry/src/traffic/select.rs
@@ -8,6 +8,7 @@
     traffic::{
         answer::{Failure, RETRY_SOON_MS},
         quota_reservation,
+        selected_endpoint::SelectedEndpoint,
         task::Task,
     },
 };
@@ -19,7 +20,6 @@
     admission::{self, Reason},
     choice::Candidate,
     endpoint::Endpoint,
-    fingerprint::Fingerprint,
     selection::{self, NO_SIGN_RETRY_MS, RequestContext, Selection},
     sends::Sends,
 };
@@ -34,81 +34,59 @@
 /// Most endpoints that are checked for one request before it is refused, each within 0.4 s.
 const MAX_CHECKS: u32 = 2;
 
-/// An endpoint that was selected for one send. The request counts as running there until this guard
-/// is dropped.
-#[derive(Debug)]
-pub(crate) struct SelectedEndpoint {
-    pub(crate) endpoint: Endpoint,
-    task: Arc<Task>,
-    /// The fingerprints of the request and of parts of its prompt of which it is not known whether they
-    /// crashed the endpoint.
-    unresolved: Vec<Fingerprint>,
-    /// When the request was last sent there.
-    sent_ms: u64,
-    /// Whether the endpoint has sent the head of an answer.
-    has_answered: bool,
-}
-
-impl SelectedEndpoint {
-    /// Returns the version of the endpoint's software, for logs.
-    pub(crate) fn software(&self) -> Option<&str> {
-        self.endpoint.software_version.as_ref().map(AsRef::as_ref)
-    }
-
-    /// Records that the request is sent to the endpoint, which it may crash from now on.
-    pub(crate) fn record_sent(&mut self) {
-        let now_ms = self.task.daemon.shared_view.now_ms();
-        self.sent_ms = now_ms;
-        self.has_answered = false;
-        self.unresolved = self.task.daemon.shared_view.with(|local_view| {
-            let suspects = local_view.suspects(&self.task.head, now_ms);
-            for suspect in &suspects {
-                local_view.track_request(&self.endpoint, *suspect, now_ms);
+/// Selects an endpoint that can run a request now, while the request runs at another one.
+///
+/// # Errors
+///
+/// Fails with the reason if there is none, or if the request would have to wait for more than the
+/// decision of a leader.
+pub(crate) async fn select_now(
+    task: &Arc<Task>,
+    sends: &Sends,
+) -> Result<SelectedEndpoint, &'static str> {
+    let as_reason = |failure: Failure| match failure {
+        Failure::NotRun { why, .. } => why,
+        failure => failure.name(),
+    };
+    quota_reservation::check(task).map_err(as_reason)?;
+    loop {
+        if !task.has_valid_key() {
+            return Err(Failure::NoKey.name());
+        }
+        if !task.daemon.stopping.can_send(task.daemon.shared_view.now_ms()) {
+            return Err("stopping");
+        }
+        match decide(task, sends, None) {
+            Selection::Send(endpoint) => return Ok(SelectedEndpoint::new(task, endpoint)),
+            Selection::ChargeQuota => quota_reservation::reserve(task).await.map_err(as_reason)?,
+            Selection::RequestSendPermit(endpoint) => request_send_permit(task, &endpoint).await,
+            Selection::RequestSlot(endpoint) => request_slot(task, &endpoint).await,
+            Selection::Schedule(candidates) => {
+                schedule_prompt(task, &candidates).await.map_err(as_reason)?;
             }
-            suspects
-        });
-    }
-
-    /// Records that the endpoint has begun to answer, so that no part of the prompt has crashed it.
-    pub(crate) fn record_begun(&mut self) {
-        let observed_ms = self.task.daemon.shared_view.now_ms().saturating_sub(self.sent_ms);
-        schedule::record_start(&self.task, &self.endpoint, Some(observed_ms));
-        let (parts, request) = self.unresolved.drain(..).partition(Fingerprint::is_part);
-        self.unresolved = request;
-        self.resolve_all(parts);
-        let now_ms = self.task.daemon.shared_view.now_ms();
-        let parts = &self.task.head.part_fingerprints;
-        self.task.daemon.shared_view.with(|local_view| local_view.parts_answered(parts, now_ms));
-        self.task.trial.part_settled();
-    }
-
-    /// Records that the endpoint has sent the head of an answer.
-    pub(crate) fn record_answered(&mut self) {
-        self.has_answered = true;
+            Selection::CheckEndpoint(_) | Selection::RequestTrial => {
+                return Err(Reason::OnTrial.name());
+            }
+            Selection::Throttled(_) => return Err("held_back"),
+            Selection::Refuse { reason, .. } => {
+                return Err(reason.map_or("no_endpoint", Reason::name));
+            }
+            Selection::Wait { .. } => return Err("no_endpoint"),
+        }
     }
+}
 
-    /// Records that the request did not crash the endpoint: it did not run there, or was answered.
-    pub(crate) fn resolve(&mut self) {
-        let unresolved = std::mem::take(&mut self.unresolved);
-        self.resolve_all(unresolved);
+/// Requests a send permit of an endpoint that limits its requests.
+async fn request_send_permit(task: &Task, endpoint: &Endpoint) {
+    if let Some(until_ms) = send_permits::request(&task.daemon, endpoint, &task.head.id).await {
+        task.held_permit.set(endpoint.incarnation(), until_ms);
     }
+}
 
-    fn resolve_all(&self, fingerprints: Vec<Fingerprint>) {
-        let incarnation = self.endpoint.incarnation();
-        self.task.daemon.shared_view.with(|local_view| {
-            for fingerprint in fingerprints {
-                local_view.unresolved_requests.resolved(&incarnation, fingerprint);
-            }
-        });
-    }
-
-    /// Records that the connection to the endpoint was lost after the request was sent.
-    pub(crate) fn record_connection_lost(&mut self) {
-        for fingerprint in &self.unresolved {
-            let daemon = &self.task.daemon;
-            connection_loss::record_lost(daemon, &self.endpoint, *fingerprint, self.sent_ms);
-        }
-        self.resolve();
+/// Requests a slot of a brittle endpoint.
+async fn request_slot(task: &Task, endpoint: &Endpoint) {
+    if let Some(until_ms) = slots::request(&task.daemon, endpoint, &task.head.id).await {
+        task.held_permit.set(endpoint.incarnation(), until_ms);
     }
 }
 
@@ -130,13 +108,7 @@
         let demand_id = demand.as_ref().map(|demand| demand.demand_id);
         let until_ms = match decide(task, sends, demand_id) {
             Selection::Send(endpoint) => {
-                return Ok(SelectedEndpoint {
-                    endpoint,
-                    task: Arc::clone(task),
-                    unresolved: Vec::new(),
-                    sent_ms: 0,
-                    has_answered: false,
-                });
+                return Ok(SelectedEndpoint::new(task, endpoint));
             }
             Selection::CheckEndpoint(endpoint) => {
                 let has_answered =
@@ -164,18 +136,11 @@
                 continue;
             }
             Selection::RequestSendPermit(endpoint) => {
-                if let Some(until_ms) =
-                    send_permits::request(&task.daemon, &endpoint, &task.head.id).await
-                {
-                    task.held_permit.set(endpoint.incarnation(), until_ms);
-                }
+                request_send_permit(task, &endpoint).await;
                 continue;
             }
             Selection::RequestSlot(endpoint) => {
-                if let Some(until_ms) = slots::request(&task.daemon, &endpoint, &task.head.id).await
-                {
-                    task.held_permit.set(endpoint.incarnation(), until_ms);
-                }
+                request_slot(task, &endpoint).await;
                 continue;
             }
             Selection::Schedule(candidates) => {
@@ -278,7 +243,7 @@
     })
 }
 
-/// Returns whether an endpoint other than the last one could run the request now.
+/// Returns whether an endpoint other than those at which the request runs looks able to run it now.
 pub(crate) fn has_alternative(task: &Task, sends: &Sends) -> bool {
     let now_ms = task.daemon.shared_view.now_ms();
     let has_alternative =
@@ -302,22 +267,6 @@
     daemon.shared_view.notify_demand();
 }
 
-impl Drop for SelectedEndpoint {
-    fn drop(&mut self) {
-        for fingerprint in std::mem::take(&mut self.unresolved) {
-            let (daemon, endpoint) = (&self.task.daemon, &self.endpoint);
-            let (sent_ms, has_answered) = (self.sent_ms, self.has_answered);
-            connection_loss::record_abandoned(daemon, endpoint, fingerprint, sent_ms, has_answered);
-        }
-        let (model, adapter) = (self.task.head.model.as_ref(), self.task.head.adapter.as_ref());
-        self.task
-            .daemon
-            .shared_view
-            .with(|local_view| local_view.request_ended(&self.endpoint, model, adapter));
-        slots::report_free(&self.task.daemon, &self.endpoint);
-    }
-}
-
 /// The demand of one waiting request. It is reported to the leader until this guard is dropped.
 struct DemandGuard {
     daemon: Arc<Daemon>,
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -3,36 +3,32 @@
 //! The head of the answer is sent to the caller with the first event, so another send may follow
 //! one that fails before. If a stream fails later and its route is idempotent, it is resumed at
 //! another endpoint after the last event that was passed on. Otherwise the caller's connection is
-//! closed without the end of the stream.
+//! closed without the end of the stream. While the endpoint is only silent, the stream is moved if
+//! another endpoint has accepted it, and goes on otherwise.
 
 use crate::{
-    answer_bounds,
-    held_bytes::{Content, HeldGuard},
-    schedule,
     streams::lookup,
     traffic::{
-        answer::{BodyError, Failure, RETRY_SOON_MS, full_body},
-        attempt::{self, Attempt},
-        broken_stream::{BrokenStream, NotResumed, StreamError},
-        events::EventBuffer,
+        answer::{Failure, RETRY_SOON_MS, full_body},
+        attempt::Attempt,
+        broken_stream::{NotResumed, StreamError},
+        event_reader::{EventReader, Received},
+        forwarded_stream::ForwardedStream,
+        hedge::{Hedge, Raced, RunningAt},
         outcome::CompleteAnswer,
         plain::ForwardOutcome,
-        report::{self, Progress, RequestEnd, StreamStats},
-        select::{self, SelectedEndpoint},
+        select,
         task::Task,
-        wait_limit::WaitLimit,
+        wait_limit::Waited,
     },
 };
 use bytes::Bytes;
-use futures_lite::{FutureExt, stream};
-use http::{Response, StatusCode, header, response::Parts};
-use http_body::Frame;
+use futures_lite::{pin, stream};
+use http::{Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
-use smol::Timer;
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
+use trestle_core::names::EndpointName;
 use trestle_dispatch::{
-    read_budget::AnswerBound,
     sends::{SendEnd, Sends},
     wait_limit,
 };
@@ -52,16 +48,7 @@
             transfer.log_if_continued();
             transfer.bind_to_source();
             task.daemon.metrics.record_first_part(&task.route.name, task.elapsed_ms());
-            let stats = StreamStats { first_ms: Some(task.elapsed_ms()), ..StreamStats::default() };
-            let last_event_ms = task.elapsed_ms();
-            let forwarded = ForwardedStream {
-                transfer,
-                first_events: Some(first),
-                end: None,
-                broken: None,
-                stats,
-                last_event_ms,
-            };
+            let forwarded = ForwardedStream::new(transfer, first);
             let body =
                 StreamBody::new(stream::unfold(forwarded, ForwardedStream::next)).boxed_unsync();
             Ok(Response::from_parts(*parts, body))
@@ -81,9 +68,13 @@
 }
 
 /// The next part of a stream.
-enum Step {
+#[derive(Debug)]
+pub(crate) enum Step {
+    /// Complete events.
     Events(Bytes),
+    /// The stream is complete.
     End,
+    /// The stream failed at its endpoint, and runs nowhere.
     Error(StreamError),
 }
 
@@ -111,28 +102,12 @@
 }
 
 /// One stream, over all the sends that it takes.
-struct StreamTransfer {
+pub(crate) struct StreamTransfer {
     task: Arc<Task>,
     sends: Sends,
     /// The last failure that an endpoint answered; passed on if no later send succeeds.
     failed_answer: Option<CompleteAnswer>,
-    buffer: EventBuffer,
-    /// The bytes in `buffer`.
-    held: HeldGuard,
-    source: Option<EventSource>,
-}
-
-/// The endpoint and the connection that a stream is read from.
-struct EventSource {
-    selected: SelectedEndpoint,
-    connection: crate::net::pool::Connection,
-    body: Incoming,
-    /// For how long the endpoint keeps the connection while it is idle; `None` if it does not say.
-    idle_ms: Option<u64>,
-    /// Whether the framing of the answer shows when the body is complete.
-    has_explicit_end: bool,
-    /// Whether an event has come.
-    has_begun: bool,
+    reader: EventReader,
 }
 
 impl StreamTransfer {
@@ -141,19 +116,39 @@
             task: Arc::clone(task),
             sends: Sends::default(),
             failed_answer: None,
-            buffer: EventBuffer::resuming_after(task.head.last_event_id),
-            held: task.daemon.held_bytes.guard(Content::UnsizedAnswer),
-            source: None,
+            reader: EventReader::new(task),
         }
     }
 
+    /// Returns the request.
+    pub(crate) fn task(&self) -> &Task {
+        &self.task
+    }
+
+    /// Returns the endpoint that runs the stream, or else that of the last send.
+    pub(crate) fn endpoint(&self) -> Option<&EndpointName> {
+        self.sends.last.as_ref()
+    }
+
+    /// Returns the number of sends.
+    pub(crate) fn send_count(&self) -> u32 {
+        self.sends.count
+    }
+
+    /// Returns the id of the last event that was passed on.
+    pub(crate) fn last_id(&self) -> Option<u64> {
+        self.reader.last_id()
+    }
+
     /// Logs at which version of the software the stream goes on that a caller continues.
     fn log_if_continued(&self) {
-        let (head, source) = (&self.task.head, self.source.as_ref());
-        let Some(source) = source.filter(|_| head.last_event_id.is_some()) else { return };
+        let head = &self.task.head;
+        let Some(selected) = self.reader.selected().filter(|_| head.last_event_id.is_some()) else {
+            return;
+        };
         tracing::info!(
             id = head.id, continues = head.continues, after = head.last_event_id,
-            endpoint = %source.selected.endpoint.name, software = source.selected.software(),
+            endpoint = %selected.endpoint.name, software = selected.software(),
             "request: A caller continues a stream."
         );
     }
@@ -166,20 +161,22 @@
                 Err(Unsent::Final(not_sent)) => return self.final_result(not_sent.into()),
                 Err(Unsent::Failed) => continue,
             };
-            if attempt.response.status() != StatusCode::OK {
+            if !is_stream(attempt.response.status()) {
+                let endpoint = attempt.selected.endpoint.name.clone();
                 match attempt.read_complete(&self.task, self.task.remaining_ms()).await {
                     Ok(answer) if !self.is_resumable() => return Ok(StreamStart::Complete(answer)),
                     Ok(answer) => self.failed_answer = Some(answer),
                     Err(_) => {}
                 }
-                self.record_failed();
+                self.task.record_send_end(&mut self.sends, &endpoint, SendEnd::Failed);
                 if !self.is_resumable() {
                     return self.final_result(Failure::MayHaveRun);
                 }
                 continue;
             }
-            let parts = self.set_source(attempt);
-            match self.next_step(wait_limit::first_event_ms(&self.task.route)).await {
+            let mut parts = self.reader.set_source(&self.task, attempt);
+            let limit_ms = wait_limit::first_event_ms(&self.task.route);
+            match self.next_step_with(limit_ms, |new_parts| parts = new_parts).await {
                 Step::Events(first) => return Ok(StreamStart::Events(Box::new(parts), first)),
                 Step::End => return Ok(StreamStart::Events(Box::new(parts), Bytes::new())),
                 Step::Error(error) => {
@@ -195,9 +192,9 @@
     /// Binds the stream to the version of its source, which has sent the first event, and records
     /// where it began.
     fn bind_to_source(&self) {
-        let Some(source) = &self.source else { return };
+        let Some(selected) = self.reader.selected() else { return };
         if self.is_resumable() {
-            lookup::bind_to_endpoint(&self.task, &source.selected.endpoint);
+            lookup::bind_to_endpoint(&self.task, &selected.endpoint);
         }
     }
 
@@ -206,7 +203,7 @@
     /// # Errors
     ///
     /// Fails with the reason if no endpoint accepts the stream.
-    async fn resume(&mut self) -> Result<(), NotResumed> {
+    pub(crate) async fn resume(&mut self) -> Result<(), NotResumed> {
         if !self.is_resumable() {
             return Err(NotResumed::NotIdempotent);
         }
@@ -218,13 +215,8 @@
         }
         loop {
             match self.send().await {
-                Ok(attempt) if attempt.response.status() == StatusCode::OK => {
-                    tracing::info!(
-                        id = self.task.head.id, endpoint = %attempt.selected.endpoint.name,
-                        software = attempt.selected.software(), last_id = self.buffer.last_id(),
-                        "request: A stream continues at another endpoint."
-                    );
-                    self.set_source(attempt);
+                Ok(attempt) if is_stream(attempt.response.status()) => {
+                    self.continue_at(attempt);
                     return Ok(());
                 }
                 Ok(attempt) => return Err(NotResumed::Answered(attempt.response.status())),
@@ -234,7 +226,17 @@
         }
     }
 
-    /// Sends the request once.
+    /// Continues the stream with the answer of another endpoint. Returns the head of the answer.
+    fn continue_at(&mut self, attempt: Attempt) -> Parts {
+        tracing::info!(
+            id = self.task.head.id, endpoint = %attempt.selected.endpoint.name,
+            software = attempt.selected.software(), last_id = self.reader.last_id(),
+            "request: A stream continues at another endpoint."
+        );
+        self.reader.set_source(&self.task, attempt)
+    }
+
+    /// Sends the request until an endpoint has sent the head of an answer, or the send failed.
     async fn send(&mut self) -> Result<Attempt, Unsent> {
         if self.task.is_expired() {
             return Err(Unsent::Final(NotResumed::OutOfTime));
@@ -246,159 +248,107 @@
         if let Some(not_resumed) = NotResumed::from_next_send(next) {
             return Err(Unsent::Final(not_resumed));
         }
-        self.task.daemon.metrics.record_send(self.sends.count == 0);
-        self.sends.record_send(&selected.endpoint.name);
-        let last_event_id = self.buffer.last_id();
-        let wait_limit = self.wait_limit(wait_limit::first_event_ms(&self.task.route));
-        match attempt::send(&self.task, selected, last_event_id, wait_limit).await {
-            Ok(attempt) => Ok(attempt),
-            Err(error) => {
-                self.task.record_send_end(&mut self.sends, error.send_end());
-                match error.send_end().may_have_run() && !self.is_resumable() {
-                    true => Err(Unsent::Final(NotResumed::NotIdempotent)),
-                    false => Err(Unsent::Failed),
-                }
+        let mut hedge = Hedge {
+            task: &self.task,
+            sends: &mut self.sends,
+            failed_answer: &mut self.failed_answer,
+            last_event_id: self.reader.last_id(),
+            limit_ms: wait_limit::first_event_ms(&self.task.route),
+            accepts: is_stream,
+        };
+        hedge.send(selected).await.map_err(|error| {
+            match error.send_end().may_have_run() && !self.is_resumable() {
+                true => Unsent::Final(NotResumed::NotIdempotent),
+                false => Unsent::Failed,
             }
-        }
+        })
     }
 
-    /// Sets the answer as the source of the stream and returns the head for the caller.
-    /// [`Self::next_step`] reads the events.
-    fn set_source(&mut self, attempt: Attempt) -> Parts {
-        let (mut parts, body) = attempt.response.into_parts();
-        let has_explicit_end = attempt::has_explicit_end(&parts.headers);
-        (self.task.daemon.wire.head.forward_answer)(&mut parts.headers);
-        parts.headers.remove(header::CONTENT_LENGTH);
-        self.source = Some(EventSource {
-            selected: attempt.selected,
-            connection: attempt.connection,
-            body,
-            idle_ms: attempt.head.idle_ms,
-            has_explicit_end,
-            has_begun: false,
-        });
-        parts
+    /// Returns the next complete events. If none come within `limit_ms`, the stream is moved to another
+    /// endpoint, if one accepts it.
+    pub(crate) async fn next_step(&mut self, limit_ms: u64) -> Step {
+        self.next_step_with(limit_ms, |_| ()).await
     }
 
-    /// Returns the next complete events. After `limit_ms` without one, the stream counts as failed
-    /// if another endpoint could run the request.
-    async fn next_step(&mut self, limit_ms: u64) -> Step {
+    /// Returns the next complete events, as [`Self::next_step`] does. `moved` gets the head of the answer
+    /// of each endpoint to which the stream is moved.
+    async fn next_step_with(&mut self, limit_ms: u64, mut moved: impl FnMut(Parts)) -> Step {
         loop {
-            if let Some(events) = self.buffer.take_complete() {
-                self.record_begun();
-                return Step::Events(self.held.release_with(events));
+            if let Some(events) = self.reader.take_events() {
+                return Step::Events(events);
             }
-            let Some(source) = &mut self.source else {
-                return Step::Error(StreamError::NoSource);
-            };
-            let wait_limit = WaitLimit { task: &self.task, sends: &self.sends, limit_ms };
-            let Some(frame) = wait_limit.wait(source.body.frame()).await else {
-                return Step::Error(StreamError::Stalled);
+            let received = match self.receive(limit_ms).await {
+                Source::Same(received) => received,
+                Source::Moved { attempt, error } => {
+                    self.record_stream_error(&error);
+                    moved(self.continue_at(*attempt));
+                    continue;
+                }
             };
-            match frame {
-                Some(Ok(frame)) => {
-                    source.connection.progress().record_frame(&frame);
-                    if let Ok(data) = frame.into_data() {
-                        if let Err(error) = self.hold(data.len()).await {
-                            return Step::Error(error);
-                        }
-                        self.buffer.push(&data);
+            match received {
+                Received::Bytes(bytes) => {
+                    if let Err(error) = self.reader.push(&self.task, &bytes).await {
+                        return Step::Error(error);
                     }
                 }
-                Some(Err(_)) if source.connection.progress().is_exceeded() => {
-                    let bound = AnswerBound::BytesWithoutProgress;
-                    return Step::Error(StreamError::PassedBound(bound));
-                }
-                Some(Err(error)) => return Step::Error(StreamError::Connection(error.to_string())),
-                None if self.buffer.has_partial_event() => {
-                    let reason = "it ended in the middle of an event".to_owned();
-                    return Step::Error(StreamError::Connection(reason));
+                Received::End => {
+                    self.reader.end(&self.task);
+                    return Step::End;
                 }
-                None if self.has_lost_beginning() => {
-                    let reason = "its connection ended before the first event".to_owned();
-                    return Step::Error(StreamError::Connection(reason));
-                }
-                None => return self.end(),
+                Received::Error(error) => return Step::Error(error),
             }
         }
     }
 
-    /// Holds this many more bytes. While too many are held, nothing further is read; this time does
-    /// not count as a pause of the endpoint.
-    async fn hold(&mut self, more_bytes: usize) -> Result<(), StreamError> {
-        let remaining_ms = self.task.remaining_ms();
-        let too_large = StreamError::PassedBound(AnswerBound::AnswerBytes);
-        let grown = async { self.held.grow(more_bytes).await.map_err(|_| too_large) };
-        let timed_out = async {
-            Timer::after(Duration::from_millis(remaining_ms)).await;
-            Err(StreamError::NoRoom)
+    /// Waits for more from the source. While it is silent, the stream is also sent to another endpoint.
+    async fn receive(&mut self, limit_ms: u64) -> Source {
+        let Some(endpoint) = self.reader.selected().map(|selected| selected.endpoint.clone())
+        else {
+            return Source::Same(Received::Error(StreamError::NoSource));
         };
-        grown.or(timed_out).await
-    }
-
-    /// Returns whether the stream ended with its connection and without any event: its endpoint has
-    /// crashed, or will never send one.
-    fn has_lost_beginning(&self) -> bool {
-        let has_end = self.source.as_ref().is_some_and(|source| source.has_explicit_end);
-        !has_end && self.buffer.last_id().is_none()
-    }
-
-    /// Records the first event of the source.
-    fn record_begun(&mut self) {
-        if let Some(source) = self.source.as_mut().filter(|source| !source.has_begun) {
-            source.has_begun = true;
-            source.selected.record_begun();
-        }
-    }
-
-    /// Ends the stream, and returns the connection to the pool.
-    fn end(&mut self) -> Step {
-        if let Some(mut source) = self.source.take() {
-            let daemon = &self.task.daemon;
-            let name = &source.selected.endpoint.name;
-            let now_ms = daemon.shared_view.now_ms();
-            daemon.shared_view.with(|local_view| local_view.records.succeeded(name, now_ms));
-            if source.has_explicit_end {
-                self.task.trial.settled();
-                source.selected.resolve();
-                self.task.record_served(&source.selected.endpoint);
+        let may_move = self.may_move();
+        let mut hedge = Hedge {
+            task: &self.task,
+            sends: &mut self.sends,
+            failed_answer: &mut self.failed_answer,
+            last_event_id: self.reader.last_id(),
+            limit_ms: if may_move { limit_ms } else { u64::MAX },
+            accepts: is_stream,
+        };
+        let received = self.reader.receive();
+        pin!(received);
+        let running_at = RunningAt { endpoint: &endpoint, has_answered: true };
+        loop {
+            match hedge.wait(received.as_mut()).await {
+                Waited::Done(received) => return Source::Same(received),
+                Waited::OutOfTime => return Source::Same(Received::Error(StreamError::OutOfTime)),
+                Waited::Silent => {}
+            }
+            match hedge.race(received.as_mut(), running_at, Received::is_error).await {
+                Raced::First(received) => return Source::Same(received),
+                Raced::Second { attempt, failed: Some(Received::Error(error)) } => {
+                    return Source::Moved { attempt, error };
+                }
+                Raced::Second { attempt, failed: _ } => {
+                    return Source::Moved { attempt, error: StreamError::Silent };
+                }
+                Raced::NotAccepted => {}
             }
-            daemon.pool.keep(&source.selected.endpoint, source.connection, source.idle_ms);
         }
-        Step::End
     }
 
-    /// Records that the last send ran and failed.
-    fn record_failed(&mut self) {
-        self.task.record_send_end(&mut self.sends, SendEnd::Failed);
+    /// Returns whether the stream may be moved while it runs. One that has begun is moved only if it is
+    /// known which version began it. A request that may crash endpoints runs at one at a time.
+    fn may_move(&self) -> bool {
+        let is_bound = self.reader.last_id().is_none() || self.task.version.get().is_some();
+        is_bound && !self.task.is_trial()
     }
 
-    /// Records that the stream failed at its endpoint, and drops the connection.
-    fn record_stream_error(&mut self, error: &StreamError) {
-        self.record_failed();
-        self.buffer.discard_partial_event();
-        self.held.clear();
-        self.task.trial.unanswered();
-        let Some(mut source) = self.source.take() else { return };
-        let name = &source.selected.endpoint.name;
-        let daemon = &self.task.daemon;
-        let has_no_start = matches!(error, StreamError::NoRoom | StreamError::PassedBound(_));
-        if !source.has_begun && !has_no_start {
-            schedule::record_start(&self.task, &source.selected.endpoint, None);
-        }
-        let now_ms = daemon.shared_view.now_ms();
-        if !matches!(error, StreamError::NoRoom) {
-            daemon.shared_view.with(|local_view| local_view.records.failed(name, now_ms));
-        }
-        tracing::info!(
-            id = self.task.head.id, request = self.task.fingerprint(), endpoint = %name,
-            software = source.selected.software(), parts = self.task.parts(), reason = error.reason(), last_id = self.buffer.last_id(), elapsed_ms = self.task.elapsed_ms(), "request: A stream failed at its endpoint."
-        );
-        if let StreamError::PassedBound(bound) = error {
-            answer_bounds::record_passed(daemon, &source.selected.endpoint, *bound);
-        }
-        if matches!(error, StreamError::Connection(_)) {
-            source.selected.record_connection_lost();
+    /// Records that the stream failed at its endpoint, or was left there.
+    pub(crate) fn record_stream_error(&mut self, error: &StreamError) {
+        if let Some(selected) = self.reader.fail(&self.task, error) {
+            let endpoint = &selected.endpoint.name;
+            self.task.record_send_end(&mut self.sends, endpoint, SendEnd::Failed);
         }
     }
 
@@ -419,82 +369,17 @@
     fn is_resumable(&self) -> bool {
         self.task.route.is_idempotent()
     }
-
-    fn wait_limit(&self, limit_ms: u64) -> WaitLimit<'_> {
-        WaitLimit { task: &self.task, sends: &self.sends, limit_ms }
-    }
-}
-
-/// A stream whose first events have arrived: the state of the answer's body.
-struct ForwardedStream {
-    transfer: StreamTransfer,
-    first_events: Option<Bytes>,
-    end: Option<RequestEnd>,
-    /// What ended the stream early.
-    broken: Option<BrokenStream>,
-    stats: StreamStats,
-    /// Time from the request's arrival to the last events.
-    last_event_ms: u64,
-}
-
-impl ForwardedStream {
-    /// Returns the next part of the body; `None` after its end.
-    async fn next(mut self) -> Option<(Result<Frame<Bytes>, BodyError>, Self)> {
-        if self.end.is_some() {
-            return None;
-        }
-        if let Some(first) = self.first_events.take().filter(|first| !first.is_empty()) {
-            return Some((Ok(Frame::data(first)), self));
-        }
-        loop {
-            match self
-                .transfer
-                .next_step(wait_limit::next_event_ms(&self.transfer.task.route))
-                .await
-            {
-                Step::Events(events) => {
-                    self.record_events();
-                    return Some((Ok(Frame::data(events)), self));
-                }
-                Step::End => {
-                    self.end = Some(RequestEnd::Complete);
-                    return None;
-                }
-                Step::Error(error) => {
-                    self.transfer.record_stream_error(&error);
-                    if let Err(not_resumed) = self.transfer.resume().await {
-                        self.broken = Some(BrokenStream { broken_by: error.name(), not_resumed });
-                        let is_expired = self.transfer.task.is_expired();
-                        self.end = Some(if is_expired {
-                            RequestEnd::OutOfTime
-                        } else {
-                            RequestEnd::Aborted
-                        });
-                        return Some((Err(error.reason().into()), self));
-                    }
-                }
-            }
-        }
-    }
 }
 
-impl ForwardedStream {
-    /// Records the arrival of events, for the longest pause between them.
-    fn record_events(&mut self) {
-        let now_ms = self.transfer.task.elapsed_ms();
-        let pause_ms = now_ms.saturating_sub(self.last_event_ms);
-        self.stats.longest_pause_ms = self.stats.longest_pause_ms.max(pause_ms);
-        self.last_event_ms = now_ms;
-    }
+/// What came next, and from where.
+enum Source {
+    /// It came from the endpoint that has run the stream.
+    Same(Received),
+    /// Another endpoint has accepted the stream; the error says why the first one is left.
+    Moved { attempt: Box<Attempt>, error: StreamError },
 }
 
-impl Drop for ForwardedStream {
-    fn drop(&mut self) {
-        let transfer = &self.transfer;
-        let end = self.end.unwrap_or(RequestEnd::CallerDisconnected);
-        let stats = StreamStats { last_id: transfer.buffer.last_id(), ..self.stats };
-        let endpoint = transfer.sends.last.as_ref().map(AsRef::as_ref);
-        let progress = Progress { endpoint, sends: transfer.sends.count, stats };
-        report::record_end(&transfer.task, end, progress, self.broken);
-    }
+/// Returns whether an answer with this status is a stream.
+fn is_stream(status: StatusCode) -> bool {
+    status == StatusCode::OK
 }
--- a/crates/trestle-entry/src/traffic/task.rs
+++ b/crates/trestle-entry/src/traffic/task.rs
@@ -137,12 +137,12 @@
         next
     }
 
-    /// Records that the last send of the request ended without an answer to pass on.
-    pub(crate) fn record_send_end(&self, sends: &mut Sends, end: SendEnd) {
+    /// Records that a send of the request to an endpoint ended without an answer to pass on.
+    pub(crate) fn record_send_end(&self, sends: &mut Sends, endpoint: &EndpointName, end: SendEnd) {
         let now_ms = self.daemon.shared_view.now_ms();
         self.daemon
             .shared_view
-            .with(|local_view| sends.record_end(end, &self.service, local_view, now_ms));
+            .with(|local_view| sends.record_end(endpoint, end, &self.service, local_view, now_ms));
     }
 
     /// Logs whether a request that was sent before is sent once more, and what remains of this
@@ -185,7 +185,12 @@
         });
         is_usable
             && (!is_limited || self.held_permit.allows_send(&incarnation, now_ms))
-            && self.quota_reservation.record_sent(self, now_ms)
+            && self.quota_reservation.record_sent(self, &endpoint.name, now_ms)
+    }
+
+    /// Returns whether the request runs by a leader's permission, because it may crash endpoints.
+    pub(crate) fn is_trial(&self) -> bool {
+        self.trial.is_permitted(self.daemon.shared_view.now_ms())
     }
 
     /// Returns whether the request must not be sent now because endpoints crashed under it. They may
--- a/crates/trestle-lab/src/sim/requests.rs
+++ b/crates/trestle-lab/src/sim/requests.rs
@@ -367,11 +367,14 @@
 
     /// Records a send that ended without an answer, and selects another endpoint.
     fn retry_elsewhere(&mut self, request: usize, end: SendEnd) {
+        let endpoint = self.current_endpoint(request);
         self.release_endpoint(request);
         let now_ms = self.now_ms();
         let request_state = &mut self.requests[request];
         let local_view = &mut self.daemons[request_state.daemon].local_view;
-        request_state.sends.record_end(end, &self.service, local_view, now_ms);
+        if let Some(endpoint) = endpoint {
+            request_state.sends.record_end(&endpoint, end, &self.service, local_view, now_ms);
+        }
         request_state.phase = Phase::Waiting;
         self.select_endpoint(request);
     }
