Count only sends that may have run as attempts of a route

What callers saw: a stream that one engine had rejected before it ran at a second one was not resumed when that broke off, although a third had the model and the route allows two attempts.

Cause: a send that was rejected, or whose endpoint was not reached, counted as an attempt. The bound is on the endpoints at which a request runs. A request of which nothing runs still goes to no more endpoints than that, since nothing is lost if it is rejected; every further send is in the retry budget, as before.

--- a/crates/trestle-dispatch/src/sends.rs
+++ b/crates/trestle-dispatch/src/sends.rs
@@ -55,10 +55,14 @@
     pub may_have_run: bool,
     /// The endpoint of the last send, or of the one that still runs.
     pub last: Option<EndpointName>,
+    /// Number of sends that ended without running.
+    not_run: u32,
     /// Number of sends by endpoint.
     sent_to: BTreeMap<EndpointName, u32>,
     /// Endpoints at which a send runs.
     running_at: BTreeSet<EndpointName>,
+    /// Endpoints at which the request may have run in a send that ended.
+    ran_at: BTreeSet<EndpointName>,
     /// Endpoints that get no further send before a time; with `u64::MAX`, they get one only if
     /// there is no other endpoint.
     paused_until_ms: BTreeMap<EndpointName, u64>,
@@ -115,6 +119,10 @@
             }
             return;
         }
+        match end.may_have_run() {
+            true => _ = self.ran_at.insert(endpoint.clone()),
+            false => self.not_run += 1,
+        }
         self.may_have_run |= end.may_have_run();
         let until_ms = if end == SendEnd::NotRun { now_ms + REFUSED_PAUSE_MS } else { u64::MAX };
         self.paused_until_ms.insert(endpoint.clone(), until_ms);
@@ -129,7 +137,8 @@
             self.running_at.iter().filter(|name| *name != endpoint).cloned().collect();
         for name in aborted {
             self.running_at.remove(&name);
-            self.paused_until_ms.insert(name, u64::MAX);
+            self.paused_until_ms.insert(name.clone(), u64::MAX);
+            self.ran_at.insert(name);
             self.may_have_run = true;
         }
         self.last = Some(endpoint.clone());
@@ -167,9 +176,10 @@
         may_repeat.then(|| self.allowed_at_all(route))
     }
 
-    /// Returns whether the route allows another send after one that runs or may have run.
+    /// Returns whether the route allows another send after one that runs or may have run. A send that
+    /// ended without running uses up no attempt.
     pub fn has_attempt_left(&self, route: &Route) -> bool {
-        self.count < route.attempts
+        self.count - self.not_run < route.attempts
     }
 
     /// Reserves the next send in the retry budget and returns whether it may be made.
@@ -194,9 +204,15 @@
         }
     }
 
+    /// Returns the only endpoints allowed once there are as many as the route's attempts: those at
+    /// which the request runs or may have run. A request of which nothing runs goes to no more
+    /// endpoints than that either, since nothing is lost if it is rejected.
     fn only(&self, route: &Route) -> Option<BTreeSet<EndpointName>> {
-        let is_full = self.sent_to.len() as u64 >= u64::from(route.attempts);
-        is_full.then(|| self.sent_to.keys().cloned().collect())
+        let counted: BTreeSet<EndpointName> = match self.runs_or_may_have_run() {
+            true => self.ran_at.union(&self.running_at).cloned().collect(),
+            false => self.sent_to.keys().cloned().collect(),
+        };
+        (counted.len() as u64 >= u64::from(route.attempts)).then_some(counted)
     }
 
     fn runs_or_may_have_run(&self) -> bool {
