Answer that the time is used up where the first event comes at the deadline

What callers saw: a connection that closed without any answer, now and then, where the first event of a stream came as its time ended.

Cause: the answer was begun, and cut at once because the time was used up. The HTTP library drops the head of an answer that it has not written yet when the body fails.

--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -177,6 +177,11 @@
             let mut parts = self.reader.set_source(&self.task, attempt);
             let limit_ms = wait_limit::first_event_ms(&self.task.route);
             match self.next_step_with(limit_ms, |new_parts| parts = new_parts).await {
+                // A stream that is cut right after its head may reach the caller as nothing at all.
+                Step::Events(_) if self.task.is_expired() => {
+                    self.record_stream_error(&StreamError::OutOfTime);
+                    return self.final_result(Failure::OutOfTime);
+                }
                 Step::Events(first) => return Ok(StreamStart::Events(Box::new(parts), first)),
                 Step::End => return Ok(StreamStart::Events(Box::new(parts), Bytes::new())),
                 Step::Error(error) => {
