Pass on a stream that is complete without any event

What callers saw: a connection that closed without an answer, where an engine ended a stream properly before its first event.

Cause: such an answer was begun as if events would follow; its body then had nowhere to read from and counted as broken.

Evidence: a_stream_without_events_arrives_complete, red before.

--- a/crates/trestle-entry/src/traffic/forwarded_stream.rs
+++ b/crates/trestle-entry/src/traffic/forwarded_stream.rs
@@ -23,13 +23,15 @@
 }
 
 impl ForwardedStream {
-    /// Returns the body of an answer that begins with `first_events`.
-    pub(crate) fn new(transfer: StreamTransfer, first_events: Bytes) -> Self {
+    /// Returns the body of an answer that begins with `first_events`; `None` if the stream is complete
+    /// without any.
+    pub(crate) fn new(transfer: StreamTransfer, first_events: Option<Bytes>) -> Self {
         let first_ms = transfer.task().elapsed_ms();
+        let end = first_events.is_none().then_some(RequestEnd::Complete);
         Self {
             transfer,
-            first_events: Some(first_events),
-            end: None,
+            first_events,
+            end,
             broken: None,
             stats: StreamStats { first_ms: Some(first_ms), ..StreamStats::default() },
             last_event_ms: first_ms,
@@ -41,7 +43,7 @@
         if self.end.is_some() {
             return None;
         }
-        if let Some(first) = self.first_events.take().filter(|first| !first.is_empty()) {
+        if let Some(first) = self.first_events.take() {
             return Some((Ok(Frame::data(first)), self));
         }
         loop {
--- a/crates/trestle-entry/src/traffic/stream.rs
+++ b/crates/trestle-entry/src/traffic/stream.rs
@@ -61,8 +61,8 @@
 
 /// How an answer begins.
 enum StreamStart {
-    /// The head of a stream and its first events.
-    Events(Box<Parts>, Bytes),
+    /// The head of a stream and its first events; `None` if the stream is complete without any.
+    Events(Box<Parts>, Option<Bytes>),
     /// A complete answer that is no stream of events.
     Complete(CompleteAnswer),
 }
@@ -182,8 +182,10 @@
                     self.record_stream_error(&StreamError::OutOfTime);
                     return self.final_result(Failure::OutOfTime);
                 }
-                Step::Events(first) => return Ok(StreamStart::Events(Box::new(parts), first)),
-                Step::End => return Ok(StreamStart::Events(Box::new(parts), Bytes::new())),
+                Step::Events(first) => {
+                    return Ok(StreamStart::Events(Box::new(parts), Some(first)));
+                }
+                Step::End => return Ok(StreamStart::Events(Box::new(parts), None)),
                 Step::Error(error) => {
                     self.record_stream_error(&error);
                     if !self.is_resumable() {
