--- a/crates/trestle-entry/src/detour/server.rs
+++ b/crates/trestle-entry/src/detour/server.rs
@@ -100,21 +100,25 @@
     }
 }
 
-/// Passes bytes in both directions until either side closes its connection. An end of the endpoint's
-/// connection is passed on as what it was, since an answer may end with it: a reset as a reset.
+/// Passes bytes in both directions until either side closes its connection. An answer may end with its
+/// connection, so the requesting daemon gets an orderly end only if the endpoint's connection had one.
+/// Any other end is a reset, also that of this process.
 async fn forward(stream: TcpStream, upstream: TcpStream) {
+    if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
+        tracing::debug!(%error, "detour: A connection could not be set to end with a reset.");
+        return;
+    }
     let up = async {
         // The requesting daemon has closed the connection; dropping the other one aborts the request.
         let _ = async_io::copy(BoundedStream::pausing(stream.clone()), upstream.clone()).await;
-        Ok(())
+        false
     };
     let down = async {
         let upstream = BoundedStream::pausing(upstream.clone());
-        async_io::copy(upstream, stream.clone()).await.map(|_| ())
+        async_io::copy(upstream, stream.clone()).await.is_ok()
     };
-    if up.or(down).await.is_err()
-        && let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO))
-    {
-        tracing::debug!(%error, "detour: A reset could not be passed on.");
+    let has_ended_orderly = up.or(down).await;
+    if has_ended_orderly && let Err(error) = SockRef::from(&stream).set_linger(None) {
+        tracing::debug!(%error, "detour: An orderly end could not be passed on.");
     }
 }
