--- a/crates/trestle-entry/src/detour/server.rs
+++ b/crates/trestle-entry/src/detour/server.rs
@@ -30,7 +30,9 @@
         }
     };
     let open = daemon.open_detours.fetch_add(1, Ordering::Relaxed);
-    let upstream = match open < MAX_OPEN {
+    // A stopping daemon waits for the detours that are open.
+    let may_open = open < MAX_OPEN && !daemon.stopping.has_begun();
+    let upstream = match may_open {
         true => connect_for(&daemon, &request).await,
         false => Err(DetourAnswer::Full),
     };
--- a/crates/trestle-entry/src/stop.rs
+++ b/crates/trestle-entry/src/stop.rs
@@ -2,7 +2,8 @@
 //!
 //! A stop first reports the daemon as not ready, so that the balancer sends it no new connections.
 //! Until that takes effect, every request is served. Then connections are closed as their requests
-//! end, and finally the leases are released.
+//! end, and finally the leases are released. Detours of other daemons are waited for, too; no new ones
+//! are opened from the signal on.
 
 use crate::{
     control::message::Message, daemon::Daemon, stopping::BALANCER_NOTICE_MS,
@@ -49,21 +50,37 @@
     // Orders continue meanwhile, since for a while after the release of the leases no daemon may
     // give any, and this daemon's own requests still wait for models.
     let drained_by_ms = daemon.stopping.limit_ms().saturating_sub(RELEASE_MS);
-    let drained = async {
-        while shutdown.open_connections() > 0 && elapsed_ms() < drained_by_ms {
-            Timer::after(Duration::from_millis(CHECK_MS)).await;
-        }
+    let open = || OpenConnections {
+        callers: shutdown.open_connections(),
+        detours: daemon.open_detours.load(Ordering::Relaxed),
     };
-    drained.await;
+    while !open().is_empty() && elapsed_ms() < drained_by_ms {
+        Timer::after(Duration::from_millis(CHECK_MS)).await;
+    }
     release_leases(daemon).await;
     let limit_ms = daemon.stopping.limit_ms();
-    while shutdown.open_connections() > 0 && elapsed_ms() < limit_ms {
+    while !open().is_empty() && elapsed_ms() < limit_ms {
         Timer::after(Duration::from_millis(CHECK_MS)).await;
     }
-    tracing::info!(open = shutdown.open_connections(), "stop: Stopped.");
+    let OpenConnections { callers, detours } = open();
+    tracing::info!(open = callers, detours, "stop: Stopped.");
     Ok(())
 }
 
+/// The connections that a stop waits for.
+struct OpenConnections {
+    /// Those of callers.
+    callers: usize,
+    /// Those of other daemons to endpoints that pass through this one.
+    detours: usize,
+}
+
+impl OpenConnections {
+    fn is_empty(&self) -> bool {
+        self.callers == 0 && self.detours == 0
+    }
+}
+
 async fn release_leases(daemon: &Daemon) {
     let released = async {
         // Without a control thread there is no lease to release.
