Replace a connection that is reset before the request is written

What callers saw: a daemon whose new connections to an endpoint are accepted and then reset (a cut path) refused requests with 503 although another daemon could help, again and again for the same endpoint.

Cause: a reset that is noticed only after the request was written was recorded for the path; one that is noticed before was not. So the daemon went on trying the direct path, and each try used up one of the request's sends. Nothing is sent over such a connection, so it is replaced once, and the reset is recorded, which leads the next connection by a detour.

--- a/crates/trestle-entry/src/traffic/attempt.rs
+++ b/crates/trestle-entry/src/traffic/attempt.rs
@@ -151,13 +151,15 @@
     }
 }
 
-/// Opens or reuses a connection, sends the request over it, and checks the head of the answer.
+/// Opens or reuses a connection, sends the request over it, and checks the head of the answer. A new
+/// connection that ends before the request is written is replaced once.
 async fn exchange(
     task: &Arc<Task>,
     selected: &mut SelectedEndpoint,
     last_event_id: Option<u64>,
 ) -> Result<(Connection, Response<Incoming>, AnswerHead), AttemptError> {
     let daemon = &task.daemon;
+    let mut was_reset = false;
     loop {
         let connection = paths::connection(daemon, &selected.endpoint).await;
         let mut connection = connection.map_err(|error| {
@@ -196,7 +198,14 @@
             }
             // The idle connection was closed before the request was sent; take another one.
             Err(SendError::NotSent(_)) if !connection.is_fresh() => selected.resolve(),
-            Err(SendError::NotSent(reason)) => return Err(AttemptError::Unreachable(reason)),
+            Err(SendError::NotSent(reason)) => {
+                paths::record_lost(daemon, &selected.endpoint, &connection);
+                if std::mem::replace(&mut was_reset, true) {
+                    return Err(AttemptError::Unreachable(reason));
+                }
+                // The path is reset. The next connection takes a detour, if another daemon helps.
+                selected.resolve();
+            }
             Err(SendError::PassedBound(bound)) => return Err(AttemptError::PassedBound(bound)),
             Err(SendError::Unknown(reason)) => {
                 paths::record_lost(daemon, &selected.endpoint, &connection);
