Log when a silent endpoint is first and the other send is aborted

Nothing said so: the line that a second send was made stood alone, so that the logs of a request did not tell which endpoint had answered it.

--- a/crates/trestle-dispatch/src/sends.rs
+++ b/crates/trestle-dispatch/src/sends.rs
@@ -131,17 +131,19 @@
         }
     }
 
-    /// Records that all sends were aborted but the one to this endpoint.
-    pub fn record_others_aborted(&mut self, endpoint: &EndpointName) {
+    /// Records that all sends were aborted but the one to this endpoint. Returns the endpoints of those
+    /// that were aborted; the request may have run there.
+    pub fn record_others_aborted(&mut self, endpoint: &EndpointName) -> Vec<EndpointName> {
         let aborted: Vec<EndpointName> =
             self.running_at.iter().filter(|name| *name != endpoint).cloned().collect();
-        for name in aborted {
-            self.running_at.remove(&name);
+        for name in &aborted {
+            self.running_at.remove(name);
             self.paused_until_ms.insert(name.clone(), u64::MAX);
-            self.ran_at.insert(name);
+            self.ran_at.insert(name.clone());
             self.may_have_run = true;
         }
         self.last = Some(endpoint.clone());
+        aborted
     }
 
     /// Reverts a send that was not made.
--- a/crates/trestle-dispatch/tests/sends.rs
+++ b/crates/trestle-dispatch/tests/sends.rs
@@ -102,7 +102,7 @@
         let mut fixture = Fixture::new();
         fixture.send("x");
         fixture.send("y");
-        fixture.sends.record_others_aborted(&"x".into());
+        assert_eq!(fixture.sends.record_others_aborted(&"x".into()), ["y".into()]);
         assert_eq!(fixture.sends.last, Some("x".into()));
         assert_eq!(fixture.next(), NextSend::NoAttemptLeft);
         assert_eq!(fixture.allowed().excluded, names(&["x", "y"]));
--- a/crates/trestle-entry/src/traffic/hedge.rs
+++ b/crates/trestle-entry/src/traffic/hedge.rs
@@ -158,7 +158,13 @@
             }
         };
         if matches!(result, Raced::First(_)) {
-            self.sends.record_others_aborted(&endpoint.name);
+            for aborted in self.sends.record_others_aborted(&endpoint.name) {
+                tracing::info!(
+                    id = task.head.id, endpoint = %endpoint.name, %aborted,
+                    elapsed_ms = task.elapsed_ms(),
+                    "request: The silent endpoint was first; the other send is aborted."
+                );
+            }
         }
         result
     }
