Send nothing for an earlier start of an endpoint while the later one drains

Cause: the draining mark belongs to a start. The store carried out a heartbeat of an earlier start late, and that entry replaced the one of the start that drains. Both have one name and address.

Now such an entry is listed but gets no requests for 5 s: by then the start that drains has written its next heartbeat, or the store has removed the entry. One that stays belongs to a server whose clock was set back, and is used.

Ruled out: to refuse starts that were replaced (loses an endpoint for good where a daemon heard of two starts in the wrong order), and to refuse the entry (it would be relayed as a removal, and what runs there be taken for crashed).

--- a/crates/trestle-dispatch/src/directory.rs
+++ b/crates/trestle-dispatch/src/directory.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     departures::{Departure, Departures},
+    earlier_starts::EarlierStarts,
     endpoint::{Endpoint, Held, Incarnation},
 };
 use std::{
@@ -27,6 +28,8 @@
     endpoints: BTreeMap<EndpointName, Arc<Endpoint>>,
     /// Incarnations that are draining or gone.
     departures: Departures,
+    /// Entries of starts that seem to be earlier than one that drains.
+    earlier_starts: EarlierStarts,
     /// Entries that lapsed when the store was, or had just been, unavailable, and the time until
     /// which each is kept.
     lapsed_until_ms: BTreeMap<EndpointName, u64>,
@@ -59,6 +62,7 @@
         Self {
             endpoints: BTreeMap::new(),
             departures: Departures::default(),
+            earlier_starts: EarlierStarts::default(),
             lapsed_until_ms: BTreeMap::new(),
             draining_ms,
             read_ms: 0,
@@ -89,6 +93,8 @@
             self.departures.mark_draining(endpoint.incarnation());
         }
         endpoint.is_draining |= self.was_draining(&endpoint.incarnation());
+        let listed = self.endpoints.get(&endpoint.name).map(AsRef::as_ref);
+        endpoint.is_draining |= self.earlier_starts.record(&endpoint, listed);
         // Message numbers restart with each incarnation; entries of different incarnations arrive
         // in the order of the store.
         if let Some(known) = self.endpoints.get(&endpoint.name)
@@ -208,6 +214,7 @@
         let is_active = !self.was_draining(&incarnation);
         let kept_until_ms = self.kept_until_ms(now_ms).filter(|until| now_ms < *until);
         self.departures.removed(incarnation, last_number);
+        self.earlier_starts.forget(name);
         match kept_until_ms {
             Some(until_ms) if is_active => {
                 self.lapsed_until_ms.entry(name.clone()).or_insert(until_ms);
@@ -272,8 +279,16 @@
         self.last_outage = Some(StoreOutage { last_read_ms, length_ms, ended_ms: now_ms });
     }
 
-    /// Drops lapsed entries that were not written again in time. Returns their names.
+    /// Drops lapsed entries that were not written again in time, and uses entries of starts that seemed
+    /// earlier than one that drained, and have stayed. Returns the names of the dropped ones.
     pub fn drop_lapsed(&mut self, now_ms: u64) -> Vec<EndpointName> {
+        for incarnation in self.earlier_starts.expire(now_ms) {
+            let was_draining = self.was_draining(&incarnation);
+            let listed = self.endpoints.get_mut(&incarnation.name);
+            if let Some(listed) = listed.filter(|listed| listed.incarnation() == incarnation) {
+                Arc::make_mut(listed).is_draining = was_draining;
+            }
+        }
         let due: Vec<EndpointName> = self
             .lapsed_until_ms
             .iter()
--- a/crates/trestle-dispatch/src/lib.rs
+++ b/crates/trestle-dispatch/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod demand;
 pub mod departures;
 pub mod directory;
+mod earlier_starts;
 pub mod endpoint;
 pub mod endpoint_limits;
 pub mod entry_check;
--- a/crates/trestle-dispatch/tests/directory.rs
+++ b/crates/trestle-dispatch/tests/directory.rs
@@ -27,6 +27,11 @@
     text.into()
 }
 
+/// Returns an entry of the start of "x" at a time.
+fn start_at(started_unix_ms: u64, entry_number: u64, is_draining: bool) -> Endpoint {
+    Endpoint { started_unix_ms, entry_number, is_draining, ..endpoint("x", "z", &[]) }
+}
+
 macro_rules! cases {
     ($($name:ident => $body:block)+) => { $(#[test] fn $name() $body)+ };
 }
@@ -92,6 +97,53 @@
         assert_eq!(usable(&directory), ["y"]);
     }
 
+    // The store carried out a heartbeat of a crashed start seconds late. Both starts have one address.
+    an_entry_of_an_earlier_start_is_not_used_after_the_later_one_has_announced_draining => {
+        let mut directory = directory_of(&[]);
+        directory.apply_written(start_at(10, 7, false));
+        directory.apply_written(start_at(20, 1, false));
+        directory.apply_written(start_at(20, 2, true));
+        assert!(directory.apply_written(start_at(10, 8, false)));
+        assert!(usable(&directory).is_empty());
+        // Its removal, or the next heartbeat of the later start, leaves nothing of it.
+        directory.apply_written(start_at(20, 3, true));
+        assert!(usable(&directory).is_empty());
+        directory.apply_written(start_at(30, 1, false));
+        assert_eq!(usable(&directory), ["x"]);
+    }
+
+    an_entry_of_an_earlier_start_that_was_removed_is_not_kept_in_mind => {
+        let mut directory = directory_of(&[]);
+        directory.apply_written(start_at(20, 2, true));
+        directory.apply_written(start_at(10, 8, false));
+        directory.apply_removal(&name("x"), 10_000);
+        directory.apply_written(start_at(10, 9, false));
+        assert_eq!(usable(&directory), ["x"]);
+    }
+
+    an_endpoint_that_starts_again_with_its_clock_set_back_is_used_once_its_entry_stays => {
+        let mut directory = directory_of(&[]);
+        directory.apply_written(start_at(20, 2, true));
+        directory.apply_written(start_at(10, 1, false));
+        directory.drop_lapsed(10_000);
+        directory.apply_written(start_at(10, 2, false));
+        directory.drop_lapsed(14_900);
+        assert!(usable(&directory).is_empty());
+        directory.drop_lapsed(15_000);
+        assert_eq!(usable(&directory), ["x"]);
+        directory.apply_written(start_at(10, 3, false));
+        assert_eq!(usable(&directory), ["x"]);
+    }
+
+    an_earlier_start_that_announces_draining_itself_is_never_used => {
+        let mut directory = directory_of(&[]);
+        directory.apply_written(start_at(20, 2, true));
+        directory.apply_written(start_at(10, 1, true));
+        directory.drop_lapsed(10_000);
+        directory.drop_lapsed(15_000);
+        assert!(usable(&directory).is_empty());
+    }
+
     an_entry_written_before_the_removal_is_rejected => {
         let mut directory = directory_of(&[]);
         let mut entry = endpoint("x", "z", &[]);
