--- a/crates/trestle-lab/src/sim/mod.rs
+++ b/crates/trestle-lab/src/sim/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! [`simulation`] holds the whole state and handles the events of [`queue`] one after the other.
 //! [`engine`] models an engine: batches, chunked prefill, a cache of prompt prefixes, orders and
-//! loads. [`requests`] follows callers' requests to their end, [`leader`] is the daemon that
-//! leads, with the reports that the others send it, [`faults`] injects the faults of the
+//! loads. [`requests`] follows callers' requests to their end and [`sends`] their sends to engines,
+//! [`leader`] is the daemon that leads, with the reports that the others send it, [`faults`] injects the faults of the
 //! deployment's file, and [`workload`] generates the requests.
 
 mod engine;
@@ -11,6 +11,7 @@
 mod leader;
 mod queue;
 mod requests;
+mod sends;
 mod simulation;
 mod workload;
 
